--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/EngineCommand.java
@@ -0,0 +1,59 @@
+package org.zinniaspan.standins;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.standins.engine.EngineModel;
+import org.zinniaspan.standins.engine.EngineServer;
+
+/** Runs an engine stand-in. */
+@Parameters(commandDescription = "Run a model engine.")
+final class EngineCommand implements StandinCommand {
+
+  @Parameter(names = "--listen", description = "Address, host:port.")
+  String listen = "127.0.0.1:9000";
+
+  @Parameter(names = "--models", description = "Models it serves, separated by commas.")
+  List<String> models = new ArrayList<>();
+
+  @Parameter(names = "--slots", description = "Requests that run at once.")
+  int slots = 8;
+
+  @Parameter(names = "--ms-per-token", description = "Time between tokens of a lone request.")
+  double msPerToken = 10;
+
+  @Parameter(names = "--ms-per-token-per-request", description = "Time each request adds.")
+  double msPerTokenPerRequest = 1;
+
+  @Parameter(names = "--prefill-tokens-per-second", description = "Pace of reading prompts.")
+  double prefillTokensPerSecond = 5_000;
+
+  @Parameter(names = "--cache-tokens", description = "Size of the prefix cache in tokens.")
+  int cacheTokens = 20_000;
+
+  @Parameter(names = "--report-lag-ms", description = "Age of the load reports.")
+  long reportLagMs = 1_000;
+
+  @Parameter(names = "--checks-fencing", description = "Refuse old fencing numbers.")
+  boolean checksFencing;
+
+  @Override
+  public int run() throws Exception {
+    EngineModel model =
+        new EngineModel(
+            slots,
+            msPerToken,
+            msPerTokenPerRequest,
+            prefillTokensPerSecond,
+            cacheTokens,
+            reportLagMs,
+            checksFencing);
+    try (EngineServer server =
+        new EngineServer(Addresses.parse(listen), model, Set.copyOf(models))) {
+      return StandinCommand.serveUntilStopped();
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -0,0 +1,52 @@
+package org.zinniaspan.standins;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.zinniaspan.cli.EnvironmentDefaults;
+import org.zinniaspan.standins.demo.DemoCommand;
+
+/** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
+public final class StandinsMain {
+
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_FAILURE = 3;
+
+  private StandinsMain() {}
+
+  /** Runs the command line and exits with its code. */
+  public static void main(String[] args) {
+    System.exit(run(args, System.getenv()));
+  }
+
+  private static int run(String[] args, Map<String, String> environment) {
+    Map<String, StandinCommand> commands = new LinkedHashMap<>();
+    commands.put("platform", new PlatformCommand());
+    commands.put("engine", new EngineCommand());
+    commands.put("service", new ServiceCommand());
+    commands.put("demo", new DemoCommand());
+    JCommander.Builder builder =
+        JCommander.newBuilder()
+            .programName("zinniaspan-standins")
+            .defaultProvider(new EnvironmentDefaults(environment));
+    commands.forEach(builder::addCommand);
+    JCommander commander = builder.build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      System.err.println("zinniaspan-standins: " + e.getMessage());
+      return EXIT_USAGE;
+    }
+    if (commander.getParsedCommand() == null) {
+      commander.usage();
+      return EXIT_USAGE;
+    }
+    try {
+      return commands.get(commander.getParsedCommand()).run();
+    } catch (Exception e) {
+      System.err.println("zinniaspan-standins: " + e);
+      return EXIT_FAILURE;
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/caller/CallerClient.java
@@ -0,0 +1,188 @@
+package org.zinniaspan.standins.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.zinniaspan.gateway.ResponseHeaders;
+import org.zinniaspan.http.HttpExchange;
+
+/** Calls an entry VM as an organisation's application would. */
+public final class CallerClient {
+
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int READ_TIMEOUT_MS = 40_000;
+  private static final double NANOS_PER_MS = 1_000_000.0;
+
+  /** One request to a plain service. */
+  public record ServiceRequest(
+      String method, String path, String body, Optional<String> idempotencyKey) {}
+
+  /** One chat request. */
+  public record ChatRequest(
+      String model, String prompt, Optional<String> serviceClass, boolean stream) {}
+
+  private final String key;
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  /** Creates a caller with an organisation's key. */
+  public CallerClient(String key) {
+    this.key = key;
+  }
+
+  /** Sends a chat request and waits for its end. */
+  public CallerResult chat(InetSocketAddress entry, ChatRequest request) {
+    ObjectNode body = mapper.createObjectNode();
+    body.put("model", request.model()).put("stream", request.stream());
+    body.putArray("messages").addObject().put("role", "user").put("content", request.prompt());
+    ClassicRequestBuilder builder =
+        builder("POST", "/v1/chat/completions", entry)
+            .setEntity(
+                new ByteArrayEntity(
+                    body.toString().getBytes(StandardCharsets.UTF_8),
+                    ContentType.APPLICATION_JSON));
+    request
+        .serviceClass()
+        .ifPresent(name -> builder.addHeader(ResponseHeaders.SERVICE_CLASS, name));
+    return send(entry, builder);
+  }
+
+  /** Sends a call to a plain service and waits for its end. */
+  public CallerResult call(InetSocketAddress entry, ServiceRequest request) {
+    ClassicRequestBuilder builder = builder(request.method(), "/services/" + request.path(), entry);
+    if (!request.body().isEmpty()) {
+      byte[] body = request.body().getBytes(StandardCharsets.UTF_8);
+      builder.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_JSON));
+    }
+    request
+        .idempotencyKey()
+        .ifPresent(value -> builder.addHeader(ResponseHeaders.IDEMPOTENCY_KEY, value));
+    return send(entry, builder);
+  }
+
+  /** Sends a request with a method and path of any kind and waits for its end. */
+  public CallerResult raw(InetSocketAddress entry, String method, String path, String body) {
+    ClassicRequestBuilder builder = builder(method, path, entry);
+    if (!body.isEmpty()) {
+      builder.setEntity(
+          new ByteArrayEntity(body.getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON));
+    }
+    return send(entry, builder);
+  }
+
+  private ClassicRequestBuilder builder(String method, String path, InetSocketAddress entry) {
+    return ClassicRequestBuilder.create(method)
+        .setPath(path)
+        .setHttpHost(new HttpHost(entry.getHostString(), entry.getPort()))
+        .addHeader("Authorization", "Bearer " + key);
+  }
+
+  private CallerResult send(InetSocketAddress entry, ClassicRequestBuilder builder) {
+    long start = System.nanoTime();
+    try (HttpExchange exchange = HttpExchange.connect(entry, CONNECT_TIMEOUT_MS, READ_TIMEOUT_MS)) {
+      ClassicHttpResponse response = exchange.execute(builder.build());
+      Reading reading = new Reading(start);
+      if (isStream(response)) {
+        readStream(response, reading);
+      } else {
+        reading.text.append(EntityUtils.toString(response.getEntity()));
+        reading.complete = true;
+        reading.tokens = completionTokens(reading.text.toString());
+      }
+      return reading.result(response);
+    } catch (IOException | HttpException e) {
+      return CallerResult.failed(e.toString(), elapsedMs(start));
+    }
+  }
+
+  private static boolean isStream(ClassicHttpResponse response) {
+    return response.getEntity() != null
+        && response.getEntity().getContentType() != null
+        && response.getEntity().getContentType().startsWith("text/event-stream");
+  }
+
+  private void readStream(ClassicHttpResponse response, Reading reading) {
+    try (BufferedReader reader =
+        new BufferedReader(
+            new InputStreamReader(response.getEntity().getContent(), StandardCharsets.UTF_8))) {
+      String line;
+      while ((line = reader.readLine()) != null) {
+        if (line.equals("data: [DONE]")) {
+          reading.complete = true;
+        } else if (line.startsWith("data: ")) {
+          JsonNode chunk = mapper.readTree(line.substring("data: ".length()));
+          reading.token(chunk.path("choices").path(0).path("delta").path("content").asText(""));
+        }
+      }
+    } catch (IOException e) {
+      reading.complete = false;
+    }
+  }
+
+  private int completionTokens(String body) {
+    try {
+      return mapper.readTree(body).path("usage").path("completion_tokens").asInt();
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  private static double elapsedMs(long startNanos) {
+    return (System.nanoTime() - startNanos) / NANOS_PER_MS;
+  }
+
+  private static final class Reading {
+
+    private final long start;
+    private final StringBuilder text = new StringBuilder();
+    private double firstTokenMs;
+    private int tokens;
+    private boolean complete;
+
+    Reading(long start) {
+      this.start = start;
+    }
+
+    void token(String value) {
+      if (value.isEmpty()) {
+        return;
+      }
+      if (tokens == 0) {
+        firstTokenMs = elapsedMs(start);
+      }
+      tokens++;
+      text.append(value);
+    }
+
+    CallerResult result(ClassicHttpResponse response) {
+      double totalMs = elapsedMs(start);
+      return new CallerResult(
+          response.getCode(),
+          header(response, ResponseHeaders.OUTCOME).orElse(""),
+          header(response, ResponseHeaders.ENDPOINT).orElse(""),
+          header(response, ResponseHeaders.RETRY_AFTER).map(Integer::valueOf),
+          text.toString(),
+          complete,
+          tokens,
+          firstTokenMs == 0 ? totalMs : firstTokenMs,
+          totalMs);
+    }
+
+    private static Optional<String> header(ClassicHttpResponse response, String name) {
+      return Optional.ofNullable(response.getFirstHeader(name)).map(Header::getValue);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineServer.java
@@ -0,0 +1,167 @@
+package org.zinniaspan.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.zinniaspan.http.HttpListener;
+import org.zinniaspan.http.OpenAiEngineClient;
+import org.zinniaspan.standins.Query;
+
+/**
+ * Stand-in for a model engine that speaks the chat completions protocol.
+ *
+ * <p>Extra fields of a request: {@code priority} (lower goes first) and {@code resume_from_token}.
+ * A prompt may carry {@code #tokens=N}, which fixes the length of its answer. Other calls: {@code
+ * GET /load}, {@code POST /orders}, {@code POST /control?slowdown=X&leaving=BOOL}, {@code GET
+ * /counts}.
+ */
+public final class EngineServer implements HttpRequestHandler, AutoCloseable {
+
+  private static final int SHARED_PREFIX_CHARACTERS = 512;
+  private static final int CHARACTERS_PER_TOKEN = 4;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int UNAVAILABLE = 503;
+
+  private final EngineCore core;
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpListener listener;
+
+  /** Starts the stand-in; port 0 takes any free port. */
+  public EngineServer(InetSocketAddress address, EngineModel model, Set<String> models)
+      throws IOException {
+    core = new EngineCore(model, models);
+    listener = HttpListener.start(address, this);
+  }
+
+  /** Returns the scheduler. */
+  public EngineCore core() {
+    return core;
+  }
+
+  /** Returns the bound port. */
+  public int port() {
+    return listener.port();
+  }
+
+  @Override
+  public void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+      throws IOException {
+    String path = request.getPath();
+    if (path.equals("/v1/chat/completions")) {
+      chat(mapper.readTree(EntityUtils.toByteArray(request.getEntity())), response);
+    } else if (path.equals("/load")) {
+      json(response, load());
+    } else if (path.equals("/counts")) {
+      long[] counts = core.tokenCounts();
+      json(response, object().put("generated", counts[0]).put("cancelled", counts[1]));
+    } else if (path.equals("/orders")) {
+      order(mapper.readTree(EntityUtils.toByteArray(request.getEntity())), response);
+    } else if (path.startsWith("/control")) {
+      control(Query.of(path));
+    } else {
+      response.setCode(NOT_FOUND);
+    }
+  }
+
+  private void control(Query query) {
+    query.get("slowdown").ifPresent(value -> core.setSlowdown(Double.parseDouble(value)));
+    query.get("leaving").ifPresent(value -> core.setLeaving(Boolean.parseBoolean(value)));
+  }
+
+  private ObjectNode load() {
+    long now = System.currentTimeMillis();
+    EngineCore.Load load = core.laggedLoad(now);
+    ObjectNode body =
+        object()
+            .put("ageMs", now - load.atMs())
+            .put("running", load.running())
+            .put("waiting", load.waiting())
+            .put("msPerToken", load.msPerToken())
+            .put("prefillTokensPerSecond", 0.0)
+            .put("leaving", core.isLeaving())
+            .put("highestFencing", core.highestFencing());
+    core.models().forEach(body.putArray("models")::add);
+    return body;
+  }
+
+  private void order(JsonNode order, ClassicHttpResponse response) throws IOException {
+    Set<String> load = names(order.path("load"));
+    Set<String> unload = names(order.path("unload"));
+    if (!core.order(order.path("fencing").asLong(), load, unload)) {
+      response.setCode(CONFLICT);
+    }
+    json(response, object().put("highestFencing", core.highestFencing()));
+  }
+
+  private static Set<String> names(JsonNode array) {
+    Set<String> names = new HashSet<>();
+    array.forEach(name -> names.add(name.asText()));
+    return names;
+  }
+
+  private void chat(JsonNode request, ClassicHttpResponse response) throws IOException {
+    String model = request.path("model").asText();
+    if (core.isLeaving()) {
+      response.setHeader(OpenAiEngineClient.LEAVING_HEADER, "true");
+      error(response, UNAVAILABLE, "engine is leaving");
+    } else if (!core.models().contains(model)) {
+      error(response, NOT_FOUND, "model '" + model + "' is not loaded");
+    } else {
+      stream(request, response);
+    }
+  }
+
+  private void stream(JsonNode request, ClassicHttpResponse response) {
+    StringBuilder prompt = new StringBuilder();
+    request.path("messages").forEach(m -> prompt.append(m.path("content").asText()).append('\n'));
+    String text = prompt.toString();
+    int prefixLength = Math.min(SHARED_PREFIX_CHARACTERS, text.length());
+    byte[] prefix = text.substring(0, prefixLength).getBytes(StandardCharsets.UTF_8);
+    Generation generation =
+        new Generation(
+            request.path("model").asText(),
+            text,
+            MurmurHash3.hash128x64(prefix)[0],
+            prefixLength / CHARACTERS_PER_TOKEN,
+            text.length() / CHARACTERS_PER_TOKEN,
+            request.path("priority").asInt(0),
+            request.path("resume_from_token").asInt(0),
+            Words.length(text, request.path("max_tokens").asInt(Integer.MAX_VALUE)));
+    response.setEntity(new GenerationEntity(generation, core, HttpListener::callerLeft));
+  }
+
+  private void error(ClassicHttpResponse response, int status, String message) throws IOException {
+    response.setCode(status);
+    ObjectNode body = object();
+    body.putObject("error").put("message", message).put("type", "server_error");
+    json(response, body);
+  }
+
+  private ObjectNode object() {
+    return mapper.createObjectNode();
+  }
+
+  private void json(ClassicHttpResponse response, ObjectNode body) throws IOException {
+    response.setEntity(
+        new ByteArrayEntity(mapper.writeValueAsBytes(body), ContentType.APPLICATION_JSON));
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
@@ -0,0 +1,102 @@
+package org.zinniaspan.standins.fleet;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One process of a {@link LocalFleet}. */
+public final class FleetProcess implements AutoCloseable {
+
+  private static final long STOP_TIMEOUT_SECONDS = 5;
+
+  private final String name;
+  private final Process process;
+
+  private FleetProcess(String name, Process process) {
+    this.name = name;
+    this.process = process;
+  }
+
+  /** Starts a Java process with this process's class path; its output goes to a log file. */
+  static FleetProcess start(
+      String name, Path logs, List<String> jvmFlags, String mainClass, List<String> args)
+      throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(jvmFlags);
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.add(mainClass);
+    command.addAll(args);
+    File log = logs.resolve(name + ".log").toFile();
+    Process process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            .start();
+    return new FleetProcess(name, process);
+  }
+
+  /** Returns the name. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the process id. */
+  public long pid() {
+    return process.pid();
+  }
+
+  /** Returns whether the process runs. */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Ends the process at once, as kill -9 does. */
+  public void kill() {
+    process.destroyForcibly();
+    awaitExit(STOP_TIMEOUT_SECONDS);
+  }
+
+  /** Sends SIGTERM. */
+  public void terminate() {
+    process.destroy();
+  }
+
+  /** Stops the process until {@link #resume}. */
+  public void pause() throws IOException {
+    signal("STOP");
+  }
+
+  /** Lets a stopped process go on. */
+  public void resume() throws IOException {
+    signal("CONT");
+  }
+
+  /** Waits for the end of the process; returns false if it still runs then. */
+  public boolean awaitExit(long seconds) {
+    try {
+      return process.waitFor(seconds, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void signal(String signal) throws IOException {
+    Process sender = new ProcessBuilder("kill", "-" + signal, String.valueOf(pid())).start();
+    try {
+      sender.waitFor();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
@@ -0,0 +1,338 @@
+package org.zinniaspan.standins.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.zinniaspan.http.HttpExchange;
+import org.zinniaspan.lifecycle.Closer;
+
+/**
+ * A platform, endpoints and entry VMs as processes on the loopback interface.
+ *
+ * <p>Example: {@code try (LocalFleet fleet = LocalFleet.start(spec, logs)) { ... }}. Closing ends
+ * all processes.
+ */
+public final class LocalFleet implements AutoCloseable {
+
+  /** Key of the organisation that every fleet has. */
+  public static final String KEY = "local-key";
+
+  /** Token of the administration API. */
+  public static final String ADMIN_TOKEN = "local-admin-token";
+
+  /** Flags of the Java VM for a small VM, as in bin/zinniaspan. */
+  public static final List<String> ENTRY_JVM_FLAGS =
+      List.of(
+          "-XX:+UseSerialGC",
+          "-Xms24m",
+          "-Xmx48m",
+          "-Xss256k",
+          "-XX:TieredStopAtLevel=1",
+          "-XX:ReservedCodeCacheSize=24m",
+          "-XX:MaxMetaspaceSize=48m");
+
+  private static final List<String> STANDIN_JVM_FLAGS =
+      List.of("-XX:+UseSerialGC", "-Xmx256m", "-Xss256k", "-XX:TieredStopAtLevel=1");
+  private static final String STANDINS_MAIN = "org.zinniaspan.standins.StandinsMain";
+  private static final String ENTRY_MAIN = "org.zinniaspan.cli.Main";
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int HTTP_TIMEOUT_MS = 2_000;
+  private static final long READY_TIMEOUT_MS = 20_000;
+  private static final long POLL_MS = 20;
+
+  /** An entry VM's process and its addresses. */
+  public record Entry(
+      String name,
+      String zone,
+      FleetProcess process,
+      long startedMs,
+      InetSocketAddress callers,
+      InetSocketAddress peers,
+      InetSocketAddress admin) {}
+
+  /** An endpoint's process and its address. */
+  public record EndpointProcess(String name, FleetProcess process, InetSocketAddress address) {}
+
+  /** An answer of the administration API or of a stand-in. */
+  public record Reply(int status, String body) {}
+
+  private final Closer closer = new Closer();
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final FleetSpec spec;
+  private final Path logs;
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, EndpointProcess> endpoints = new LinkedHashMap<>();
+  private InetSocketAddress platform;
+  private FleetProcess platformProcess;
+
+  private LocalFleet(FleetSpec spec, Path logs) {
+    this.spec = spec;
+    this.logs = logs;
+  }
+
+  /** Starts all processes and waits until every entry VM is ready. */
+  public static LocalFleet start(FleetSpec spec, Path logs) throws IOException {
+    LocalFleet fleet = new LocalFleet(spec, logs);
+    try {
+      fleet.startAll();
+      return fleet;
+    } catch (IOException | RuntimeException e) {
+      fleet.close();
+      throw e;
+    }
+  }
+
+  private void startAll() throws IOException {
+    logs.toFile().mkdirs();
+    platform = freeAddress();
+    platformProcess = standin("platform", "platform", platform, List.of());
+    for (FleetSpec.EngineSpec engine : spec.engines) {
+      List<String> flags = new ArrayList<>(engine.flags());
+      flags.addAll(List.of("--models", String.join(",", engine.models())));
+      flags.addAll(List.of("--slots", String.valueOf(spec.engineSlots)));
+      startEndpoint(engine.name(), "engine", flags);
+    }
+    for (FleetSpec.ServiceSpec service : spec.services) {
+      startEndpoint(service.name(), "service", service.flags());
+    }
+    await("platform", () -> get(platform, "/v1/documents/none").status() != 0);
+    publish("inventory", inventory());
+    publish("organisations", spec.documents.getOrDefault("organisations", organisations()));
+    publish("rules", spec.documents.get("rules"));
+    spec.entriesByZone.forEach(this::startEntries);
+    publishVms();
+    awaitReady();
+  }
+
+  private void startEntries(String zone, int count) {
+    for (int i = 1; i <= count; i++) {
+      startEntry(zone + "-" + i, zone);
+    }
+  }
+
+  /** Starts an entry VM; the list of VMs is published by {@link #publishVms}. */
+  public Entry startEntry(String name, String zone) {
+    try {
+      InetSocketAddress callers = freeAddress();
+      InetSocketAddress peers = freeAddress();
+      InetSocketAddress admin = freeAddress();
+      List<String> args =
+          new ArrayList<>(
+              List.of(
+                  "entry",
+                  "--vm-name",
+                  name,
+                  "--zone",
+                  zone,
+                  "--listen",
+                  text(callers),
+                  "--peer-listen",
+                  text(peers),
+                  "--admin-listen",
+                  text(admin),
+                  "--admin-token",
+                  ADMIN_TOKEN,
+                  "--platform",
+                  text(platform)));
+      args.addAll(spec.entryFlags);
+      long startedMs = System.currentTimeMillis();
+      FleetProcess process =
+          closer.add(FleetProcess.start(name, logs, ENTRY_JVM_FLAGS, ENTRY_MAIN, args));
+      Entry entry = new Entry(name, zone, process, startedMs, callers, peers, admin);
+      entries.put(name, entry);
+      return entry;
+    } catch (IOException e) {
+      throw new IllegalStateException("entry VM " + name + " does not start", e);
+    }
+  }
+
+  private void startEndpoint(String name, String command, List<String> flags) throws IOException {
+    InetSocketAddress address = freeAddress();
+    FleetProcess process = standin(name, command, address, flags);
+    endpoints.put(name, new EndpointProcess(name, process, address));
+  }
+
+  private FleetProcess standin(
+      String name, String command, InetSocketAddress address, List<String> flags)
+      throws IOException {
+    List<String> args = new ArrayList<>(List.of(command, "--listen", text(address)));
+    args.addAll(flags);
+    return closer.add(FleetProcess.start(name, logs, STANDIN_JVM_FLAGS, STANDINS_MAIN, args));
+  }
+
+  /** Waits until every entry VM that runs says that it is ready. */
+  public void awaitReady() {
+    for (Entry entry : entries.values()) {
+      if (entry.process().isAlive()) {
+        await(entry.name(), () -> get(entry.admin(), "/readyz").status() == 200);
+      }
+    }
+  }
+
+  /** Publishes the list of the entry VMs whose processes run. */
+  public void publishVms() throws IOException {
+    ObjectNode list = mapper.createObjectNode();
+    list.put("asOfMs", System.currentTimeMillis());
+    ArrayNode rows = list.putArray("vms");
+    for (Entry entry : entries.values()) {
+      if (entry.process().isAlive()) {
+        rows.addObject()
+            .put("name", entry.name())
+            .put("zone", entry.zone())
+            .put("role", "entry")
+            .put("address", text(entry.peers()))
+            .put("state", "live")
+            .put("sinceMs", entry.startedMs());
+      }
+    }
+    publish("vms", list.toString());
+  }
+
+  /** Publishes a document as an operator does, and returns its revision. */
+  public long publish(String name, String content) throws IOException {
+    try (HttpExchange exchange = HttpExchange.connect(platform, HTTP_TIMEOUT_MS, HTTP_TIMEOUT_MS)) {
+      ClassicHttpResponse response =
+          exchange.execute(
+              ClassicRequestBuilder.put("/v1/documents/" + name)
+                  .setHttpHost(host(platform))
+                  .setEntity(
+                      new ByteArrayEntity(
+                          content.getBytes(StandardCharsets.UTF_8), ContentType.APPLICATION_JSON))
+                  .build());
+      return Long.parseLong(response.getFirstHeader("X-Revision").getValue());
+    } catch (HttpException e) {
+      throw new IOException(e);
+    }
+  }
+
+  /** Returns the inventory of this fleet as JSON. */
+  public String inventory() {
+    ObjectNode inventory = mapper.createObjectNode();
+    ArrayNode regions = inventory.putArray("regions");
+    ArrayNode zones = regions.addObject().put("name", "region-1").putArray("zones");
+    spec.entriesByZone.keySet().forEach(zones::add);
+    ArrayNode models = inventory.putArray("models");
+    spec.engines.stream()
+        .flatMap(engine -> engine.models().stream())
+        .distinct()
+        .forEach(model -> models.addObject().put("name", model).put("memoryMb", 1_000));
+    ArrayNode rows = inventory.putArray("endpoints");
+    for (FleetSpec.EngineSpec engine : spec.engines) {
+      ObjectNode row = row(rows, engine.name(), "engine", engine.zone());
+      row.put("slots", spec.engineSlots);
+      engine.models().forEach(row.putArray("models")::add);
+    }
+    for (FleetSpec.ServiceSpec service : spec.services) {
+      row(rows, service.name(), "service", service.zone())
+          .put("service", service.service())
+          .put("slots", 64);
+    }
+    return inventory.toString();
+  }
+
+  private ObjectNode row(ArrayNode rows, String name, String kind, String zone) {
+    return rows.addObject()
+        .put("name", name)
+        .put("kind", kind)
+        .put("zone", zone)
+        .put("address", text(endpoints.get(name).address()));
+  }
+
+  private String organisations() {
+    ArrayNode rows = mapper.createArrayNode();
+    rows.addObject().put("name", "local").put("keySha256", DigestUtils.sha256Hex(KEY));
+    return rows.toString();
+  }
+
+  /** Returns the entry VMs by name. */
+  public Map<String, Entry> entries() {
+    return entries;
+  }
+
+  /** Returns the endpoints by name. */
+  public Map<String, EndpointProcess> endpoints() {
+    return endpoints;
+  }
+
+  /** Returns the platform's address. */
+  public InetSocketAddress platform() {
+    return platform;
+  }
+
+  /** Returns the platform's process. */
+  public FleetProcess platformProcess() {
+    return platformProcess;
+  }
+
+  /** Calls the platform's or an endpoint's control path, as in {@code down=true}. */
+  public Reply control(InetSocketAddress address, String query) {
+    return send(address, ClassicRequestBuilder.post("/control?" + query));
+  }
+
+  /** Gets a path; status 0 means that the connection failed. */
+  public static Reply get(InetSocketAddress address, String path) {
+    return send(address, ClassicRequestBuilder.get(path));
+  }
+
+  private static Reply send(InetSocketAddress address, ClassicRequestBuilder builder) {
+    try (HttpExchange exchange = HttpExchange.connect(address, HTTP_TIMEOUT_MS, HTTP_TIMEOUT_MS)) {
+      builder.setHttpHost(host(address)).addHeader("Authorization", "Bearer " + ADMIN_TOKEN);
+      ClassicHttpResponse response = exchange.execute(builder.build());
+      String body = response.getEntity() == null ? "" : EntityUtils.toString(response.getEntity());
+      return new Reply(response.getCode(), body);
+    } catch (IOException | HttpException e) {
+      return new Reply(0, e.toString());
+    }
+  }
+
+  /** Waits until the condition holds; fails after 20 s. */
+  public static void await(String what, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw new IllegalStateException("waited in vain for " + what);
+      }
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MS));
+    }
+  }
+
+  private static HttpHost host(InetSocketAddress address) {
+    return new HttpHost(address.getHostString(), address.getPort());
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
+  private static InetSocketAddress freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+      return new InetSocketAddress(LOOPBACK, socket.getLocalPort());
+    }
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformServer.java
@@ -0,0 +1,124 @@
+package org.zinniaspan.standins.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.zinniaspan.http.HttpDocumentSource;
+import org.zinniaspan.http.HttpListener;
+import org.zinniaspan.standins.Query;
+
+/**
+ * Stand-in for the platform's configuration service.
+ *
+ * <p>Readers use {@code GET /v1/documents/NAME} and {@code GET /v1/watch?after=R&waitMs=W}.
+ * Operators and tests use {@code PUT /v1/documents/NAME} and {@code POST
+ * /control?down=BOOL&stale=BOOL}.
+ */
+public final class PlatformServer implements HttpRequestHandler, AutoCloseable {
+
+  private static final String DOCUMENTS = "/v1/documents/";
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final PlatformState state = new PlatformState();
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpListener listener;
+
+  /** Starts the stand-in; port 0 takes any free port. */
+  public PlatformServer(InetSocketAddress address) throws IOException {
+    listener = HttpListener.start(address, this);
+  }
+
+  /** Returns the documents. */
+  public PlatformState state() {
+    return state;
+  }
+
+  /** Returns the bound port. */
+  public int port() {
+    return listener.port();
+  }
+
+  @Override
+  public void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+      throws IOException {
+    String path = request.getPath();
+    if (path.startsWith("/control")) {
+      control(Query.of(path));
+      return;
+    }
+    if (request.getMethod().equals("PUT") && path.startsWith(DOCUMENTS)) {
+      byte[] content = EntityUtils.toByteArray(request.getEntity());
+      long revision = state.publish(path.substring(DOCUMENTS.length()), content);
+      response.setHeader(HttpDocumentSource.REVISION_HEADER, revision);
+      return;
+    }
+    state.countCall();
+    if (state.isDown()) {
+      response.setCode(UNAVAILABLE);
+    } else if (path.startsWith("/v1/watch")) {
+      watch(Query.of(path), response);
+    } else if (path.startsWith(DOCUMENTS)) {
+      read(path.substring(DOCUMENTS.length()), response);
+    } else {
+      response.setCode(NOT_FOUND);
+    }
+  }
+
+  private void control(Query query) {
+    query.get("down").ifPresent(value -> state.setDown(Boolean.parseBoolean(value)));
+    query.get("stale").ifPresent(value -> state.setStale(Boolean.parseBoolean(value)));
+  }
+
+  private void watch(Query query, ClassicHttpResponse response) throws IOException {
+    List<PlatformState.Published> changes;
+    try {
+      changes = state.watch(query.number("after", 0), query.number("waitMs", 0));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      changes = List.of();
+    }
+    if (state.isDown()) {
+      response.setCode(UNAVAILABLE);
+      return;
+    }
+    if (changes.isEmpty()) {
+      response.setCode(NO_CONTENT);
+      return;
+    }
+    ObjectNode body = mapper.createObjectNode();
+    ArrayNode rows = body.putArray("documents");
+    for (PlatformState.Published change : changes) {
+      rows.addObject().put("name", change.name()).put("revision", change.revision());
+    }
+    response.setEntity(
+        new ByteArrayEntity(mapper.writeValueAsBytes(body), ContentType.APPLICATION_JSON));
+  }
+
+  private void read(String name, ClassicHttpResponse response) {
+    Optional<PlatformState.Published> document = state.read(name);
+    if (document.isEmpty()) {
+      response.setCode(NOT_FOUND);
+      return;
+    }
+    response.setHeader(HttpDocumentSource.REVISION_HEADER, document.get().revision());
+    response.setEntity(new ByteArrayEntity(document.get().content(), ContentType.APPLICATION_JSON));
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/admin/AdminHandler.java
@@ -0,0 +1,117 @@
+package org.zinniaspan.admin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.zinniaspan.lifecycle.Drain;
+
+/**
+ * The operators' side: health, readiness, metrics, status and the drain of this VM.
+ *
+ * <p>{@code /healthz} and {@code /readyz} need no token, so that the platform's balancer can ask.
+ */
+public final class AdminHandler implements HttpRequestHandler {
+
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int UNAUTHORIZED = 401;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final String token;
+  private final BooleanSupplier ready;
+  private final RouterMetrics metrics;
+  private final Supplier<Map<String, Object>> status;
+  private final Drain drain;
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  /**
+   * Creates a handler.
+   *
+   * @param token token that callers send as {@code Authorization: Bearer TOKEN}
+   * @param ready whether the balancer may send requests here
+   * @param metrics metrics of this process
+   * @param status what {@code /status} shows
+   * @param drain begun by {@code POST /drain}
+   */
+  public AdminHandler(
+      String token,
+      BooleanSupplier ready,
+      RouterMetrics metrics,
+      Supplier<Map<String, Object>> status,
+      Drain drain) {
+    this.token = token;
+    this.ready = ready;
+    this.metrics = metrics;
+    this.status = status;
+    this.drain = drain;
+  }
+
+  @Override
+  public void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+      throws IOException {
+    String call = request.getMethod() + " " + request.getPath();
+    switch (call) {
+      case "GET /healthz" -> text(response, OK, "ok");
+      case "GET /readyz" -> {
+        boolean isReady = ready.getAsBoolean();
+        text(response, isReady ? OK : UNAVAILABLE, isReady ? "ready" : "not ready");
+      }
+      default -> guarded(call, request, response);
+    }
+  }
+
+  private void guarded(String call, ClassicHttpRequest request, ClassicHttpResponse response)
+      throws IOException {
+    if (!isAuthorised(request)) {
+      text(response, UNAUTHORIZED, "send the token as 'Authorization: Bearer TOKEN'");
+      return;
+    }
+    switch (call) {
+      case "GET /metrics" ->
+          response.setEntity(
+              new ByteArrayEntity(metrics.exposition(), ContentType.parse("text/plain")));
+      case "GET /status" ->
+          response.setEntity(
+              new ByteArrayEntity(
+                  mapper.writerWithDefaultPrettyPrinter().writeValueAsBytes(status.get()),
+                  ContentType.APPLICATION_JSON));
+      case "POST /drain" -> {
+        drain.begin();
+        text(response, ACCEPTED, "draining");
+      }
+      default ->
+          text(
+              response,
+              NOT_FOUND,
+              "'"
+                  + call
+                  + "' is unknown; valid are GET /healthz, GET /readyz, GET /metrics,"
+                  + " GET /status and POST /drain");
+    }
+  }
+
+  private boolean isAuthorised(ClassicHttpRequest request) {
+    Header header = request.getFirstHeader("Authorization");
+    byte[] wanted = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
+    return header != null
+        && MessageDigest.isEqual(wanted, header.getValue().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void text(ClassicHttpResponse response, int status, String text) {
+    response.setCode(status);
+    response.setEntity(new StringEntity(text + "\n", ContentType.TEXT_PLAIN));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/CheckCommand.java
@@ -0,0 +1,63 @@
+package org.zinniaspan.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.zinniaspan.configuration.DocumentParser;
+import org.zinniaspan.inventory.Finding;
+
+/** Checks documents before they are published. */
+@Parameters(commandDescription = "Check documents and report all findings together.")
+public final class CheckCommand {
+
+  @Parameter(names = "--help", help = true, description = "Show this help.")
+  boolean help;
+
+  @Parameter(names = "--inventory", description = "File with regions, models and endpoints.")
+  String inventory;
+
+  @Parameter(names = "--organisations", description = "File with organisations.")
+  String organisations;
+
+  @Parameter(names = "--rules", description = "File with classes and rules.")
+  String rules;
+
+  /** Checks the files, prints the findings and returns the exit code. */
+  public int run(PrintStream out) {
+    DocumentParser parser = new DocumentParser();
+    List<Finding> findings = new ArrayList<>();
+    if (inventory == null && organisations == null && rules == null) {
+      out.println("check: name at least one of --inventory, --organisations and --rules");
+      return Main.EXIT_USAGE;
+    }
+    check(inventory, findings, parser::inventory);
+    check(organisations, findings, parser::organisations);
+    check(rules, findings, parser::rules);
+    findings.forEach(out::println);
+    out.println(findings.isEmpty() ? "no findings" : findings.size() + " findings");
+    return findings.isEmpty() ? Main.EXIT_OK : Main.EXIT_FINDINGS;
+  }
+
+  @FunctionalInterface
+  private interface Check {
+    Object apply(byte[] content, List<Finding> findings);
+  }
+
+  private static void check(String file, List<Finding> findings, Check check) {
+    if (file == null) {
+      return;
+    }
+    List<Finding> own = new ArrayList<>();
+    try {
+      check.apply(Files.readAllBytes(Path.of(file)), own);
+    } catch (IOException e) {
+      own.add(new Finding(file, "", "cannot be read: " + e.getMessage()));
+    }
+    own.forEach(finding -> findings.add(new Finding(file, finding.path(), finding.message())));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -0,0 +1,226 @@
+package org.zinniaspan.cli;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.zinniaspan.admin.AdminHandler;
+import org.zinniaspan.admin.RouterMetrics;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.configuration.ConfigurationStore;
+import org.zinniaspan.configuration.PlatformReader;
+import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.SlotService;
+import org.zinniaspan.gateway.CallHandler;
+import org.zinniaspan.gateway.ChatHandler;
+import org.zinniaspan.gateway.Gateway;
+import org.zinniaspan.gateway.Limits;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.http.HttpDocumentSource;
+import org.zinniaspan.http.HttpListener;
+import org.zinniaspan.http.HttpServiceClient;
+import org.zinniaspan.http.LoadPoller;
+import org.zinniaspan.http.OpenAiEngineClient;
+import org.zinniaspan.lifecycle.Closer;
+import org.zinniaspan.lifecycle.Drain;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.membership.ListedMembership;
+import org.zinniaspan.membership.Member;
+import org.zinniaspan.membership.Membership;
+import org.zinniaspan.peer.NettyPeerTransport;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.routing.EndpointChooser;
+import org.zinniaspan.routing.EndpointTable;
+import org.zinniaspan.routing.LeastReportedLoad;
+import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.runner.CallRunner;
+import org.zinniaspan.runner.DirectCallRunner;
+import org.zinniaspan.stream.ChatRunner;
+import org.zinniaspan.stream.SingleAttemptRunner;
+
+/**
+ * The process of an entry VM: builds the parts, connects them and stops them in order.
+ *
+ * <p>Example: {@code try (EntryDaemon daemon = EntryDaemon.start(settings)) {
+ * daemon.awaitDrained(); }}
+ */
+public final class EntryDaemon implements AutoCloseable {
+
+  private static final long TICK_MS = 50;
+  private static final int POLL_THREADS = 2;
+
+  private final Closer closer = new Closer();
+  private final Drain drain = new Drain();
+  private final Clock clock = new SystemClock();
+  private final RouterMetrics metrics = new RouterMetrics();
+  private final ConfigurationStore store = new ConfigurationStore();
+  private final PeerRouter peers = new PeerRouter();
+  private final List<Ticking> ticking = new ArrayList<>();
+  private final EntrySettings settings;
+  private final Membership membership;
+
+  private EntryDaemon(EntrySettings settings) {
+    this.settings = settings;
+    Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
+    this.membership = new ListedMembership(self, settings.zone, () -> store.current().vms());
+  }
+
+  /**
+   * Starts a daemon; it is ready once it has read a configuration.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  public static EntryDaemon start(EntrySettings settings) throws IOException {
+    EntryDaemon daemon = new EntryDaemon(settings);
+    try {
+      daemon.build();
+      return daemon;
+    } catch (IOException | RuntimeException e) {
+      daemon.close();
+      throw e;
+    }
+  }
+
+  private void build() throws IOException {
+    final NettyPeerTransport transport =
+        closer.add(
+            new NettyPeerTransport(
+                membership.self(),
+                Addresses.parse(settings.peerListen),
+                vm -> membership.addressOf(vm).map(Addresses::parse),
+                peers));
+    EndpointTable table = new EndpointTable(settings.zone, this::configuration, clock);
+    SlotService slots = slots(table, transport);
+    ChatRunner chats = chats(slots, table);
+    CallRunner calls = calls(slots, transport);
+    Limits limits = new Limits(settings.maxBodyBytes);
+    Gateway gateway =
+        new Gateway(
+            this::configuration,
+            drain,
+            new ChatHandler(this::configuration, chats, metrics, limits, clock),
+            new CallHandler(this::configuration, calls, metrics, limits, clock));
+    feedConfiguration(transport);
+    closer.add(HttpListener.start(Addresses.parse(settings.listen), gateway));
+    closer.add(HttpListener.start(Addresses.parse(settings.adminListen), admin(transport)));
+    startTicking();
+    EventLog.event("started").with("vm", settings.vmName).with("zone", settings.zone).info();
+  }
+
+  private SlotService slots(EndpointTable table, PeerLink link) {
+    ExecutorService polls = executor(Executors.newFixedThreadPool(POLL_THREADS));
+    long periodMs = settings.routing.loadPeriodMs;
+    ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
+    LocalSlotService slots = new LocalSlotService(table, chooser(), clock);
+    ticking.add(slots);
+    return slots;
+  }
+
+  private EndpointChooser chooser() {
+    return switch (settings.routing.policy) {
+      case "round-robin" -> new RoundRobin();
+      default -> new LeastReportedLoad();
+    };
+  }
+
+  private ChatRunner chats(SlotService slots, EndpointTable table) {
+    return new SingleAttemptRunner(slots, new OpenAiEngineClient(), this::configuration, clock);
+  }
+
+  private CallRunner calls(SlotService slots, PeerLink link) {
+    ExecutorService threads = executor(Executors.newCachedThreadPool());
+    return new DirectCallRunner(
+        slots, new HttpServiceClient(), this::configuration, threads, clock);
+  }
+
+  private void feedConfiguration(PeerLink link) {
+    HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
+    closer.add(new PlatformReader(source, store));
+  }
+
+  private ExecutorService executor(ExecutorService executor) {
+    closer.add(executor::shutdownNow);
+    return executor;
+  }
+
+  private void startTicking() {
+    ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+    executor(ticker);
+    ticker.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    for (Ticking component : ticking) {
+      try {
+        component.tick();
+      } catch (RuntimeException e) {
+        EventLog.event("tick-failed").with("component", component).with("error", e).warn();
+      }
+    }
+  }
+
+  private AdminHandler admin(NettyPeerTransport transport) {
+    metrics.gauge(
+        "zinniaspan_in_flight_requests", "Requests in flight.", () -> (double) drain.inFlight());
+    metrics.gauge("zinniaspan_peer_sent_bytes", "Bytes sent to other VMs.", transport::sentBytes);
+    metrics.gauges(
+        "zinniaspan_document_revision",
+        "Revision in force of each document.",
+        "document",
+        this::revisions);
+    return new AdminHandler(settings.adminToken, this::isReady, metrics, this::status, drain);
+  }
+
+  private Map<String, Double> revisions() {
+    Map<String, Double> revisions = new LinkedHashMap<>();
+    configuration()
+        .revisions()
+        .forEach((name, revision) -> revisions.put(name.label(), (double) revision));
+    return revisions;
+  }
+
+  private Map<String, Object> status() {
+    Map<String, Object> status = new LinkedHashMap<>();
+    status.put("vm", settings.vmName);
+    status.put("zone", settings.zone);
+    status.put("ready", isReady());
+    status.put("inFlight", drain.inFlight());
+    status.put("revisions", revisions());
+    status.put("members", membership.live());
+    return status;
+  }
+
+  private Configuration configuration() {
+    return store.current();
+  }
+
+  /** Returns whether the balancer may send requests here. */
+  public boolean isReady() {
+    return configuration().isComplete() && !drain.hasBegun();
+  }
+
+  /** Begins a graceful shutdown; a second call does nothing. */
+  public void drain() {
+    EventLog.event("drain").with("inFlight", drain.inFlight()).info();
+    drain.begin();
+  }
+
+  /** Waits until a graceful shutdown has begun and no request is in flight. */
+  public void awaitDrained() {
+    drain.drained().join();
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/SettingsChecks.java
@@ -0,0 +1,51 @@
+package org.zinniaspan.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.inventory.Finding;
+
+/** Collects the findings of settings; each check names the flag and its environment variable. */
+final class SettingsChecks {
+
+  private final List<Finding> findings = new ArrayList<>();
+
+  /** Returns all findings so far. */
+  List<Finding> findings() {
+    return findings;
+  }
+
+  void required(String flag, String value) {
+    if (value.isBlank()) {
+      add(flag, "is missing");
+    }
+  }
+
+  void address(String flag, String value) {
+    try {
+      Addresses.parse(value);
+    } catch (IllegalArgumentException e) {
+      add(flag, "'" + value + "' is not of the form host:port, as 10.0.0.7:8080");
+    }
+  }
+
+  void atLeast(String flag, long value, long least) {
+    if (value < least) {
+      add(flag, "is " + value + "; at least " + least + " is needed");
+    }
+  }
+
+  void choice(String flag, String value, Set<String> valid) {
+    if (!valid.contains(value)) {
+      String choices = String.join(", ", new TreeSet<>(valid));
+      add(flag, "'" + value + "' is unknown; valid are: " + choices);
+    }
+  }
+
+  void add(String flag, String message) {
+    String place = flag + " (" + EnvironmentDefaults.variable(flag) + ")";
+    findings.add(new Finding("settings", place, message));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/clock/PauseDetector.java
@@ -0,0 +1,45 @@
+package org.zinniaspan.clock;
+
+/**
+ * Notices that the process did not run for a while.
+ *
+ * <p>Call {@link #observe} at least every {@code maxGapMs} milliseconds, and before acting on a
+ * fact that may have aged. After a pause, facts learned before it must be renewed.
+ */
+public final class PauseDetector {
+
+  private final Clock clock;
+  private final long maxGapMs;
+  private long lastSeenMs;
+  private long lastPauseEndMs;
+
+  /**
+   * Creates a detector.
+   *
+   * @param clock source of time
+   * @param maxGapMs longest gap, in milliseconds, that does not count as a pause
+   */
+  public PauseDetector(Clock clock, long maxGapMs) {
+    this.clock = clock;
+    this.maxGapMs = maxGapMs;
+    this.lastSeenMs = clock.nowMs();
+    this.lastPauseEndMs = Long.MIN_VALUE;
+  }
+
+  /** Records that the process runs now, and returns true if it was paused since the last call. */
+  public synchronized boolean observe() {
+    long now = clock.nowMs();
+    boolean paused = now - lastSeenMs > maxGapMs;
+    if (paused) {
+      lastPauseEndMs = now;
+    }
+    lastSeenMs = now;
+    return paused;
+  }
+
+  /** Returns whether a pause ended after the given time in milliseconds. */
+  public synchronized boolean pausedSince(long timeMs) {
+    observe();
+    return lastPauseEndMs > timeMs;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationStore.java
@@ -0,0 +1,87 @@
+package org.zinniaspan.configuration;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.zinniaspan.inventory.Finding;
+import org.zinniaspan.inventory.Inventory;
+import org.zinniaspan.inventory.Organisation;
+import org.zinniaspan.inventory.Rules;
+import org.zinniaspan.inventory.VmList;
+
+/**
+ * Holds the documents in force; their revisions only rise.
+ *
+ * <p>Example: {@code store.offer(document)} returns {@link AdoptResult.Adopted} for a newer valid
+ * document. An invalid document changes nothing.
+ */
+public final class ConfigurationStore {
+
+  private final Map<DocumentName, Document> documents = new EnumMap<>(DocumentName.class);
+  private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+  private final DocumentParser parser = new DocumentParser();
+  private Inventory inventory = new Inventory(null, null, null);
+  private Rules rules = new Rules(null, null);
+  private List<Organisation> organisations = List.of();
+  private VmList vms = new VmList(0, null);
+  private volatile Configuration current = snapshot();
+
+  /** Adds a listener, which is called after each adopted document. */
+  public void addListener(Consumer<Configuration> listener) {
+    listeners.add(listener);
+  }
+
+  /** Returns the configuration in force. */
+  public Configuration current() {
+    return current;
+  }
+
+  /** Returns the document in force, for a peer that lacks it. */
+  public synchronized Optional<Document> document(DocumentName name) {
+    return Optional.ofNullable(documents.get(name));
+  }
+
+  /** Adopts the document if it is newer than the one in force and has no faults. */
+  public AdoptResult offer(Document document) {
+    Configuration adopted;
+    synchronized (this) {
+      long inForce = current.revision(document.name());
+      if (document.revision() <= inForce) {
+        return new AdoptResult.NotNewer(document.revision(), inForce);
+      }
+      List<Finding> findings = new ArrayList<>();
+      apply(document, findings);
+      if (!findings.isEmpty()) {
+        return new AdoptResult.Invalid(List.copyOf(findings));
+      }
+      documents.put(document.name(), document);
+      adopted = snapshot();
+      current = adopted;
+    }
+    listeners.forEach(listener -> listener.accept(adopted));
+    return new AdoptResult.Adopted(document.revision());
+  }
+
+  private void apply(Document document, List<Finding> findings) {
+    byte[] content = document.content();
+    if (document.name() == DocumentName.INVENTORY) {
+      parser.inventory(content, findings).ifPresent(value -> inventory = value);
+    } else if (document.name() == DocumentName.ORGANISATIONS) {
+      parser.organisations(content, findings).ifPresent(value -> organisations = value);
+    } else if (document.name() == DocumentName.RULES) {
+      parser.rules(content, findings).ifPresent(value -> rules = value);
+    } else {
+      parser.vms(content, findings).ifPresent(value -> vms = value);
+    }
+  }
+
+  private Configuration snapshot() {
+    Map<DocumentName, Long> revisions = new EnumMap<>(DocumentName.class);
+    documents.forEach((name, document) -> revisions.put(name, document.revision()));
+    return new Configuration(inventory, rules, organisations, vms, revisions);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/Answers.java
@@ -0,0 +1,68 @@
+package org.zinniaspan.gateway;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.zinniaspan.request.NotRunReason;
+import org.zinniaspan.request.Outcome;
+
+/** Writes answers that the gateway makes itself, with error bodies in the form of OpenAI's. */
+final class Answers {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int BAD_GATEWAY = 502;
+  private static final long MS_PER_SECOND = 1_000;
+
+  private Answers() {}
+
+  static void notRun(ClassicHttpResponse response, NotRunReason reason, String message) {
+    ended(response, Outcome.NotRun.forGood(reason), message);
+  }
+
+  static void ended(ClassicHttpResponse response, Outcome outcome, String message) {
+    response.setHeader(ResponseHeaders.OUTCOME, outcome.label());
+    if (outcome instanceof Outcome.NotRun notRun) {
+      retryAfter(response, notRun.retryAfterMs());
+      error(response, notRun.reason().status(), notRun.reason().code(), message);
+    } else if (outcome instanceof Outcome.Unknown unknown) {
+      error(response, BAD_GATEWAY, "outcome_unknown", unknown.reason());
+    } else if (outcome instanceof Outcome.Answered answered) {
+      response.setCode(answered.status());
+    }
+  }
+
+  static void error(ClassicHttpResponse response, int status, String code, String message) {
+    response.setCode(status);
+    ObjectNode body = MAPPER.createObjectNode();
+    body.putObject("error")
+        .put("message", message)
+        .put("type", status >= 500 ? "server_error" : "invalid_request_error")
+        .putNull("param")
+        .put("code", code);
+    json(response, body);
+  }
+
+  static void json(ClassicHttpResponse response, ObjectNode body) {
+    response.setEntity(new ByteArrayEntity(bytes(body), ContentType.APPLICATION_JSON));
+  }
+
+  static byte[] bytes(ObjectNode body) {
+    try {
+      return MAPPER.writeValueAsBytes(body);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree can always be written", e);
+    }
+  }
+
+  private static void retryAfter(ClassicHttpResponse response, Optional<Long> retryAfterMs) {
+    retryAfterMs.ifPresent(
+        ms -> {
+          long seconds = Math.max(1, (ms + MS_PER_SECOND - 1) / MS_PER_SECOND);
+          response.setHeader(ResponseHeaders.RETRY_AFTER, seconds);
+        });
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/ChatAnswer.java
@@ -0,0 +1,114 @@
+package org.zinniaspan.gateway;
+
+import java.util.function.BooleanSupplier;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.gateway.TrafficObserver.Delivery;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.request.Outcome;
+import org.zinniaspan.stream.ChatCall;
+import org.zinniaspan.stream.ChatSession;
+import org.zinniaspan.stream.StreamEvent;
+
+/** Reads the answer to one request and reports its course; used by one thread. */
+final class ChatAnswer implements AutoCloseable {
+
+  private static final long PROBE_PERIOD_MS = 250;
+
+  private final ChatCall call;
+  private final ChatSession session;
+  private final TrafficObserver observer;
+  private final BooleanSupplier callerLeft;
+  private final Clock clock;
+  private long firstTokenMs;
+  private long lastTokenMs;
+  private long worstGapMs;
+  private long nextProbeMs;
+  private int tokens;
+  private boolean ended;
+
+  ChatAnswer(
+      ChatCall call,
+      ChatSession session,
+      TrafficObserver observer,
+      BooleanSupplier callerLeft,
+      Clock clock) {
+    this.call = call;
+    this.session = session;
+    this.observer = observer;
+    this.callerLeft = callerLeft;
+    this.clock = clock;
+    this.nextProbeMs = clock.nowMs() + PROBE_PERIOD_MS;
+  }
+
+  ChatCall call() {
+    return call;
+  }
+
+  int tokens() {
+    return tokens;
+  }
+
+  StreamEvent next() {
+    StreamEvent event = session.next();
+    if (event instanceof StreamEvent.Token) {
+      onToken(clock.nowMs());
+    }
+    return event;
+  }
+
+  private void onToken(long now) {
+    if (tokens == 0) {
+      firstTokenMs = now - call.arrivedMs();
+    } else {
+      worstGapMs = Math.max(worstGapMs, now - lastTokenMs);
+    }
+    lastTokenMs = now;
+    tokens++;
+  }
+
+  /** Returns whether the caller has left; asks its connection only now and then. */
+  boolean callerLeft() {
+    long now = clock.nowMs();
+    if (now < nextProbeMs) {
+      return false;
+    }
+    nextProbeMs = now + PROBE_PERIOD_MS;
+    return callerLeft.getAsBoolean();
+  }
+
+  /** Records that the caller has the whole answer. */
+  void delivered() {
+    ended = true;
+    long totalMs = clock.nowMs() - call.arrivedMs();
+    Delivery delivery = new Delivery(firstTokenMs, worstGapMs, totalMs, tokens);
+    observer.delivered(call.serviceClass(), delivery);
+    line("answered").with("attained", delivery.attains(call.serviceClass())).info();
+  }
+
+  /** Records that the caller gets no whole answer. */
+  void failed(String reason) {
+    ended = true;
+    observer.ended(call.serviceClass(), new Outcome.Unknown(reason));
+    observer.wasted(call.serviceClass(), tokens);
+    line("unknown").with("reason", reason).info();
+  }
+
+  private EventLog line(String outcome) {
+    return EventLog.event("request")
+        .with("requestId", call.requestId())
+        .with("organisation", call.organisation())
+        .with("class", call.serviceClass().name())
+        .with("endpoint", session.endpoint())
+        .with("outcome", outcome)
+        .with("tokens", tokens)
+        .with("firstTokenMs", firstTokenMs);
+  }
+
+  @Override
+  public void close() {
+    if (!ended) {
+      failed("caller left");
+    }
+    session.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/Gateway.java
@@ -0,0 +1,126 @@
+package org.zinniaspan.gateway;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.inventory.Model;
+import org.zinniaspan.inventory.Organisation;
+import org.zinniaspan.lifecycle.Drain;
+import org.zinniaspan.request.NotRunReason;
+import org.zinniaspan.request.Outcome;
+
+/**
+ * The callers' side: authenticates, and hands each request to the handler of its path.
+ *
+ * <p>Paths are {@code POST /v1/chat/completions}, {@code GET /v1/models} and {@code
+ * /services/SERVICE/PATH} with any method.
+ */
+public final class Gateway implements HttpRequestHandler {
+
+  private static final long NOT_READY_RETRY_MS = 1_000;
+
+  private final Supplier<Configuration> configuration;
+  private final Drain drain;
+  private final ChatHandler chat;
+  private final CallHandler calls;
+
+  /** Creates a gateway. */
+  public Gateway(
+      Supplier<Configuration> configuration, Drain drain, ChatHandler chat, CallHandler calls) {
+    this.configuration = configuration;
+    this.drain = drain;
+    this.chat = chat;
+    this.calls = calls;
+  }
+
+  @Override
+  public void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+      throws IOException {
+    String requestId = UUID.randomUUID().toString();
+    response.setHeader(ResponseHeaders.REQUEST_ID, requestId);
+    if (!configuration.get().isComplete() || !drain.enter()) {
+      Answers.ended(
+          response,
+          Outcome.NotRun.retryAfter(NotRunReason.NOT_READY, NOT_READY_RETRY_MS),
+          "this VM takes no requests now; ask again");
+      response.setHeader("Connection", "close");
+      return;
+    }
+    Runnable exit = once(drain::exit);
+    try {
+      route(requestId, request, response);
+    } catch (IOException | RuntimeException e) {
+      exit.run();
+      throw e;
+    }
+    ExitEntity.attach(response, exit);
+    if (drain.hasBegun()) {
+      response.setHeader("Connection", "close");
+    }
+  }
+
+  private void route(String requestId, ClassicHttpRequest request, ClassicHttpResponse response)
+      throws IOException {
+    Optional<Organisation> organisation = Caller.organisation(request, configuration.get());
+    if (organisation.isEmpty()) {
+      Answers.notRun(
+          response,
+          NotRunReason.UNKNOWN_ORGANISATION,
+          "no organisation has this key; send it as 'Authorization: Bearer KEY'");
+      return;
+    }
+    String path = request.getPath();
+    String method = request.getMethod();
+    if (path.equals("/v1/chat/completions") && method.equals("POST")) {
+      chat.handle(requestId, organisation.get(), request, response);
+    } else if (path.equals("/v1/models") && method.equals("GET")) {
+      models(response);
+    } else if (path.startsWith(CallHandler.PREFIX)) {
+      calls.handle(requestId, organisation.get(), request, response);
+    } else {
+      Answers.notRun(
+          response,
+          NotRunReason.NOT_FOUND,
+          "'"
+              + method
+              + " "
+              + path
+              + "' is unknown; valid are POST /v1/chat/completions,"
+              + " GET /v1/models and /services/SERVICE/PATH");
+    }
+  }
+
+  private void models(ClassicHttpResponse response) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("object", "list");
+    ArrayNode data = body.putArray("data");
+    for (Model model : configuration.get().inventory().models()) {
+      data.addObject()
+          .put("id", model.name())
+          .put("object", "model")
+          .put("created", 0)
+          .put("owned_by", "zinniaspan");
+    }
+    response.setHeader(ResponseHeaders.OUTCOME, "answered");
+    Answers.json(response, body);
+  }
+
+  private static Runnable once(Runnable action) {
+    java.util.concurrent.atomic.AtomicBoolean done =
+        new java.util.concurrent.atomic.AtomicBoolean();
+    return () -> {
+      if (done.compareAndSet(false, true)) {
+        action.run();
+      }
+    };
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/Addresses.java
@@ -0,0 +1,23 @@
+package org.zinniaspan.http;
+
+import java.net.InetSocketAddress;
+
+/** Reads addresses of the form {@code 10.0.0.7:8000} or {@code [::1]:8000}. */
+public final class Addresses {
+
+  private Addresses() {}
+
+  /**
+   * Returns the address.
+   *
+   * @throws IllegalArgumentException if the text has no port, or the port is not a number
+   */
+  public static InetSocketAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 1) {
+      throw new IllegalArgumentException("'" + text + "' is not of the form host:port");
+    }
+    String host = text.substring(0, colon).replace("[", "").replace("]", "");
+    return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
@@ -0,0 +1,130 @@
+package org.zinniaspan.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ExceptionListener;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
+import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.io.HttpConnectionFactory;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * Listens for HTTP/1.1 requests and hands each to one handler.
+ *
+ * <p>Example: {@code HttpListener.start(Addresses.parse("127.0.0.1:8080"), handler)}.
+ */
+public final class HttpListener implements AutoCloseable {
+
+  /** Time a caller may take between two bytes of a request, in milliseconds. */
+  public static final int READ_TIMEOUT_MS = 30_000;
+
+  /** Longest header line, in bytes. */
+  public static final int MAX_HEADER_LINE_BYTES = 16 * 1024;
+
+  /** Most headers of a request. */
+  public static final int MAX_HEADERS = 100;
+
+  private static final int BACKLOG = 1_024;
+  private static final int BUFFER_BYTES = 4 * 1024;
+
+  private final HttpServer server;
+
+  private HttpListener(HttpServer server) {
+    this.server = server;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public static HttpListener start(InetSocketAddress address, HttpRequestHandler handler)
+      throws IOException {
+    Http1Config config =
+        Http1Config.custom()
+            .setMaxHeaderCount(MAX_HEADERS)
+            .setMaxLineLength(MAX_HEADER_LINE_BYTES)
+            .setBufferSize(BUFFER_BYTES)
+            .build();
+    HttpConnectionFactory<DefaultBHttpServerConnection> connections =
+        socket -> {
+          CallerConnection connection = new CallerConnection(config);
+          connection.bind(socket);
+          return connection;
+        };
+    HttpServer server =
+        ServerBootstrap.bootstrap()
+            .setLocalAddress(address.getAddress())
+            .setListenerPort(address.getPort())
+            .setSocketConfig(
+                SocketConfig.custom()
+                    .setSoTimeout(Timeout.ofMilliseconds(READ_TIMEOUT_MS))
+                    .setTcpNoDelay(true)
+                    .setBacklogSize(BACKLOG)
+                    .build())
+            .setConnectionFactory(connections)
+            .setExceptionListener(new QuietListener())
+            .setRequestRouter((request, context) -> handler)
+            .create();
+    server.start();
+    return new HttpListener(server);
+  }
+
+  /** Returns the port that was bound. */
+  public int port() {
+    return server.getLocalPort();
+  }
+
+  /** Returns whether the caller of the request that this thread handles has left. */
+  public static boolean callerLeft() {
+    return CallerConnection.callerLeft();
+  }
+
+  @Override
+  public void close() {
+    server.initiateShutdown();
+    try {
+      server.awaitTermination(TimeValue.ofMilliseconds(200));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    server.close(CloseMode.IMMEDIATE);
+  }
+
+  private static final class QuietListener implements ExceptionListener {
+
+    @Override
+    public void onError(Exception ex) {
+      if (!isOrdinary(ex)) {
+        EventLog.event("listener-error").with("error", ex).warn();
+      }
+    }
+
+    @Override
+    public void onError(HttpConnection connection, Exception ex) {
+      if (!isOrdinary(ex)) {
+        EventLog.event("caller-connection-error")
+            .with("caller", connection.getRemoteAddress())
+            .with("error", ex)
+            .info();
+      }
+    }
+
+    private static boolean isOrdinary(Exception ex) {
+      return ex instanceof ConnectionClosedException
+          || ex instanceof SocketTimeoutException
+          || ex instanceof SocketException;
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/inventory/Endpoint.java
@@ -0,0 +1,46 @@
+package org.zinniaspan.inventory;
+
+import java.util.List;
+
+/**
+ * A back end to which requests are routed.
+ *
+ * @param name unique name
+ * @param kind engine or plain service
+ * @param zone availability zone in which it stands
+ * @param address numeric host and port, as {@code 10.0.0.7:8000}
+ * @param models models that an engine serves from the start; empty for a plain service
+ * @param service name of the plain service; empty for an engine
+ * @param slots requests it runs at once
+ * @param checksFencing whether it refuses orders that carry an old fencing number
+ * @param memoryMb accelerator memory in megabytes, zero if not known
+ */
+public record Endpoint(
+    String name,
+    EndpointKind kind,
+    String zone,
+    String address,
+    List<String> models,
+    String service,
+    int slots,
+    boolean checksFencing,
+    int memoryMb) {
+
+  /** Slots of an endpoint for which the inventory gives none. */
+  public static final int DEFAULT_SLOTS = 8;
+
+  /** Fills the defaults of fields that the document leaves out. */
+  public Endpoint {
+    models = models == null ? List.of() : List.copyOf(models);
+    service = service == null ? "" : service;
+    slots = slots == 0 ? DEFAULT_SLOTS : slots;
+  }
+
+  /** Returns whether this endpoint belongs to the given pool. */
+  public boolean serves(Pool pool) {
+    return switch (pool.kind()) {
+      case ENGINE -> models.contains(pool.name());
+      case SERVICE -> service.equals(pool.name());
+    };
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/inventory/Region.java
@@ -0,0 +1,17 @@
+package org.zinniaspan.inventory;
+
+import java.util.List;
+
+/**
+ * A region and its availability zones.
+ *
+ * @param name unique name
+ * @param zones names of its availability zones
+ */
+public record Region(String name, List<String> zones) {
+
+  /** Fills the default of an absent list. */
+  public Region {
+    zones = zones == null ? List.of() : List.copyOf(zones);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/inventory/Rules.java
@@ -0,0 +1,41 @@
+package org.zinniaspan.inventory;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The operators' rules: classes, and which requests belong to them.
+ *
+ * @param classes service classes
+ * @param assign rules in order of precedence; the first match decides
+ */
+public record Rules(List<ServiceClass> classes, List<ClassRule> assign) {
+
+  /** Fills the defaults of absent lists. */
+  public Rules {
+    classes = classes == null ? List.of() : List.copyOf(classes);
+    assign = assign == null ? List.of() : List.copyOf(assign);
+  }
+
+  /** Returns the class of that name. */
+  public Optional<ServiceClass> serviceClass(String name) {
+    return classes.stream().filter(c -> c.name().equals(name)).findFirst();
+  }
+
+  /** Returns the class of a chat request that names none. */
+  public Optional<ServiceClass> classOfChat(String model, String organisation) {
+    return assign.stream()
+        .filter(rule -> rule.matchesChat(model, organisation))
+        .findFirst()
+        .flatMap(rule -> serviceClass(rule.serviceClass()));
+  }
+
+  /** Returns the class of a call to a plain service that names none. */
+  public Optional<ServiceClass> classOfCall(
+      String service, String method, String path, String organisation) {
+    return assign.stream()
+        .filter(rule -> rule.matchesCall(service, method, path, organisation))
+        .findFirst()
+        .flatMap(rule -> serviceClass(rule.serviceClass()));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/membership/ListedMembership.java
@@ -0,0 +1,51 @@
+package org.zinniaspan.membership;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.zinniaspan.inventory.VmEntry;
+import org.zinniaspan.inventory.VmList;
+
+/** Membership that believes the platform's list as it is. */
+public final class ListedMembership implements Membership {
+
+  private final Member self;
+  private final String zone;
+  private final Supplier<VmList> list;
+
+  /** Creates a view of the list for a VM of the given availability zone. */
+  public ListedMembership(Member self, String zone, Supplier<VmList> list) {
+    this.self = self;
+    this.zone = zone;
+    this.list = list;
+  }
+
+  @Override
+  public Member self() {
+    return self;
+  }
+
+  @Override
+  public List<Member> live() {
+    Stream<Member> others =
+        list.get().entriesOf(zone).stream()
+            .filter(vm -> !vm.name().equals(self.vm()))
+            .map(vm -> new Member(vm.name(), vm.sinceMs(), vm.address(), vm.isLeaving()));
+    return Stream.concat(Stream.of(self), others).sorted(Comparator.comparing(Member::vm)).toList();
+  }
+
+  @Override
+  public long changedAtMs() {
+    return list.get().asOfMs();
+  }
+
+  @Override
+  public Optional<String> addressOf(String vm) {
+    return list.get().vms().stream()
+        .filter(entry -> entry.name().equals(vm))
+        .map(VmEntry::address)
+        .findFirst();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/PeerRouter.java
@@ -0,0 +1,28 @@
+package org.zinniaspan.peer;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
+
+/** Hands each message to the component that registered for its body; others are ignored. */
+public final class PeerRouter implements PeerHandler {
+
+  private final Map<BodyCase, PeerHandler> handlers = new EnumMap<>(BodyCase.class);
+
+  /** Registers a handler for the given bodies; call before the first message. */
+  public PeerRouter register(PeerHandler handler, BodyCase... bodies) {
+    for (BodyCase body : bodies) {
+      handlers.put(body, handler);
+    }
+    return this;
+  }
+
+  @Override
+  public void handle(Envelope message) {
+    PeerHandler handler = handlers.get(message.getBodyCase());
+    if (handler != null) {
+      handler.handle(message);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointChooser.java
@@ -0,0 +1,19 @@
+package org.zinniaspan.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.zinniaspan.dispatch.SlotAsk;
+
+/**
+ * Chooses the endpoint for a request.
+ *
+ * <p>Every candidate serves the pool, has a free slot and is not excluded, ejected or leaving.
+ */
+public interface EndpointChooser {
+
+  /** Returns the name by which settings choose this policy. */
+  String name();
+
+  /** Returns the chosen candidate, empty only if there is none. */
+  Optional<EndpointState> choose(SlotAsk ask, List<EndpointState> candidates, long nowMs);
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/ArchitectureTest.java
@@ -0,0 +1,54 @@
+package org.zinniaspan;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+@AnalyzeClasses(packages = "org.zinniaspan", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+
+  private static final String[] DECISIONS = {
+    "org.zinniaspan.clock..",
+    "org.zinniaspan.configuration..",
+    "org.zinniaspan.dispatch..",
+    "org.zinniaspan.inventory..",
+    "org.zinniaspan.membership..",
+    "org.zinniaspan.placement..",
+    "org.zinniaspan.request..",
+    "org.zinniaspan.routing..",
+    "org.zinniaspan.runner..",
+    "org.zinniaspan.stream.."
+  };
+
+  @ArchTest
+  static final ArchRule decisionsDoNoInputOrOutput =
+      noClasses()
+          .that()
+          .resideInAnyPackage(DECISIONS)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "io.netty..",
+              "org.apache.hc..",
+              "java.net..",
+              "java.nio.channels..",
+              "org.zinniaspan.http..",
+              "org.zinniaspan.gateway..",
+              "org.zinniaspan.admin..",
+              "org.zinniaspan.cli..");
+
+  @ArchTest
+  static final ArchRule decisionsReadNoClockOfTheirOwn =
+      noClasses()
+          .that()
+          .resideInAnyPackage(DECISIONS)
+          .and()
+          .doNotHaveSimpleName("SystemClock")
+          .should()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .callMethod(System.class, "nanoTime");
+}
