--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -17,7 +17,9 @@
 import org.zinniaspan.configuration.Configuration;
 import org.zinniaspan.configuration.ConfigurationStore;
 import org.zinniaspan.configuration.PlatformReader;
+import org.zinniaspan.dispatch.DispatchContext;
 import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.RouteLog;
 import org.zinniaspan.dispatch.SlotService;
 import org.zinniaspan.gateway.CallHandler;
 import org.zinniaspan.gateway.ChatHandler;
@@ -119,10 +121,21 @@
   private SlotService slots(EndpointTable table, PeerLink link) {
     ExecutorService polls = executor(Executors.newFixedThreadPool(POLL_THREADS));
     long periodMs = settings.routing.loadPeriodMs;
-    ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
-    LocalSlotService slots = new LocalSlotService(table, chooser(), clock);
-    ticking.add(slots);
-    return slots;
+    if (settings.slots.policy.equals(SlotSettings.LOCAL)) {
+      LocalSlotService local = new LocalSlotService(table, chooser(), clock);
+      ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
+      ticking.add(local);
+      return local;
+    }
+    RouteLog log = new RouteLog();
+    DispatchContext context =
+        new DispatchContext(
+            membership, table, chooser(), this::configuration, clock, settings.slots.limits(), log);
+    SlotAssembly assembly = new SlotAssembly(context, link, peers);
+    assembly.export(metrics, log);
+    ticking.add(new LoadPoller(table, assembly::polls, periodMs, polls, clock));
+    ticking.addAll(assembly.ticking());
+    return assembly.service();
   }
 
   private EndpointChooser chooser() {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/SlotAssembly.java
@@ -0,0 +1,65 @@
+package org.zinniaspan.cli;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.zinniaspan.admin.RouterMetrics;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.dispatch.DispatchContext;
+import org.zinniaspan.dispatch.Dispatcher;
+import org.zinniaspan.dispatch.DispatcherSlotService;
+import org.zinniaspan.dispatch.RouteLog;
+import org.zinniaspan.dispatch.SlotService;
+import org.zinniaspan.inventory.Endpoint;
+import org.zinniaspan.inventory.EndpointKind;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.PeerRouter;
+
+/** Builds a dispatcher and the gateway's side of it, and connects both. */
+final class SlotAssembly {
+
+  private final DispatchContext context;
+  private final Dispatcher dispatcher;
+  private final DispatcherSlotService service;
+
+  SlotAssembly(DispatchContext context, PeerLink link, PeerRouter peers) {
+    this.context = context;
+    this.dispatcher = new Dispatcher(context, link);
+    this.service = new DispatcherSlotService(context, link);
+    peers.register(dispatcher, Dispatcher.bodies());
+    peers.register(service, DispatcherSlotService.bodies());
+  }
+
+  SlotService service() {
+    return service;
+  }
+
+  List<Ticking> ticking() {
+    return List.of(dispatcher, service);
+  }
+
+  /** Returns whether this process reads the load reports of an endpoint. */
+  boolean polls(Endpoint endpoint) {
+    return pools(endpoint).anyMatch(pool -> context.isOwner(pool) || service.isFallback(pool));
+  }
+
+  private static Stream<Pool> pools(Endpoint endpoint) {
+    return endpoint.kind() == EndpointKind.ENGINE
+        ? endpoint.models().stream().map(Pool::model)
+        : Stream.of(Pool.service(endpoint.service()));
+  }
+
+  void export(RouterMetrics metrics, RouteLog log) {
+    metrics.gauges(
+        "zinniaspan_slots_held", "Slots lent, by pool owned here.", "pool", dispatcher::held);
+    metrics.gauges("zinniaspan_slot_queue", "Waiting requests.", "pool_tier", dispatcher::waiting);
+    metrics.gauges(
+        "zinniaspan_slot_fallback",
+        "1 while the pool's dispatcher is out of reach.",
+        "pool",
+        service::fallbacks);
+    metrics.gauges(
+        "zinniaspan_slot_refusals", "Refusals since the start.", "reason", log::refusals);
+    metrics.gauge("zinniaspan_slot_preemptions", "Preemptions since the start.", log::preemptions);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/Configuration.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/Configuration.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.zinniaspan.inventory.Inventory;
 import org.zinniaspan.inventory.Organisation;
 import org.zinniaspan.inventory.Rules;
@@ -16,6 +18,7 @@
   private final Rules rules;
   private final VmList vms;
   private final Map<String, Organisation> organisationsByKeyHash;
+  private final Map<String, Organisation> organisationsByName;
   private final Map<DocumentName, Long> revisions;
 
   Configuration(
@@ -28,6 +31,9 @@
     this.rules = rules;
     this.vms = vms;
     this.organisationsByKeyHash = indexByKeyHash(organisations);
+    this.organisationsByName =
+        organisations.stream()
+            .collect(Collectors.toMap(Organisation::name, Function.identity(), (a, b) -> b));
     this.revisions = Map.copyOf(revisions);
   }
 
@@ -59,6 +65,11 @@
     return Optional.ofNullable(organisationsByKeyHash.get(sha256));
   }
 
+  /** Returns the organisation of that name. */
+  public Optional<Organisation> organisation(String name) {
+    return Optional.ofNullable(organisationsByName.get(name));
+  }
+
   /** Returns the revision in force of each document that has been read. */
   public Map<DocumentName, Long> revisions() {
     return revisions;
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatchContext.java
@@ -0,0 +1,48 @@
+package org.zinniaspan.dispatch;
+
+import java.util.function.Supplier;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.inventory.Organisation;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.membership.Membership;
+import org.zinniaspan.routing.EndpointChooser;
+import org.zinniaspan.routing.EndpointTable;
+
+/**
+ * What the dispatcher and the gateway's side of it share in one process.
+ *
+ * @param membership live VMs of the availability zone
+ * @param table endpoints of the availability zone
+ * @param chooser chooses among endpoints with a free slot
+ * @param configuration documents in force
+ * @param clock source of time
+ * @param limits limits of each pool's queue
+ * @param listener is told of each decision
+ */
+public record DispatchContext(
+    Membership membership,
+    EndpointTable table,
+    EndpointChooser chooser,
+    Supplier<Configuration> configuration,
+    Clock clock,
+    QueueLimits limits,
+    SlotListener listener) {
+
+  /** Longest gap between two ticks, in milliseconds, that does not count as a pause. */
+  static final long MAX_TICK_GAP_MS = 1_000;
+
+  /** Returns the VM that owns the slots of a pool, by this process's view. */
+  public String ownerOf(Pool pool) {
+    return membership.ownerOf("dispatch/" + pool.id()).vm();
+  }
+
+  /** Returns whether this process owns the slots of a pool, by its own view. */
+  public boolean isOwner(Pool pool) {
+    return ownerOf(pool).equals(membership.self().vm());
+  }
+
+  int weight(String organisation) {
+    return configuration.get().organisation(organisation).map(Organisation::weight).orElse(1);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/Dispatcher.java
@@ -0,0 +1,95 @@
+package org.zinniaspan.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.zinniaspan.clock.PauseDetector;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.peer.PeerHandler;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
+
+/**
+ * Lends the slots of the pools that this process owns to the gateways of its availability zone.
+ *
+ * <p>Its state is soft: gateways register what they know with each new owner. State is kept by
+ * pool, each under its own lock; messages are sent without any.
+ */
+public final class Dispatcher implements PeerHandler, Ticking {
+
+  private static final BodyCase[] BODIES = {
+    BodyCase.SLOT_REQUEST,
+    BodyCase.SLOT_RELEASE,
+    BodyCase.SLOT_REGISTRATION,
+    BodyCase.SLOT_ACCEPTANCE
+  };
+
+  private final DispatchContext context;
+  private final PeerLink link;
+  private final PauseDetector pauses;
+  private final Map<Pool, DispatcherShard> shards = new ConcurrentHashMap<>();
+
+  /** Creates a dispatcher that sends its answers over the link. */
+  public Dispatcher(DispatchContext context, PeerLink link) {
+    this.context = context;
+    this.link = link;
+    this.pauses = new PauseDetector(context.clock(), DispatchContext.MAX_TICK_GAP_MS);
+  }
+
+  /** Returns the messages that are for a dispatcher. */
+  public static BodyCase[] bodies() {
+    return BODIES.clone();
+  }
+
+  @Override
+  public void handle(Envelope message) {
+    renewAfterPause();
+    SlotMessages.pool(message).ifPresent(pool -> send(shard(pool).handle(message)));
+  }
+
+  @Override
+  public void tick() {
+    renewAfterPause();
+    shards.values().forEach(shard -> send(shard.tick()));
+  }
+
+  /** Returns the slots that are lent, by pool that this process owns. */
+  public Map<String, Double> held() {
+    Map<String, Double> held = new TreeMap<>();
+    shards.forEach(
+        (pool, shard) -> {
+          if (shard.isActive()) {
+            held.put(pool.id(), (double) shard.held());
+          }
+        });
+    return held;
+  }
+
+  /** Returns the asks that wait, by pool that this process owns and by tier. */
+  public Map<String, Double> waiting() {
+    Map<String, Double> waiting = new TreeMap<>();
+    shards.forEach(
+        (pool, shard) ->
+            shard
+                .waitingByTier()
+                .forEach((tier, size) -> waiting.put(pool.id() + "/tier-" + tier, (double) size)));
+    return waiting;
+  }
+
+  private void renewAfterPause() {
+    if (pauses.observe()) {
+      shards.values().forEach(shard -> send(shard.renew()));
+    }
+  }
+
+  private DispatcherShard shard(Pool pool) {
+    return shards.computeIfAbsent(pool, key -> new DispatcherShard(key, context));
+  }
+
+  private void send(List<Outgoing> messages) {
+    messages.forEach(outgoing -> link.send(outgoing.vm(), outgoing.message()));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatcherSlotService.java
@@ -0,0 +1,115 @@
+package org.zinniaspan.dispatch;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.zinniaspan.clock.PauseDetector;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.peer.PeerHandler;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
+
+/**
+ * Asks the dispatcher of each pool for slots, wherever it runs.
+ *
+ * <p>Each ask gets one answer, at the latest at its deadline. State is kept by pool, each under its
+ * own lock; messages are sent and futures completed without any.
+ */
+public final class DispatcherSlotService implements SlotService, PeerHandler, Ticking {
+
+  private static final BodyCase[] BODIES = {
+    BodyCase.SLOT_GRANT,
+    BodyCase.SLOT_REFUSAL,
+    BodyCase.SLOT_PREEMPTION,
+    BodyCase.SLOT_RECEIPT,
+    BodyCase.SLOT_REGISTRATION_CALL
+  };
+
+  private final DispatchContext context;
+  private final PeerLink link;
+  private final PauseDetector pauses;
+  private final Map<Pool, GatewayShard> shards = new ConcurrentHashMap<>();
+  private final Map<String, Pool> pools = new ConcurrentHashMap<>();
+
+  /** Creates a service that reaches dispatchers over the link. */
+  public DispatcherSlotService(DispatchContext context, PeerLink link) {
+    this.context = context;
+    this.link = link;
+    this.pauses = new PauseDetector(context.clock(), DispatchContext.MAX_TICK_GAP_MS);
+  }
+
+  /** Returns the messages that are for a gateway. */
+  public static BodyCase[] bodies() {
+    return BODIES.clone();
+  }
+
+  @Override
+  public CompletableFuture<SlotAnswer> acquire(SlotAsk ask, Runnable onPreempt) {
+    renewAfterPause();
+    CompletableFuture<SlotAnswer> answer = new CompletableFuture<>();
+    pools.put(ask.attemptId(), ask.pool());
+    shard(ask.pool()).acquire(ask, onPreempt, answer).run(link);
+    return answer.whenComplete((result, error) -> forgetRefused(ask, result));
+  }
+
+  private void forgetRefused(SlotAsk ask, SlotAnswer result) {
+    if (result instanceof SlotAnswer.Refused) {
+      pools.remove(ask.attemptId());
+    }
+  }
+
+  @Override
+  public void withdraw(String attemptId) {
+    apply(pools.get(attemptId), shard -> shard.withdraw(attemptId));
+  }
+
+  @Override
+  public void release(String attemptId, SlotUse use) {
+    apply(pools.remove(attemptId), shard -> shard.release(attemptId, use));
+  }
+
+  @Override
+  public void handle(Envelope message) {
+    renewAfterPause();
+    SlotMessages.pool(message).ifPresent(pool -> apply(pool, shard -> shard.handle(message)));
+  }
+
+  @Override
+  public void tick() {
+    renewAfterPause();
+    shards.values().forEach(shard -> shard.tick().run(link));
+  }
+
+  /** Returns whether slots of a pool are lent from this gateway's own share now. */
+  public boolean isFallback(Pool pool) {
+    GatewayShard shard = shards.get(pool);
+    return shard != null && shard.isFallback();
+  }
+
+  /** Returns 1 for each pool whose dispatcher is out of reach, 0 for the others. */
+  public Map<String, Double> fallbacks() {
+    Map<String, Double> fallbacks = new TreeMap<>();
+    shards.forEach((pool, shard) -> fallbacks.put(pool.id(), shard.isFallback() ? 1.0 : 0.0));
+    return fallbacks;
+  }
+
+  private void renewAfterPause() {
+    if (pauses.observe()) {
+      shards.values().forEach(shard -> shard.renew().run(link));
+    }
+  }
+
+  private void apply(Pool pool, Function<GatewayShard, Effects> action) {
+    if (pool != null) {
+      action.apply(shard(pool)).run(link);
+    }
+  }
+
+  private GatewayShard shard(Pool pool) {
+    return shards.computeIfAbsent(pool, key -> new GatewayShard(key, context));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/GrantCounter.java
@@ -0,0 +1,41 @@
+package org.zinniaspan.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.TreeMap;
+
+/** Counts the grants of each tier in a sliding window of time. */
+final class GrantCounter {
+
+  private static final int SLICES = 16;
+
+  private record Slice(long index, TreeMap<Integer, Integer> byTier) {}
+
+  private final long sliceMs;
+  private final Deque<Slice> slices = new ArrayDeque<>();
+
+  GrantCounter(long windowMs) {
+    this.sliceMs = windowMs / SLICES;
+  }
+
+  void add(int tier, long nowMs) {
+    long index = nowMs / sliceMs;
+    if (slices.isEmpty() || slices.getLast().index() != index) {
+      slices.addLast(new Slice(index, new TreeMap<>()));
+    }
+    slices.getLast().byTier().merge(tier, 1, Integer::sum);
+  }
+
+  /** Returns the grants in the window that went to tiers above the given one. */
+  int above(int tier, long nowMs) {
+    long oldest = nowMs / sliceMs - SLICES + 1;
+    while (!slices.isEmpty() && slices.getFirst().index() < oldest) {
+      slices.removeFirst();
+    }
+    int sum = 0;
+    for (Slice slice : slices) {
+      sum += slice.byTier().headMap(tier).values().stream().mapToInt(Integer::intValue).sum();
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/Outgoing.java
@@ -0,0 +1,6 @@
+package org.zinniaspan.dispatch;
+
+import org.zinniaspan.peer.proto.Envelope;
+
+/** A message to be sent once no lock is held. */
+record Outgoing(String vm, Envelope.Builder message) {}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/PendingReleases.java
@@ -0,0 +1,46 @@
+package org.zinniaspan.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.SlotRelease;
+
+/** Releases that a dispatcher has not confirmed yet; each is sent again until it is. */
+final class PendingReleases {
+
+  private static final long RESEND_MS = 200;
+  private static final long GIVE_UP_MS = 10_000;
+
+  private record Pending(String vm, SlotRelease release, long sinceMs, long nextSendMs) {}
+
+  private final Map<String, Pending> pending = new LinkedHashMap<>();
+
+  void send(String vm, SlotRelease release, long nowMs, Effects effects) {
+    pending.put(release.getAttemptId(), new Pending(vm, release, nowMs, nowMs + RESEND_MS));
+    effects.send(vm, Envelope.newBuilder().setSlotRelease(release));
+  }
+
+  void confirmed(String attemptId) {
+    pending.remove(attemptId);
+  }
+
+  /** Drops the releases to other dispatchers; they ask for registration if they return. */
+  void keepOnly(String owner) {
+    pending.values().removeIf(one -> !one.vm().equals(owner));
+  }
+
+  /** Sends again what is due, and returns whether any was. */
+  boolean resend(long nowMs, Effects effects) {
+    pending.values().removeIf(one -> nowMs - one.sinceMs() >= GIVE_UP_MS);
+    boolean any = false;
+    for (Map.Entry<String, Pending> entry : pending.entrySet()) {
+      Pending one = entry.getValue();
+      if (nowMs >= one.nextSendMs()) {
+        any = true;
+        entry.setValue(new Pending(one.vm(), one.release(), one.sinceMs(), nowMs + RESEND_MS));
+        effects.send(one.vm(), Envelope.newBuilder().setSlotRelease(one.release()));
+      }
+    }
+    return any;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/SlotMessages.java
@@ -0,0 +1,94 @@
+package org.zinniaspan.dispatch;
+
+import java.util.Optional;
+import java.util.Set;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.inventory.Rules;
+import org.zinniaspan.inventory.ServiceClass;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.SlotRelease;
+import org.zinniaspan.peer.proto.SlotRequest;
+
+/** Converts between asks and the messages of the peer protocol. */
+final class SlotMessages {
+
+  private SlotMessages() {}
+
+  /** Returns a message that carries all of an ask but its sequence and round. */
+  static SlotRequest.Builder request(SlotAsk ask, long nowMs) {
+    return SlotRequest.newBuilder()
+        .setAttemptId(ask.attemptId())
+        .setPool(ask.pool().id())
+        .setServiceClass(ask.serviceClass().name())
+        .setTier(ask.serviceClass().tier())
+        .setOrganisation(ask.organisation())
+        .setBudgetMs(ask.deadlineMs() - nowMs)
+        .setWaitedMs(nowMs - ask.arrivedMs())
+        .setPromptTokens(ask.promptTokens())
+        .setOutputTokens(ask.outputTokens())
+        .addAllPrefixDigests(ask.prefixDigests())
+        .addAllExcludedEndpoints(ask.excluded())
+        .setPreemptible(ask.preemptible());
+  }
+
+  /** Returns the ask in a message, with times by the receiver's clock. */
+  static SlotAsk ask(SlotRequest request, Rules rules, long nowMs) {
+    ServiceClass serviceClass =
+        rules
+            .serviceClass(request.getServiceClass())
+            .filter(known -> known.tier() == request.getTier())
+            .orElseGet(() -> unknownClass(request));
+    return new SlotAsk(
+        request.getAttemptId(),
+        Pool.parse(request.getPool()),
+        serviceClass,
+        request.getOrganisation(),
+        nowMs - request.getWaitedMs(),
+        nowMs + request.getBudgetMs(),
+        request.getPromptTokens(),
+        request.getOutputTokens(),
+        request.getPrefixDigestsList(),
+        Set.copyOf(request.getExcludedEndpointsList()),
+        request.getPreemptible());
+  }
+
+  private static ServiceClass unknownClass(SlotRequest request) {
+    long targetMs = request.getBudgetMs() + request.getWaitedMs();
+    return new ServiceClass(
+        request.getServiceClass(), request.getTier(), Math.max(1, targetMs), 0, 0, 0, false);
+  }
+
+  static SlotUse use(SlotRelease release) {
+    SlotResult result = SlotResult.valueOf(release.getResult());
+    return new SlotUse(result, release.getOutputTokens(), release.getFirstTokenMs());
+  }
+
+  static SlotRelease release(SlotAsk ask, String endpoint, SlotUse use) {
+    return SlotRelease.newBuilder()
+        .setAttemptId(ask.attemptId())
+        .setPool(ask.pool().id())
+        .setEndpoint(endpoint)
+        .setResult(use.result().name())
+        .setOutputTokens(use.outputTokens())
+        .setFirstTokenMs(use.firstTokenMs())
+        .build();
+  }
+
+  /** Returns the pool that a message is about, empty if it is about none. */
+  static Optional<Pool> pool(Envelope message) {
+    String id =
+        switch (message.getBodyCase()) {
+          case SLOT_REQUEST -> message.getSlotRequest().getPool();
+          case SLOT_GRANT -> message.getSlotGrant().getPool();
+          case SLOT_REFUSAL -> message.getSlotRefusal().getPool();
+          case SLOT_RELEASE -> message.getSlotRelease().getPool();
+          case SLOT_PREEMPTION -> message.getSlotPreemption().getPool();
+          case SLOT_REGISTRATION -> message.getSlotRegistration().getPool();
+          case SLOT_RECEIPT -> message.getSlotReceipt().getPool();
+          case SLOT_ACCEPTANCE -> message.getSlotAcceptance().getPool();
+          case SLOT_REGISTRATION_CALL -> message.getSlotRegistrationCall().getPool();
+          default -> "";
+        };
+    return id.isEmpty() ? Optional.empty() : Optional.of(Pool.parse(id));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Envelope.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Envelope.java
@@ -66,6 +66,9 @@
     SLOT_RELEASE(23),
     SLOT_PREEMPTION(24),
     SLOT_REGISTRATION(25),
+    SLOT_RECEIPT(26),
+    SLOT_ACCEPTANCE(27),
+    SLOT_REGISTRATION_CALL(28),
     CLAIM_REQUEST(30),
     CLAIM_VOTE(31),
     CLAIM_RELEASE(32),
@@ -97,6 +100,9 @@
         case 23: return SLOT_RELEASE;
         case 24: return SLOT_PREEMPTION;
         case 25: return SLOT_REGISTRATION;
+        case 26: return SLOT_RECEIPT;
+        case 27: return SLOT_ACCEPTANCE;
+        case 28: return SLOT_REGISTRATION_CALL;
         case 30: return CLAIM_REQUEST;
         case 31: return CLAIM_VOTE;
         case 32: return CLAIM_RELEASE;
@@ -390,6 +396,99 @@
     return org.zinniaspan.peer.proto.SlotRegistration.getDefaultInstance();
   }
 
+  public static final int SLOT_RECEIPT_FIELD_NUMBER = 26;
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   * @return Whether the slotReceipt field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlotReceipt() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   * @return The slotReceipt.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotReceipt getSlotReceipt() {
+    if (bodyCase_ == 26) {
+       return (org.zinniaspan.peer.proto.SlotReceipt) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotReceiptOrBuilder getSlotReceiptOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (org.zinniaspan.peer.proto.SlotReceipt) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+  }
+
+  public static final int SLOT_ACCEPTANCE_FIELD_NUMBER = 27;
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   * @return Whether the slotAcceptance field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlotAcceptance() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   * @return The slotAcceptance.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotAcceptance getSlotAcceptance() {
+    if (bodyCase_ == 27) {
+       return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder getSlotAcceptanceOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+  }
+
+  public static final int SLOT_REGISTRATION_CALL_FIELD_NUMBER = 28;
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   * @return Whether the slotRegistrationCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlotRegistrationCall() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   * @return The slotRegistrationCall.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotRegistrationCall getSlotRegistrationCall() {
+    if (bodyCase_ == 28) {
+       return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder getSlotRegistrationCallOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+  }
+
   public static final int CLAIM_REQUEST_FIELD_NUMBER = 30;
   /**
    * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
@@ -648,6 +747,15 @@
     if (bodyCase_ == 25) {
       output.writeMessage(25, (org.zinniaspan.peer.proto.SlotRegistration) body_);
     }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (org.zinniaspan.peer.proto.SlotReceipt) body_);
+    }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (org.zinniaspan.peer.proto.SlotAcceptance) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.zinniaspan.peer.proto.SlotRegistrationCall) body_);
+    }
     if (bodyCase_ == 30) {
       output.writeMessage(30, (org.zinniaspan.peer.proto.ClaimRequest) body_);
     }
@@ -708,6 +816,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(25, (org.zinniaspan.peer.proto.SlotRegistration) body_);
     }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.zinniaspan.peer.proto.SlotReceipt) body_);
+    }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.zinniaspan.peer.proto.SlotAcceptance) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.zinniaspan.peer.proto.SlotRegistrationCall) body_);
+    }
     if (bodyCase_ == 30) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(30, (org.zinniaspan.peer.proto.ClaimRequest) body_);
@@ -794,6 +914,18 @@
         if (!getSlotRegistration()
             .equals(other.getSlotRegistration())) return false;
         break;
+      case 26:
+        if (!getSlotReceipt()
+            .equals(other.getSlotReceipt())) return false;
+        break;
+      case 27:
+        if (!getSlotAcceptance()
+            .equals(other.getSlotAcceptance())) return false;
+        break;
+      case 28:
+        if (!getSlotRegistrationCall()
+            .equals(other.getSlotRegistrationCall())) return false;
+        break;
       case 30:
         if (!getClaimRequest()
             .equals(other.getClaimRequest())) return false;
@@ -870,6 +1002,18 @@
         hash = (37 * hash) + SLOT_REGISTRATION_FIELD_NUMBER;
         hash = (53 * hash) + getSlotRegistration().hashCode();
         break;
+      case 26:
+        hash = (37 * hash) + SLOT_RECEIPT_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotReceipt().hashCode();
+        break;
+      case 27:
+        hash = (37 * hash) + SLOT_ACCEPTANCE_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotAcceptance().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + SLOT_REGISTRATION_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotRegistrationCall().hashCode();
+        break;
       case 30:
         hash = (37 * hash) + CLAIM_REQUEST_FIELD_NUMBER;
         hash = (53 * hash) + getClaimRequest().hashCode();
@@ -1059,6 +1203,15 @@
       if (slotRegistrationBuilder_ != null) {
         slotRegistrationBuilder_.clear();
       }
+      if (slotReceiptBuilder_ != null) {
+        slotReceiptBuilder_.clear();
+      }
+      if (slotAcceptanceBuilder_ != null) {
+        slotAcceptanceBuilder_.clear();
+      }
+      if (slotRegistrationCallBuilder_ != null) {
+        slotRegistrationCallBuilder_.clear();
+      }
       if (claimRequestBuilder_ != null) {
         claimRequestBuilder_.clear();
       }
@@ -1155,6 +1308,18 @@
           slotRegistrationBuilder_ != null) {
         result.body_ = slotRegistrationBuilder_.build();
       }
+      if (bodyCase_ == 26 &&
+          slotReceiptBuilder_ != null) {
+        result.body_ = slotReceiptBuilder_.build();
+      }
+      if (bodyCase_ == 27 &&
+          slotAcceptanceBuilder_ != null) {
+        result.body_ = slotAcceptanceBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          slotRegistrationCallBuilder_ != null) {
+        result.body_ = slotRegistrationCallBuilder_.build();
+      }
       if (bodyCase_ == 30 &&
           claimRequestBuilder_ != null) {
         result.body_ = claimRequestBuilder_.build();
@@ -1234,6 +1399,18 @@
           mergeSlotRegistration(other.getSlotRegistration());
           break;
         }
+        case SLOT_RECEIPT: {
+          mergeSlotReceipt(other.getSlotReceipt());
+          break;
+        }
+        case SLOT_ACCEPTANCE: {
+          mergeSlotAcceptance(other.getSlotAcceptance());
+          break;
+        }
+        case SLOT_REGISTRATION_CALL: {
+          mergeSlotRegistrationCall(other.getSlotRegistrationCall());
+          break;
+        }
         case CLAIM_REQUEST: {
           mergeClaimRequest(other.getClaimRequest());
           break;
@@ -1349,6 +1526,27 @@
               bodyCase_ = 25;
               break;
             } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetSlotReceiptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetSlotAcceptanceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetSlotRegistrationCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
             case 242: {
               input.readMessage(
                   internalGetClaimRequestFieldBuilder().getBuilder(),
@@ -2526,6 +2724,426 @@
       return slotRegistrationBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotReceipt, org.zinniaspan.peer.proto.SlotReceipt.Builder, org.zinniaspan.peer.proto.SlotReceiptOrBuilder> slotReceiptBuilder_;
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     * @return Whether the slotReceipt field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlotReceipt() {
+      return bodyCase_ == 26;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     * @return The slotReceipt.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotReceipt getSlotReceipt() {
+      if (slotReceiptBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (org.zinniaspan.peer.proto.SlotReceipt) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 26) {
+          return slotReceiptBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    public Builder setSlotReceipt(org.zinniaspan.peer.proto.SlotReceipt value) {
+      if (slotReceiptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        slotReceiptBuilder_.setMessage(value);
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    public Builder setSlotReceipt(
+        org.zinniaspan.peer.proto.SlotReceipt.Builder builderForValue) {
+      if (slotReceiptBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        slotReceiptBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    public Builder mergeSlotReceipt(org.zinniaspan.peer.proto.SlotReceipt value) {
+      if (slotReceiptBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.SlotReceipt.newBuilder((org.zinniaspan.peer.proto.SlotReceipt) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 26) {
+          slotReceiptBuilder_.mergeFrom(value);
+        } else {
+          slotReceiptBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    public Builder clearSlotReceipt() {
+      if (slotReceiptBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        slotReceiptBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    public org.zinniaspan.peer.proto.SlotReceipt.Builder getSlotReceiptBuilder() {
+      return internalGetSlotReceiptFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotReceiptOrBuilder getSlotReceiptOrBuilder() {
+      if ((bodyCase_ == 26) && (slotReceiptBuilder_ != null)) {
+        return slotReceiptBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 26) {
+          return (org.zinniaspan.peer.proto.SlotReceipt) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotReceipt, org.zinniaspan.peer.proto.SlotReceipt.Builder, org.zinniaspan.peer.proto.SlotReceiptOrBuilder> 
+        internalGetSlotReceiptFieldBuilder() {
+      if (slotReceiptBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+        }
+        slotReceiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SlotReceipt, org.zinniaspan.peer.proto.SlotReceipt.Builder, org.zinniaspan.peer.proto.SlotReceiptOrBuilder>(
+                (org.zinniaspan.peer.proto.SlotReceipt) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 26;
+      onChanged();
+      return slotReceiptBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotAcceptance, org.zinniaspan.peer.proto.SlotAcceptance.Builder, org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder> slotAcceptanceBuilder_;
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     * @return Whether the slotAcceptance field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlotAcceptance() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     * @return The slotAcceptance.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotAcceptance getSlotAcceptance() {
+      if (slotAcceptanceBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return slotAcceptanceBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder setSlotAcceptance(org.zinniaspan.peer.proto.SlotAcceptance value) {
+      if (slotAcceptanceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        slotAcceptanceBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder setSlotAcceptance(
+        org.zinniaspan.peer.proto.SlotAcceptance.Builder builderForValue) {
+      if (slotAcceptanceBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        slotAcceptanceBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder mergeSlotAcceptance(org.zinniaspan.peer.proto.SlotAcceptance value) {
+      if (slotAcceptanceBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.SlotAcceptance.newBuilder((org.zinniaspan.peer.proto.SlotAcceptance) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          slotAcceptanceBuilder_.mergeFrom(value);
+        } else {
+          slotAcceptanceBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder clearSlotAcceptance() {
+      if (slotAcceptanceBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        slotAcceptanceBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public org.zinniaspan.peer.proto.SlotAcceptance.Builder getSlotAcceptanceBuilder() {
+      return internalGetSlotAcceptanceFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder getSlotAcceptanceOrBuilder() {
+      if ((bodyCase_ == 27) && (slotAcceptanceBuilder_ != null)) {
+        return slotAcceptanceBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotAcceptance, org.zinniaspan.peer.proto.SlotAcceptance.Builder, org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder> 
+        internalGetSlotAcceptanceFieldBuilder() {
+      if (slotAcceptanceBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+        }
+        slotAcceptanceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SlotAcceptance, org.zinniaspan.peer.proto.SlotAcceptance.Builder, org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder>(
+                (org.zinniaspan.peer.proto.SlotAcceptance) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return slotAcceptanceBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotRegistrationCall, org.zinniaspan.peer.proto.SlotRegistrationCall.Builder, org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder> slotRegistrationCallBuilder_;
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     * @return Whether the slotRegistrationCall field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlotRegistrationCall() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     * @return The slotRegistrationCall.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotRegistrationCall getSlotRegistrationCall() {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return slotRegistrationCallBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder setSlotRegistrationCall(org.zinniaspan.peer.proto.SlotRegistrationCall value) {
+      if (slotRegistrationCallBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        slotRegistrationCallBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder setSlotRegistrationCall(
+        org.zinniaspan.peer.proto.SlotRegistrationCall.Builder builderForValue) {
+      if (slotRegistrationCallBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        slotRegistrationCallBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder mergeSlotRegistrationCall(org.zinniaspan.peer.proto.SlotRegistrationCall value) {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.SlotRegistrationCall.newBuilder((org.zinniaspan.peer.proto.SlotRegistrationCall) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          slotRegistrationCallBuilder_.mergeFrom(value);
+        } else {
+          slotRegistrationCallBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder clearSlotRegistrationCall() {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        slotRegistrationCallBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public org.zinniaspan.peer.proto.SlotRegistrationCall.Builder getSlotRegistrationCallBuilder() {
+      return internalGetSlotRegistrationCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder getSlotRegistrationCallOrBuilder() {
+      if ((bodyCase_ == 28) && (slotRegistrationCallBuilder_ != null)) {
+        return slotRegistrationCallBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotRegistrationCall, org.zinniaspan.peer.proto.SlotRegistrationCall.Builder, org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder> 
+        internalGetSlotRegistrationCallFieldBuilder() {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+        }
+        slotRegistrationCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SlotRegistrationCall, org.zinniaspan.peer.proto.SlotRegistrationCall.Builder, org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder>(
+                (org.zinniaspan.peer.proto.SlotRegistrationCall) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return slotRegistrationCallBuilder_;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder> claimRequestBuilder_;
     /**
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EnvelopeOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EnvelopeOrBuilder.java
@@ -137,6 +137,51 @@
    */
   org.zinniaspan.peer.proto.SlotRegistrationOrBuilder getSlotRegistrationOrBuilder();
 
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   * @return Whether the slotReceipt field is set.
+   */
+  boolean hasSlotReceipt();
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   * @return The slotReceipt.
+   */
+  org.zinniaspan.peer.proto.SlotReceipt getSlotReceipt();
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   */
+  org.zinniaspan.peer.proto.SlotReceiptOrBuilder getSlotReceiptOrBuilder();
+
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   * @return Whether the slotAcceptance field is set.
+   */
+  boolean hasSlotAcceptance();
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   * @return The slotAcceptance.
+   */
+  org.zinniaspan.peer.proto.SlotAcceptance getSlotAcceptance();
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   */
+  org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder getSlotAcceptanceOrBuilder();
+
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   * @return Whether the slotRegistrationCall field is set.
+   */
+  boolean hasSlotRegistrationCall();
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   * @return The slotRegistrationCall.
+   */
+  org.zinniaspan.peer.proto.SlotRegistrationCall getSlotRegistrationCall();
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   */
+  org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder getSlotRegistrationCallOrBuilder();
+
   /**
    * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
    * @return Whether the claimRequest field is set.
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotGrant.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotGrant.java
@@ -198,6 +198,21 @@
     return validForMs_;
   }
 
+  public static final int ROUND_FIELD_NUMBER = 6;
+  private int round_ = 0;
+  /**
+   * <pre>
+   * The round of the request that is answered.
+   * </pre>
+   *
+   * <code>int32 round = 6;</code>
+   * @return The round.
+   */
+  @java.lang.Override
+  public int getRound() {
+    return round_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -227,6 +242,9 @@
     if (validForMs_ != 0L) {
       output.writeInt64(5, validForMs_);
     }
+    if (round_ != 0) {
+      output.writeInt32(6, round_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -248,6 +266,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, validForMs_);
     }
+    if (round_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(6, round_);
+    }
     return size;
   }
   @java.lang.Override
@@ -282,6 +304,8 @@
         != other.getDispatcherIncarnation()) return false;
     if (getValidForMs()
         != other.getValidForMs()) return false;
+    if (getRound()
+        != other.getRound()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -305,6 +329,8 @@
     hash = (37 * hash) + VALID_FOR_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getValidForMs());
+    hash = (37 * hash) + ROUND_FIELD_NUMBER;
+    hash = (53 * hash) + getRound();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -445,6 +471,7 @@
       endpoint_ = "";
       dispatcherIncarnation_ = 0L;
       validForMs_ = 0L;
+      round_ = 0;
       return this;
     }
 
@@ -493,6 +520,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.validForMs_ = validForMs_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.round_ = round_;
+      }
     }
 
     @java.lang.Override
@@ -528,6 +558,9 @@
       if (other.getValidForMs() != 0L) {
         setValidForMs(other.getValidForMs());
       }
+      if (other.getRound() != 0) {
+        setRound(other.getRound());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -577,6 +610,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              round_ = input.readInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -886,6 +924,50 @@
       return this;
     }
 
+    private int round_ ;
+    /**
+     * <pre>
+     * The round of the request that is answered.
+     * </pre>
+     *
+     * <code>int32 round = 6;</code>
+     * @return The round.
+     */
+    @java.lang.Override
+    public int getRound() {
+      return round_;
+    }
+    /**
+     * <pre>
+     * The round of the request that is answered.
+     * </pre>
+     *
+     * <code>int32 round = 6;</code>
+     * @param value The round to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRound(int value) {
+
+      round_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The round of the request that is answered.
+     * </pre>
+     *
+     * <code>int32 round = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRound() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      round_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.SlotGrant)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotGrantOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotGrantOrBuilder.java
@@ -61,4 +61,14 @@
    * @return The validForMs.
    */
   long getValidForMs();
+
+  /**
+   * <pre>
+   * The round of the request that is answered.
+   * </pre>
+   *
+   * <code>int32 round = 6;</code>
+   * @return The round.
+   */
+  int getRound();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRegistration.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRegistration.java
@@ -176,6 +176,36 @@
     return running_.get(index);
   }
 
+  public static final int DISPATCHER_INCARNATION_FIELD_NUMBER = 4;
+  private long dispatcherIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The dispatcher incarnation that asked for it, zero if none did.
+   * </pre>
+   *
+   * <code>int64 dispatcher_incarnation = 4;</code>
+   * @return The dispatcherIncarnation.
+   */
+  @java.lang.Override
+  public long getDispatcherIncarnation() {
+    return dispatcherIncarnation_;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 5;
+  private long sequence_ = 0L;
+  /**
+   * <pre>
+   * Requests with a lower sequence that are not listed have ended.
+   * </pre>
+   *
+   * <code>int64 sequence = 5;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -199,6 +229,12 @@
     for (int i = 0; i < running_.size(); i++) {
       output.writeMessage(3, running_.get(i));
     }
+    if (dispatcherIncarnation_ != 0L) {
+      output.writeInt64(4, dispatcherIncarnation_);
+    }
+    if (sequence_ != 0L) {
+      output.writeInt64(5, sequence_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -224,6 +260,14 @@
           }
           size += 1 * count;
         }
+    if (dispatcherIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, dispatcherIncarnation_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, sequence_);
+    }
     return size;
   }
   @java.lang.Override
@@ -254,6 +298,10 @@
         .equals(other.getWaitingList())) return false;
     if (!getRunningList()
         .equals(other.getRunningList())) return false;
+    if (getDispatcherIncarnation()
+        != other.getDispatcherIncarnation()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -275,6 +323,12 @@
       hash = (37 * hash) + RUNNING_FIELD_NUMBER;
       hash = (53 * hash) + getRunningList().hashCode();
     }
+    hash = (37 * hash) + DISPATCHER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDispatcherIncarnation());
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -425,6 +479,8 @@
         runningBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      dispatcherIncarnation_ = 0L;
+      sequence_ = 0L;
       return this;
     }
 
@@ -483,6 +539,12 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.pool_ = pool_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.dispatcherIncarnation_ = dispatcherIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.sequence_ = sequence_;
+      }
     }
 
     @java.lang.Override
@@ -554,6 +616,12 @@
           }
         }
       }
+      if (other.getDispatcherIncarnation() != 0L) {
+        setDispatcherIncarnation(other.getDispatcherIncarnation());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -609,6 +677,16 @@
               }
               break;
             } // case 26
+            case 32: {
+              dispatcherIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              sequence_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1166,6 +1244,94 @@
       return runningBuilder_;
     }
 
+    private long dispatcherIncarnation_ ;
+    /**
+     * <pre>
+     * The dispatcher incarnation that asked for it, zero if none did.
+     * </pre>
+     *
+     * <code>int64 dispatcher_incarnation = 4;</code>
+     * @return The dispatcherIncarnation.
+     */
+    @java.lang.Override
+    public long getDispatcherIncarnation() {
+      return dispatcherIncarnation_;
+    }
+    /**
+     * <pre>
+     * The dispatcher incarnation that asked for it, zero if none did.
+     * </pre>
+     *
+     * <code>int64 dispatcher_incarnation = 4;</code>
+     * @param value The dispatcherIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDispatcherIncarnation(long value) {
+
+      dispatcherIncarnation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The dispatcher incarnation that asked for it, zero if none did.
+     * </pre>
+     *
+     * <code>int64 dispatcher_incarnation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDispatcherIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      dispatcherIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long sequence_ ;
+    /**
+     * <pre>
+     * Requests with a lower sequence that are not listed have ended.
+     * </pre>
+     *
+     * <code>int64 sequence = 5;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <pre>
+     * Requests with a lower sequence that are not listed have ended.
+     * </pre>
+     *
+     * <code>int64 sequence = 5;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests with a lower sequence that are not listed have ended.
+     * </pre>
+     *
+     * <code>int64 sequence = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.SlotRegistration)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRegistrationOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRegistrationOrBuilder.java
@@ -69,4 +69,24 @@
    */
   org.zinniaspan.peer.proto.HeldSlotOrBuilder getRunningOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The dispatcher incarnation that asked for it, zero if none did.
+   * </pre>
+   *
+   * <code>int64 dispatcher_incarnation = 4;</code>
+   * @return The dispatcherIncarnation.
+   */
+  long getDispatcherIncarnation();
+
+  /**
+   * <pre>
+   * Requests with a lower sequence that are not listed have ended.
+   * </pre>
+   *
+   * <code>int64 sequence = 5;</code>
+   * @return The sequence.
+   */
+  long getSequence();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRequest.java
@@ -376,6 +376,51 @@
     return waitedMs_;
   }
 
+  public static final int ROUND_FIELD_NUMBER = 13;
+  private int round_ = 0;
+  /**
+   * <pre>
+   * Rises when the gateway was paused; a grant for an earlier round is stale.
+   * </pre>
+   *
+   * <code>int32 round = 13;</code>
+   * @return The round.
+   */
+  @java.lang.Override
+  public int getRound() {
+    return round_;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 14;
+  private long sequence_ = 0L;
+  /**
+   * <pre>
+   * Rises with each ask and registration of one gateway process.
+   * </pre>
+   *
+   * <code>int64 sequence = 14;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  public static final int DISPATCHER_INCARNATION_FIELD_NUMBER = 15;
+  private long dispatcherIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The dispatcher incarnation with which the gateway is registered, zero if with none.
+   * </pre>
+   *
+   * <code>int64 dispatcher_incarnation = 15;</code>
+   * @return The dispatcherIncarnation.
+   */
+  @java.lang.Override
+  public long getDispatcherIncarnation() {
+    return dispatcherIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -431,6 +476,15 @@
     if (waitedMs_ != 0L) {
       output.writeInt64(12, waitedMs_);
     }
+    if (round_ != 0) {
+      output.writeInt32(13, round_);
+    }
+    if (sequence_ != 0L) {
+      output.writeInt64(14, sequence_);
+    }
+    if (dispatcherIncarnation_ != 0L) {
+      output.writeInt64(15, dispatcherIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -490,6 +544,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(12, waitedMs_);
     }
+    if (round_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(13, round_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(14, sequence_);
+    }
+    if (dispatcherIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(15, dispatcherIncarnation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -538,6 +604,12 @@
         != other.getPreemptible()) return false;
     if (getWaitedMs()
         != other.getWaitedMs()) return false;
+    if (getRound()
+        != other.getRound()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
+    if (getDispatcherIncarnation()
+        != other.getDispatcherIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -580,6 +652,14 @@
     hash = (37 * hash) + WAITED_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getWaitedMs());
+    hash = (37 * hash) + ROUND_FIELD_NUMBER;
+    hash = (53 * hash) + getRound();
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
+    hash = (37 * hash) + DISPATCHER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDispatcherIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -728,6 +808,9 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       preemptible_ = false;
       waitedMs_ = 0L;
+      round_ = 0;
+      sequence_ = 0L;
+      dispatcherIncarnation_ = 0L;
       return this;
     }
 
@@ -799,6 +882,15 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.waitedMs_ = waitedMs_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.round_ = round_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.dispatcherIncarnation_ = dispatcherIncarnation_;
+      }
     }
 
     @java.lang.Override
@@ -872,6 +964,15 @@
       if (other.getWaitedMs() != 0L) {
         setWaitedMs(other.getWaitedMs());
       }
+      if (other.getRound() != 0) {
+        setRound(other.getRound());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
+      if (other.getDispatcherIncarnation() != 0L) {
+        setDispatcherIncarnation(other.getDispatcherIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -968,6 +1069,21 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 104: {
+              round_ = input.readInt32();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 112: {
+              sequence_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
+            case 120: {
+              dispatcherIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1742,6 +1858,138 @@
       return this;
     }
 
+    private int round_ ;
+    /**
+     * <pre>
+     * Rises when the gateway was paused; a grant for an earlier round is stale.
+     * </pre>
+     *
+     * <code>int32 round = 13;</code>
+     * @return The round.
+     */
+    @java.lang.Override
+    public int getRound() {
+      return round_;
+    }
+    /**
+     * <pre>
+     * Rises when the gateway was paused; a grant for an earlier round is stale.
+     * </pre>
+     *
+     * <code>int32 round = 13;</code>
+     * @param value The round to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRound(int value) {
+
+      round_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rises when the gateway was paused; a grant for an earlier round is stale.
+     * </pre>
+     *
+     * <code>int32 round = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRound() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      round_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long sequence_ ;
+    /**
+     * <pre>
+     * Rises with each ask and registration of one gateway process.
+     * </pre>
+     *
+     * <code>int64 sequence = 14;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <pre>
+     * Rises with each ask and registration of one gateway process.
+     * </pre>
+     *
+     * <code>int64 sequence = 14;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rises with each ask and registration of one gateway process.
+     * </pre>
+     *
+     * <code>int64 sequence = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long dispatcherIncarnation_ ;
+    /**
+     * <pre>
+     * The dispatcher incarnation with which the gateway is registered, zero if with none.
+     * </pre>
+     *
+     * <code>int64 dispatcher_incarnation = 15;</code>
+     * @return The dispatcherIncarnation.
+     */
+    @java.lang.Override
+    public long getDispatcherIncarnation() {
+      return dispatcherIncarnation_;
+    }
+    /**
+     * <pre>
+     * The dispatcher incarnation with which the gateway is registered, zero if with none.
+     * </pre>
+     *
+     * <code>int64 dispatcher_incarnation = 15;</code>
+     * @param value The dispatcherIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDispatcherIncarnation(long value) {
+
+      dispatcherIncarnation_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The dispatcher incarnation with which the gateway is registered, zero if with none.
+     * </pre>
+     *
+     * <code>int64 dispatcher_incarnation = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDispatcherIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      dispatcherIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.SlotRequest)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRequestOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRequestOrBuilder.java
@@ -163,4 +163,34 @@
    * @return The waitedMs.
    */
   long getWaitedMs();
+
+  /**
+   * <pre>
+   * Rises when the gateway was paused; a grant for an earlier round is stale.
+   * </pre>
+   *
+   * <code>int32 round = 13;</code>
+   * @return The round.
+   */
+  int getRound();
+
+  /**
+   * <pre>
+   * Rises with each ask and registration of one gateway process.
+   * </pre>
+   *
+   * <code>int64 sequence = 14;</code>
+   * @return The sequence.
+   */
+  long getSequence();
+
+  /**
+   * <pre>
+   * The dispatcher incarnation with which the gateway is registered, zero if with none.
+   * </pre>
+   *
+   * <code>int64 dispatcher_incarnation = 15;</code>
+   * @return The dispatcherIncarnation.
+   */
+  long getDispatcherIncarnation();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Slots.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Slots.java
@@ -61,6 +61,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_SlotRegistration_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_SlotReceipt_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_SlotReceipt_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_SlotAcceptance_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_SlotAcceptance_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_SlotRegistrationCall_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_SlotRegistrationCall_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -70,30 +85,41 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013slots.proto\022\017zinniaspan.peer\"\207\002\n\013SlotR" +
+      "\n\013slots.proto\022\017zinniaspan.peer\"\310\002\n\013SlotR" +
       "equest\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t" +
       "\022\025\n\rservice_class\030\003 \001(\t\022\014\n\004tier\030\004 \001(\005\022\024\n" +
       "\014organisation\030\005 \001(\t\022\021\n\tbudget_ms\030\006 \001(\003\022\025" +
       "\n\rprompt_tokens\030\007 \001(\005\022\025\n\routput_tokens\030\010" +
       " \001(\005\022\026\n\016prefix_digests\030\t \003(\006\022\032\n\022excluded" +
       "_endpoints\030\n \003(\t\022\023\n\013preemptible\030\013 \001(\010\022\021\n" +
-      "\twaited_ms\030\014 \001(\003\"u\n\tSlotGrant\022\022\n\nattempt" +
-      "_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\020\n\010endpoint\030\003 \001(" +
-      "\t\022\036\n\026dispatcher_incarnation\030\004 \001(\003\022\024\n\014val" +
-      "id_for_ms\030\005 \001(\003\"W\n\013SlotRefusal\022\022\n\nattemp" +
-      "t_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t" +
-      "\022\026\n\016retry_after_ms\030\004 \001(\003\"\200\001\n\013SlotRelease" +
-      "\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\020\n\010en" +
-      "dpoint\030\003 \001(\t\022\016\n\006result\030\004 \001(\t\022\025\n\routput_t" +
-      "okens\030\005 \001(\005\022\026\n\016first_token_ms\030\006 \001(\003\"2\n\016S" +
-      "lotPreemption\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004poo" +
-      "l\030\002 \001(\t\"K\n\010HeldSlot\022-\n\007request\030\001 \001(\0132\034.z" +
-      "inniaspan.peer.SlotRequest\022\020\n\010endpoint\030\002" +
-      " \001(\t\"{\n\020SlotRegistration\022\014\n\004pool\030\001 \001(\t\022-" +
-      "\n\007waiting\030\002 \003(\0132\034.zinniaspan.peer.SlotRe" +
-      "quest\022*\n\007running\030\003 \003(\0132\031.zinniaspan.peer" +
-      ".HeldSlotB\035\n\031org.zinniaspan.peer.protoP\001" +
-      "b\006proto3"
+      "\twaited_ms\030\014 \001(\003\022\r\n\005round\030\r \001(\005\022\020\n\010seque" +
+      "nce\030\016 \001(\003\022\036\n\026dispatcher_incarnation\030\017 \001(" +
+      "\003\"\204\001\n\tSlotGrant\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004p" +
+      "ool\030\002 \001(\t\022\020\n\010endpoint\030\003 \001(\t\022\036\n\026dispatche" +
+      "r_incarnation\030\004 \001(\003\022\024\n\014valid_for_ms\030\005 \001(" +
+      "\003\022\r\n\005round\030\006 \001(\005\"W\n\013SlotRefusal\022\022\n\nattem" +
+      "pt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\016\n\006reason\030\003 \001(" +
+      "\t\022\026\n\016retry_after_ms\030\004 \001(\003\"\200\001\n\013SlotReleas" +
+      "e\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\020\n\010e" +
+      "ndpoint\030\003 \001(\t\022\016\n\006result\030\004 \001(\t\022\025\n\routput_" +
+      "tokens\030\005 \001(\005\022\026\n\016first_token_ms\030\006 \001(\003\"2\n\016" +
+      "SlotPreemption\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004po" +
+      "ol\030\002 \001(\t\"K\n\010HeldSlot\022-\n\007request\030\001 \001(\0132\034." +
+      "zinniaspan.peer.SlotRequest\022\020\n\010endpoint\030" +
+      "\002 \001(\t\"\255\001\n\020SlotRegistration\022\014\n\004pool\030\001 \001(\t" +
+      "\022-\n\007waiting\030\002 \003(\0132\034.zinniaspan.peer.Slot" +
+      "Request\022*\n\007running\030\003 \003(\0132\031.zinniaspan.pe" +
+      "er.HeldSlot\022\036\n\026dispatcher_incarnation\030\004 " +
+      "\001(\003\022\020\n\010sequence\030\005 \001(\003\"\262\001\n\013SlotReceipt\022/\n" +
+      "\004kind\030\001 \001(\0162!.zinniaspan.peer.SlotReceip" +
+      "t.Kind\022\014\n\004pool\030\002 \001(\t\022\022\n\nattempt_id\030\003 \001(\t" +
+      "\022\036\n\026dispatcher_incarnation\030\004 \001(\003\"0\n\004Kind" +
+      "\022\n\n\006QUEUED\020\000\022\014\n\010RELEASED\020\001\022\016\n\nREGISTERED" +
+      "\020\002\"2\n\016SlotAcceptance\022\022\n\nattempt_id\030\001 \001(\t" +
+      "\022\014\n\004pool\030\002 \001(\t\"D\n\024SlotRegistrationCall\022\014" +
+      "\n\004pool\030\001 \001(\t\022\036\n\026dispatcher_incarnation\030\002" +
+      " \001(\003B\035\n\031org.zinniaspan.peer.protoP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -104,13 +130,13 @@
     internal_static_zinniaspan_peer_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotRequest_descriptor,
-        new java.lang.String[] { "AttemptId", "Pool", "ServiceClass", "Tier", "Organisation", "BudgetMs", "PromptTokens", "OutputTokens", "PrefixDigests", "ExcludedEndpoints", "Preemptible", "WaitedMs", });
+        new java.lang.String[] { "AttemptId", "Pool", "ServiceClass", "Tier", "Organisation", "BudgetMs", "PromptTokens", "OutputTokens", "PrefixDigests", "ExcludedEndpoints", "Preemptible", "WaitedMs", "Round", "Sequence", "DispatcherIncarnation", });
     internal_static_zinniaspan_peer_SlotGrant_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_zinniaspan_peer_SlotGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotGrant_descriptor,
-        new java.lang.String[] { "AttemptId", "Pool", "Endpoint", "DispatcherIncarnation", "ValidForMs", });
+        new java.lang.String[] { "AttemptId", "Pool", "Endpoint", "DispatcherIncarnation", "ValidForMs", "Round", });
     internal_static_zinniaspan_peer_SlotRefusal_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_zinniaspan_peer_SlotRefusal_fieldAccessorTable = new
@@ -140,7 +166,25 @@
     internal_static_zinniaspan_peer_SlotRegistration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotRegistration_descriptor,
-        new java.lang.String[] { "Pool", "Waiting", "Running", });
+        new java.lang.String[] { "Pool", "Waiting", "Running", "DispatcherIncarnation", "Sequence", });
+    internal_static_zinniaspan_peer_SlotReceipt_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_zinniaspan_peer_SlotReceipt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_SlotReceipt_descriptor,
+        new java.lang.String[] { "Kind", "Pool", "AttemptId", "DispatcherIncarnation", });
+    internal_static_zinniaspan_peer_SlotAcceptance_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_zinniaspan_peer_SlotAcceptance_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_SlotAcceptance_descriptor,
+        new java.lang.String[] { "AttemptId", "Pool", });
+    internal_static_zinniaspan_peer_SlotRegistrationCall_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_zinniaspan_peer_SlotRegistrationCall_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_SlotRegistrationCall_descriptor,
+        new java.lang.String[] { "Pool", "DispatcherIncarnation", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
