Fuzz the dispatcher over four virtual VMs

Cause: two faults that the stateful fuzz found. A VM replaced under its name left its slots lent when its new process asked for nothing; a gateway that had lent by itself went on doing so while it was idle. The owner now asks silent holders to register, and a gateway without contact keeps trying.

--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatcherShard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatcherShard.java
@@ -41,6 +41,7 @@
   static final long GONE_AFTER_MS = 2_000;
 
   private static final long RESEND_MS = 200;
+  private static final long PROBE_PERIOD_MS = 1_000;
   private static final long CALL_RESEND_MS = 100;
 
   private final Pool pool;
@@ -57,6 +58,7 @@
   private long incarnation;
   private long rebuildUntilMs;
   private long calledMs;
+  private long probedMs;
   private long now;
 
   DispatcherShard(Pool pool, DispatchContext context) {
@@ -94,6 +96,7 @@
       continueRebuild();
       decide(queue.serve(now));
       resend();
+      probeSilentGateways();
     }
     return drained();
   }
@@ -176,16 +179,34 @@
 
   private void forgetDeadGateways() {
     Set<String> live = liveVms();
-    heardMs.values().removeIf(heard -> now - heard >= GONE_AFTER_MS);
-    live.addAll(heardMs.keySet());
+    heardMs.forEach(
+        (vm, heard) -> {
+          if (now - heard < GONE_AFTER_MS) {
+            live.add(vm);
+          }
+        });
     for (QueuedAsk entry : queue.entries()) {
       if (!live.contains(entry.requester().vm())) {
         queue.remove(entry.attemptId());
       }
     }
+    heardMs.keySet().retainAll(live);
     registeredSequence.keySet().retainAll(live);
   }
 
+  /** Asks gateways that hold slots in silence, since their process may have been replaced. */
+  private void probeSilentGateways() {
+    if (now - probedMs < PROBE_PERIOD_MS) {
+      return;
+    }
+    probedMs = now;
+    queue.entries().stream()
+        .map(entry -> entry.requester().vm())
+        .distinct()
+        .filter(vm -> now - heardMs.getOrDefault(vm, Long.MIN_VALUE / 2) >= PROBE_PERIOD_MS)
+        .forEach(this::call);
+  }
+
   private boolean isCurrent(Envelope message) {
     String vm = message.getFromVm();
     long known = incarnations.getOrDefault(vm, Long.MIN_VALUE);
@@ -263,6 +284,7 @@
   private void offer(QueuedAsk entry) {
     decide(queue.offer(entry, now));
     if (!entry.isHeld() && queue.find(entry.attemptId()).isPresent()) {
+      context.listener().queued(decided(entry));
       receipt(entry.requester().vm(), SlotReceipt.Kind.QUEUED, entry.attemptId());
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/GatewayShard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/GatewayShard.java
@@ -112,7 +112,8 @@
     if (releases.resend(now, effects)) {
       contact.asked(now);
     }
-    if (contact.isRegistrationDue(now) && !(waiting.isEmpty() && running.isEmpty())) {
+    boolean idle = waiting.isEmpty() && running.isEmpty() && !fallback;
+    if (contact.isRegistrationDue(now) && !idle) {
       sendRegistration();
     }
     if (contact.isOutOfReach(now) && !fallback) {
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/SlotListener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/SlotListener.java
@@ -15,6 +15,9 @@
    */
   record Decided(SlotAsk ask, String vm, int waiting, long waitedMs) {}
 
+  /** The ask waits. */
+  default void queued(Decided decided) {}
+
   /** A slot was lent. */
   void granted(Decided decided, String endpoint);
 
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/dispatch/DispatchFleet.java
@@ -0,0 +1,293 @@
+package org.zinniaspan.dispatch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.zinniaspan.configuration.ConfigurationStore;
+import org.zinniaspan.configuration.Document;
+import org.zinniaspan.configuration.DocumentName;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.inventory.ServiceClass;
+import org.zinniaspan.membership.Member;
+import org.zinniaspan.membership.Membership;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.routing.EndpointTable;
+import org.zinniaspan.routing.LeastReportedLoad;
+import org.zinniaspan.testkit.VirtualClock;
+import org.zinniaspan.testkit.VirtualNetwork;
+
+/** Several virtual VMs that ask for slots of one pool, and an oracle that watches them. */
+final class DispatchFleet {
+
+  static final Pool POOL = Pool.model("m");
+  static final int ENDPOINTS = 2;
+  static final int SLOTS = 3;
+  static final List<ServiceClass> CLASSES =
+      List.of(
+          new ServiceClass("counter", 0, 1_000, 0, 0, 0, false),
+          new ServiceClass("lookup", 1, 1_500, 0, 0, 0, false),
+          new ServiceClass("dossier", 2, 3_000, 0, 0, 0, false),
+          new ServiceClass("flagging", 3, 30_000, 0, 0, 0, false));
+
+  final VirtualClock clock = new VirtualClock(1_000_000);
+  final VirtualNetwork network;
+  final Map<String, Vm> vms = new TreeMap<>();
+  final List<Asked> asked = new ArrayList<>();
+  final Map<String, Integer> busy = new HashMap<>();
+  final List<String> violations = new ArrayList<>();
+  boolean disturbed;
+  int mostBusy;
+  double meanServiceMs = 150;
+  private final Random random;
+  private final QueueLimits limits;
+  private final ConfigurationStore store = new ConfigurationStore();
+  private int nextId;
+
+  /** One ask and what became of it. */
+  static final class Asked {
+    final SlotAsk ask;
+    final String vm;
+    Optional<SlotAnswer> answer = Optional.empty();
+    long answeredMs;
+    boolean lost;
+    boolean ended;
+    boolean preempted;
+
+    Asked(SlotAsk ask, String vm) {
+      this.ask = ask;
+      this.vm = vm;
+    }
+
+    boolean isGranted() {
+      return answer.filter(SlotAnswer.Granted.class::isInstance).isPresent();
+    }
+
+    boolean isRefused() {
+      return answer.filter(SlotAnswer.Refused.class::isInstance).isPresent();
+    }
+
+    boolean isPending() {
+      return !lost && answer.isEmpty();
+    }
+  }
+
+  /** One process, with its own view of who lives. */
+  final class Vm implements Membership {
+    final Member self;
+    final EndpointTable table = new EndpointTable("z", store::current, clock);
+    final Dispatcher dispatcher;
+    final DispatcherSlotService slots;
+    List<Member> view;
+    boolean paused;
+
+    Vm(Member self, List<Member> view) {
+      this.self = self;
+      this.view = view;
+      PeerLink link = network.link(self.vm(), self.incarnation());
+      dispatcher = new Dispatcher(context(new PriorityOracle(violations)), link);
+      slots = new DispatcherSlotService(context(new PriorityOracle(violations)), link);
+    }
+
+    private DispatchContext context(SlotListener listener) {
+      return new DispatchContext(
+          this, table, new LeastReportedLoad(), store::current, clock, limits, listener);
+    }
+
+    void start() {
+      PeerRouter router = new PeerRouter();
+      router.register(dispatcher, Dispatcher.bodies());
+      router.register(slots, DispatcherSlotService.bodies());
+      network.start(self.vm(), self.incarnation(), router, this::tick);
+    }
+
+    private void tick() {
+      dispatcher.tick();
+      slots.tick();
+    }
+
+    @Override
+    public Member self() {
+      return self;
+    }
+
+    @Override
+    public List<Member> live() {
+      return view;
+    }
+
+    @Override
+    public long changedAtMs() {
+      return 0;
+    }
+
+    @Override
+    public Optional<String> addressOf(String vm) {
+      return Optional.empty();
+    }
+  }
+
+  DispatchFleet(int size, long seed, QueueLimits limits) {
+    this.limits = limits;
+    this.network = new VirtualNetwork(clock, seed);
+    this.random = new Random(seed + 1);
+    publish();
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      members.add(new Member("vm-" + i, clock.nowMs(), "", false));
+    }
+    for (Member member : members) {
+      vms.put(member.vm(), new Vm(member, members));
+    }
+    vms.values().forEach(Vm::start);
+    advance(100);
+  }
+
+  private void publish() {
+    StringBuilder endpoints = new StringBuilder();
+    for (int i = 0; i < ENDPOINTS; i++) {
+      endpoints.append(i == 0 ? "" : ",");
+      endpoints.append(
+          String.format(
+              "{\"name\":\"e%d\",\"kind\":\"engine\",\"zone\":\"z\",\"address\":\"127.0.0.1:%d\","
+                  + "\"models\":[\"m\"],\"slots\":%d}",
+              i, 9000 + i, SLOTS));
+    }
+    offer(
+        DocumentName.INVENTORY,
+        "{\"regions\":[{\"name\":\"r\",\"zones\":[\"z\"]}],\"models\":[{\"name\":\"m\"}],"
+            + "\"endpoints\":["
+            + endpoints
+            + "]}");
+  }
+
+  private void offer(DocumentName name, String json) {
+    Object result = store.offer(new Document(name, 1, json.getBytes(StandardCharsets.UTF_8)));
+    if (!result.toString().startsWith("Adopted")) {
+      throw new IllegalStateException(result.toString());
+    }
+  }
+
+  Asked ask(String vm, ServiceClass serviceClass, String organisation, boolean preemptible) {
+    Vm at = vms.get(vm);
+    long now = clock.nowMs();
+    long deadlineMs = now + serviceClass.firstTokenTargetMs();
+    SlotAsk ask =
+        new SlotAsk(
+            "a-" + nextId++,
+            POOL,
+            serviceClass,
+            organisation,
+            now,
+            deadlineMs,
+            50,
+            100,
+            List.of(),
+            Set.of(),
+            preemptible);
+    Asked entry = new Asked(ask, vm);
+    asked.add(entry);
+    at.slots
+        .acquire(ask, () -> preempt(at, entry))
+        .thenAccept(answer -> onAnswer(at, entry, answer));
+    return entry;
+  }
+
+  private void onAnswer(Vm at, Asked entry, SlotAnswer answer) {
+    if (entry.answer.isPresent()) {
+      violations.add("answered twice: " + entry.ask.attemptId());
+    }
+    entry.answer = Optional.of(answer);
+    entry.answeredMs = clock.nowMs();
+    if (answer instanceof SlotAnswer.Granted granted) {
+      int now = busy.merge(granted.endpoint(), 1, Integer::sum);
+      mostBusy = Math.max(mostBusy, now);
+      long serviceMs = 1 + (long) (meanServiceMs * (0.5 + random.nextDouble()));
+      network.schedule(at.self.vm(), serviceMs, () -> end(at, entry, SlotResult.COMPLETED));
+    }
+  }
+
+  private void preempt(Vm at, Asked entry) {
+    entry.preempted = true;
+    network.schedule(at.self.vm(), 1, () -> end(at, entry, SlotResult.CANCELLED));
+  }
+
+  private void end(Vm at, Asked entry, SlotResult result) {
+    if (!entry.ended) {
+      leave(entry);
+      at.slots.release(entry.ask.attemptId(), new SlotUse(result, 100, 10));
+    }
+  }
+
+  private void leave(Asked entry) {
+    entry.ended = true;
+    if (entry.answer.get() instanceof SlotAnswer.Granted granted) {
+      busy.merge(granted.endpoint(), -1, Integer::sum);
+    }
+  }
+
+  void kill(String vm) {
+    network.kill(vm);
+    vms.remove(vm);
+    for (Asked entry : asked) {
+      if (entry.vm.equals(vm) && !entry.ended) {
+        entry.lost = true;
+        if (entry.isGranted()) {
+          leave(entry);
+        }
+      }
+    }
+  }
+
+  void start(String vm) {
+    Member self = new Member(vm, clock.nowMs(), "", false);
+    List<Member> view = new ArrayList<>(List.of(self));
+    vms.values().forEach(other -> view.add(other.self));
+    vms.put(vm, new Vm(self, view));
+    vms.get(vm).start();
+  }
+
+  /** Tells one VM who lives now. */
+  void refreshView(String vm, Predicate<Member> seen) {
+    Vm at = vms.get(vm);
+    at.view =
+        vms.values().stream()
+            .map(other -> other.self)
+            .filter(member -> member.equals(at.self) || seen.test(member))
+            .toList();
+  }
+
+  /** Runs the fleet, and notes when a gateway lends by itself. */
+  void advance(long ms) {
+    for (long left = ms; left > 0; left -= 10) {
+      network.advance(Math.min(10, left));
+      disturbed |= vms.values().stream().anyMatch(vm -> vm.slots.isFallback(POOL));
+    }
+  }
+
+  void checkAnswered(long graceMs) {
+    long now = clock.nowMs();
+    for (Asked entry : asked) {
+      Vm at = vms.get(entry.vm);
+      boolean runs = at != null && !at.paused;
+      if (entry.isPending() && runs && now > entry.ask.deadlineMs() + graceMs) {
+        violations.add("no answer by the deadline: " + entry.ask.attemptId());
+      }
+    }
+  }
+
+  /** Returns the slots that any VM believes are held. */
+  int believedHeld() {
+    return vms.values().stream()
+        .flatMap(vm -> vm.table.endpoints().stream().map(vm.table::state))
+        .mapToInt(state -> state.held())
+        .sum();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/dispatch/DispatchFuzzTest.java
@@ -0,0 +1,197 @@
+package org.zinniaspan.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.ActionChainArbitrary;
+import net.jqwik.api.state.Transformer;
+
+/** Random asks and faults over four virtual VMs, against the oracle of {@link DispatchFleet}. */
+class DispatchFuzzTest {
+
+  private static final int VMS = 4;
+  private static final long ANSWER_GRACE_MS = 110;
+  private static final long SETTLE_MS = 2_500;
+  private static final long LONGEST_WORK_MS = 4_000;
+
+  private record Ask(int vm, int tier, int organisation, boolean preemptible) {}
+
+  private static void ask(DispatchFleet fleet, Ask ask) {
+    String vm = "vm-" + ask.vm();
+    if (fleet.vms.containsKey(vm) && !fleet.vms.get(vm).paused) {
+      fleet.ask(
+          vm,
+          DispatchFleet.CLASSES.get(ask.tier()),
+          "org-" + ask.organisation(),
+          ask.preemptible() && ask.tier() > 0);
+    }
+  }
+
+  private static Action.Independent<DispatchFleet> asks() {
+    Arbitrary<Ask> ask =
+        Combinators.combine(
+                Arbitraries.integers().between(0, VMS - 1),
+                Arbitraries.integers().between(0, 3),
+                Arbitraries.integers().between(0, 2),
+                Arbitraries.of(true, false))
+            .as(Ask::new);
+    return () ->
+        ask.list()
+            .ofMinSize(1)
+            .ofMaxSize(8)
+            .map(
+                list ->
+                    Transformer.mutate(
+                        "ask " + list, fleet -> list.forEach(one -> ask(fleet, one))));
+  }
+
+  private static Action.Independent<DispatchFleet> time() {
+    return () ->
+        Arbitraries.longs()
+            .between(1, 800)
+            .map(
+                ms ->
+                    Transformer.mutate(
+                        "advance " + ms,
+                        fleet -> {
+                          fleet.advance(ms);
+                          fleet.checkAnswered(ANSWER_GRACE_MS);
+                        }));
+  }
+
+  private static Action.Independent<DispatchFleet> messageFaults() {
+    return () ->
+        Combinators.combine(
+                Arbitraries.of(0.0, 0.02, 0.1),
+                Arbitraries.of(0.0, 0.2),
+                Arbitraries.longs().between(3, 60))
+            .as(
+                (loss, twice, delayMs) ->
+                    Transformer.mutate(
+                        "loss " + loss + " twice " + twice + " delay " + delayMs,
+                        fleet -> fleet.network.faults(loss, twice).delays(1, delayMs)));
+  }
+
+  private static Action.Independent<DispatchFleet> fault(String name, Fault fault) {
+    return () ->
+        Arbitraries.integers()
+            .between(0, VMS - 1)
+            .map(i -> Transformer.mutate(name + " " + i, fleet -> apply(fleet, fault, i)));
+  }
+
+  private interface Fault {
+    void apply(DispatchFleet fleet, String vm, int number);
+  }
+
+  private static void apply(DispatchFleet fleet, Fault fault, int number) {
+    fleet.disturbed = true;
+    fault.apply(fleet, "vm-" + number, number);
+  }
+
+  private static void pause(DispatchFleet fleet, String vm) {
+    if (fleet.vms.containsKey(vm)) {
+      fleet.vms.get(vm).paused = true;
+      fleet.network.pause(vm);
+    }
+  }
+
+  private static void resume(DispatchFleet fleet, String vm) {
+    if (fleet.vms.containsKey(vm)) {
+      fleet.network.resume(vm);
+      fleet.vms.get(vm).paused = false;
+      fleet.advance(60);
+    }
+  }
+
+  private static void replace(DispatchFleet fleet, String vm) {
+    fleet.kill(vm);
+    fleet.start(vm);
+  }
+
+  private static void look(DispatchFleet fleet, String vm) {
+    if (fleet.vms.containsKey(vm)) {
+      fleet.refreshView(vm, member -> !fleet.vms.get(member.vm()).paused);
+    }
+  }
+
+  private static void isolate(DispatchFleet fleet, String vm) {
+    fleet.vms.keySet().stream()
+        .filter(other -> !other.equals(vm))
+        .forEach(other -> fleet.network.cut(vm, other));
+  }
+
+  private static ActionChainArbitrary<DispatchFleet> calm() {
+    return ActionChain.startWith(() -> new DispatchFleet(VMS, 7, QueueLimits.DEFAULT))
+        .withAction(5, asks())
+        .withAction(4, time())
+        .withAction(1, messageFaults())
+        .withMaxTransformations(40);
+  }
+
+  @Provide
+  Arbitrary<ActionChain<DispatchFleet>> calmChains() {
+    return calm();
+  }
+
+  @Provide
+  Arbitrary<ActionChain<DispatchFleet>> faultChains() {
+    return calm()
+        .withAction(1, fault("pause", (fleet, vm, n) -> pause(fleet, vm)))
+        .withAction(2, fault("resume", (fleet, vm, n) -> resume(fleet, vm)))
+        .withAction(1, fault("replace", (fleet, vm, n) -> replace(fleet, vm)))
+        .withAction(2, fault("look", (fleet, vm, n) -> look(fleet, vm)))
+        .withAction(1, fault("isolate", (fleet, vm, n) -> isolate(fleet, vm)))
+        .withAction(1, fault("heal", (fleet, vm, n) -> fleet.network.heal()));
+  }
+
+  private static void heal(DispatchFleet fleet) {
+    fleet.network.heal();
+    fleet.network.faults(0, 0).delays(1, 3);
+    fleet.vms.keySet().forEach(vm -> resume(fleet, vm));
+    fleet.vms.keySet().forEach(vm -> fleet.refreshView(vm, member -> true));
+  }
+
+  private static void checkSettled(DispatchFleet fleet) {
+    fleet.advance(SETTLE_MS);
+    fleet.checkAnswered(ANSWER_GRACE_MS);
+    assertThat(fleet.violations).isEmpty();
+    for (DispatchFleet.Vm vm : fleet.vms.values()) {
+      assertWithMessage("lends by itself").that(vm.slots.isFallback(DispatchFleet.POOL)).isFalse();
+    }
+    fleet.advance(LONGEST_WORK_MS);
+    fleet.checkAnswered(ANSWER_GRACE_MS);
+    assertThat(fleet.violations).isEmpty();
+    assertWithMessage("slots held for work that ended").that(fleet.believedHeld()).isEqualTo(0);
+    DispatchFleet.Asked probe = fleet.ask("vm-0", DispatchFleet.CLASSES.get(0), "org-0", false);
+    fleet.advance(100);
+    assertWithMessage("an ask when all is idle").that(probe.isGranted()).isTrue();
+  }
+
+  @Property(seed = "20261203", tries = 150, shrinking = ShrinkingMode.BOUNDED)
+  void whileVmsReachEachOtherNoEndpointGetsMoreThanItsSlots(
+      @ForAll("calmChains") ActionChain<DispatchFleet> chain) {
+    DispatchFleet fleet = chain.run();
+    if (!fleet.disturbed) {
+      assertThat(fleet.mostBusy).isAtMost(DispatchFleet.SLOTS);
+    }
+    heal(fleet);
+    checkSettled(fleet);
+  }
+
+  @Property(seed = "20261204", tries = 150, shrinking = ShrinkingMode.BOUNDED)
+  void underFaultsEachAskIsAnsweredInTimeAndAllSettlesAfterwards(
+      @ForAll("faultChains") ActionChain<DispatchFleet> chain) {
+    DispatchFleet fleet = chain.run();
+    heal(fleet);
+    checkSettled(fleet);
+  }
+}
