Let starved tiers take turns, and close all tiers between

With the top tier closed for the lowest, the tiers between went on and took the slots: the lowest class waited 18.4 s, and lookups were served in place of counter questions. Now the tier starved for longest is next, and all tiers between it and the crowding one are closed.

--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/PoolQueue.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/PoolQueue.java
@@ -180,7 +180,7 @@
 
   private void admit(QueuedAsk entry, long nowMs, List<SlotDecision> decisions) {
     boolean alone = tier(entry).size() == 1;
-    if (alone && gate.isStarved(entry.tier(), nowMs)) {
+    if (alone && isNextStarved(entry, nowMs)) {
       return;
     }
     if (gate.isClosed(entry.tier(), tiers, nowMs)) {
@@ -192,6 +192,10 @@
     }
   }
 
+  private boolean isNextStarved(QueuedAsk entry, long nowMs) {
+    return gate.next(tiers, nowMs).equals(Optional.of(entry.tier()));
+  }
+
   private boolean canWait(QueuedAsk entry, int ahead, double margin, long nowMs) {
     double waitMs = margin * waits.waitMs(entry.tier(), ahead - stopping, nowMs);
     return nowMs + waitMs + drain.firstTokenMs(entry) <= entry.ask().deadlineMs();
@@ -246,7 +250,7 @@
     for (TierQueue queue : tiers.values()) {
       boolean first = true;
       for (QueuedAsk entry : queue.inOrder()) {
-        boolean kept = first && gate.isStarved(entry.tier(), nowMs);
+        boolean kept = first && isNextStarved(entry, nowMs);
         if (dead) {
           decisions.add(unreachable(entry));
         } else if (nowMs >= entry.ask().deadlineMs()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/StarvationGate.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/StarvationGate.java
@@ -1,9 +1,9 @@
 package org.zinniaspan.dispatch;
 
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.SortedMap;
 
 /**
@@ -11,15 +11,17 @@
  *
  * <p>Asks that wait already keep their places and are served first; the starved tier gets the next
  * slot after them. So a grant of a lower tier never comes between the arrival of an ask and its
- * refusal. Only a tier whose queue has not been empty for a while is closed, until the starved one
- * is served.
+ * refusal. The highest tier whose queue has not been empty for a while is closed, and all between
+ * it and the starved one, until that is served.
  */
 final class StarvationGate {
 
+  private static final int NONE = Integer.MAX_VALUE;
+
   private final QueueLimits limits;
   private final Map<Integer, Long> starvedSinceMs = new HashMap<>();
   private final Map<Integer, Long> waitingSinceMs = new HashMap<>();
-  private final Set<Integer> closed = new HashSet<>();
+  private int closedFrom = NONE;
   private int grantsSinceGate;
 
   StarvationGate(QueueLimits limits) {
@@ -38,28 +40,46 @@
     boolean starved = isStarved(tier, nowMs);
     starvedSinceMs.put(tier, nowMs);
     if (starved) {
-      closed.clear();
+      closedFrom = NONE;
     }
     grantsSinceGate = starved ? 0 : grantsSinceGate + 1;
     return starved;
   }
 
   /** Returns whether a tier has asked for long without a grant, and is due one. */
-  boolean isStarved(int tier, long nowMs) {
+  private boolean isStarved(int tier, long nowMs) {
     return overdueMs(tier, nowMs) >= 0 && grantsSinceGate >= limits.grantsBetweenGates();
   }
 
+  /** Returns the starved tier that is served first: the one that waits for longest. */
+  Optional<Integer> next(SortedMap<Integer, TierQueue> tiers, long nowMs) {
+    return tiers.entrySet().stream()
+        .filter(entry -> !entry.getValue().isEmpty())
+        .map(Map.Entry::getKey)
+        .filter(tier -> isStarved(tier, nowMs))
+        .min(Comparator.comparingLong(starvedSinceMs::get));
+  }
+
   /** Returns whether a tier takes no new asks, because it crowds out a lower one. */
   boolean isClosed(int tier, SortedMap<Integer, TierQueue> tiers, long nowMs) {
-    boolean due =
-        tiers.tailMap(tier + 1).entrySet().stream()
-            .anyMatch(lower -> !lower.getValue().isEmpty() && isStarved(lower.getKey(), nowMs));
-    if (!due) {
-      closed.remove(tier);
-    } else if (nowMs - waitingSinceMs.getOrDefault(tier, nowMs) >= limits.crowdedAfterMs()) {
-      closed.add(tier);
+    Optional<Integer> starved = next(tiers, nowMs);
+    if (starved.isEmpty()) {
+      closedFrom = NONE;
+      return false;
+    }
+    if (tier >= starved.get()) {
+      return false;
     }
-    return closed.contains(tier);
+    for (Map.Entry<Integer, TierQueue> higher : tiers.headMap(starved.get()).entrySet()) {
+      if (!higher.getValue().isEmpty() && crowdsOut(higher.getKey(), nowMs)) {
+        closedFrom = Math.min(closedFrom, higher.getKey());
+      }
+    }
+    return tier >= closedFrom;
+  }
+
+  private boolean crowdsOut(int tier, long nowMs) {
+    return nowMs - waitingSinceMs.getOrDefault(tier, nowMs) >= limits.crowdedAfterMs();
   }
 
   private long overdueMs(int tier, long nowMs) {
--- a/zinniaspan/src/test/java/org/zinniaspan/dispatch/DispatcherTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/dispatch/DispatcherTest.java
@@ -1,6 +1,7 @@
 package org.zinniaspan.dispatch;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -97,7 +98,7 @@
     void ownerThatWasPausedLendsNothingThatWasLentMeanwhile() {
       fleet.meanServiceMs = 20_000;
       String old = owner();
-      String gateway = other();
+      final String gateway = other();
       fleet.network.pause(old);
       fleet.vms.get(old).paused = true;
       fleet.vms.keySet().stream()
@@ -118,7 +119,7 @@
     }
 
     @Test
-    void withoutAnyDispatcherAGatewayLendsItsShareByTier() {
+    void gatewayOutOfReachLendsItsShareByTier() {
       String gateway = other();
       fleet.vms.keySet().stream()
           .filter(vm -> !vm.equals(gateway))
@@ -175,7 +176,9 @@
               .toArray(Flow[]::new);
       load(MINUTE_MS, flows);
       for (ServiceClass serviceClass : DispatchFleet.CLASSES) {
-        assertThat(longestGapMs(of(serviceClass, "o"), start)).isAtMost(starvationBoundMs(3));
+        assertWithMessage(serviceClass.name())
+            .that(longestGapMs(of(serviceClass, "o"), start))
+            .isAtMost(starvationBoundMs(3));
       }
       assertThat(fleet.violations).isEmpty();
     }
@@ -196,7 +199,7 @@
   @Nested
   class Fairness {
     @Test
-    void burstOfALargeOrganisationCostsASmallOneNothing() {
+    void burstOfLargeOrganisationCostsSmallOneNothing() {
       load(10_000, new Flow(TOP, "small", 4));
       load(20_000, new Flow(TOP, "large", 120), new Flow(TOP, "small", 4));
       assertThat(grantedShare(of(TOP, "small"))).isAtLeast(0.99);
@@ -232,7 +235,7 @@
         low.add(small.ask("vm-0", LOWEST, "o", false));
       }
       small.advance(50);
-      Asked top = small.ask("vm-0", TOP, "o", false);
+      final Asked top = small.ask("vm-0", TOP, "o", false);
       small.advance(50);
       assertThat(low.stream().filter(Asked::isRefused).count()).isEqualTo(1);
       small.advance(600);
