Place models on engines from one placer per availability zone

Cause: orders to engines did not exist; a model that no engine of a zone has loaded could not be served there.

Not wired into the daemon yet.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineCore.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineCore.java
@@ -123,13 +123,13 @@
   }
 
   /** Obeys an order; returns false if its fencing number is refused. */
-  public synchronized boolean order(long fencing, Set<String> load, Set<String> unload) {
+  public synchronized boolean order(long fencing, Set<String> wished) {
     if (model.checksFencing() && fencing < highestFencing) {
       return false;
     }
     highestFencing = Math.max(highestFencing, fencing);
-    models.addAll(load);
-    models.removeAll(unload);
+    models.clear();
+    models.addAll(wished);
     return true;
   }
 
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineServer.java
@@ -99,9 +99,8 @@
   }
 
   private void order(JsonNode order, ClassicHttpResponse response) throws IOException {
-    Set<String> load = names(order.path("load"));
-    Set<String> unload = names(order.path("unload"));
-    if (!core.order(order.path("fencing").asLong(), load, unload)) {
+    Set<String> models = names(order.path("models"));
+    if (!core.order(order.path("fencing").asLong(), models)) {
       response.setCode(CONFLICT);
     }
     json(response, object().put("highestFencing", core.highestFencing()));
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/Change.java
@@ -0,0 +1,18 @@
+package org.zinniaspan.placement;
+
+import java.util.Set;
+
+/**
+ * A wished change of one engine, stated as its end.
+ *
+ * @param engine endpoint name
+ * @param models models that shall be loaded in the end
+ * @param reason why, for the log
+ */
+public record Change(String engine, Set<String> models, String reason) {
+
+  /** Copies the models. */
+  public Change {
+    models = Set.copyOf(models);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/DemandMeter.java
@@ -0,0 +1,49 @@
+package org.zinniaspan.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.zinniaspan.clock.Clock;
+
+/**
+ * Measures the requests a second by model as an exponentially weighted average.
+ *
+ * <p>The platform's balancer spreads requests over the entry VMs, so what one VM sees is a sample
+ * of its availability zone. State is guarded by this object's lock.
+ */
+public final class DemandMeter {
+
+  private static final double HALF_LIFE_MS = 30_000.0;
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  private final Clock clock;
+  private final Map<String, Double> weights = new HashMap<>();
+  private long updatedMs;
+
+  /** Creates a meter that has seen nothing. */
+  public DemandMeter(Clock clock) {
+    this.clock = clock;
+    this.updatedMs = clock.nowMs();
+  }
+
+  /** Counts a request to a model. */
+  public synchronized void count(String model) {
+    decay();
+    weights.merge(model, 1.0, Double::sum);
+  }
+
+  /** Returns the requests a second by model. */
+  public synchronized Map<String, Double> perSecond() {
+    decay();
+    double windowSeconds = HALF_LIFE_MS / Math.log(2) / MS_PER_SECOND;
+    Map<String, Double> rates = new HashMap<>();
+    weights.forEach((model, weight) -> rates.put(model, weight / windowSeconds));
+    return rates;
+  }
+
+  private void decay() {
+    long now = clock.nowMs();
+    double factor = Math.pow(0.5, (now - updatedMs) / HALF_LIFE_MS);
+    weights.replaceAll((model, weight) -> weight * factor);
+    updatedMs = now;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/EngineView.java
@@ -0,0 +1,21 @@
+package org.zinniaspan.placement;
+
+import java.util.Set;
+
+/**
+ * What a placer knows of one engine of its availability zone.
+ *
+ * @param name endpoint name
+ * @param memoryMb accelerator memory in megabytes
+ * @param loaded models that its last report lists
+ * @param highestFencing highest fencing number that its last report lists
+ * @param checksFencing whether it refuses orders with an old fencing number
+ */
+public record EngineView(
+    String name, int memoryMb, Set<String> loaded, long highestFencing, boolean checksFencing) {
+
+  /** Copies the models. */
+  public EngineView {
+    loaded = Set.copyOf(loaded);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/PlacementPlanner.java
@@ -0,0 +1,143 @@
+package org.zinniaspan.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.zinniaspan.inventory.Model;
+
+/**
+ * Decides the next change of models in one availability zone.
+ *
+ * <p>First every model gets one engine where memory allows. Then a replica moves from the model
+ * with the least demand for each replica to the one with the most, if their demands differ by more
+ * than {@link #MOVE_RATIO}. Engines that ignore fencing numbers only take part in the first step,
+ * whose result does not depend on demand, so that two placers wish the same of them.
+ */
+public final class PlacementPlanner {
+
+  /** Ratio of demands for each replica above which a replica moves. */
+  public static final double MOVE_RATIO = 3.0;
+
+  private final Map<String, Integer> memoryByModel = new HashMap<>();
+  private final List<String> models = new ArrayList<>();
+
+  /** Creates a planner for the models of an inventory. */
+  public PlacementPlanner(List<Model> inventory) {
+    for (Model model : inventory) {
+      memoryByModel.put(model.name(), model.memoryMb());
+      models.add(model.name());
+    }
+    models.sort(Comparator.naturalOrder());
+  }
+
+  /**
+   * Returns the most urgent change, empty if all is well.
+   *
+   * @param engines engines with fresh reports
+   * @param demand requests a second by model
+   */
+  public Optional<Change> next(List<EngineView> engines, Map<String, Double> demand) {
+    List<EngineView> ordered =
+        engines.stream().sorted(Comparator.comparing(EngineView::name)).toList();
+    for (String model : models) {
+      if (replicas(ordered, model) == 0) {
+        Optional<Change> change = serve(model, ordered);
+        if (change.isPresent()) {
+          return change;
+        }
+      }
+    }
+    return followDemand(ordered, demand);
+  }
+
+  private Optional<Change> serve(String model, List<EngineView> engines) {
+    Optional<EngineView> roomy =
+        engines.stream()
+            .filter(engine -> freeMb(engine) >= memoryMb(model))
+            .max(Comparator.comparingInt(this::freeMb));
+    if (roomy.isPresent()) {
+      return Optional.of(add(roomy.get(), model, "no engine serves " + model));
+    }
+    for (EngineView engine : engines) {
+      for (String victim : sorted(engine.loaded())) {
+        if (replicas(engines, victim) > 1 && fitsInstead(engine, victim, model)) {
+          return Optional.of(
+              swap(
+                  engine, victim, model, "no engine serves " + model + "; " + victim + " has two"));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Change> followDemand(List<EngineView> engines, Map<String, Double> demand) {
+    Optional<String> most =
+        models.stream()
+            .filter(model -> replicas(engines, model) > 0)
+            .max(Comparator.comparingDouble(model -> perReplica(model, engines, demand)));
+    Optional<String> least =
+        models.stream()
+            .filter(model -> replicas(engines, model) > 1)
+            .min(Comparator.comparingDouble(model -> perReplica(model, engines, demand)));
+    if (most.isEmpty() || least.isEmpty() || most.get().equals(least.get())) {
+      return Optional.empty();
+    }
+    double high = perReplica(most.get(), engines, demand);
+    double lowAfter = demand.getOrDefault(least.get(), 0.0) / (replicas(engines, least.get()) - 1);
+    if (high <= MOVE_RATIO * lowAfter || high == 0) {
+      return Optional.empty();
+    }
+    return engines.stream()
+        .filter(EngineView::checksFencing)
+        .filter(engine -> engine.loaded().contains(least.get()))
+        .filter(engine -> !engine.loaded().contains(most.get()))
+        .filter(engine -> fitsInstead(engine, least.get(), most.get()))
+        .findFirst()
+        .map(engine -> swap(engine, least.get(), most.get(), "demand"));
+  }
+
+  private static double perReplica(
+      String model, List<EngineView> engines, Map<String, Double> demand) {
+    return demand.getOrDefault(model, 0.0) / replicas(engines, model);
+  }
+
+  private static long replicas(List<EngineView> engines, String model) {
+    return engines.stream().filter(engine -> engine.loaded().contains(model)).count();
+  }
+
+  private boolean fitsInstead(EngineView engine, String victim, String model) {
+    return freeMb(engine) + memoryMb(victim) >= memoryMb(model);
+  }
+
+  private int freeMb(EngineView engine) {
+    int used = engine.loaded().stream().mapToInt(this::memoryMb).sum();
+    return engine.memoryMb() - used;
+  }
+
+  /** Returns the memory of a model in megabytes, zero if the inventory lacks it. */
+  public int memoryMb(String model) {
+    return memoryByModel.getOrDefault(model, 0);
+  }
+
+  private static List<String> sorted(Set<String> names) {
+    return names.stream().sorted().toList();
+  }
+
+  private static Change add(EngineView engine, String model, String reason) {
+    Set<String> wished = new HashSet<>(engine.loaded());
+    wished.add(model);
+    return new Change(engine.name(), wished, reason);
+  }
+
+  private static Change swap(EngineView engine, String victim, String model, String reason) {
+    Set<String> wished = new HashSet<>(engine.loaded());
+    wished.remove(victim);
+    wished.add(model);
+    return new Change(engine.name(), wished, reason);
+  }
+}
