--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimRelease.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimRelease.java
@@ -132,6 +132,22 @@
     }
   }
 
+  public static final int BLOCK_MS_FIELD_NUMBER = 3;
+  private long blockMs_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds for which nobody may be let run the call; zero if the claimant did not answer
+   * that it was not run.
+   * </pre>
+   *
+   * <code>int64 block_ms = 3;</code>
+   * @return The blockMs.
+   */
+  @java.lang.Override
+  public long getBlockMs() {
+    return blockMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -152,6 +168,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(attemptId_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, attemptId_);
     }
+    if (blockMs_ != 0L) {
+      output.writeInt64(3, blockMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -162,6 +181,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(attemptId_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, attemptId_);
     }
+    if (blockMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, blockMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -190,6 +213,8 @@
         .equals(other.getKey())) return false;
     if (!getAttemptId()
         .equals(other.getAttemptId())) return false;
+    if (getBlockMs()
+        != other.getBlockMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -205,6 +230,9 @@
     hash = (53 * hash) + getKey().hashCode();
     hash = (37 * hash) + ATTEMPT_ID_FIELD_NUMBER;
     hash = (53 * hash) + getAttemptId().hashCode();
+    hash = (37 * hash) + BLOCK_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBlockMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -342,6 +370,7 @@
       bitField0_ = 0;
       key_ = "";
       attemptId_ = "";
+      blockMs_ = 0L;
       return this;
     }
 
@@ -381,6 +410,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.attemptId_ = attemptId_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.blockMs_ = blockMs_;
+      }
     }
 
     @java.lang.Override
@@ -405,6 +437,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.getBlockMs() != 0L) {
+        setBlockMs(other.getBlockMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -439,6 +474,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              blockMs_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -600,6 +640,53 @@
       return this;
     }
 
+    private long blockMs_ ;
+    /**
+     * <pre>
+     * Milliseconds for which nobody may be let run the call; zero if the claimant did not answer
+     * that it was not run.
+     * </pre>
+     *
+     * <code>int64 block_ms = 3;</code>
+     * @return The blockMs.
+     */
+    @java.lang.Override
+    public long getBlockMs() {
+      return blockMs_;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which nobody may be let run the call; zero if the claimant did not answer
+     * that it was not run.
+     * </pre>
+     *
+     * <code>int64 block_ms = 3;</code>
+     * @param value The blockMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBlockMs(long value) {
+
+      blockMs_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which nobody may be let run the call; zero if the claimant did not answer
+     * that it was not run.
+     * </pre>
+     *
+     * <code>int64 block_ms = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBlockMs() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      blockMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.ClaimRelease)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimReleaseOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimReleaseOrBuilder.java
@@ -33,4 +33,15 @@
    */
   com.google.protobuf.ByteString
       getAttemptIdBytes();
+
+  /**
+   * <pre>
+   * Milliseconds for which nobody may be let run the call; zero if the claimant did not answer
+   * that it was not run.
+   * </pre>
+   *
+   * <code>int64 block_ms = 3;</code>
+   * @return The blockMs.
+   */
+  long getBlockMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimRequest.java
@@ -155,6 +155,21 @@
     return listRevision_;
   }
 
+  public static final int ASK_FIELD_NUMBER = 4;
+  private int ask_ = 0;
+  /**
+   * <pre>
+   * Number of the ask, which the vote repeats; a lost vote is asked for again.
+   * </pre>
+   *
+   * <code>int32 ask = 4;</code>
+   * @return The ask.
+   */
+  @java.lang.Override
+  public int getAsk() {
+    return ask_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -178,6 +193,9 @@
     if (listRevision_ != 0L) {
       output.writeInt64(3, listRevision_);
     }
+    if (ask_ != 0) {
+      output.writeInt32(4, ask_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +210,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, listRevision_);
     }
+    if (ask_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(4, ask_);
+    }
     return size;
   }
   @java.lang.Override
@@ -222,6 +244,8 @@
         .equals(other.getAttemptId())) return false;
     if (getListRevision()
         != other.getListRevision()) return false;
+    if (getAsk()
+        != other.getAsk()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -240,6 +264,8 @@
     hash = (37 * hash) + LIST_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getListRevision());
+    hash = (37 * hash) + ASK_FIELD_NUMBER;
+    hash = (53 * hash) + getAsk();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -378,6 +404,7 @@
       key_ = "";
       attemptId_ = "";
       listRevision_ = 0L;
+      ask_ = 0;
       return this;
     }
 
@@ -420,6 +447,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.listRevision_ = listRevision_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.ask_ = ask_;
+      }
     }
 
     @java.lang.Override
@@ -447,6 +477,9 @@
       if (other.getListRevision() != 0L) {
         setListRevision(other.getListRevision());
       }
+      if (other.getAsk() != 0) {
+        setAsk(other.getAsk());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -486,6 +519,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              ask_ = input.readInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -711,6 +749,50 @@
       return this;
     }
 
+    private int ask_ ;
+    /**
+     * <pre>
+     * Number of the ask, which the vote repeats; a lost vote is asked for again.
+     * </pre>
+     *
+     * <code>int32 ask = 4;</code>
+     * @return The ask.
+     */
+    @java.lang.Override
+    public int getAsk() {
+      return ask_;
+    }
+    /**
+     * <pre>
+     * Number of the ask, which the vote repeats; a lost vote is asked for again.
+     * </pre>
+     *
+     * <code>int32 ask = 4;</code>
+     * @param value The ask to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAsk(int value) {
+
+      ask_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the ask, which the vote repeats; a lost vote is asked for again.
+     * </pre>
+     *
+     * <code>int32 ask = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAsk() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      ask_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.ClaimRequest)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimRequestOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimRequestOrBuilder.java
@@ -51,4 +51,14 @@
    * @return The listRevision.
    */
   long getListRevision();
+
+  /**
+   * <pre>
+   * Number of the ask, which the vote repeats; a lost vote is asked for again.
+   * </pre>
+   *
+   * <code>int32 ask = 4;</code>
+   * @return The ask.
+   */
+  int getAsk();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimVote.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimVote.java
@@ -37,6 +37,7 @@
     result_ = 0;
     holderVm_ = "";
     holderAttemptId_ = "";
+    processes_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -98,6 +99,14 @@
      * <code>OTHER_REVISION = 4;</code>
      */
     OTHER_REVISION(4),
+    /**
+     * <pre>
+     * The claimant holds the key, but only to answer that the call was not run.
+     * </pre>
+     *
+     * <code>ACCEPTED_NOT_RUN = 5;</code>
+     */
+    ACCEPTED_NOT_RUN(5),
     UNRECOGNIZED(-1),
     ;
 
@@ -146,6 +155,14 @@
      * <code>OTHER_REVISION = 4;</code>
      */
     public static final int OTHER_REVISION_VALUE = 4;
+    /**
+     * <pre>
+     * The claimant holds the key, but only to answer that the call was not run.
+     * </pre>
+     *
+     * <code>ACCEPTED_NOT_RUN = 5;</code>
+     */
+    public static final int ACCEPTED_NOT_RUN_VALUE = 5;
 
 
     public final int getNumber() {
@@ -177,6 +194,7 @@
         case 2: return HELD;
         case 3: return ABSTAINED;
         case 4: return OTHER_REVISION;
+        case 5: return ACCEPTED_NOT_RUN;
         default: return null;
       }
     }
@@ -429,6 +447,78 @@
     return listRevision_;
   }
 
+  public static final int ASK_FIELD_NUMBER = 8;
+  private int ask_ = 0;
+  /**
+   * <code>int32 ask = 8;</code>
+   * @return The ask.
+   */
+  @java.lang.Override
+  public int getAsk() {
+    return ask_;
+  }
+
+  public static final int PROCESSES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.VoterProcess> processes_;
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.VoterProcess> getProcessesList() {
+    return processes_;
+  }
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.VoterProcessOrBuilder> 
+      getProcessesOrBuilderList() {
+    return processes_;
+  }
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  @java.lang.Override
+  public int getProcessesCount() {
+    return processes_.size();
+  }
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.VoterProcess getProcesses(int index) {
+    return processes_.get(index);
+  }
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.VoterProcessOrBuilder getProcessesOrBuilder(
+      int index) {
+    return processes_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -464,6 +554,12 @@
     if (listRevision_ != 0L) {
       output.writeInt64(7, listRevision_);
     }
+    if (ask_ != 0) {
+      output.writeInt32(8, ask_);
+    }
+    for (int i = 0; i < processes_.size(); i++) {
+      output.writeMessage(9, processes_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -492,6 +588,19 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, listRevision_);
     }
+    if (ask_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(8, ask_);
+    }
+
+        {
+          final int count = processes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(processes_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -529,6 +638,10 @@
         .equals(other.getHolderAttemptId())) return false;
     if (getListRevision()
         != other.getListRevision()) return false;
+    if (getAsk()
+        != other.getAsk()) return false;
+    if (!getProcessesList()
+        .equals(other.getProcessesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -556,6 +669,12 @@
     hash = (37 * hash) + LIST_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getListRevision());
+    hash = (37 * hash) + ASK_FIELD_NUMBER;
+    hash = (53 * hash) + getAsk();
+    if (getProcessesCount() > 0) {
+      hash = (37 * hash) + PROCESSES_FIELD_NUMBER;
+      hash = (53 * hash) + getProcessesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -698,6 +817,14 @@
       holderIncarnation_ = 0L;
       holderAttemptId_ = "";
       listRevision_ = 0L;
+      ask_ = 0;
+      if (processesBuilder_ == null) {
+        processes_ = java.util.Collections.emptyList();
+      } else {
+        processes_ = null;
+        processesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -724,11 +851,24 @@
     @java.lang.Override
     public org.zinniaspan.peer.proto.ClaimVote buildPartial() {
       org.zinniaspan.peer.proto.ClaimVote result = new org.zinniaspan.peer.proto.ClaimVote(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.zinniaspan.peer.proto.ClaimVote result) {
+      if (processesBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          processes_ = java.util.Collections.unmodifiableList(processes_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.processes_ = processes_;
+      } else {
+        result.processes_ = processesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.zinniaspan.peer.proto.ClaimVote result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -752,6 +892,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.listRevision_ = listRevision_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.ask_ = ask_;
+      }
     }
 
     @java.lang.Override
@@ -795,6 +938,35 @@
       if (other.getListRevision() != 0L) {
         setListRevision(other.getListRevision());
       }
+      if (other.getAsk() != 0) {
+        setAsk(other.getAsk());
+      }
+      if (processesBuilder_ == null) {
+        if (!other.processes_.isEmpty()) {
+          if (processes_.isEmpty()) {
+            processes_ = other.processes_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureProcessesIsMutable();
+            processes_.addAll(other.processes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.processes_.isEmpty()) {
+          if (processesBuilder_.isEmpty()) {
+            processesBuilder_.dispose();
+            processesBuilder_ = null;
+            processes_ = other.processes_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            processesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetProcessesFieldBuilder() : null;
+          } else {
+            processesBuilder_.addAllMessages(other.processes_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -854,6 +1026,24 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              ask_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 74: {
+              org.zinniaspan.peer.proto.VoterProcess m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.VoterProcess.parser(),
+                      extensionRegistry);
+              if (processesBuilder_ == null) {
+                ensureProcessesIsMutable();
+                processes_.add(m);
+              } else {
+                processesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1275,6 +1465,344 @@
       return this;
     }
 
+    private int ask_ ;
+    /**
+     * <code>int32 ask = 8;</code>
+     * @return The ask.
+     */
+    @java.lang.Override
+    public int getAsk() {
+      return ask_;
+    }
+    /**
+     * <code>int32 ask = 8;</code>
+     * @param value The ask to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAsk(int value) {
+
+      ask_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 ask = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAsk() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      ask_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.zinniaspan.peer.proto.VoterProcess> processes_ =
+      java.util.Collections.emptyList();
+    private void ensureProcessesIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        processes_ = new java.util.ArrayList<org.zinniaspan.peer.proto.VoterProcess>(processes_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.VoterProcess, org.zinniaspan.peer.proto.VoterProcess.Builder, org.zinniaspan.peer.proto.VoterProcessOrBuilder> processesBuilder_;
+
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.VoterProcess> getProcessesList() {
+      if (processesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(processes_);
+      } else {
+        return processesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public int getProcessesCount() {
+      if (processesBuilder_ == null) {
+        return processes_.size();
+      } else {
+        return processesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public org.zinniaspan.peer.proto.VoterProcess getProcesses(int index) {
+      if (processesBuilder_ == null) {
+        return processes_.get(index);
+      } else {
+        return processesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder setProcesses(
+        int index, org.zinniaspan.peer.proto.VoterProcess value) {
+      if (processesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureProcessesIsMutable();
+        processes_.set(index, value);
+        onChanged();
+      } else {
+        processesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder setProcesses(
+        int index, org.zinniaspan.peer.proto.VoterProcess.Builder builderForValue) {
+      if (processesBuilder_ == null) {
+        ensureProcessesIsMutable();
+        processes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        processesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder addProcesses(org.zinniaspan.peer.proto.VoterProcess value) {
+      if (processesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureProcessesIsMutable();
+        processes_.add(value);
+        onChanged();
+      } else {
+        processesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder addProcesses(
+        int index, org.zinniaspan.peer.proto.VoterProcess value) {
+      if (processesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureProcessesIsMutable();
+        processes_.add(index, value);
+        onChanged();
+      } else {
+        processesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder addProcesses(
+        org.zinniaspan.peer.proto.VoterProcess.Builder builderForValue) {
+      if (processesBuilder_ == null) {
+        ensureProcessesIsMutable();
+        processes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        processesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder addProcesses(
+        int index, org.zinniaspan.peer.proto.VoterProcess.Builder builderForValue) {
+      if (processesBuilder_ == null) {
+        ensureProcessesIsMutable();
+        processes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        processesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder addAllProcesses(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.VoterProcess> values) {
+      if (processesBuilder_ == null) {
+        ensureProcessesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, processes_);
+        onChanged();
+      } else {
+        processesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder clearProcesses() {
+      if (processesBuilder_ == null) {
+        processes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        processesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public Builder removeProcesses(int index) {
+      if (processesBuilder_ == null) {
+        ensureProcessesIsMutable();
+        processes_.remove(index);
+        onChanged();
+      } else {
+        processesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public org.zinniaspan.peer.proto.VoterProcess.Builder getProcessesBuilder(
+        int index) {
+      return internalGetProcessesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public org.zinniaspan.peer.proto.VoterProcessOrBuilder getProcessesOrBuilder(
+        int index) {
+      if (processesBuilder_ == null) {
+        return processes_.get(index);  } else {
+        return processesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.VoterProcessOrBuilder> 
+         getProcessesOrBuilderList() {
+      if (processesBuilder_ != null) {
+        return processesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(processes_);
+      }
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public org.zinniaspan.peer.proto.VoterProcess.Builder addProcessesBuilder() {
+      return internalGetProcessesFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.VoterProcess.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public org.zinniaspan.peer.proto.VoterProcess.Builder addProcessesBuilder(
+        int index) {
+      return internalGetProcessesFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.VoterProcess.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Newest process of each voter that this voter knows of.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.VoterProcess.Builder> 
+         getProcessesBuilderList() {
+      return internalGetProcessesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.VoterProcess, org.zinniaspan.peer.proto.VoterProcess.Builder, org.zinniaspan.peer.proto.VoterProcessOrBuilder> 
+        internalGetProcessesFieldBuilder() {
+      if (processesBuilder_ == null) {
+        processesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.VoterProcess, org.zinniaspan.peer.proto.VoterProcess.Builder, org.zinniaspan.peer.proto.VoterProcessOrBuilder>(
+                processes_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        processes_ = null;
+      }
+      return processesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.ClaimVote)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimVoteOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ClaimVoteOrBuilder.java
@@ -80,4 +80,54 @@
    * @return The listRevision.
    */
   long getListRevision();
+
+  /**
+   * <code>int32 ask = 8;</code>
+   * @return The ask.
+   */
+  int getAsk();
+
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.VoterProcess> 
+      getProcessesList();
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  org.zinniaspan.peer.proto.VoterProcess getProcesses(int index);
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  int getProcessesCount();
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.VoterProcessOrBuilder> 
+      getProcessesOrBuilderList();
+  /**
+   * <pre>
+   * Newest process of each voter that this voter knows of.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.VoterProcess processes = 9;</code>
+   */
+  org.zinniaspan.peer.proto.VoterProcessOrBuilder getProcessesOrBuilder(
+      int index);
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Claims.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Claims.java
@@ -36,11 +36,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_ClaimVote_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_VoterProcess_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_VoterProcess_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_zinniaspan_peer_ClaimRelease_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_ClaimRelease_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_HeldClaim_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_HeldClaim_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_VoterSet_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_VoterSet_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_ClaimSyncRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_ClaimSyncRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_ClaimSyncReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_ClaimSyncReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_zinniaspan_peer_OutcomeRequest_descriptor;
   static final 
@@ -51,6 +76,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_OutcomeReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_ForwardedCall_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_ForwardedCall_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_ForwardedOutcome_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_ForwardedOutcome_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -60,27 +100,55 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014claims.proto\022\017zinniaspan.peer\"F\n\014Claim" +
+      "\n\014claims.proto\022\017zinniaspan.peer\"S\n\014Claim" +
       "Request\022\013\n\003key\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
-      "\022\025\n\rlist_revision\030\003 \001(\003\"\235\002\n\tClaimVote\022\013\n" +
-      "\003key\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\0221\n\006result" +
-      "\030\003 \001(\0162!.zinniaspan.peer.ClaimVote.Resul" +
-      "t\022\021\n\tholder_vm\030\004 \001(\t\022\032\n\022holder_incarnati" +
-      "on\030\005 \001(\003\022\031\n\021holder_attempt_id\030\006 \001(\t\022\025\n\rl" +
-      "ist_revision\030\007 \001(\003\"[\n\006Result\022\026\n\022RESULT_U" +
-      "NSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\010\n\004HELD\020\002\022\r\n\t" +
-      "ABSTAINED\020\003\022\022\n\016OTHER_REVISION\020\004\"/\n\014Claim" +
-      "Release\022\013\n\003key\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
-      "\"L\n\016OutcomeRequest\022\013\n\003key\030\001 \001(\t\022\022\n\nattem" +
-      "pt_id\030\002 \001(\t\022\031\n\021holder_attempt_id\030\003 \001(\t\"\370" +
-      "\001\n\014OutcomeReply\022\013\n\003key\030\001 \001(\t\022\022\n\nattempt_" +
-      "id\030\002 \001(\t\0220\n\004kind\030\003 \001(\0162\".zinniaspan.peer" +
-      ".OutcomeReply.Kind\022\016\n\006status\030\004 \001(\005\022\024\n\014co" +
-      "ntent_type\030\005 \001(\t\022\014\n\004body\030\006 \001(\014\022\016\n\006reason" +
-      "\030\007 \001(\t\"Q\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010" +
-      "ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003\022\013\n\007" +
-      "RUNNING\020\004B\035\n\031org.zinniaspan.peer.protoP\001" +
-      "b\006proto3"
+      "\022\025\n\rlist_revision\030\003 \001(\003\022\013\n\003ask\030\004 \001(\005\"\362\002\n" +
+      "\tClaimVote\022\013\n\003key\030\001 \001(\t\022\022\n\nattempt_id\030\002 " +
+      "\001(\t\0221\n\006result\030\003 \001(\0162!.zinniaspan.peer.Cl" +
+      "aimVote.Result\022\021\n\tholder_vm\030\004 \001(\t\022\032\n\022hol" +
+      "der_incarnation\030\005 \001(\003\022\031\n\021holder_attempt_" +
+      "id\030\006 \001(\t\022\025\n\rlist_revision\030\007 \001(\003\022\013\n\003ask\030\010" +
+      " \001(\005\0220\n\tprocesses\030\t \003(\0132\035.zinniaspan.pee" +
+      "r.VoterProcess\"q\n\006Result\022\026\n\022RESULT_UNSPE" +
+      "CIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\010\n\004HELD\020\002\022\r\n\tABST" +
+      "AINED\020\003\022\022\n\016OTHER_REVISION\020\004\022\024\n\020ACCEPTED_" +
+      "NOT_RUN\020\005\"/\n\014VoterProcess\022\n\n\002vm\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\003\"A\n\014ClaimRelease\022\013\n\003ke" +
+      "y\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\020\n\010block_ms\030" +
+      "\003 \001(\003\"o\n\tHeldClaim\022\013\n\003key\030\001 \001(\t\022\022\n\nattem" +
+      "pt_id\030\002 \001(\t\022\n\n\002vm\030\003 \001(\t\022\023\n\013incarnation\030\004" +
+      " \001(\003\022\016\n\006age_ms\030\005 \001(\003\022\020\n\010block_ms\030\006 \001(\003\"A" +
+      "\n\010VoterSet\022\025\n\rlist_revision\030\001 \001(\003\022\016\n\006vot" +
+      "ers\030\002 \003(\t\022\016\n\006age_ms\030\003 \001(\003\"R\n\020ClaimSyncRe" +
+      "quest\022\025\n\rlist_revision\030\001 \001(\003\022\025\n\rclaims_w" +
+      "anted\030\002 \001(\010\022\020\n\010asked_ms\030\003 \001(\003\"\256\002\n\016ClaimS" +
+      "yncReply\022\025\n\rlist_revision\030\001 \001(\003\022\020\n\010compl" +
+      "ete\030\002 \001(\010\022(\n\005lists\030\003 \003(\0132\031.zinniaspan.pe" +
+      "er.VoterSet\0220\n\tprocesses\030\004 \003(\0132\035.zinnias" +
+      "pan.peer.VoterProcess\022*\n\006claims\030\005 \003(\0132\032." +
+      "zinniaspan.peer.HeldClaim\022\014\n\004part\030\006 \001(\005\022" +
+      "\r\n\005parts\030\007 \001(\005\022\023\n\013with_claims\030\010 \001(\010\022\030\n\020p" +
+      "rocess_replaced\030\t \001(\010\022\r\n\005reply\030\n \001(\003\022\020\n\010" +
+      "asked_ms\030\013 \001(\003\"L\n\016OutcomeRequest\022\013\n\003key\030" +
+      "\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\031\n\021holder_atte" +
+      "mpt_id\030\003 \001(\t\"\370\001\n\014OutcomeReply\022\013\n\003key\030\001 \001" +
+      "(\t\022\022\n\nattempt_id\030\002 \001(\t\0220\n\004kind\030\003 \001(\0162\".z" +
+      "inniaspan.peer.OutcomeReply.Kind\022\016\n\006stat" +
+      "us\030\004 \001(\005\022\024\n\014content_type\030\005 \001(\t\022\014\n\004body\030\006" +
+      " \001(\014\022\016\n\006reason\030\007 \001(\t\"Q\n\004Kind\022\024\n\020KIND_UNS" +
+      "PECIFIED\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n" +
+      "\007UNKNOWN\020\003\022\013\n\007RUNNING\020\004\"\224\002\n\rForwardedCal" +
+      "l\022\022\n\nrequest_id\030\001 \001(\t\022\024\n\014organisation\030\002 " +
+      "\001(\t\022\025\n\rservice_class\030\003 \001(\t\022\017\n\007service\030\004 " +
+      "\001(\t\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\022<\n\007hea" +
+      "ders\030\007 \003(\0132+.zinniaspan.peer.ForwardedCa" +
+      "ll.HeadersEntry\022\014\n\004body\030\010 \001(\014\022\027\n\017idempot" +
+      "ency_key\030\t \001(\t\032.\n\014HeadersEntry\022\013\n\003key\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"n\n\020ForwardedOutco" +
+      "me\022\022\n\nrequest_id\030\001 \001(\t\022.\n\007outcome\030\002 \001(\0132" +
+      "\035.zinniaspan.peer.OutcomeReply\022\026\n\016retry_" +
+      "after_ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer.pr" +
+      "otoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -91,31 +159,79 @@
     internal_static_zinniaspan_peer_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_ClaimRequest_descriptor,
-        new java.lang.String[] { "Key", "AttemptId", "ListRevision", });
+        new java.lang.String[] { "Key", "AttemptId", "ListRevision", "Ask", });
     internal_static_zinniaspan_peer_ClaimVote_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_zinniaspan_peer_ClaimVote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_ClaimVote_descriptor,
-        new java.lang.String[] { "Key", "AttemptId", "Result", "HolderVm", "HolderIncarnation", "HolderAttemptId", "ListRevision", });
-    internal_static_zinniaspan_peer_ClaimRelease_descriptor =
+        new java.lang.String[] { "Key", "AttemptId", "Result", "HolderVm", "HolderIncarnation", "HolderAttemptId", "ListRevision", "Ask", "Processes", });
+    internal_static_zinniaspan_peer_VoterProcess_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_zinniaspan_peer_VoterProcess_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_VoterProcess_descriptor,
+        new java.lang.String[] { "Vm", "Incarnation", });
+    internal_static_zinniaspan_peer_ClaimRelease_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_zinniaspan_peer_ClaimRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_ClaimRelease_descriptor,
-        new java.lang.String[] { "Key", "AttemptId", });
+        new java.lang.String[] { "Key", "AttemptId", "BlockMs", });
+    internal_static_zinniaspan_peer_HeldClaim_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_zinniaspan_peer_HeldClaim_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_HeldClaim_descriptor,
+        new java.lang.String[] { "Key", "AttemptId", "Vm", "Incarnation", "AgeMs", "BlockMs", });
+    internal_static_zinniaspan_peer_VoterSet_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_zinniaspan_peer_VoterSet_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_VoterSet_descriptor,
+        new java.lang.String[] { "ListRevision", "Voters", "AgeMs", });
+    internal_static_zinniaspan_peer_ClaimSyncRequest_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_zinniaspan_peer_ClaimSyncRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_ClaimSyncRequest_descriptor,
+        new java.lang.String[] { "ListRevision", "ClaimsWanted", "AskedMs", });
+    internal_static_zinniaspan_peer_ClaimSyncReply_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_zinniaspan_peer_ClaimSyncReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_ClaimSyncReply_descriptor,
+        new java.lang.String[] { "ListRevision", "Complete", "Lists", "Processes", "Claims", "Part", "Parts", "WithClaims", "ProcessReplaced", "Reply", "AskedMs", });
     internal_static_zinniaspan_peer_OutcomeRequest_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(8);
     internal_static_zinniaspan_peer_OutcomeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_OutcomeRequest_descriptor,
         new java.lang.String[] { "Key", "AttemptId", "HolderAttemptId", });
     internal_static_zinniaspan_peer_OutcomeReply_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(9);
     internal_static_zinniaspan_peer_OutcomeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_OutcomeReply_descriptor,
         new java.lang.String[] { "Key", "AttemptId", "Kind", "Status", "ContentType", "Body", "Reason", });
+    internal_static_zinniaspan_peer_ForwardedCall_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_zinniaspan_peer_ForwardedCall_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_ForwardedCall_descriptor,
+        new java.lang.String[] { "RequestId", "Organisation", "ServiceClass", "Service", "Method", "Path", "Headers", "Body", "IdempotencyKey", });
+    internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_descriptor =
+      internal_static_zinniaspan_peer_ForwardedCall_descriptor.getNestedType(0);
+    internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_zinniaspan_peer_ForwardedOutcome_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_zinniaspan_peer_ForwardedOutcome_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_ForwardedOutcome_descriptor,
+        new java.lang.String[] { "RequestId", "Outcome", "RetryAfterMs", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Envelope.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Envelope.java
@@ -71,6 +71,10 @@
     CLAIM_RELEASE(32),
     OUTCOME_REQUEST(33),
     OUTCOME_REPLY(34),
+    CLAIM_SYNC_REQUEST(35),
+    CLAIM_SYNC_REPLY(36),
+    FORWARDED_CALL(37),
+    FORWARDED_OUTCOME(38),
     DOCUMENT_REQUEST(40),
     DOCUMENT_PART(41),
     BODY_NOT_SET(0);
@@ -102,6 +106,10 @@
         case 32: return CLAIM_RELEASE;
         case 33: return OUTCOME_REQUEST;
         case 34: return OUTCOME_REPLY;
+        case 35: return CLAIM_SYNC_REQUEST;
+        case 36: return CLAIM_SYNC_REPLY;
+        case 37: return FORWARDED_CALL;
+        case 38: return FORWARDED_OUTCOME;
         case 40: return DOCUMENT_REQUEST;
         case 41: return DOCUMENT_PART;
         case 0: return BODY_NOT_SET;
@@ -545,6 +553,130 @@
     return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
   }
 
+  public static final int CLAIM_SYNC_REQUEST_FIELD_NUMBER = 35;
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   * @return Whether the claimSyncRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasClaimSyncRequest() {
+    return bodyCase_ == 35;
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   * @return The claimSyncRequest.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncRequest getClaimSyncRequest() {
+    if (bodyCase_ == 35) {
+       return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder getClaimSyncRequestOrBuilder() {
+    if (bodyCase_ == 35) {
+       return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+  }
+
+  public static final int CLAIM_SYNC_REPLY_FIELD_NUMBER = 36;
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   * @return Whether the claimSyncReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasClaimSyncReply() {
+    return bodyCase_ == 36;
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   * @return The claimSyncReply.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncReply getClaimSyncReply() {
+    if (bodyCase_ == 36) {
+       return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder getClaimSyncReplyOrBuilder() {
+    if (bodyCase_ == 36) {
+       return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+  }
+
+  public static final int FORWARDED_CALL_FIELD_NUMBER = 37;
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   * @return Whether the forwardedCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasForwardedCall() {
+    return bodyCase_ == 37;
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   * @return The forwardedCall.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedCall getForwardedCall() {
+    if (bodyCase_ == 37) {
+       return (org.zinniaspan.peer.proto.ForwardedCall) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedCallOrBuilder getForwardedCallOrBuilder() {
+    if (bodyCase_ == 37) {
+       return (org.zinniaspan.peer.proto.ForwardedCall) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+  }
+
+  public static final int FORWARDED_OUTCOME_FIELD_NUMBER = 38;
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   * @return Whether the forwardedOutcome field is set.
+   */
+  @java.lang.Override
+  public boolean hasForwardedOutcome() {
+    return bodyCase_ == 38;
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   * @return The forwardedOutcome.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedOutcome getForwardedOutcome() {
+    if (bodyCase_ == 38) {
+       return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder getForwardedOutcomeOrBuilder() {
+    if (bodyCase_ == 38) {
+       return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+  }
+
   public static final int DOCUMENT_REQUEST_FIELD_NUMBER = 40;
   /**
    * <code>.zinniaspan.peer.DocumentRequest document_request = 40;</code>
@@ -663,6 +795,18 @@
     if (bodyCase_ == 34) {
       output.writeMessage(34, (org.zinniaspan.peer.proto.OutcomeReply) body_);
     }
+    if (bodyCase_ == 35) {
+      output.writeMessage(35, (org.zinniaspan.peer.proto.ClaimSyncRequest) body_);
+    }
+    if (bodyCase_ == 36) {
+      output.writeMessage(36, (org.zinniaspan.peer.proto.ClaimSyncReply) body_);
+    }
+    if (bodyCase_ == 37) {
+      output.writeMessage(37, (org.zinniaspan.peer.proto.ForwardedCall) body_);
+    }
+    if (bodyCase_ == 38) {
+      output.writeMessage(38, (org.zinniaspan.peer.proto.ForwardedOutcome) body_);
+    }
     if (bodyCase_ == 40) {
       output.writeMessage(40, (org.zinniaspan.peer.proto.DocumentRequest) body_);
     }
@@ -728,6 +872,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(34, (org.zinniaspan.peer.proto.OutcomeReply) body_);
     }
+    if (bodyCase_ == 35) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(35, (org.zinniaspan.peer.proto.ClaimSyncRequest) body_);
+    }
+    if (bodyCase_ == 36) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(36, (org.zinniaspan.peer.proto.ClaimSyncReply) body_);
+    }
+    if (bodyCase_ == 37) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(37, (org.zinniaspan.peer.proto.ForwardedCall) body_);
+    }
+    if (bodyCase_ == 38) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(38, (org.zinniaspan.peer.proto.ForwardedOutcome) body_);
+    }
     if (bodyCase_ == 40) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(40, (org.zinniaspan.peer.proto.DocumentRequest) body_);
@@ -814,6 +974,22 @@
         if (!getOutcomeReply()
             .equals(other.getOutcomeReply())) return false;
         break;
+      case 35:
+        if (!getClaimSyncRequest()
+            .equals(other.getClaimSyncRequest())) return false;
+        break;
+      case 36:
+        if (!getClaimSyncReply()
+            .equals(other.getClaimSyncReply())) return false;
+        break;
+      case 37:
+        if (!getForwardedCall()
+            .equals(other.getForwardedCall())) return false;
+        break;
+      case 38:
+        if (!getForwardedOutcome()
+            .equals(other.getForwardedOutcome())) return false;
+        break;
       case 40:
         if (!getDocumentRequest()
             .equals(other.getDocumentRequest())) return false;
@@ -890,6 +1066,22 @@
         hash = (37 * hash) + OUTCOME_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getOutcomeReply().hashCode();
         break;
+      case 35:
+        hash = (37 * hash) + CLAIM_SYNC_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getClaimSyncRequest().hashCode();
+        break;
+      case 36:
+        hash = (37 * hash) + CLAIM_SYNC_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getClaimSyncReply().hashCode();
+        break;
+      case 37:
+        hash = (37 * hash) + FORWARDED_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getForwardedCall().hashCode();
+        break;
+      case 38:
+        hash = (37 * hash) + FORWARDED_OUTCOME_FIELD_NUMBER;
+        hash = (53 * hash) + getForwardedOutcome().hashCode();
+        break;
       case 40:
         hash = (37 * hash) + DOCUMENT_REQUEST_FIELD_NUMBER;
         hash = (53 * hash) + getDocumentRequest().hashCode();
@@ -1074,6 +1266,18 @@
       if (outcomeReplyBuilder_ != null) {
         outcomeReplyBuilder_.clear();
       }
+      if (claimSyncRequestBuilder_ != null) {
+        claimSyncRequestBuilder_.clear();
+      }
+      if (claimSyncReplyBuilder_ != null) {
+        claimSyncReplyBuilder_.clear();
+      }
+      if (forwardedCallBuilder_ != null) {
+        forwardedCallBuilder_.clear();
+      }
+      if (forwardedOutcomeBuilder_ != null) {
+        forwardedOutcomeBuilder_.clear();
+      }
       if (documentRequestBuilder_ != null) {
         documentRequestBuilder_.clear();
       }
@@ -1175,6 +1379,22 @@
           outcomeReplyBuilder_ != null) {
         result.body_ = outcomeReplyBuilder_.build();
       }
+      if (bodyCase_ == 35 &&
+          claimSyncRequestBuilder_ != null) {
+        result.body_ = claimSyncRequestBuilder_.build();
+      }
+      if (bodyCase_ == 36 &&
+          claimSyncReplyBuilder_ != null) {
+        result.body_ = claimSyncReplyBuilder_.build();
+      }
+      if (bodyCase_ == 37 &&
+          forwardedCallBuilder_ != null) {
+        result.body_ = forwardedCallBuilder_.build();
+      }
+      if (bodyCase_ == 38 &&
+          forwardedOutcomeBuilder_ != null) {
+        result.body_ = forwardedOutcomeBuilder_.build();
+      }
       if (bodyCase_ == 40 &&
           documentRequestBuilder_ != null) {
         result.body_ = documentRequestBuilder_.build();
@@ -1254,6 +1474,22 @@
           mergeOutcomeReply(other.getOutcomeReply());
           break;
         }
+        case CLAIM_SYNC_REQUEST: {
+          mergeClaimSyncRequest(other.getClaimSyncRequest());
+          break;
+        }
+        case CLAIM_SYNC_REPLY: {
+          mergeClaimSyncReply(other.getClaimSyncReply());
+          break;
+        }
+        case FORWARDED_CALL: {
+          mergeForwardedCall(other.getForwardedCall());
+          break;
+        }
+        case FORWARDED_OUTCOME: {
+          mergeForwardedOutcome(other.getForwardedOutcome());
+          break;
+        }
         case DOCUMENT_REQUEST: {
           mergeDocumentRequest(other.getDocumentRequest());
           break;
@@ -1384,6 +1620,34 @@
               bodyCase_ = 34;
               break;
             } // case 274
+            case 282: {
+              input.readMessage(
+                  internalGetClaimSyncRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 35;
+              break;
+            } // case 282
+            case 290: {
+              input.readMessage(
+                  internalGetClaimSyncReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 36;
+              break;
+            } // case 290
+            case 298: {
+              input.readMessage(
+                  internalGetForwardedCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 37;
+              break;
+            } // case 298
+            case 306: {
+              input.readMessage(
+                  internalGetForwardedOutcomeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 38;
+              break;
+            } // case 306
             case 322: {
               input.readMessage(
                   internalGetDocumentRequestFieldBuilder().getBuilder(),
@@ -3226,6 +3490,566 @@
       return outcomeReplyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimSyncRequest, org.zinniaspan.peer.proto.ClaimSyncRequest.Builder, org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder> claimSyncRequestBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     * @return Whether the claimSyncRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasClaimSyncRequest() {
+      return bodyCase_ == 35;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     * @return The claimSyncRequest.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimSyncRequest getClaimSyncRequest() {
+      if (claimSyncRequestBuilder_ == null) {
+        if (bodyCase_ == 35) {
+          return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 35) {
+          return claimSyncRequestBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    public Builder setClaimSyncRequest(org.zinniaspan.peer.proto.ClaimSyncRequest value) {
+      if (claimSyncRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        claimSyncRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 35;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    public Builder setClaimSyncRequest(
+        org.zinniaspan.peer.proto.ClaimSyncRequest.Builder builderForValue) {
+      if (claimSyncRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        claimSyncRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 35;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    public Builder mergeClaimSyncRequest(org.zinniaspan.peer.proto.ClaimSyncRequest value) {
+      if (claimSyncRequestBuilder_ == null) {
+        if (bodyCase_ == 35 &&
+            body_ != org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncRequest.newBuilder((org.zinniaspan.peer.proto.ClaimSyncRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 35) {
+          claimSyncRequestBuilder_.mergeFrom(value);
+        } else {
+          claimSyncRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 35;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    public Builder clearClaimSyncRequest() {
+      if (claimSyncRequestBuilder_ == null) {
+        if (bodyCase_ == 35) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 35) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        claimSyncRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    public org.zinniaspan.peer.proto.ClaimSyncRequest.Builder getClaimSyncRequestBuilder() {
+      return internalGetClaimSyncRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder getClaimSyncRequestOrBuilder() {
+      if ((bodyCase_ == 35) && (claimSyncRequestBuilder_ != null)) {
+        return claimSyncRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 35) {
+          return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimSyncRequest, org.zinniaspan.peer.proto.ClaimSyncRequest.Builder, org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder> 
+        internalGetClaimSyncRequestFieldBuilder() {
+      if (claimSyncRequestBuilder_ == null) {
+        if (!(bodyCase_ == 35)) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+        }
+        claimSyncRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimSyncRequest, org.zinniaspan.peer.proto.ClaimSyncRequest.Builder, org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimSyncRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 35;
+      onChanged();
+      return claimSyncRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimSyncReply, org.zinniaspan.peer.proto.ClaimSyncReply.Builder, org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder> claimSyncReplyBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     * @return Whether the claimSyncReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasClaimSyncReply() {
+      return bodyCase_ == 36;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     * @return The claimSyncReply.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimSyncReply getClaimSyncReply() {
+      if (claimSyncReplyBuilder_ == null) {
+        if (bodyCase_ == 36) {
+          return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 36) {
+          return claimSyncReplyBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    public Builder setClaimSyncReply(org.zinniaspan.peer.proto.ClaimSyncReply value) {
+      if (claimSyncReplyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        claimSyncReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 36;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    public Builder setClaimSyncReply(
+        org.zinniaspan.peer.proto.ClaimSyncReply.Builder builderForValue) {
+      if (claimSyncReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        claimSyncReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 36;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    public Builder mergeClaimSyncReply(org.zinniaspan.peer.proto.ClaimSyncReply value) {
+      if (claimSyncReplyBuilder_ == null) {
+        if (bodyCase_ == 36 &&
+            body_ != org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncReply.newBuilder((org.zinniaspan.peer.proto.ClaimSyncReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 36) {
+          claimSyncReplyBuilder_.mergeFrom(value);
+        } else {
+          claimSyncReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 36;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    public Builder clearClaimSyncReply() {
+      if (claimSyncReplyBuilder_ == null) {
+        if (bodyCase_ == 36) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 36) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        claimSyncReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    public org.zinniaspan.peer.proto.ClaimSyncReply.Builder getClaimSyncReplyBuilder() {
+      return internalGetClaimSyncReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder getClaimSyncReplyOrBuilder() {
+      if ((bodyCase_ == 36) && (claimSyncReplyBuilder_ != null)) {
+        return claimSyncReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 36) {
+          return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimSyncReply, org.zinniaspan.peer.proto.ClaimSyncReply.Builder, org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder> 
+        internalGetClaimSyncReplyFieldBuilder() {
+      if (claimSyncReplyBuilder_ == null) {
+        if (!(bodyCase_ == 36)) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+        }
+        claimSyncReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimSyncReply, org.zinniaspan.peer.proto.ClaimSyncReply.Builder, org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimSyncReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 36;
+      onChanged();
+      return claimSyncReplyBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ForwardedCall, org.zinniaspan.peer.proto.ForwardedCall.Builder, org.zinniaspan.peer.proto.ForwardedCallOrBuilder> forwardedCallBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     * @return Whether the forwardedCall field is set.
+     */
+    @java.lang.Override
+    public boolean hasForwardedCall() {
+      return bodyCase_ == 37;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     * @return The forwardedCall.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ForwardedCall getForwardedCall() {
+      if (forwardedCallBuilder_ == null) {
+        if (bodyCase_ == 37) {
+          return (org.zinniaspan.peer.proto.ForwardedCall) body_;
+        }
+        return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 37) {
+          return forwardedCallBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    public Builder setForwardedCall(org.zinniaspan.peer.proto.ForwardedCall value) {
+      if (forwardedCallBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        forwardedCallBuilder_.setMessage(value);
+      }
+      bodyCase_ = 37;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    public Builder setForwardedCall(
+        org.zinniaspan.peer.proto.ForwardedCall.Builder builderForValue) {
+      if (forwardedCallBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        forwardedCallBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 37;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    public Builder mergeForwardedCall(org.zinniaspan.peer.proto.ForwardedCall value) {
+      if (forwardedCallBuilder_ == null) {
+        if (bodyCase_ == 37 &&
+            body_ != org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ForwardedCall.newBuilder((org.zinniaspan.peer.proto.ForwardedCall) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 37) {
+          forwardedCallBuilder_.mergeFrom(value);
+        } else {
+          forwardedCallBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 37;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    public Builder clearForwardedCall() {
+      if (forwardedCallBuilder_ == null) {
+        if (bodyCase_ == 37) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 37) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        forwardedCallBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    public org.zinniaspan.peer.proto.ForwardedCall.Builder getForwardedCallBuilder() {
+      return internalGetForwardedCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ForwardedCallOrBuilder getForwardedCallOrBuilder() {
+      if ((bodyCase_ == 37) && (forwardedCallBuilder_ != null)) {
+        return forwardedCallBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 37) {
+          return (org.zinniaspan.peer.proto.ForwardedCall) body_;
+        }
+        return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ForwardedCall, org.zinniaspan.peer.proto.ForwardedCall.Builder, org.zinniaspan.peer.proto.ForwardedCallOrBuilder> 
+        internalGetForwardedCallFieldBuilder() {
+      if (forwardedCallBuilder_ == null) {
+        if (!(bodyCase_ == 37)) {
+          body_ = org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+        }
+        forwardedCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ForwardedCall, org.zinniaspan.peer.proto.ForwardedCall.Builder, org.zinniaspan.peer.proto.ForwardedCallOrBuilder>(
+                (org.zinniaspan.peer.proto.ForwardedCall) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 37;
+      onChanged();
+      return forwardedCallBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ForwardedOutcome, org.zinniaspan.peer.proto.ForwardedOutcome.Builder, org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder> forwardedOutcomeBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     * @return Whether the forwardedOutcome field is set.
+     */
+    @java.lang.Override
+    public boolean hasForwardedOutcome() {
+      return bodyCase_ == 38;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     * @return The forwardedOutcome.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ForwardedOutcome getForwardedOutcome() {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (bodyCase_ == 38) {
+          return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
+        }
+        return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 38) {
+          return forwardedOutcomeBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    public Builder setForwardedOutcome(org.zinniaspan.peer.proto.ForwardedOutcome value) {
+      if (forwardedOutcomeBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        forwardedOutcomeBuilder_.setMessage(value);
+      }
+      bodyCase_ = 38;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    public Builder setForwardedOutcome(
+        org.zinniaspan.peer.proto.ForwardedOutcome.Builder builderForValue) {
+      if (forwardedOutcomeBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        forwardedOutcomeBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 38;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    public Builder mergeForwardedOutcome(org.zinniaspan.peer.proto.ForwardedOutcome value) {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (bodyCase_ == 38 &&
+            body_ != org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ForwardedOutcome.newBuilder((org.zinniaspan.peer.proto.ForwardedOutcome) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 38) {
+          forwardedOutcomeBuilder_.mergeFrom(value);
+        } else {
+          forwardedOutcomeBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 38;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    public Builder clearForwardedOutcome() {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (bodyCase_ == 38) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 38) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        forwardedOutcomeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    public org.zinniaspan.peer.proto.ForwardedOutcome.Builder getForwardedOutcomeBuilder() {
+      return internalGetForwardedOutcomeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder getForwardedOutcomeOrBuilder() {
+      if ((bodyCase_ == 38) && (forwardedOutcomeBuilder_ != null)) {
+        return forwardedOutcomeBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 38) {
+          return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
+        }
+        return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ForwardedOutcome, org.zinniaspan.peer.proto.ForwardedOutcome.Builder, org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder> 
+        internalGetForwardedOutcomeFieldBuilder() {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (!(bodyCase_ == 38)) {
+          body_ = org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+        }
+        forwardedOutcomeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ForwardedOutcome, org.zinniaspan.peer.proto.ForwardedOutcome.Builder, org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder>(
+                (org.zinniaspan.peer.proto.ForwardedOutcome) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 38;
+      onChanged();
+      return forwardedOutcomeBuilder_;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.zinniaspan.peer.proto.DocumentRequest, org.zinniaspan.peer.proto.DocumentRequest.Builder, org.zinniaspan.peer.proto.DocumentRequestOrBuilder> documentRequestBuilder_;
     /**
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EnvelopeOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EnvelopeOrBuilder.java
@@ -212,6 +212,66 @@
    */
   org.zinniaspan.peer.proto.OutcomeReplyOrBuilder getOutcomeReplyOrBuilder();
 
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   * @return Whether the claimSyncRequest field is set.
+   */
+  boolean hasClaimSyncRequest();
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   * @return The claimSyncRequest.
+   */
+  org.zinniaspan.peer.proto.ClaimSyncRequest getClaimSyncRequest();
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   */
+  org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder getClaimSyncRequestOrBuilder();
+
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   * @return Whether the claimSyncReply field is set.
+   */
+  boolean hasClaimSyncReply();
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   * @return The claimSyncReply.
+   */
+  org.zinniaspan.peer.proto.ClaimSyncReply getClaimSyncReply();
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   */
+  org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder getClaimSyncReplyOrBuilder();
+
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   * @return Whether the forwardedCall field is set.
+   */
+  boolean hasForwardedCall();
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   * @return The forwardedCall.
+   */
+  org.zinniaspan.peer.proto.ForwardedCall getForwardedCall();
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   */
+  org.zinniaspan.peer.proto.ForwardedCallOrBuilder getForwardedCallOrBuilder();
+
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   * @return Whether the forwardedOutcome field is set.
+   */
+  boolean hasForwardedOutcome();
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   * @return The forwardedOutcome.
+   */
+  org.zinniaspan.peer.proto.ForwardedOutcome getForwardedOutcome();
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   */
+  org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder getForwardedOutcomeOrBuilder();
+
   /**
    * <code>.zinniaspan.peer.DocumentRequest document_request = 40;</code>
    * @return Whether the documentRequest field is set.
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EnvelopeOuterClass.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EnvelopeOuterClass.java
@@ -42,7 +42,7 @@
     java.lang.String[] descriptorData = {
       "\n\016envelope.proto\022\017zinniaspan.peer\032\014claim" +
       "s.proto\032\017documents.proto\032\020membership.pro" +
-      "to\032\013slots.proto\"\312\006\n\010Envelope\022\017\n\007from_vm\030" +
+      "to\032\013slots.proto\"\302\010\n\010Envelope\022\017\n\007from_vm\030" +
       "\001 \001(\t\022\030\n\020from_incarnation\030\002 \001(\003\022/\n\theart" +
       "beat\030\n \001(\0132\032.zinniaspan.peer.HeartbeatH\000" +
       "\0224\n\014slot_request\030\024 \001(\0132\034.zinniaspan.peer" +
@@ -60,11 +60,17 @@
       "eer.ClaimReleaseH\000\022:\n\017outcome_request\030! " +
       "\001(\0132\037.zinniaspan.peer.OutcomeRequestH\000\0226" +
       "\n\routcome_reply\030\" \001(\0132\035.zinniaspan.peer." +
-      "OutcomeReplyH\000\022<\n\020document_request\030( \001(\013" +
-      "2 .zinniaspan.peer.DocumentRequestH\000\0226\n\r" +
-      "document_part\030) \001(\0132\035.zinniaspan.peer.Do" +
-      "cumentPartH\000B\006\n\004bodyB\035\n\031org.zinniaspan.p" +
-      "eer.protoP\001b\006proto3"
+      "OutcomeReplyH\000\022?\n\022claim_sync_request\030# \001" +
+      "(\0132!.zinniaspan.peer.ClaimSyncRequestH\000\022" +
+      ";\n\020claim_sync_reply\030$ \001(\0132\037.zinniaspan.p" +
+      "eer.ClaimSyncReplyH\000\0228\n\016forwarded_call\030%" +
+      " \001(\0132\036.zinniaspan.peer.ForwardedCallH\000\022>" +
+      "\n\021forwarded_outcome\030& \001(\0132!.zinniaspan.p" +
+      "eer.ForwardedOutcomeH\000\022<\n\020document_reque" +
+      "st\030( \001(\0132 .zinniaspan.peer.DocumentReque" +
+      "stH\000\0226\n\rdocument_part\030) \001(\0132\035.zinniaspan" +
+      ".peer.DocumentPartH\000B\006\n\004bodyB\035\n\031org.zinn" +
+      "iaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -79,7 +85,7 @@
     internal_static_zinniaspan_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Envelope_descriptor,
-        new java.lang.String[] { "FromVm", "FromIncarnation", "Heartbeat", "SlotRequest", "SlotGrant", "SlotRefusal", "SlotRelease", "SlotPreemption", "SlotRegistration", "ClaimRequest", "ClaimVote", "ClaimRelease", "OutcomeRequest", "OutcomeReply", "DocumentRequest", "DocumentPart", "Body", });
+        new java.lang.String[] { "FromVm", "FromIncarnation", "Heartbeat", "SlotRequest", "SlotGrant", "SlotRefusal", "SlotRelease", "SlotPreemption", "SlotRegistration", "ClaimRequest", "ClaimVote", "ClaimRelease", "OutcomeRequest", "OutcomeReply", "ClaimSyncRequest", "ClaimSyncReply", "ForwardedCall", "ForwardedOutcome", "DocumentRequest", "DocumentPart", "Body", });
     descriptor.resolveAllFeaturesImmutable();
     org.zinniaspan.peer.proto.Claims.getDescriptor();
     org.zinniaspan.peer.proto.Documents.getDescriptor();
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
@@ -0,0 +1,149 @@
+package org.zinniaspan.runner;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.peer.PeerHandler;
+import org.zinniaspan.peer.proto.ClaimVote;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.OutcomeReply;
+import org.zinniaspan.peer.proto.OutcomeRequest;
+
+/**
+ * Runs each call with an idempotency key at most once over all VMs of the availability zone.
+ *
+ * <p>Before the dispatch, a majority of the zone's listed voters must accept the claim of the key.
+ * The bodies {@code CLAIM_*} and {@code OUTCOME_*} of peer messages belong here.
+ */
+public final class AtMostOnceRunner implements CallRunner, PeerHandler, Ticking {
+
+  private static final long RELAY_GRACE_MS = 500;
+
+  private final RunnerPorts ports;
+  private final ClaimVoter voter;
+  private final OutcomeMemory outcomes;
+  private final Map<String, CallAttempt> attempts = new ConcurrentHashMap<>();
+  private final Map<String, CallAttempt> byClaimId = new ConcurrentHashMap<>();
+  private final ArrivalTimes arrivals;
+  private volatile long lastRelayMs;
+
+  /** Creates a runner and the voter of this VM. */
+  public AtMostOnceRunner(RunnerPorts ports) {
+    this.ports = ports;
+    this.arrivals = new ArrivalTimes(ports.clock, ports.settings.voteValidMs());
+    this.voter =
+        new ClaimVoter(
+            ports.self,
+            ports::voters,
+            ports.listConfirmedMs,
+            ports.link,
+            ports.clock,
+            ports.settings);
+    this.outcomes =
+        new OutcomeMemory(
+            ports.clock, ports.settings.horizonMs(), ports.settings.maxOutcomeBytes());
+  }
+
+  /** Runs a call that carries an idempotency key. */
+  @Override
+  public CompletableFuture<CallResult> run(ServiceCall call) {
+    long startedMs = arrivals.earliestMs();
+    CallAttempt attempt =
+        new CallAttempt(ports, outcomes, byClaimId, call, claimKey(call), startedMs);
+    attempts.put(attempt.id(), attempt);
+    attempt.result().whenComplete((result, failure) -> attempts.remove(attempt.id()));
+    attempt.start();
+    return attempt.result();
+  }
+
+  /** Returns the key under which a call is claimed: organisation, service and caller's key. */
+  static String claimKey(ServiceCall call) {
+    String key = call.idempotencyKey().orElse(call.requestId());
+    String text = call.organisation() + '\n' + call.service() + '\n' + key;
+    return DigestUtils.sha256Hex(text).substring(0, 32);
+  }
+
+  @Override
+  public void handle(Envelope message) {
+    switch (message.getBodyCase()) {
+      case CLAIM_VOTE -> onVote(message, message.getClaimVote());
+      case OUTCOME_REQUEST -> onOutcomeRequest(message, message.getOutcomeRequest());
+      case OUTCOME_REPLY -> onOutcomeReply(message.getOutcomeReply());
+      default -> voter.handle(message);
+    }
+  }
+
+  private void onVote(Envelope message, ClaimVote vote) {
+    CallAttempt attempt = byClaimId.get(vote.getAttemptId());
+    if (attempt != null) {
+      attempt.onVote(message.getFromVm(), message.getFromIncarnation(), vote);
+    }
+  }
+
+  private void onOutcomeRequest(Envelope message, OutcomeRequest request) {
+    lastRelayMs = ports.clock.nowMs();
+    OutcomeReply reply =
+        outcome(message.getFromVm(), request).toBuilder()
+            .setAttemptId(request.getAttemptId())
+            .build();
+    ports.link.send(message.getFromVm(), Envelope.newBuilder().setOutcomeReply(reply));
+  }
+
+  private OutcomeReply outcome(String vm, OutcomeRequest request) {
+    CallAttempt running = byClaimId.get(request.getHolderAttemptId());
+    if (running != null && running.addWaiter(vm, request.getAttemptId())) {
+      return OutcomeReply.newBuilder()
+          .setKey(request.getKey())
+          .setKind(OutcomeReply.Kind.RUNNING)
+          .build();
+    }
+    Optional<OutcomeReply> known = outcomes.get(request.getHolderAttemptId());
+    if (known.isEmpty()) {
+      return OutcomeMemory.reply(
+          request.getKey(),
+          request.getHolderAttemptId(),
+          CallResult.unknown("the VM that ran the call has no record of it"));
+    }
+    if (known.get().getKind() == OutcomeReply.Kind.NOT_RUN) {
+      releaseAgain(request);
+    }
+    return known.get();
+  }
+
+  /** Repeats the release of a claim that a voter still holds; the first one was lost. */
+  private void releaseAgain(OutcomeRequest request) {
+    long blockMs = ports.settings.startTimeoutMs() + ports.settings.voteValidMs();
+    CallAttempt.release(
+        ports, ports.voters(), request.getKey(), request.getHolderAttemptId(), blockMs);
+  }
+
+  private void onOutcomeReply(OutcomeReply reply) {
+    CallAttempt attempt = attempts.get(reply.getAttemptId());
+    if (attempt != null) {
+      attempt.onOutcome(reply);
+    }
+  }
+
+  @Override
+  public void tick() {
+    arrivals.observe();
+    voter.tick();
+    attempts.values().forEach(CallAttempt::tick);
+  }
+
+  /** Returns the voter of this VM. */
+  public ClaimVoter voter() {
+    return voter;
+  }
+
+  /**
+   * Returns whether no attempt is open here and no other VM asked for an outcome just now; a
+   * graceful shutdown waits for it.
+   */
+  public boolean isIdle() {
+    return attempts.isEmpty() && ports.clock.nowMs() - lastRelayMs > RELAY_GRACE_MS;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimMemory.java
@@ -0,0 +1,157 @@
+package org.zinniaspan.runner;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.zinniaspan.peer.proto.HeldClaim;
+
+/**
+ * What one voter remembers of claims; bounded in count and time.
+ *
+ * <p>Not safe for use by several threads. After a merge a key may have several holders; then nobody
+ * is accepted.
+ */
+final class ClaimMemory {
+
+  /** An attempt that claimed a key, and the process that makes it. */
+  record Holder(String attemptId, String vm, long incarnation) {}
+
+  /** A voter's decision on one claim. */
+  enum Decision {
+    ACCEPTED,
+    ACCEPTED_NOT_RUN,
+    HELD,
+    FULL
+  }
+
+  private static final class Entry {
+    private final List<Holder> holders = new ArrayList<>(1);
+    private long atMs;
+    private long blockedUntilMs;
+
+    Entry(long atMs) {
+      this.atMs = atMs;
+    }
+
+    private void hold(Holder holder) {
+      if (!holders.contains(holder)) {
+        holders.add(holder);
+      }
+    }
+  }
+
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final long horizonMs;
+  private final int maxClaims;
+
+  ClaimMemory(long horizonMs, int maxClaims) {
+    this.horizonMs = horizonMs;
+    this.maxClaims = maxClaims;
+  }
+
+  /** Decides on a claim and records it if it is accepted. */
+  Decision claim(String key, Holder claimant, long nowMs) {
+    Entry entry = entries.get(key);
+    if (entry == null && entries.size() >= maxClaims) {
+      return Decision.FULL;
+    }
+    if (entry == null) {
+      entry = new Entry(nowMs);
+      entries.put(key, entry);
+    }
+    if (otherHolder(entry, claimant.attemptId()).isPresent()) {
+      return Decision.HELD;
+    }
+    entry.hold(claimant);
+    entry.atMs = nowMs;
+    return nowMs < entry.blockedUntilMs ? Decision.ACCEPTED_NOT_RUN : Decision.ACCEPTED;
+  }
+
+  /** Returns the holder that keeps the given attempt from the key. */
+  Optional<Holder> otherHolder(String key, String attemptId) {
+    return Optional.ofNullable(entries.get(key)).flatMap(entry -> otherHolder(entry, attemptId));
+  }
+
+  private static Optional<Holder> otherHolder(Entry entry, String attemptId) {
+    return entry.holders.stream()
+        .filter(holder -> !holder.attemptId().equals(attemptId))
+        .findFirst();
+  }
+
+  /** Removes a holder; with a block, nobody may run the call for that time. */
+  void release(String key, String attemptId, long blockMs, long nowMs) {
+    Entry entry = entries.get(key);
+    if (entry == null) {
+      return;
+    }
+    boolean held = entry.holders.removeIf(holder -> holder.attemptId().equals(attemptId));
+    if (held && blockMs > 0) {
+      entry.blockedUntilMs = Math.max(entry.blockedUntilMs, nowMs + blockMs);
+    }
+    if (entry.holders.isEmpty() && entry.blockedUntilMs <= nowMs) {
+      entries.remove(key);
+    }
+  }
+
+  /** Forgets claims older than the horizon. */
+  void expire(long nowMs) {
+    entries.values().removeIf(entry -> isOver(entry, nowMs));
+  }
+
+  private boolean isOver(Entry entry, long nowMs) {
+    boolean blocked = nowMs < entry.blockedUntilMs;
+    return !blocked && (entry.holders.isEmpty() || nowMs - entry.atMs > horizonMs);
+  }
+
+  /** Returns all claims, for another voter. */
+  List<HeldClaim> copy(long nowMs) {
+    List<HeldClaim> claims = new ArrayList<>();
+    entries.forEach(
+        (key, entry) -> {
+          HeldClaim.Builder claim =
+              HeldClaim.newBuilder()
+                  .setKey(key)
+                  .setAgeMs(nowMs - entry.atMs)
+                  .setBlockMs(Math.max(0, entry.blockedUntilMs - nowMs));
+          if (entry.holders.isEmpty()) {
+            claims.add(claim.build());
+          }
+          for (Holder holder : entry.holders) {
+            claims.add(
+                claim
+                    .setAttemptId(holder.attemptId())
+                    .setVm(holder.vm())
+                    .setIncarnation(holder.incarnation())
+                    .build());
+          }
+        });
+    return claims;
+  }
+
+  /** Adds claims of another voter; returns false if the bound does not allow it. */
+  boolean merge(List<HeldClaim> claims, long nowMs) {
+    for (HeldClaim claim : claims) {
+      if (!entries.containsKey(claim.getKey()) && entries.size() >= maxClaims) {
+        return false;
+      }
+      merge(claim, nowMs);
+    }
+    return true;
+  }
+
+  private void merge(HeldClaim claim, long nowMs) {
+    long atMs = nowMs - claim.getAgeMs();
+    Entry entry = entries.computeIfAbsent(claim.getKey(), key -> new Entry(atMs));
+    entry.atMs = Math.max(entry.atMs, atMs);
+    entry.blockedUntilMs = Math.max(entry.blockedUntilMs, nowMs + claim.getBlockMs());
+    if (!claim.getAttemptId().isEmpty()) {
+      entry.hold(new Holder(claim.getAttemptId(), claim.getVm(), claim.getIncarnation()));
+    }
+  }
+
+  int size() {
+    return entries.size();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/OutcomeMemory.java
@@ -0,0 +1,87 @@
+package org.zinniaspan.runner;
+
+import com.google.protobuf.ByteString;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.peer.proto.OutcomeReply;
+import org.zinniaspan.request.Outcome;
+
+/**
+ * Keeps the outcomes of this process's own claims for retries; bounded in time and bytes.
+ *
+ * <p>The oldest outcomes go first; a retry that asks for one of them is told that it is unknown.
+ * State is guarded by this object's lock.
+ */
+final class OutcomeMemory {
+
+  private static final int OVERHEAD_BYTES = 200;
+
+  private record Kept(OutcomeReply reply, long atMs) {
+    long bytes() {
+      return OVERHEAD_BYTES + reply.getBody().size();
+    }
+  }
+
+  private final Map<String, Kept> byClaim = new LinkedHashMap<>();
+  private final Clock clock;
+  private final long horizonMs;
+  private final long maxBytes;
+  private long bytes;
+
+  OutcomeMemory(Clock clock, long horizonMs, long maxBytes) {
+    this.clock = clock;
+    this.horizonMs = horizonMs;
+    this.maxBytes = maxBytes;
+  }
+
+  /** Keeps the outcome of a claim. */
+  synchronized OutcomeReply put(String key, String claimId, CallResult result) {
+    OutcomeReply reply = reply(key, claimId, result);
+    Kept kept = new Kept(reply, clock.nowMs());
+    Kept old = byClaim.put(claimId, kept);
+    bytes += kept.bytes() - (old == null ? 0 : old.bytes());
+    evict();
+    return reply;
+  }
+
+  /** Returns the outcome of a claim. */
+  synchronized Optional<OutcomeReply> get(String claimId) {
+    return Optional.ofNullable(byClaim.get(claimId)).map(Kept::reply);
+  }
+
+  private void evict() {
+    Iterator<Kept> oldest = byClaim.values().iterator();
+    while (oldest.hasNext()) {
+      Kept kept = oldest.next();
+      boolean over = bytes > maxBytes || clock.nowMs() - kept.atMs() > horizonMs;
+      if (!over) {
+        return;
+      }
+      bytes -= kept.bytes();
+      oldest.remove();
+    }
+  }
+
+  /** Returns an outcome as a message. */
+  static OutcomeReply reply(String key, String claimId, CallResult result) {
+    OutcomeReply.Builder reply = OutcomeReply.newBuilder().setKey(key).setAttemptId(claimId);
+    if (result.answer().isPresent()) {
+      CallAnswer answer = result.answer().get();
+      return reply
+          .setKind(OutcomeReply.Kind.ANSWERED)
+          .setStatus(answer.status())
+          .setContentType(answer.contentType())
+          .setBody(ByteString.copyFrom(answer.body()))
+          .build();
+    }
+    if (result.outcome() instanceof Outcome.NotRun notRun) {
+      return reply.setKind(OutcomeReply.Kind.NOT_RUN).setReason(notRun.reason().name()).build();
+    }
+    String reason =
+        result.outcome() instanceof Outcome.Unknown unknown ? unknown.reason() : "no answer";
+    return reply.setKind(OutcomeReply.Kind.UNKNOWN).setReason(reason).build();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/VoterList.java
@@ -0,0 +1,53 @@
+package org.zinniaspan.runner;
+
+import java.util.Collection;
+import java.util.List;
+import org.zinniaspan.inventory.VmEntry;
+import org.zinniaspan.inventory.VmList;
+import org.zinniaspan.membership.RendezvousHash;
+
+/**
+ * The voters of an availability zone at one revision of the platform's list of VMs.
+ *
+ * @param revision revision of the list
+ * @param voters names of the voters
+ * @param young whether every entry VM of every availability zone came up within the retry horizon
+ */
+record VoterList(long revision, List<String> voters, boolean young) {
+
+  private static final int MAX_VOTERS = 5;
+
+  VoterList {
+    voters = List.copyOf(voters);
+  }
+
+  /**
+   * Returns the voters of a zone: all its entry VMs, or five of them.
+   *
+   * @param list the platform's list
+   * @param zone availability zone
+   * @param revision revision of the list
+   * @param startedMs time at which the asking process started
+   * @param horizonMs retry horizon in milliseconds
+   */
+  static VoterList of(VmList list, String zone, long revision, long startedMs, long horizonMs) {
+    List<String> names = list.entriesOf(zone).stream().map(VmEntry::name).toList();
+    boolean recent = startedMs - list.asOfMs() < horizonMs;
+    boolean young =
+        list.vms().stream()
+            .filter(VmEntry::isEntry)
+            .allMatch(vm -> recent && list.asOfMs() - vm.sinceMs() < horizonMs);
+    return new VoterList(revision, RendezvousHash.ranked(zone, names, MAX_VOTERS), young);
+  }
+
+  /** Returns the number of voters that any two majorities need. */
+  int majority() {
+    return voters.size() / 2 + 1;
+  }
+
+  /** Returns whether the given VMs include at least one voter of every majority. */
+  boolean everyMajorityMeets(Collection<String> vms) {
+    long members = voters.stream().filter(vms::contains).count();
+    return members >= voters.size() - majority() + 1;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/RunnerZone.java
@@ -0,0 +1,285 @@
+package org.zinniaspan.runner;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.zinniaspan.configuration.ConfigurationStore;
+import org.zinniaspan.configuration.Document;
+import org.zinniaspan.configuration.DocumentName;
+import org.zinniaspan.dispatch.SlotAnswer;
+import org.zinniaspan.dispatch.SlotAsk;
+import org.zinniaspan.dispatch.SlotService;
+import org.zinniaspan.dispatch.SlotUse;
+import org.zinniaspan.inventory.Endpoint;
+import org.zinniaspan.inventory.ServiceClass;
+import org.zinniaspan.membership.Member;
+import org.zinniaspan.request.NotRunReason;
+import org.zinniaspan.request.Outcome;
+import org.zinniaspan.testkit.VirtualClock;
+import org.zinniaspan.testkit.VirtualNetwork;
+
+/** An availability zone of runners on virtual time, with a service that counts runs by key. */
+final class RunnerZone {
+
+  static final String ZONE = "zone-a";
+  static final AtMostOnceSettings SETTINGS =
+      new AtMostOnceSettings(20_000, 2_000, 1_000, 800, 100, 1_000, 1_000_000);
+  private static final ServiceClass CLASS = new ServiceClass("charge", 0, 1_500, 0, 0, 0, true);
+  private static final String INVENTORY =
+      "{\"regions\":[{\"name\":\"r\",\"zones\":[\"zone-a\"]}],\"models\":[],\"endpoints\":["
+          + "{\"name\":\"app-1\",\"kind\":\"service\",\"zone\":\"zone-a\","
+          + "\"address\":\"127.0.0.1:1\",\"service\":\"app\",\"slots\":8}]}";
+
+  /** One attempt of a caller. */
+  static final class Attempt {
+    final String key;
+    final String id;
+    final long startedMs;
+    Optional<CallResult> result = Optional.empty();
+    long resultMs;
+
+    Attempt(String key, String id, long startedMs) {
+      this.key = key;
+      this.id = id;
+      this.startedMs = startedMs;
+    }
+
+    String label() {
+      return result.map(r -> r.outcome().label()).orElse("none");
+    }
+  }
+
+  private record Run(String key, String attemptId, long atMs) {}
+
+  final class Vm {
+    final String name;
+    final long incarnation = clock.nowMs();
+    final ConfigurationStore store = new ConfigurationStore();
+    final AtMostOnceRunner runner;
+    boolean readsPlatform = true;
+    private long confirmedMs;
+
+    Vm(String name) {
+      this.name = name;
+      Member self = new Member(name, incarnation, "127.0.0.1:1", false);
+      store.offer(new Document(DocumentName.INVENTORY, 1, bytes(INVENTORY)));
+      runner =
+          new AtMostOnceRunner(
+              RunnerPorts.of(self, ZONE)
+                  .configuration(store::current)
+                  .link(network.link(name, incarnation))
+                  .endpoints(new Slots(), this::send)
+                  .clock(clock)
+                  .listConfirmedMs(() -> confirmedMs)
+                  .settings(SETTINGS, random.nextLong()));
+      network.start(name, incarnation, runner, this::tick);
+    }
+
+    private void tick() {
+      if (readsPlatform && clock.nowMs() >= publishedMs + adoptionLagMs) {
+        adopt();
+      }
+      runner.tick();
+    }
+
+    void adopt() {
+      store.offer(list);
+      confirmedMs = clock.nowMs();
+    }
+
+    private void send(
+        Endpoint endpoint,
+        ServiceCall call,
+        String attemptId,
+        BooleanSupplier mayStart,
+        Consumer<SendResult> done) {
+      int fate = random.nextInt(100);
+      if (!mayStart.getAsBoolean() || fate < notSentPercent) {
+        network.schedule(name, 1, () -> done.accept(new SendResult.NotSent("refused")));
+        return;
+      }
+      network.schedule(name, 1, () -> arrive(call, fate, done));
+    }
+
+    private void arrive(ServiceCall call, int fate, Consumer<SendResult> done) {
+      String key = call.idempotencyKey().orElseThrow();
+      runs.add(new Run(key, call.requestId(), clock.nowMs()));
+      byte[] body = bytes(key + " ran for " + call.requestId());
+      SendResult result =
+          fate < notSentPercent + brokenPercent
+              ? new SendResult.MaybeSent("broken")
+              : new SendResult.Answered(new CallAnswer(200, "text/plain", body));
+      network.schedule(name, 1 + random.nextInt(serviceMs), () -> done.accept(result));
+    }
+  }
+
+  private final class Slots implements SlotService {
+    @Override
+    public CompletableFuture<SlotAnswer> acquire(SlotAsk ask, Runnable onPreempt) {
+      SlotAnswer refused = new SlotAnswer.Refused(NotRunReason.OVERLOADED, Optional.of(1_000L));
+      SlotAnswer granted = new SlotAnswer.Granted("app-1", clock.nowMs() + 500);
+      boolean refuse = random.nextInt(100) < refusedPercent;
+      return CompletableFuture.completedFuture(refuse ? refused : granted);
+    }
+
+    @Override
+    public void withdraw(String attemptId) {
+      // Nothing ever waits.
+    }
+
+    @Override
+    public void release(String attemptId, SlotUse use) {
+      // Slots are unlimited.
+    }
+  }
+
+  final VirtualClock clock = new VirtualClock(1_000_000_000L);
+  final VirtualNetwork network;
+  final Random random;
+  final Map<String, Vm> vms = new HashMap<>();
+  final List<Attempt> attempts = new ArrayList<>();
+  private final List<Run> runs = new ArrayList<>();
+  final List<String> listed = new ArrayList<>();
+  private final Map<String, Long> sinceMs = new HashMap<>();
+  private Document list;
+  private long revision = 1;
+  private long publishedMs;
+  long adoptionLagMs;
+  int refusedPercent;
+  int notSentPercent;
+  int brokenPercent;
+  int serviceMs = 5;
+
+  RunnerZone(int size, long seed) {
+    random = new Random(seed);
+    network = new VirtualNetwork(clock, seed);
+    for (int i = 1; i <= size; i++) {
+      start("vm-" + i);
+      listed.add("vm-" + i);
+    }
+    publish();
+    start("outside");
+  }
+
+  static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Starts a process of a VM, in place of an earlier one. */
+  Vm start(String name) {
+    clock.advance(1);
+    sinceMs.put(name, clock.nowMs());
+    Vm vm = new Vm(name);
+    vms.put(name, vm);
+    return vm;
+  }
+
+  void kill(String name) {
+    network.kill(name);
+    vms.remove(name);
+  }
+
+  /** Publishes the list of VMs; each adopts it after the lag, if it reads the platform. */
+  void publish() {
+    revision++;
+    publishedMs = clock.nowMs();
+    String rows =
+        listed.stream()
+            .map(
+                name ->
+                    "{\"name\":\"%s\",\"zone\":\"zone-a\",\"role\":\"entry\",\"state\":\"live\","
+                            .formatted(name)
+                        + "\"address\":\"127.0.0.1:1\",\"sinceMs\":%d}"
+                            .formatted(sinceMs.get(name)))
+            .collect(Collectors.joining(","));
+    String json = "{\"asOfMs\":%d,\"vms\":[%s]}".formatted(clock.nowMs(), rows);
+    list = new Document(DocumentName.VMS, revision, bytes(json));
+  }
+
+  /** Returns whether most of the listed VMs have the newest list. */
+  boolean isListKnown() {
+    long known =
+        listed.stream()
+            .filter(vms::containsKey)
+            .filter(vm -> vms.get(vm).store.current().revision(DocumentName.VMS) == revision)
+            .count();
+    return known > listed.size() / 2;
+  }
+
+  /** A caller sends an attempt to a VM; a paused VM reads it when it goes on. */
+  Attempt call(String vm, String key) {
+    Attempt attempt = new Attempt(key, "attempt-" + attempts.size(), clock.nowMs());
+    attempts.add(attempt);
+    Vm target = vms.get(vm);
+    network.schedule(vm, 1, () -> run(target, attempt));
+    return attempt;
+  }
+
+  private void run(Vm vm, Attempt attempt) {
+    ServiceCall call =
+        new ServiceCall(
+            attempt.id,
+            "org",
+            CLASS,
+            "app",
+            "POST",
+            "/charges",
+            Map.of(),
+            new byte[0],
+            Optional.of(attempt.key),
+            clock.nowMs());
+    vm.runner
+        .run(call)
+        .thenAccept(
+            result -> {
+              attempt.result = Optional.of(result);
+              attempt.resultMs = clock.nowMs();
+            });
+  }
+
+  long runsOf(String key) {
+    return runs.stream().filter(run -> run.key().equals(key)).count();
+  }
+
+  /** Checks all that is promised of the attempts so far. */
+  void check(String seed) {
+    for (Attempt attempt : attempts) {
+      assertWithMessage("runs of %s, seed %s", attempt.key, seed)
+          .that(runsOf(attempt.key))
+          .isAtMost(1);
+      if (attempt.result.isPresent()) {
+        checkResult(attempt, attempt.result.get(), seed);
+      }
+    }
+  }
+
+  private void checkResult(Attempt attempt, CallResult result, String seed) {
+    if (result.outcome() instanceof Outcome.NotRun) {
+      for (Run run : runs) {
+        boolean earlier = run.key().equals(attempt.key) && isStartedBefore(run, attempt.resultMs);
+        assertWithMessage("%s not run but ran, seed %s", attempt.id, seed).that(earlier).isFalse();
+      }
+    }
+    result
+        .answer()
+        .ifPresent(
+            answer ->
+                assertWithMessage("answer of %s, seed %s", attempt.id, seed)
+                    .that(new String(answer.body(), StandardCharsets.UTF_8))
+                    .startsWith(attempt.key + " ran for "));
+  }
+
+  private boolean isStartedBefore(Run run, long timeMs) {
+    return attempts.stream().anyMatch(a -> a.id.equals(run.attemptId()) && a.startedMs < timeMs);
+  }
+}
