Resume broken streams and retry within a budget

Cause: one attempt per request. Change: ResumingChatRunner asks for another slot and resumes from the tokens that the caller has; retries come from a budget and are limited by request; stalls and preemptions are resumed the same way; a refusal may come as a stream's first event, so that nothing waits on an engine without a limit. Rubbish answers end as broken. Ruled out: a thread for each attempt; one thread that reads in slices of 50 ms needs no hand-over per token and runs in virtual time.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -45,7 +45,7 @@
 import org.zinniaspan.runner.CallRunner;
 import org.zinniaspan.runner.DirectCallRunner;
 import org.zinniaspan.stream.ChatRunner;
-import org.zinniaspan.stream.SingleAttemptRunner;
+import org.zinniaspan.stream.ResumingChatRunner;
 
 /**
  * The process of an entry VM: builds the parts, connects them and stops them in order.
@@ -133,7 +133,11 @@
   }
 
   private ChatRunner chats(SlotService slots, EndpointTable table) {
-    return new SingleAttemptRunner(slots, new OpenAiEngineClient(), this::configuration, clock);
+    return ResumingChatRunner.builder(slots, new OpenAiEngineClient())
+        .configuration(this::configuration)
+        .endpoints(table::endpointsOf)
+        .clock(clock)
+        .build();
   }
 
   private CallRunner calls(SlotService slots, PeerLink link) {
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/ChatAnswer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/ChatAnswer.java
@@ -110,5 +110,8 @@
       failed("caller left");
     }
     session.close();
+    if (session.wastedTokens() > 0) {
+      observer.wasted(call.serviceClass(), session.wastedTokens());
+    }
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpExchange.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
 
 /**
  * One request on a connection of its own.
@@ -23,6 +24,7 @@
 
   private static final HttpProcessor PROCESSOR = HttpProcessors.client();
   private static final HttpRequestExecutor EXECUTOR = new HttpRequestExecutor();
+  private static final int FIRST_FINAL_STATUS = 200;
   private static final int BUFFER_BYTES = 4 * 1024;
 
   private final DefaultBHttpClientConnection connection;
@@ -70,6 +72,40 @@
     return response;
   }
 
+  /**
+   * Sends the request and does not wait for an answer.
+   *
+   * @throws IOException if the connection broke; bytes may have been sent
+   * @throws HttpException if the request cannot be written
+   */
+  public void send(ClassicHttpRequest request) throws IOException, HttpException {
+    EXECUTOR.preProcess(request, PROCESSOR, HttpCoreContext.create());
+    connection.sendRequestHeader(request);
+    connection.sendRequestEntity(request);
+    connection.flush();
+  }
+
+  /**
+   * Reads the head of the answer to a request that was sent; can be called again after a timeout.
+   *
+   * @throws java.net.SocketTimeoutException if it has not come within the read timeout
+   * @throws IOException if the connection broke
+   * @throws HttpException if the answer is not HTTP
+   */
+  public ClassicHttpResponse receive() throws IOException, HttpException {
+    ClassicHttpResponse response = connection.receiveResponseHeader();
+    while (response.getCode() < FIRST_FINAL_STATUS) {
+      response = connection.receiveResponseHeader();
+    }
+    connection.receiveResponseEntity(response);
+    return response;
+  }
+
+  /** Sets the longest time between two bytes of the answer, in milliseconds; at least 1. */
+  public void setReadTimeout(long timeoutMs) {
+    connection.setSocketTimeout(Timeout.ofMilliseconds(Math.max(1, timeoutMs)));
+  }
+
   /** Closes the connection at once; may be called from any thread. */
   @Override
   public void close() {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/OutputEstimates.java
@@ -0,0 +1,32 @@
+package org.zinniaspan.routing;
+
+/** Estimates how long answers will be. */
+public interface OutputEstimates {
+
+  /**
+   * Returns the expected length of an answer in tokens, zero if nothing is known.
+   *
+   * @param serviceClass name of the class
+   * @param organisation name of the organisation
+   * @param model name of the model
+   */
+  int expected(String serviceClass, String organisation, String model);
+
+  /** Learns from a whole answer. */
+  void learn(String serviceClass, String organisation, String model, int tokens);
+
+  /** Returns estimates that are always the same. */
+  static OutputEstimates constant(int tokens) {
+    return new OutputEstimates() {
+      @Override
+      public int expected(String serviceClass, String organisation, String model) {
+        return tokens;
+      }
+
+      @Override
+      public void learn(String serviceClass, String organisation, String model, int length) {
+        // A constant learns nothing.
+      }
+    };
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/Attempt.java
@@ -0,0 +1,128 @@
+package org.zinniaspan.stream;
+
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.dispatch.SlotResult;
+import org.zinniaspan.dispatch.SlotUse;
+
+/**
+ * One request to one engine and its slot; used by one thread.
+ *
+ * <p>If the engine began from the first token, what the caller has already is compared and skipped.
+ */
+final class Attempt {
+
+  private static final int MOST_COUNTED_LEFTOVERS = 64;
+
+  private final SlotLease lease;
+  private final String endpoint;
+  private final EngineStream stream;
+  private final DeliveredText delivered;
+  private final StallDetector stall;
+  private final Clock clock;
+  private final long sentMs;
+  private int skipTo;
+  private int skipped;
+  private int tokens;
+  private int wasted;
+  private long firstTokenMs;
+
+  Attempt(
+      SlotLease lease,
+      String endpoint,
+      EngineStream stream,
+      DeliveredText delivered,
+      StallDetector stall,
+      Clock clock) {
+    this.lease = lease;
+    this.endpoint = endpoint;
+    this.stream = stream;
+    this.delivered = delivered;
+    this.stall = stall;
+    this.clock = clock;
+    this.sentMs = clock.nowMs();
+  }
+
+  /** Records that the engine begins from the first token. */
+  void skipDelivered() {
+    skipTo = delivered.length();
+  }
+
+  /** Waits for the next event that the caller does not have yet. */
+  StreamEvent next(long timeoutMs) {
+    StreamEvent event = stream.next(timeoutMs);
+    if (event instanceof StreamEvent.Token token) {
+      onToken(clock.nowMs());
+      return skipped < skipTo ? skip(token.text()) : event;
+    }
+    if (event instanceof StreamEvent.Finished && skipped < skipTo) {
+      return new StreamEvent.Broken(endpoint + ": answer is shorter than before");
+    }
+    return event;
+  }
+
+  private void onToken(long nowMs) {
+    if (tokens == 0) {
+      firstTokenMs = nowMs - sentMs;
+    }
+    tokens++;
+    stall.onToken(nowMs);
+  }
+
+  private StreamEvent skip(String text) {
+    int known = Math.min(text.length(), skipTo - skipped);
+    if (!delivered.holds(skipped, text.substring(0, known))) {
+      return new StreamEvent.Broken(endpoint + ": answer differs from before");
+    }
+    skipped += known;
+    if (known < text.length()) {
+      return new StreamEvent.Token(text.substring(known));
+    }
+    wasted++;
+    return new StreamEvent.Waiting();
+  }
+
+  /** Stops the work and gives the slot back. */
+  void stop(SlotResult result) {
+    if (result == SlotResult.CANCELLED) {
+      countLeftovers();
+    }
+    stream.close();
+    lease.release(new SlotUse(result, tokens, firstTokenMs, clock.nowMs() - sentMs));
+  }
+
+  private void countLeftovers() {
+    for (int i = 0; i < MOST_COUNTED_LEFTOVERS; i++) {
+      if (!(stream.next(0) instanceof StreamEvent.Token)) {
+        return;
+      }
+      wasted++;
+    }
+  }
+
+  /** Stops the work of an attempt none of whose tokens the caller has. */
+  void stopUnused() {
+    int received = tokens;
+    stop(SlotResult.CANCELLED);
+    wasted += received;
+  }
+
+  boolean isPreempted() {
+    return lease.isPreempted();
+  }
+
+  boolean isStalled() {
+    return clock.nowMs() >= stall.stalledAtMs();
+  }
+
+  int wastedTokens() {
+    return wasted;
+  }
+
+  long sentMs() {
+    return sentMs;
+  }
+
+  String endpoint() {
+    return endpoint;
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/ChatSession.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/ChatSession.java
@@ -9,6 +9,11 @@
   /** Returns the name of the endpoint that answers now. */
   String endpoint();
 
+  /** Returns the tokens that engines generated for this request and {@link #next} never gave. */
+  default int wastedTokens() {
+    return 0;
+  }
+
   /** Stops the work, if it has not ended, and gives the slot back. */
   @Override
   void close();
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/EngineClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/EngineClient.java
@@ -6,7 +6,10 @@
 public interface EngineClient {
 
   /**
-   * Sends a request to an engine and waits until it accepts.
+   * Sends a request to an engine.
+   *
+   * <p>It need not wait until the engine accepts: a refusal may also come as the stream's first
+   * event. One {@link StreamEvent.Token} stands for one token of the engine.
    *
    * @param endpoint the engine
    * @param call the request
@@ -14,4 +17,9 @@
    * @param resumeFromTokens tokens that the caller has already, which the engine skips
    */
   OpenResult open(Endpoint endpoint, ChatCall call, String attemptId, int resumeFromTokens);
+
+  /** Returns whether the engine can skip tokens; if not, it is asked for the whole answer. */
+  default boolean resumes(Endpoint endpoint) {
+    return true;
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/EngineStream.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/EngineStream.java
@@ -3,9 +3,21 @@
 /** The answer of an engine, read by one thread. */
 public interface EngineStream extends AutoCloseable {
 
-  /** Waits for the next event; after {@code Finished} or {@code Broken} none follows. */
+  /**
+   * Waits for the next event; after {@code Finished}, {@code Broken} or {@code Rejected} none
+   * follows.
+   */
   StreamEvent next();
 
+  /**
+   * Waits for the next event no longer than the given milliseconds, then returns {@code Waiting}.
+   *
+   * <p>A stream that cannot limit the wait waits as {@link #next()} does.
+   */
+  default StreamEvent next(long timeoutMs) {
+    return next();
+  }
+
   /** Stops the work at the engine; may be called from any thread. */
   void cancel();
 
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/ResumingChatRunner.java
@@ -0,0 +1,126 @@
+package org.zinniaspan.stream;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.dispatch.SlotService;
+import org.zinniaspan.inventory.Endpoint;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.routing.OutputEstimates;
+
+/**
+ * Runs each request in as many attempts as it takes, within limits; a broken stream is resumed from
+ * the tokens that the caller has.
+ *
+ * <p>Example: {@code ResumingChatRunner.builder(slots, engines).configuration(store::current)
+ * .clock(clock).build()}.
+ */
+public final class ResumingChatRunner implements ChatRunner {
+
+  private final StreamParts parts;
+
+  private ResumingChatRunner(StreamParts parts) {
+    this.parts = parts;
+  }
+
+  /** Starts to build a runner. */
+  public static Builder builder(SlotService slots, EngineClient engines) {
+    return new Builder(slots, engines);
+  }
+
+  @Override
+  public ChatStart start(ChatCall call, BooleanSupplier callerLeft) {
+    return new ResumingSession(parts, call, callerLeft).start();
+  }
+
+  /** Builds runners; configuration and clock must be given. */
+  public static final class Builder {
+
+    private static final double RETRY_SHARE = 0.2;
+    private static final double RETRIES_PER_SECOND = 2;
+
+    private final SlotService slots;
+    private final EngineClient engines;
+    private Supplier<Configuration> configuration;
+    private Function<Pool, List<Endpoint>> endpoints;
+    private Clock clock;
+    private SlotWait wait = SlotWait.blocking();
+    private RetryBudget budget;
+    private OutputEstimates estimates = OutputEstimates.constant(0);
+    private StreamSettings settings = StreamSettings.DEFAULTS;
+
+    private Builder(SlotService slots, EngineClient engines) {
+      this.slots = slots;
+      this.engines = engines;
+    }
+
+    /** Sets where the configuration in force is read. */
+    public Builder configuration(Supplier<Configuration> value) {
+      configuration = value;
+      return this;
+    }
+
+    /** Sets the endpoints that slots can be had of; by default all that serve the pool. */
+    public Builder endpoints(Function<Pool, List<Endpoint>> value) {
+      endpoints = value;
+      return this;
+    }
+
+    /** Sets the source of time. */
+    public Builder clock(Clock value) {
+      clock = value;
+      return this;
+    }
+
+    /** Sets how answers to asks are waited for; by default in real time. */
+    public Builder slotWait(SlotWait value) {
+      wait = value;
+      return this;
+    }
+
+    /** Sets the budget of retries; by default a fifth of the successes and 2 a second. */
+    public Builder budget(RetryBudget value) {
+      budget = value;
+      return this;
+    }
+
+    /** Sets the estimates of lengths; by default there are none. */
+    public Builder estimates(OutputEstimates value) {
+      estimates = value;
+      return this;
+    }
+
+    /** Sets the limits; by default {@link StreamSettings#DEFAULTS}. */
+    public Builder settings(StreamSettings value) {
+      settings = value;
+      return this;
+    }
+
+    /** Builds the runner. */
+    public ResumingChatRunner build() {
+      RetryBudget retries =
+          budget == null ? new RetryBudget(RETRY_SHARE, RETRIES_PER_SECOND, clock) : budget;
+      Function<Pool, List<Endpoint>> candidates = endpoints == null ? this::serving : endpoints;
+      return new ResumingChatRunner(
+          new StreamParts(
+              slots,
+              engines,
+              configuration,
+              candidates,
+              clock,
+              wait,
+              retries,
+              estimates,
+              settings));
+    }
+
+    private List<Endpoint> serving(Pool pool) {
+      return configuration.get().inventory().endpoints().stream()
+          .filter(endpoint -> endpoint.serves(pool))
+          .toList();
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/SlotLease.java
@@ -0,0 +1,93 @@
+package org.zinniaspan.stream;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.zinniaspan.dispatch.SlotAnswer;
+import org.zinniaspan.dispatch.SlotAsk;
+import org.zinniaspan.dispatch.SlotResult;
+import org.zinniaspan.dispatch.SlotService;
+import org.zinniaspan.dispatch.SlotUse;
+import org.zinniaspan.request.NotRunReason;
+
+/** One ask for a slot and, once granted, the slot itself; it is released exactly once. */
+final class SlotLease {
+
+  private static final long PROBE_PERIOD_MS = 100;
+  private static final long WITHDRAWAL_MS = 500;
+
+  private final SlotService slots;
+  private final SlotAsk ask;
+  private final AtomicBoolean preempted = new AtomicBoolean();
+  private final AtomicBoolean released = new AtomicBoolean();
+  private final CompletableFuture<SlotAnswer> answer;
+
+  private SlotLease(SlotService slots, SlotAsk ask) {
+    this.slots = slots;
+    this.ask = ask;
+    this.answer = slots.acquire(ask, () -> preempted.set(true));
+  }
+
+  /** Asks for a slot and does not wait. */
+  static SlotLease ask(SlotService slots, SlotAsk ask) {
+    return new SlotLease(slots, ask);
+  }
+
+  /** Waits for the final answer; withdraws the ask when the caller leaves. */
+  SlotAnswer await(SlotWait wait, BooleanSupplier callerLeft) {
+    while (!wait.await(answer, PROBE_PERIOD_MS)) {
+      if (Thread.currentThread().isInterrupted() || callerLeft.getAsBoolean()) {
+        giveUp(wait);
+        return refused(NotRunReason.CALLER_LEFT);
+      }
+    }
+    return finalAnswer();
+  }
+
+  private SlotAnswer finalAnswer() {
+    return answer.isCompletedExceptionally() ? refused(NotRunReason.NO_ENDPOINT) : answer.join();
+  }
+
+  private static SlotAnswer refused(NotRunReason reason) {
+    return new SlotAnswer.Refused(reason, Optional.empty());
+  }
+
+  private void giveUp(SlotWait wait) {
+    abandon();
+    wait.await(answer, WITHDRAWAL_MS);
+  }
+
+  /** Withdraws the ask; a grant that crosses the withdrawal is released unused. */
+  void abandon() {
+    slots.withdraw(ask.attemptId());
+    answer.thenAccept(
+        last -> {
+          if (last instanceof SlotAnswer.Granted) {
+            release(SlotUse.of(SlotResult.UNUSED));
+          }
+        });
+  }
+
+  /** Returns the answer if there is one. */
+  Optional<SlotAnswer> now() {
+    return answer.isDone() ? Optional.of(finalAnswer()) : Optional.empty();
+  }
+
+  /** Returns the id of the attempt. */
+  String attemptId() {
+    return ask.attemptId();
+  }
+
+  /** Returns whether the work should stop and ask again. */
+  boolean isPreempted() {
+    return preempted.get();
+  }
+
+  /** Gives the slot back; a second call does nothing. */
+  void release(SlotUse use) {
+    if (released.compareAndSet(false, true)) {
+      slots.release(ask.attemptId(), use);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/stream/ResumingChatRunnerFuzzTest.java
@@ -0,0 +1,74 @@
+package org.zinniaspan.stream;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.Transformer;
+import org.zinniaspan.stream.StreamWorld.EngineFault;
+import org.zinniaspan.stream.StreamWorld.EngineScript;
+import org.zinniaspan.stream.StreamWorld.SlotFault;
+
+/**
+ * The caller gets exactly the answer's prefix, whole if and only if it is said to be finished.
+ *
+ * <p>More runs: {@code -Djqwik.tries.default=100000}.
+ */
+class ResumingChatRunnerFuzzTest {
+
+  @Property(seed = "20261203")
+  void callerGetsTheAnswerAndSlotsGoBackOnce(@ForAll("chains") ActionChain<StreamWorld> chain) {
+    chain.run().finish();
+  }
+
+  @Provide
+  Arbitrary<ActionChain<StreamWorld>> chains() {
+    return ActionChain.startWith(StreamWorld::new)
+        .withAction(6, engineScript())
+        .withAction(3, slotFault())
+        .withAction(8, read())
+        .withAction(2, step("preempt", StreamWorld::preempt))
+        .withAction(1, pause())
+        .withAction(1, step("caller leaves", world -> world.callerGone = true))
+        .withAction(1, step("close", StreamWorld::close))
+        .withMaxTransformations(40);
+  }
+
+  private static Action.Independent<StreamWorld> engineScript() {
+    Arbitrary<EngineScript> scripts =
+        Combinators.combine(
+                Arbitraries.of(EngineFault.class), Arbitraries.integers().between(0, 13))
+            .as(EngineScript::new);
+    return () ->
+        scripts.map(
+            script ->
+                Transformer.mutate("engine " + script, world -> world.engineScripts.add(script)));
+  }
+
+  private static Action.Independent<StreamWorld> slotFault() {
+    return () ->
+        Arbitraries.of(SlotFault.class)
+            .map(
+                fault -> Transformer.mutate("slot " + fault, world -> world.slotFaults.add(fault)));
+  }
+
+  private static Action.Independent<StreamWorld> read() {
+    return step("read", StreamWorld::read);
+  }
+
+  private static Action.Independent<StreamWorld> pause() {
+    return () ->
+        Arbitraries.longs()
+            .between(1, 20_000)
+            .map(ms -> Transformer.mutate("pause " + ms, world -> world.clock.advance(ms)));
+  }
+
+  private static Action.Independent<StreamWorld> step(
+      String name, java.util.function.Consumer<StreamWorld> effect) {
+    return () -> Arbitraries.just(Transformer.mutate(name, effect));
+  }
+}
