Choose endpoints by estimated first token, eject failing ones, learn lengths

EstimatedFirstToken is the default policy (baselines: round-robin, random, least-load). EndpointTable ejects endpoints that fail or lag far behind the pool's pace, keeps half of the pool, and lets one request probe after a bounded, growing time. A leaving mark holds until a newer report of the endpoint denies it, or 60 s without any word. SlotUse and SlotRelease carry the duration (field 7), from which the pace is learned. Lengths of answers are learned in KLL sketches by class, organisation and model. The fuzz test was sharpened after two planted faults (a forgotten earlier attempt, a grant that crosses a withdrawal) were not found by its first version.

--- /dev/null
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/StreamResumeProcessTest.java
@@ -0,0 +1,132 @@
+package org.zinniaspan.standins;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.zinniaspan.standins.caller.CallerClient;
+import org.zinniaspan.standins.caller.CallerClient.ChatRequest;
+import org.zinniaspan.standins.caller.CallerResult;
+import org.zinniaspan.standins.fleet.FleetSpec;
+import org.zinniaspan.standins.fleet.LocalFleet;
+
+/** Engines that die, freeze or leave under streams of real processes. */
+class StreamResumeProcessTest {
+
+  private static final String ZONE = "recife-a";
+  private static final String ENTRY = ZONE + "-1";
+  private static final long LEAVING_BOUND_MS = 3_000;
+  private static final CallerClient CALLER = new CallerClient(LocalFleet.KEY);
+  private final Path logs = Path.of("target", "fleet", "stream-resume");
+  private LocalFleet fleet;
+
+  @BeforeEach
+  void start() throws IOException {
+    Files.deleteIfExists(logs.resolve(ENTRY + ".log"));
+    String rules = Files.readString(Path.of("..", "config", "placa-limpa", "rules.json"));
+    fleet =
+        LocalFleet.start(
+            new FleetSpec()
+                .zone(ZONE, 1)
+                .models("counter-3b")
+                .engine("engine-1", ZONE, "--ms-per-token", "25")
+                .engine("engine-2", ZONE, "--ms-per-token", "25")
+                .document("rules", rules),
+            logs);
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  private CallerResult chat(String prompt) {
+    ChatRequest request = new ChatRequest("counter-3b", prompt, Optional.empty(), true);
+    return CALLER.chat(fleet.entries().get(ENTRY).callers(), request);
+  }
+
+  private InetSocketAddress engine(String name) {
+    return fleet.endpoints().get(name).address();
+  }
+
+  private int generated(String engine) {
+    String body = LocalFleet.get(engine(engine), "/counts").body();
+    return Integer.parseInt(body.replaceFirst(".*\"generated\":(\\d+).*", "$1"));
+  }
+
+  private String engineThatStreams(int before1, int before2) {
+    LocalFleet.await(
+        "ten tokens",
+        () -> generated("engine-1") > before1 + 10 || generated("engine-2") > before2 + 10);
+    return generated("engine-1") > before1 + 10 ? "engine-1" : "engine-2";
+  }
+
+  private long logged(String... parts) {
+    try {
+      return Files.readAllLines(logs.resolve(ENTRY + ".log")).stream()
+          .filter(line -> Arrays.stream(parts).allMatch(line::contains))
+          .count();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Test
+  void killedEnginesStreamIsResumedWithTheSameText() {
+    String prompt = "history of a plate #tokens=80";
+    final CallerResult unbroken = chat(prompt);
+    int before1 = generated("engine-1");
+    int before2 = generated("engine-2");
+    CompletableFuture<CallerResult> broken = CompletableFuture.supplyAsync(() -> chat(prompt));
+    String serving = engineThatStreams(before1, before2);
+    fleet.endpoints().get(serving).process().kill();
+    CallerResult resumed = broken.join();
+    assertThat(unbroken.isAnswered()).isTrue();
+    assertThat(resumed.isAnswered()).isTrue();
+    assertThat(resumed.text()).isEqualTo(unbroken.text());
+    assertThat(logged("attempt-failed", "BROKEN", serving)).isEqualTo(1);
+  }
+
+  @Test
+  void stoppedEnginesStreamIsResumedWithTheSameText() throws IOException {
+    String prompt = "page of a town hall #tokens=80";
+    final CallerResult unbroken = chat(prompt);
+    int before1 = generated("engine-1");
+    int before2 = generated("engine-2");
+    CompletableFuture<CallerResult> stalled = CompletableFuture.supplyAsync(() -> chat(prompt));
+    String serving = engineThatStreams(before1, before2);
+    fleet.endpoints().get(serving).process().pause();
+    CallerResult resumed = stalled.join();
+    fleet.endpoints().get(serving).process().resume();
+    assertThat(resumed.isAnswered()).isTrue();
+    assertThat(resumed.text()).isEqualTo(unbroken.text());
+  }
+
+  @Test
+  void leavingEngineGetsNoNewWorkWithThePlatformDown() {
+    fleet.control(fleet.platform(), "down=true");
+    final long saidMs = System.currentTimeMillis();
+    fleet.control(engine("engine-1"), "leaving=true");
+    LocalFleet.await("the mark", () -> logged("\"leaving\"", "engine-1") > 0);
+    assertThat(System.currentTimeMillis() - saidMs).isLessThan(LEAVING_BOUND_MS);
+    final long before = logged("\"attempt\"", "engine-1");
+    for (int i = 0; i < 6; i++) {
+      assertThat(chat("question " + i + " #tokens=2").isAnswered()).isTrue();
+    }
+    assertThat(logged("\"attempt\"", "engine-1")).isEqualTo(before);
+    fleet.control(engine("engine-1"), "leaving=false");
+    LocalFleet.await("its return", () -> logged("\"stays\"", "engine-1") > 0);
+    fleet.endpoints().get("engine-2").process().kill();
+    assertThat(chat("back again #tokens=2").isAnswered()).isTrue();
+    assertThat(logged("\"attempt\"", "engine-1")).isGreaterThan(before);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -40,12 +40,12 @@
 import org.zinniaspan.peer.PeerRouter;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
-import org.zinniaspan.routing.LeastReportedLoad;
-import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.routing.LearnedOutput;
 import org.zinniaspan.runner.CallRunner;
 import org.zinniaspan.runner.DirectCallRunner;
 import org.zinniaspan.stream.ChatRunner;
 import org.zinniaspan.stream.ResumingChatRunner;
+import org.zinniaspan.stream.RetryBudget;
 
 /**
  * The process of an entry VM: builds the parts, connects them and stops them in order.
@@ -126,17 +126,19 @@
   }
 
   private EndpointChooser chooser() {
-    return switch (settings.routing.policy) {
-      case "round-robin" -> new RoundRobin();
-      default -> new LeastReportedLoad();
-    };
+    return settings.routing.chooser(settings.seed);
   }
 
   private ChatRunner chats(SlotService slots, EndpointTable table) {
+    RoutingSettings routing = settings.routing;
+    table.setEjecting(routing.isEjecting());
     return ResumingChatRunner.builder(slots, new OpenAiEngineClient())
         .configuration(this::configuration)
         .endpoints(table::endpointsOf)
         .clock(clock)
+        .budget(new RetryBudget(routing.retryShare(), routing.retriesPerSecond, clock))
+        .estimates(new LearnedOutput())
+        .settings(routing.streams())
         .build();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/RoutingSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/RoutingSettings.java
@@ -2,23 +2,82 @@
 
 import com.beust.jcommander.Parameter;
 import java.util.Set;
+import org.zinniaspan.routing.EndpointChooser;
+import org.zinniaspan.routing.EstimatedFirstToken;
+import org.zinniaspan.routing.LeastReportedLoad;
+import org.zinniaspan.routing.RandomChoice;
+import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.stream.StreamSettings;
 
 /** Settings of the choice of endpoints and of streams. */
 final class RoutingSettings {
 
-  private static final Set<String> POLICIES = Set.of("round-robin", "least-load");
+  private static final Set<String> POLICIES =
+      Set.of("estimated", "round-robin", "random", "least-load");
+  private static final Set<String> SWITCH = Set.of("on", "off");
+  private static final String ON = "on";
   private static final long SHORTEST_PERIOD_MS = 10;
+  private static final long PERCENT = 100;
 
   @Parameter(
       names = "--endpoint-policy",
-      description = "How an endpoint is chosen: round-robin or least-load.")
-  String policy = "least-load";
+      description = "How an endpoint is chosen: estimated, round-robin, random or least-load.")
+  String policy = "estimated";
 
   @Parameter(names = "--load-period-ms", description = "Milliseconds between two load reports.")
   long loadPeriodMs = 500;
 
+  @Parameter(
+      names = "--ejection",
+      description = "Whether failing endpoints get no requests for a while: on or off.")
+  String ejection = ON;
+
+  @Parameter(names = "--max-retries", description = "Most retries of one request.")
+  int maxRetries = StreamSettings.DEFAULTS.maxRetries();
+
+  @Parameter(
+      names = "--retry-percent",
+      description = "Retries that all requests may make, in percent of the successes.")
+  int retryPercent = 20;
+
+  @Parameter(
+      names = "--retries-per-second",
+      description = "Retries that all requests may make in a second besides.")
+  int retriesPerSecond = 2;
+
+  @Parameter(
+      names = "--stall-ms",
+      description = "Shortest silence of an engine that counts as a failure, in milliseconds.")
+  long stallMs = StreamSettings.DEFAULTS.stallMs();
+
   void check(SettingsChecks checks) {
     checks.choice("--endpoint-policy", policy, POLICIES);
     checks.atLeast("--load-period-ms", loadPeriodMs, SHORTEST_PERIOD_MS);
+    checks.choice("--ejection", ejection, SWITCH);
+    checks.atLeast("--max-retries", maxRetries, 0);
+    checks.atLeast("--retry-percent", retryPercent, 0);
+    checks.atLeast("--retries-per-second", retriesPerSecond, 0);
+    checks.atLeast("--stall-ms", stallMs, SHORTEST_PERIOD_MS);
+  }
+
+  EndpointChooser chooser(long seed) {
+    return switch (policy) {
+      case "round-robin" -> new RoundRobin();
+      case "random" -> new RandomChoice(seed);
+      case "least-load" -> new LeastReportedLoad();
+      default -> new EstimatedFirstToken(seed);
+    };
+  }
+
+  boolean isEjecting() {
+    return ejection.equals(ON);
+  }
+
+  double retryShare() {
+    return (double) retryPercent / PERCENT;
+  }
+
+  StreamSettings streams() {
+    return StreamSettings.DEFAULTS.withMaxRetries(maxRetries).withStallMs(stallMs);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRelease.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotRelease.java
@@ -242,6 +242,21 @@
     return firstTokenMs_;
   }
 
+  public static final int DURATION_MS_FIELD_NUMBER = 7;
+  private long durationMs_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds from sending to the end, zero if not known.
+   * </pre>
+   *
+   * <code>int64 duration_ms = 7;</code>
+   * @return The durationMs.
+   */
+  @java.lang.Override
+  public long getDurationMs() {
+    return durationMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -274,6 +289,9 @@
     if (firstTokenMs_ != 0L) {
       output.writeInt64(6, firstTokenMs_);
     }
+    if (durationMs_ != 0L) {
+      output.writeInt64(7, durationMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -298,6 +316,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, firstTokenMs_);
     }
+    if (durationMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, durationMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -334,6 +356,8 @@
         != other.getOutputTokens()) return false;
     if (getFirstTokenMs()
         != other.getFirstTokenMs()) return false;
+    if (getDurationMs()
+        != other.getDurationMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -358,6 +382,9 @@
     hash = (37 * hash) + FIRST_TOKEN_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getFirstTokenMs());
+    hash = (37 * hash) + DURATION_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDurationMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -499,6 +526,7 @@
       result_ = "";
       outputTokens_ = 0;
       firstTokenMs_ = 0L;
+      durationMs_ = 0L;
       return this;
     }
 
@@ -550,6 +578,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.firstTokenMs_ = firstTokenMs_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.durationMs_ = durationMs_;
+      }
     }
 
     @java.lang.Override
@@ -590,6 +621,9 @@
       if (other.getFirstTokenMs() != 0L) {
         setFirstTokenMs(other.getFirstTokenMs());
       }
+      if (other.getDurationMs() != 0L) {
+        setDurationMs(other.getDurationMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -644,6 +678,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              durationMs_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1033,6 +1072,50 @@
       return this;
     }
 
+    private long durationMs_ ;
+    /**
+     * <pre>
+     * Milliseconds from sending to the end, zero if not known.
+     * </pre>
+     *
+     * <code>int64 duration_ms = 7;</code>
+     * @return The durationMs.
+     */
+    @java.lang.Override
+    public long getDurationMs() {
+      return durationMs_;
+    }
+    /**
+     * <pre>
+     * Milliseconds from sending to the end, zero if not known.
+     * </pre>
+     *
+     * <code>int64 duration_ms = 7;</code>
+     * @param value The durationMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDurationMs(long value) {
+
+      durationMs_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds from sending to the end, zero if not known.
+     * </pre>
+     *
+     * <code>int64 duration_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDurationMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      durationMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.SlotRelease)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotReleaseOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/SlotReleaseOrBuilder.java
@@ -77,4 +77,14 @@
    * @return The firstTokenMs.
    */
   long getFirstTokenMs();
+
+  /**
+   * <pre>
+   * Milliseconds from sending to the end, zero if not known.
+   * </pre>
+   *
+   * <code>int64 duration_ms = 7;</code>
+   * @return The durationMs.
+   */
+  long getDurationMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Slots.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Slots.java
@@ -82,18 +82,18 @@
       "\t\022\036\n\026dispatcher_incarnation\030\004 \001(\003\022\024\n\014val" +
       "id_for_ms\030\005 \001(\003\"W\n\013SlotRefusal\022\022\n\nattemp" +
       "t_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\016\n\006reason\030\003 \001(\t" +
-      "\022\026\n\016retry_after_ms\030\004 \001(\003\"\200\001\n\013SlotRelease" +
+      "\022\026\n\016retry_after_ms\030\004 \001(\003\"\225\001\n\013SlotRelease" +
       "\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\020\n\010en" +
       "dpoint\030\003 \001(\t\022\016\n\006result\030\004 \001(\t\022\025\n\routput_t" +
-      "okens\030\005 \001(\005\022\026\n\016first_token_ms\030\006 \001(\003\"2\n\016S" +
-      "lotPreemption\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004poo" +
-      "l\030\002 \001(\t\"K\n\010HeldSlot\022-\n\007request\030\001 \001(\0132\034.z" +
-      "inniaspan.peer.SlotRequest\022\020\n\010endpoint\030\002" +
-      " \001(\t\"{\n\020SlotRegistration\022\014\n\004pool\030\001 \001(\t\022-" +
-      "\n\007waiting\030\002 \003(\0132\034.zinniaspan.peer.SlotRe" +
-      "quest\022*\n\007running\030\003 \003(\0132\031.zinniaspan.peer" +
-      ".HeldSlotB\035\n\031org.zinniaspan.peer.protoP\001" +
-      "b\006proto3"
+      "okens\030\005 \001(\005\022\026\n\016first_token_ms\030\006 \001(\003\022\023\n\013d" +
+      "uration_ms\030\007 \001(\003\"2\n\016SlotPreemption\022\022\n\nat" +
+      "tempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\"K\n\010HeldSlot" +
+      "\022-\n\007request\030\001 \001(\0132\034.zinniaspan.peer.Slot" +
+      "Request\022\020\n\010endpoint\030\002 \001(\t\"{\n\020SlotRegistr" +
+      "ation\022\014\n\004pool\030\001 \001(\t\022-\n\007waiting\030\002 \003(\0132\034.z" +
+      "inniaspan.peer.SlotRequest\022*\n\007running\030\003 " +
+      "\003(\0132\031.zinniaspan.peer.HeldSlotB\035\n\031org.zi" +
+      "nniaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -122,7 +122,7 @@
     internal_static_zinniaspan_peer_SlotRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotRelease_descriptor,
-        new java.lang.String[] { "AttemptId", "Pool", "Endpoint", "Result", "OutputTokens", "FirstTokenMs", });
+        new java.lang.String[] { "AttemptId", "Pool", "Endpoint", "Result", "OutputTokens", "FirstTokenMs", "DurationMs", });
     internal_static_zinniaspan_peer_SlotPreemption_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_zinniaspan_peer_SlotPreemption_fieldAccessorTable = new
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/Ejection.java
@@ -0,0 +1,53 @@
+package org.zinniaspan.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Takes failing and slow endpoints out of a pool, but never more than half of it. */
+final class Ejection {
+
+  /** How much slower than the median an endpoint may be. */
+  static final double STRAGGLER_FACTOR = 3;
+
+  /** One endpoint and how bad it is; zero is good. */
+  record Judged(EndpointState state, double badness) {}
+
+  private Ejection() {}
+
+  /**
+   * Returns the endpoints that stay; those that stay only to keep half of the pool are marked as
+   * suspect.
+   */
+  static List<EndpointState> keep(List<Judged> pool) {
+    double limit = STRAGGLER_FACTOR * lowerMedianPace(pool);
+    List<Judged> bad = new ArrayList<>();
+    List<EndpointState> kept = new ArrayList<>();
+    for (Judged judged : pool) {
+      double pace = judged.state().msPerToken();
+      if (judged.badness() > 0) {
+        bad.add(judged);
+      } else if (limit > 0 && pace > limit) {
+        bad.add(new Judged(judged.state(), pace / limit / pool.size()));
+      } else {
+        kept.add(judged.state());
+      }
+    }
+    bad.sort(Comparator.comparingDouble(Judged::badness));
+    int floor = (pool.size() + 1) / 2;
+    bad.stream()
+        .limit(Math.max(0, floor - kept.size()))
+        .forEach(judged -> kept.add(judged.state().asSuspect()));
+    return kept;
+  }
+
+  private static double lowerMedianPace(List<Judged> pool) {
+    double[] paces =
+        pool.stream()
+            .mapToDouble(j -> j.state().msPerToken())
+            .filter(p -> p > 0)
+            .sorted()
+            .toArray();
+    return paces.length < 2 ? 0 : paces[(paces.length - 1) / 2];
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointTable.java
@@ -1,10 +1,8 @@
 package org.zinniaspan.routing;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
@@ -15,6 +13,7 @@
 import org.zinniaspan.dispatch.SlotUse;
 import org.zinniaspan.inventory.Endpoint;
 import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.log.EventLog;
 
 /**
  * The endpoints of one availability zone with what this process knows of each.
@@ -23,13 +22,14 @@
  */
 public final class EndpointTable {
 
-  /** Time for which an endpoint that said it leaves gets no work, in milliseconds. */
-  public static final long LEAVING_MS = 60_000;
+  /** Time for which a word of leaving holds if nothing newer is heard, in milliseconds. */
+  public static final long LEAVING_MS = LeavingMark.LAPSE_MS;
 
   private final String zone;
   private final Supplier<Configuration> configuration;
   private final Clock clock;
-  private final Map<String, Row> rows = new ConcurrentHashMap<>();
+  private final Map<String, EndpointRecord> rows = new ConcurrentHashMap<>();
+  private volatile boolean ejecting = true;
 
   /** Creates an empty table for an availability zone. */
   public EndpointTable(String zone, Supplier<Configuration> configuration, Clock clock) {
@@ -54,27 +54,43 @@
 
   /** Returns the endpoints of a pool that may get new work and have a free slot. */
   public List<EndpointState> candidates(Pool pool, Collection<String> excluded) {
-    return endpointsOf(pool).stream()
-        .filter(endpoint -> !excluded.contains(endpoint.name()))
-        .filter(endpoint -> !isLeaving(endpoint.name()))
-        .map(this::state)
+    List<Ejection.Judged> staying =
+        endpointsOf(pool).stream()
+            .filter(endpoint -> !isLeaving(endpoint.name()))
+            .map(this::judge)
+            .toList();
+    return Ejection.keep(staying).stream()
+        .filter(state -> !excluded.contains(state.endpoint().name()))
         .filter(state -> state.free() > 0)
         .toList();
   }
 
+  private Ejection.Judged judge(Endpoint endpoint) {
+    EndpointRecord row = row(endpoint.name());
+    boolean out = ejecting && row.isOut(clock.nowMs());
+    return new Ejection.Judged(state(endpoint), out ? 1 + row.ejections() : 0);
+  }
+
+  /** Turns the ejection of failing endpoints on, as at the start, or off. */
+  public void setEjecting(boolean value) {
+    ejecting = value;
+  }
+
   /** Returns what is known of an endpoint. */
   public EndpointState state(Endpoint endpoint) {
-    return row(endpoint.name()).state(endpoint);
+    return row(endpoint.name()).state(endpoint, clock.nowMs());
   }
 
   /** Records a load report. */
   public void report(String endpoint, LoadReport report) {
-    row(endpoint).report(report);
+    if (row(endpoint).report(report, clock.nowMs())) {
+      logLeaving(endpoint, report.leaving(), "report");
+    }
   }
 
   /** Records that a slot of the endpoint is held for an ask. */
   public void hold(String endpoint, SlotAsk ask) {
-    row(endpoint).hold(ask.attemptId(), clock.nowMs());
+    row(endpoint).hold(ask, clock.nowMs());
   }
 
   /** Learns from a use of the endpoint that ended. */
@@ -82,16 +98,33 @@
     if (use.result() == SlotResult.LEAVING) {
       markLeaving(endpoint);
     }
+    EndpointRecord row = row(endpoint);
+    if (row.observe(use, clock.nowMs())) {
+      EventLog.event("ejected")
+          .with("endpoint", endpoint)
+          .with("result", use.result())
+          .with("ejections", row.ejections())
+          .warn();
+    }
   }
 
   /** Records that an attempt no longer holds a slot of the endpoint. */
   public void free(String endpoint, String attemptId) {
-    row(endpoint).free(attemptId);
+    row(endpoint).free(attemptId, clock.nowMs());
   }
 
   /** Records that the endpoint itself says that it leaves. */
   public void markLeaving(String endpoint) {
-    row(endpoint).markLeaving(clock.nowMs() + LEAVING_MS);
+    if (row(endpoint).markLeaving(clock.nowMs())) {
+      logLeaving(endpoint, true, "refusal");
+    }
+  }
+
+  private static void logLeaving(String endpoint, boolean leaving, String source) {
+    EventLog.event(leaving ? "leaving" : "stays")
+        .with("endpoint", endpoint)
+        .with("source", source)
+        .info();
   }
 
   /** Returns whether the endpoint gets no new work because it leaves. */
@@ -99,41 +132,8 @@
     return row(endpoint).isLeaving(clock.nowMs()) || configuration.get().vms().isLeaving(endpoint);
   }
 
-  private Row row(String endpoint) {
-    return rows.computeIfAbsent(endpoint, name -> new Row());
-  }
-
-  private static final class Row {
-
-    private final Map<String, Long> heldSinceMs = new HashMap<>();
-    private Optional<LoadReport> report = Optional.empty();
-    private long leavingUntilMs = Long.MIN_VALUE;
-
-    synchronized EndpointState state(Endpoint endpoint) {
-      long reportedMs = report.map(LoadReport::asOfMs).orElse(Long.MIN_VALUE);
-      long since = heldSinceMs.values().stream().filter(ms -> ms > reportedMs).count();
-      return new EndpointState(endpoint, report, heldSinceMs.size(), (int) since);
-    }
-
-    synchronized void report(LoadReport newer) {
-      report = Optional.of(newer);
-    }
-
-    synchronized void hold(String attemptId, long nowMs) {
-      heldSinceMs.put(attemptId, nowMs);
-    }
-
-    synchronized void free(String attemptId) {
-      heldSinceMs.remove(attemptId);
-    }
-
-    synchronized void markLeaving(long untilMs) {
-      leavingUntilMs = untilMs;
-    }
-
-    synchronized boolean isLeaving(long nowMs) {
-      return leavingUntilMs > nowMs || report.map(LoadReport::leaving).orElse(false);
-    }
+  private EndpointRecord row(String endpoint) {
+    return rows.computeIfAbsent(endpoint, name -> new EndpointRecord());
   }
 
   /** Returns the names of endpoints about which something is known. */
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/EstimatedFirstToken.java
@@ -0,0 +1,90 @@
+package org.zinniaspan.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.zinniaspan.dispatch.SlotAsk;
+
+/**
+ * Takes the endpoint that should bring the first token soonest.
+ *
+ * <p>The estimate adds the time to read what its cache lacks of the prompt, the wait for a place in
+ * its batch, and a share of what a crowded batch or a slow pace adds to the whole answer. Load is
+ * the reported one, corrected for the slots lent and given back since the report was made.
+ */
+public final class EstimatedFirstToken implements EndpointChooser {
+
+  private static final double MS_PER_SECOND = 1_000.0;
+  private static final double DEFAULT_PREFILL_TOKENS_PER_SECOND = 4_000;
+  private static final double DEFAULT_MS_PER_TOKEN = 20;
+  private static final int DEFAULT_OUTPUT_TOKENS = 64;
+  private static final int MOST_WEIGHED_TOKENS = 256;
+  private static final double CROWDING_PER_REQUEST = 0.05;
+  private static final double SLOWNESS_SHARE = 0.25;
+  private static final double SUSPECT_MS = 10_000;
+  private static final double TIE_BREAK_MS = 1;
+
+  private final Random random;
+
+  /** Creates a chooser that breaks ties by the seed. */
+  public EstimatedFirstToken(long seed) {
+    this.random = new Random(seed);
+  }
+
+  @Override
+  public String name() {
+    return "estimated";
+  }
+
+  @Override
+  public Optional<EndpointState> choose(SlotAsk ask, List<EndpointState> candidates, long nowMs) {
+    double bestPace = bestPace(candidates);
+    EndpointState best = null;
+    double bestMs = Double.MAX_VALUE;
+    for (EndpointState state : candidates) {
+      double ms = estimateMs(ask, state, bestPace, nowMs) + random.nextDouble() * TIE_BREAK_MS;
+      if (ms < bestMs) {
+        best = state;
+        bestMs = ms;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private static double bestPace(List<EndpointState> candidates) {
+    return candidates.stream()
+        .mapToDouble(EndpointState::msPerToken)
+        .filter(pace -> pace > 0)
+        .min()
+        .orElse(DEFAULT_MS_PER_TOKEN);
+  }
+
+  private static double estimateMs(SlotAsk ask, EndpointState state, double bestPace, long nowMs) {
+    double pace = state.msPerToken() > 0 ? state.msPerToken() : bestPace;
+    int output = ask.outputTokens() > 0 ? ask.outputTokens() : DEFAULT_OUTPUT_TOKENS;
+    double answerMs = Math.min(output, MOST_WEIGHED_TOKENS) * pace;
+    return prefillMs(ask, state, nowMs) * pace / bestPace
+        + queueMs(state, answerMs)
+        + state.load() * CROWDING_PER_REQUEST * answerMs
+        + SLOWNESS_SHARE * answerMs * (1 - bestPace / pace)
+        + (state.suspect() ? SUSPECT_MS : 0);
+  }
+
+  private static double prefillMs(SlotAsk ask, EndpointState state, long nowMs) {
+    int cached = state.prefixes().cachedTokens(ask.prefixDigests(), nowMs);
+    int toRead = Math.max(1, ask.promptTokens() - cached);
+    double rate =
+        state
+            .report()
+            .map(LoadReport::prefillTokensPerSecond)
+            .filter(reported -> reported > 0)
+            .orElse(DEFAULT_PREFILL_TOKENS_PER_SECOND);
+    return MS_PER_SECOND * toRead / rate;
+  }
+
+  private static double queueMs(EndpointState state, double answerMs) {
+    int slots = state.endpoint().slots();
+    int ahead = state.load() - slots + 1;
+    return ahead > 0 ? ahead * answerMs / slots : 0;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/RandomChoice.java
@@ -0,0 +1,29 @@
+package org.zinniaspan.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.zinniaspan.dispatch.SlotAsk;
+
+/** Takes any candidate with equal probability. */
+public final class RandomChoice implements EndpointChooser {
+
+  private final Random random;
+
+  /** Creates a chooser whose choices follow from the seed. */
+  public RandomChoice(long seed) {
+    this.random = new Random(seed);
+  }
+
+  @Override
+  public String name() {
+    return "random";
+  }
+
+  @Override
+  public Optional<EndpointState> choose(SlotAsk ask, List<EndpointState> candidates, long nowMs) {
+    return candidates.isEmpty()
+        ? Optional.empty()
+        : Optional.of(candidates.get(random.nextInt(candidates.size())));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/StreamSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/StreamSettings.java
@@ -27,6 +27,11 @@
     return new StreamSettings(retries, stallMs, stallGaps, lateGraceMs, resumePatienceMs, hedging);
   }
 
+  /** Returns a copy with another shortest stall. */
+  public StreamSettings withStallMs(long ms) {
+    return new StreamSettings(maxRetries, ms, stallGaps, lateGraceMs, resumePatienceMs, hedging);
+  }
+
   /** Returns a copy with hedging on or off. */
   public StreamSettings withHedging(boolean on) {
     return new StreamSettings(maxRetries, stallMs, stallGaps, lateGraceMs, resumePatienceMs, on);
--- a/zinniaspan/src/test/java/org/zinniaspan/stream/ResumingChatRunnerFuzzTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/stream/ResumingChatRunnerFuzzTest.java
@@ -28,9 +28,9 @@
   @Provide
   Arbitrary<ActionChain<StreamWorld>> chains() {
     return ActionChain.startWith(StreamWorld::new)
-        .withAction(6, engineScript())
-        .withAction(3, slotFault())
-        .withAction(8, read())
+        .withAction(10, engineScript())
+        .withAction(5, slotFault())
+        .withAction(5, read())
         .withAction(2, step("preempt", StreamWorld::preempt))
         .withAction(1, pause())
         .withAction(1, step("caller leaves", world -> world.callerGone = true))
@@ -40,15 +40,17 @@
 
   private static Action.Independent<StreamWorld> engineScript() {
     Arbitrary<EngineScript> scripts =
-        Combinators.combine(
-                Arbitraries.of(EngineFault.class), Arbitraries.integers().between(0, 13))
-            .as(EngineScript::new);
+        Combinators.combine(Arbitraries.of(EngineFault.class), afterTokens()).as(EngineScript::new);
     return () ->
         scripts.map(
             script ->
                 Transformer.mutate("engine " + script, world -> world.engineScripts.add(script)));
   }
 
+  private static Arbitrary<Integer> afterTokens() {
+    return Arbitraries.oneOf(Arbitraries.just(0), Arbitraries.integers().between(1, 13));
+  }
+
   private static Action.Independent<StreamWorld> slotFault() {
     return () ->
         Arbitraries.of(SlotFault.class)
--- a/zinniaspan/src/test/java/org/zinniaspan/stream/StreamWorld.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/stream/StreamWorld.java
@@ -43,7 +43,7 @@
     RUBBISH,
     NOT_RESUMING,
     NOT_RESUMING_DIFFERENT,
-    SHORTER
+    NOT_RESUMING_SHORTER
   }
 
   record EngineScript(EngineFault fault, int afterTokens) {}
@@ -71,6 +71,7 @@
   private final ChatSession[] session = new ChatSession[1];
   private boolean mayHaveRun;
   private int tokensGiven;
+  private int furthest;
   private boolean started;
   private boolean ended;
   private Optional<Slot> newest = Optional.empty();
@@ -326,9 +327,10 @@
       if (index >= LENGTH) {
         return new StreamEvent.Finished("stop");
       }
-      boolean differs = differsFromBefore();
+      final boolean differs = differsFromBefore();
       given++;
       tokensGiven++;
+      furthest = Math.max(furthest, index + 1);
       return new StreamEvent.Token((differs ? "x" : "") + token(index++));
     }
 
@@ -349,7 +351,8 @@
       return switch (script.fault()) {
         case SERVER_ERROR -> Optional.of(new StreamEvent.Rejected(500, false, "fault"));
         case BREAK, RUBBISH -> Optional.of(new StreamEvent.Broken("reset"));
-        case SHORTER -> Optional.of(new StreamEvent.Broken("no finish reason"));
+        case NOT_RESUMING_SHORTER ->
+            index < furthest ? Optional.of(new StreamEvent.Finished("stop")) : Optional.empty();
         case STALL -> {
           clock.advance(timeoutMs);
           yield Optional.of(new StreamEvent.Waiting());
