--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Slots.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Slots.java
@@ -99,27 +99,27 @@
       "r_incarnation\030\004 \001(\003\022\024\n\014valid_for_ms\030\005 \001(" +
       "\003\022\r\n\005round\030\006 \001(\005\"W\n\013SlotRefusal\022\022\n\nattem" +
       "pt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\016\n\006reason\030\003 \001(" +
-      "\t\022\026\n\016retry_after_ms\030\004 \001(\003\"\200\001\n\013SlotReleas" +
+      "\t\022\026\n\016retry_after_ms\030\004 \001(\003\"\225\001\n\013SlotReleas" +
       "e\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\020\n\010e" +
       "ndpoint\030\003 \001(\t\022\016\n\006result\030\004 \001(\t\022\025\n\routput_" +
-      "tokens\030\005 \001(\005\022\026\n\016first_token_ms\030\006 \001(\003\"2\n\016" +
-      "SlotPreemption\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004po" +
-      "ol\030\002 \001(\t\"K\n\010HeldSlot\022-\n\007request\030\001 \001(\0132\034." +
-      "zinniaspan.peer.SlotRequest\022\020\n\010endpoint\030" +
-      "\002 \001(\t\"\255\001\n\020SlotRegistration\022\014\n\004pool\030\001 \001(\t" +
-      "\022-\n\007waiting\030\002 \003(\0132\034.zinniaspan.peer.Slot" +
-      "Request\022*\n\007running\030\003 \003(\0132\031.zinniaspan.pe" +
-      "er.HeldSlot\022\036\n\026dispatcher_incarnation\030\004 " +
-      "\001(\003\022\020\n\010sequence\030\005 \001(\003\"\262\001\n\013SlotReceipt\022/\n" +
-      "\004kind\030\001 \001(\0162!.zinniaspan.peer.SlotReceip" +
-      "t.Kind\022\014\n\004pool\030\002 \001(\t\022\022\n\nattempt_id\030\003 \001(\t" +
-      "\022\036\n\026dispatcher_incarnation\030\004 \001(\003\"0\n\004Kind" +
-      "\022\n\n\006QUEUED\020\000\022\014\n\010RELEASED\020\001\022\016\n\nREGISTERED" +
-      "\020\002\"2\n\016SlotAcceptance\022\022\n\nattempt_id\030\001 \001(\t" +
-      "\022\014\n\004pool\030\002 \001(\t\"D\n\024SlotRegistrationCall\022\014" +
-      "\n\004pool\030\001 \001(\t\022\036\n\026dispatcher_incarnation\030\002" +
-      " \001(\003B\035\n\031org.zinniaspan.peer.protoP\001b\006pro" +
-      "to3"
+      "tokens\030\005 \001(\005\022\026\n\016first_token_ms\030\006 \001(\003\022\023\n\013" +
+      "duration_ms\030\007 \001(\003\"2\n\016SlotPreemption\022\022\n\na" +
+      "ttempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\"K\n\010HeldSlo" +
+      "t\022-\n\007request\030\001 \001(\0132\034.zinniaspan.peer.Slo" +
+      "tRequest\022\020\n\010endpoint\030\002 \001(\t\"\255\001\n\020SlotRegis" +
+      "tration\022\014\n\004pool\030\001 \001(\t\022-\n\007waiting\030\002 \003(\0132\034" +
+      ".zinniaspan.peer.SlotRequest\022*\n\007running\030" +
+      "\003 \003(\0132\031.zinniaspan.peer.HeldSlot\022\036\n\026disp" +
+      "atcher_incarnation\030\004 \001(\003\022\020\n\010sequence\030\005 \001" +
+      "(\003\"\262\001\n\013SlotReceipt\022/\n\004kind\030\001 \001(\0162!.zinni" +
+      "aspan.peer.SlotReceipt.Kind\022\014\n\004pool\030\002 \001(" +
+      "\t\022\022\n\nattempt_id\030\003 \001(\t\022\036\n\026dispatcher_inca" +
+      "rnation\030\004 \001(\003\"0\n\004Kind\022\n\n\006QUEUED\020\000\022\014\n\010REL" +
+      "EASED\020\001\022\016\n\nREGISTERED\020\002\"2\n\016SlotAcceptanc" +
+      "e\022\022\n\nattempt_id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\"D\n\024S" +
+      "lotRegistrationCall\022\014\n\004pool\030\001 \001(\t\022\036\n\026dis" +
+      "patcher_incarnation\030\002 \001(\003B\035\n\031org.zinnias" +
+      "pan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -148,7 +148,7 @@
     internal_static_zinniaspan_peer_SlotRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotRelease_descriptor,
-        new java.lang.String[] { "AttemptId", "Pool", "Endpoint", "Result", "OutputTokens", "FirstTokenMs", });
+        new java.lang.String[] { "AttemptId", "Pool", "Endpoint", "Result", "OutputTokens", "FirstTokenMs", "DurationMs", });
     internal_static_zinniaspan_peer_SlotPreemption_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_zinniaspan_peer_SlotPreemption_fieldAccessorTable = new
