Detect live VMs of an availability zone by gossip

Cause: membership was the platform's lagging list, so a dead or fresh VM stayed unknown for as long as the list lagged. Each VM sends its table every 500 ms to 3 members (all if few), counters of large zones as key and number. A pause of the own process renews the view. Failed try: a deadline of 2.5 s for every size.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -32,12 +32,12 @@
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.lifecycle.Drain;
 import org.zinniaspan.log.EventLog;
-import org.zinniaspan.membership.ListedMembership;
+import org.zinniaspan.membership.GossipMembership;
 import org.zinniaspan.membership.Member;
-import org.zinniaspan.membership.Membership;
 import org.zinniaspan.peer.NettyPeerTransport;
 import org.zinniaspan.peer.PeerLink;
 import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.peer.proto.Envelope;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
 import org.zinniaspan.routing.LeastReportedLoad;
@@ -66,12 +66,18 @@
   private final PeerRouter peers = new PeerRouter();
   private final List<Ticking> ticking = new ArrayList<>();
   private final EntrySettings settings;
-  private final Membership membership;
+  private final GossipMembership membership;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
     Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
-    this.membership = new ListedMembership(self, settings.zone, () -> store.current().vms());
+    this.membership =
+        new GossipMembership(
+            self,
+            settings.zone,
+            settings.zones.gossip(settings.seed),
+            () -> store.current().vms(),
+            clock);
   }
 
   /**
@@ -143,6 +149,10 @@
   }
 
   private void feedConfiguration(PeerLink link) {
+    membership.connect(link, heartbeat -> {});
+    peers.register(membership, Envelope.BodyCase.HEARTBEAT);
+    ticking.add(membership);
+    drain.begun().thenRun(membership::leave);
     HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
     closer.add(new PlatformReader(source, store));
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ZoneSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ZoneSettings.java
@@ -1,9 +1,28 @@
 package org.zinniaspan.cli;
 
+import com.beust.jcommander.Parameter;
+import org.zinniaspan.membership.GossipSettings;
+
 /** Settings of membership and of the configuration feed. */
 final class ZoneSettings {
 
+  private static final int SHORTEST_HEARTBEAT_MS = 100;
+  private static final int LEAST_PERIODS = 3;
+
+  @Parameter(names = "--heartbeat-ms", description = "Milliseconds between two heartbeats.")
+  long heartbeatMs = GossipSettings.PERIOD_MS;
+
+  @Parameter(
+      names = "--dead-after-ms",
+      description = "Milliseconds without a heartbeat after which a VM is not live.")
+  long deadAfterMs = GossipSettings.DEAD_AFTER_MS;
+
+  GossipSettings gossip(long seed) {
+    return new GossipSettings(heartbeatMs, deadAfterMs, GossipSettings.FAN_OUT, seed);
+  }
+
   void check(SettingsChecks checks) {
-    // No setting yet.
+    checks.atLeast("--heartbeat-ms", heartbeatMs, SHORTEST_HEARTBEAT_MS);
+    checks.atLeast("--dead-after-ms", deadAfterMs, LEAST_PERIODS * heartbeatMs);
   }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/membership/GossipTargets.java
@@ -0,0 +1,56 @@
+package org.zinniaspan.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.zinniaspan.inventory.VmEntry;
+import org.zinniaspan.inventory.VmList;
+
+/**
+ * Chooses who gets a heartbeat: the next live member by name, and others at random.
+ *
+ * <p>The next member by name makes sure that everyone hears from someone in each period. Not
+ * thread-safe.
+ */
+final class GossipTargets {
+
+  private final String self;
+  private final String zone;
+  private final int fanOut;
+  private final Random random;
+
+  GossipTargets(String self, String zone, int fanOut, long seed) {
+    this.self = self;
+    this.zone = zone;
+    this.fanOut = fanOut;
+    this.random = new Random(31 * seed + self.hashCode());
+  }
+
+  List<String> ofPeriod(List<String> live) {
+    if (live.size() <= fanOut) {
+      return live;
+    }
+    List<String> others = new ArrayList<>(live);
+    Collections.shuffle(others, random);
+    String successor =
+        live.stream().filter(vm -> vm.compareTo(self) > 0).findFirst().orElse(live.get(0));
+    others.remove(successor);
+    List<String> targets = new ArrayList<>(others.subList(0, fanOut - 1));
+    targets.add(successor);
+    return targets;
+  }
+
+  /** Returns a VM of this availability zone that is listed but not live. */
+  Optional<String> silent(VmList list, List<String> live) {
+    List<String> silent =
+        list.entriesOf(zone).stream()
+            .map(VmEntry::name)
+            .filter(vm -> !vm.equals(self) && !live.contains(vm))
+            .toList();
+    return silent.isEmpty()
+        ? Optional.empty()
+        : Optional.of(silent.get(random.nextInt(silent.size())));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/membership/Membership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/membership/Membership.java
@@ -23,6 +23,15 @@
   /** Returns the address of a VM that is live, or was, or is only listed. */
   Optional<String> addressOf(String vm);
 
+  /**
+   * Returns whether the view has been renewed since the start or the last pause of this process.
+   *
+   * <p>While it is false, {@link #live} may hold VMs that have ended.
+   */
+  default boolean isSettled() {
+    return true;
+  }
+
   /** Returns the live member of that name. */
   default Optional<Member> member(String vm) {
     return live().stream().filter(member -> member.vm().equals(vm)).findFirst();
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/DocumentPart.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/DocumentPart.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * A piece of a document's content.
+ * A piece of a document's transfer form: what lies between the bytes shared with the base
+ * revision, deflated.
  * </pre>
  *
  * Protobuf type {@code zinniaspan.peer.DocumentPart}
@@ -142,6 +143,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object sha256_ = "";
   /**
+   * <pre>
+   * SHA-256 of the whole content in hexadecimal.
+   * </pre>
+   *
    * <code>string sha256 = 6;</code>
    * @return The sha256.
    */
@@ -159,6 +164,10 @@
     }
   }
   /**
+   * <pre>
+   * SHA-256 of the whole content in hexadecimal.
+   * </pre>
+   *
    * <code>string sha256 = 6;</code>
    * @return The bytes for sha256.
    */
@@ -177,6 +186,51 @@
     }
   }
 
+  public static final int BASE_REVISION_FIELD_NUMBER = 7;
+  private long baseRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision that the receiver has and that the transfer form refers to; 0 for none.
+   * </pre>
+   *
+   * <code>int64 base_revision = 7;</code>
+   * @return The baseRevision.
+   */
+  @java.lang.Override
+  public long getBaseRevision() {
+    return baseRevision_;
+  }
+
+  public static final int BASE_PREFIX_FIELD_NUMBER = 8;
+  private int basePrefix_ = 0;
+  /**
+   * <pre>
+   * Bytes taken from the start of the base's content.
+   * </pre>
+   *
+   * <code>int32 base_prefix = 8;</code>
+   * @return The basePrefix.
+   */
+  @java.lang.Override
+  public int getBasePrefix() {
+    return basePrefix_;
+  }
+
+  public static final int BASE_SUFFIX_FIELD_NUMBER = 9;
+  private int baseSuffix_ = 0;
+  /**
+   * <pre>
+   * Bytes taken from the end of the base's content.
+   * </pre>
+   *
+   * <code>int32 base_suffix = 9;</code>
+   * @return The baseSuffix.
+   */
+  @java.lang.Override
+  public int getBaseSuffix() {
+    return baseSuffix_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -209,6 +263,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(sha256_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, sha256_);
     }
+    if (baseRevision_ != 0L) {
+      output.writeInt64(7, baseRevision_);
+    }
+    if (basePrefix_ != 0) {
+      output.writeInt32(8, basePrefix_);
+    }
+    if (baseSuffix_ != 0) {
+      output.writeInt32(9, baseSuffix_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -235,6 +298,18 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(sha256_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, sha256_);
     }
+    if (baseRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, baseRevision_);
+    }
+    if (basePrefix_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(8, basePrefix_);
+    }
+    if (baseSuffix_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(9, baseSuffix_);
+    }
     return size;
   }
   @java.lang.Override
@@ -271,6 +346,12 @@
         .equals(other.getContent())) return false;
     if (!getSha256()
         .equals(other.getSha256())) return false;
+    if (getBaseRevision()
+        != other.getBaseRevision()) return false;
+    if (getBasePrefix()
+        != other.getBasePrefix()) return false;
+    if (getBaseSuffix()
+        != other.getBaseSuffix()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -297,6 +378,13 @@
     hash = (53 * hash) + getContent().hashCode();
     hash = (37 * hash) + SHA256_FIELD_NUMBER;
     hash = (53 * hash) + getSha256().hashCode();
+    hash = (37 * hash) + BASE_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBaseRevision());
+    hash = (37 * hash) + BASE_PREFIX_FIELD_NUMBER;
+    hash = (53 * hash) + getBasePrefix();
+    hash = (37 * hash) + BASE_SUFFIX_FIELD_NUMBER;
+    hash = (53 * hash) + getBaseSuffix();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -396,7 +484,8 @@
   }
   /**
    * <pre>
-   * A piece of a document's content.
+   * A piece of a document's transfer form: what lies between the bytes shared with the base
+   * revision, deflated.
    * </pre>
    *
    * Protobuf type {@code zinniaspan.peer.DocumentPart}
@@ -438,6 +527,9 @@
       total_ = 0L;
       content_ = com.google.protobuf.ByteString.EMPTY;
       sha256_ = "";
+      baseRevision_ = 0L;
+      basePrefix_ = 0;
+      baseSuffix_ = 0;
       return this;
     }
 
@@ -489,6 +581,15 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.sha256_ = sha256_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.baseRevision_ = baseRevision_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.basePrefix_ = basePrefix_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.baseSuffix_ = baseSuffix_;
+      }
     }
 
     @java.lang.Override
@@ -525,6 +626,15 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.getBaseRevision() != 0L) {
+        setBaseRevision(other.getBaseRevision());
+      }
+      if (other.getBasePrefix() != 0) {
+        setBasePrefix(other.getBasePrefix());
+      }
+      if (other.getBaseSuffix() != 0) {
+        setBaseSuffix(other.getBaseSuffix());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -579,6 +689,21 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              baseRevision_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              basePrefix_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              baseSuffix_ = input.readInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -798,6 +923,10 @@
 
     private java.lang.Object sha256_ = "";
     /**
+     * <pre>
+     * SHA-256 of the whole content in hexadecimal.
+     * </pre>
+     *
      * <code>string sha256 = 6;</code>
      * @return The sha256.
      */
@@ -814,6 +943,10 @@
       }
     }
     /**
+     * <pre>
+     * SHA-256 of the whole content in hexadecimal.
+     * </pre>
+     *
      * <code>string sha256 = 6;</code>
      * @return The bytes for sha256.
      */
@@ -831,6 +964,10 @@
       }
     }
     /**
+     * <pre>
+     * SHA-256 of the whole content in hexadecimal.
+     * </pre>
+     *
      * <code>string sha256 = 6;</code>
      * @param value The sha256 to set.
      * @return This builder for chaining.
@@ -844,6 +981,10 @@
       return this;
     }
     /**
+     * <pre>
+     * SHA-256 of the whole content in hexadecimal.
+     * </pre>
+     *
      * <code>string sha256 = 6;</code>
      * @return This builder for chaining.
      */
@@ -854,6 +995,10 @@
       return this;
     }
     /**
+     * <pre>
+     * SHA-256 of the whole content in hexadecimal.
+     * </pre>
+     *
      * <code>string sha256 = 6;</code>
      * @param value The bytes for sha256 to set.
      * @return This builder for chaining.
@@ -868,6 +1013,138 @@
       return this;
     }
 
+    private long baseRevision_ ;
+    /**
+     * <pre>
+     * Revision that the receiver has and that the transfer form refers to; 0 for none.
+     * </pre>
+     *
+     * <code>int64 base_revision = 7;</code>
+     * @return The baseRevision.
+     */
+    @java.lang.Override
+    public long getBaseRevision() {
+      return baseRevision_;
+    }
+    /**
+     * <pre>
+     * Revision that the receiver has and that the transfer form refers to; 0 for none.
+     * </pre>
+     *
+     * <code>int64 base_revision = 7;</code>
+     * @param value The baseRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBaseRevision(long value) {
+
+      baseRevision_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision that the receiver has and that the transfer form refers to; 0 for none.
+     * </pre>
+     *
+     * <code>int64 base_revision = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBaseRevision() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      baseRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int basePrefix_ ;
+    /**
+     * <pre>
+     * Bytes taken from the start of the base's content.
+     * </pre>
+     *
+     * <code>int32 base_prefix = 8;</code>
+     * @return The basePrefix.
+     */
+    @java.lang.Override
+    public int getBasePrefix() {
+      return basePrefix_;
+    }
+    /**
+     * <pre>
+     * Bytes taken from the start of the base's content.
+     * </pre>
+     *
+     * <code>int32 base_prefix = 8;</code>
+     * @param value The basePrefix to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBasePrefix(int value) {
+
+      basePrefix_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Bytes taken from the start of the base's content.
+     * </pre>
+     *
+     * <code>int32 base_prefix = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBasePrefix() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      basePrefix_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int baseSuffix_ ;
+    /**
+     * <pre>
+     * Bytes taken from the end of the base's content.
+     * </pre>
+     *
+     * <code>int32 base_suffix = 9;</code>
+     * @return The baseSuffix.
+     */
+    @java.lang.Override
+    public int getBaseSuffix() {
+      return baseSuffix_;
+    }
+    /**
+     * <pre>
+     * Bytes taken from the end of the base's content.
+     * </pre>
+     *
+     * <code>int32 base_suffix = 9;</code>
+     * @param value The baseSuffix to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBaseSuffix(int value) {
+
+      baseSuffix_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Bytes taken from the end of the base's content.
+     * </pre>
+     *
+     * <code>int32 base_suffix = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBaseSuffix() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      baseSuffix_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.DocumentPart)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/DocumentPartOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/DocumentPartOrBuilder.java
@@ -47,14 +47,52 @@
   com.google.protobuf.ByteString getContent();
 
   /**
+   * <pre>
+   * SHA-256 of the whole content in hexadecimal.
+   * </pre>
+   *
    * <code>string sha256 = 6;</code>
    * @return The sha256.
    */
   java.lang.String getSha256();
   /**
+   * <pre>
+   * SHA-256 of the whole content in hexadecimal.
+   * </pre>
+   *
    * <code>string sha256 = 6;</code>
    * @return The bytes for sha256.
    */
   com.google.protobuf.ByteString
       getSha256Bytes();
+
+  /**
+   * <pre>
+   * Revision that the receiver has and that the transfer form refers to; 0 for none.
+   * </pre>
+   *
+   * <code>int64 base_revision = 7;</code>
+   * @return The baseRevision.
+   */
+  long getBaseRevision();
+
+  /**
+   * <pre>
+   * Bytes taken from the start of the base's content.
+   * </pre>
+   *
+   * <code>int32 base_prefix = 8;</code>
+   * @return The basePrefix.
+   */
+  int getBasePrefix();
+
+  /**
+   * <pre>
+   * Bytes taken from the end of the base's content.
+   * </pre>
+   *
+   * <code>int32 base_suffix = 9;</code>
+   * @return The baseSuffix.
+   */
+  int getBaseSuffix();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Documents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Documents.java
@@ -48,10 +48,12 @@
       "\n\017documents.proto\022\017zinniaspan.peer\"U\n\017Do" +
       "cumentRequest\022\014\n\004name\030\001 \001(\t\022\022\n\nnewer_tha" +
       "n\030\002 \001(\003\022\016\n\006offset\030\003 \001(\003\022\020\n\010revision\030\004 \001(" +
-      "\003\"n\n\014DocumentPart\022\014\n\004name\030\001 \001(\t\022\020\n\010revis" +
-      "ion\030\002 \001(\003\022\016\n\006offset\030\003 \001(\003\022\r\n\005total\030\004 \001(\003" +
-      "\022\017\n\007content\030\005 \001(\014\022\016\n\006sha256\030\006 \001(\tB\035\n\031org" +
-      ".zinniaspan.peer.protoP\001b\006proto3"
+      "\003\"\257\001\n\014DocumentPart\022\014\n\004name\030\001 \001(\t\022\020\n\010revi" +
+      "sion\030\002 \001(\003\022\016\n\006offset\030\003 \001(\003\022\r\n\005total\030\004 \001(" +
+      "\003\022\017\n\007content\030\005 \001(\014\022\016\n\006sha256\030\006 \001(\t\022\025\n\rba" +
+      "se_revision\030\007 \001(\003\022\023\n\013base_prefix\030\010 \001(\005\022\023" +
+      "\n\013base_suffix\030\t \001(\005B\035\n\031org.zinniaspan.pe" +
+      "er.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -68,7 +70,7 @@
     internal_static_zinniaspan_peer_DocumentPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_DocumentPart_descriptor,
-        new java.lang.String[] { "Name", "Revision", "Offset", "Total", "Content", "Sha256", });
+        new java.lang.String[] { "Name", "Revision", "Offset", "Total", "Content", "Sha256", "BaseRevision", "BasePrefix", "BaseSuffix", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Heartbeat.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Heartbeat.java
@@ -34,6 +34,8 @@
   private Heartbeat() {
     entries_ = java.util.Collections.emptyList();
     revisions_ = java.util.Collections.emptyList();
+    digestKeys_ = emptyIntList();
+    digestHeartbeats_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -151,6 +153,105 @@
     return replyWanted_;
   }
 
+  public static final int DIGEST_KEYS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList digestKeys_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Keys of members that are not among the entries: hashes of name and incarnation.
+   * </pre>
+   *
+   * <code>repeated fixed32 digest_keys = 4;</code>
+   * @return A list containing the digestKeys.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getDigestKeysList() {
+    return digestKeys_;
+  }
+  /**
+   * <pre>
+   * Keys of members that are not among the entries: hashes of name and incarnation.
+   * </pre>
+   *
+   * <code>repeated fixed32 digest_keys = 4;</code>
+   * @return The count of digestKeys.
+   */
+  public int getDigestKeysCount() {
+    return digestKeys_.size();
+  }
+  /**
+   * <pre>
+   * Keys of members that are not among the entries: hashes of name and incarnation.
+   * </pre>
+   *
+   * <code>repeated fixed32 digest_keys = 4;</code>
+   * @param index The index of the element to return.
+   * @return The digestKeys at the given index.
+   */
+  public int getDigestKeys(int index) {
+    return digestKeys_.getInt(index);
+  }
+  private int digestKeysMemoizedSerializedSize = -1;
+
+  public static final int DIGEST_HEARTBEATS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList digestHeartbeats_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * Heartbeat counters in the order of the keys.
+   * </pre>
+   *
+   * <code>repeated uint64 digest_heartbeats = 5;</code>
+   * @return A list containing the digestHeartbeats.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getDigestHeartbeatsList() {
+    return digestHeartbeats_;
+  }
+  /**
+   * <pre>
+   * Heartbeat counters in the order of the keys.
+   * </pre>
+   *
+   * <code>repeated uint64 digest_heartbeats = 5;</code>
+   * @return The count of digestHeartbeats.
+   */
+  public int getDigestHeartbeatsCount() {
+    return digestHeartbeats_.size();
+  }
+  /**
+   * <pre>
+   * Heartbeat counters in the order of the keys.
+   * </pre>
+   *
+   * <code>repeated uint64 digest_heartbeats = 5;</code>
+   * @param index The index of the element to return.
+   * @return The digestHeartbeats at the given index.
+   */
+  public long getDigestHeartbeats(int index) {
+    return digestHeartbeats_.getLong(index);
+  }
+  private int digestHeartbeatsMemoizedSerializedSize = -1;
+
+  public static final int PLATFORM_AGE_MS_FIELD_NUMBER = 6;
+  private long platformAgeMs_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds since the sender's availability zone last heard the platform, plus one; 0: never.
+   * </pre>
+   *
+   * <code>uint64 platform_age_ms = 6;</code>
+   * @return The platformAgeMs.
+   */
+  @java.lang.Override
+  public long getPlatformAgeMs() {
+    return platformAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -165,6 +266,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     for (int i = 0; i < entries_.size(); i++) {
       output.writeMessage(1, entries_.get(i));
     }
@@ -174,6 +276,23 @@
     if (replyWanted_ != false) {
       output.writeBool(3, replyWanted_);
     }
+    if (getDigestKeysList().size() > 0) {
+      output.writeUInt32NoTag(34);
+      output.writeUInt32NoTag(digestKeysMemoizedSerializedSize);
+    }
+    for (int i = 0; i < digestKeys_.size(); i++) {
+      output.writeFixed32NoTag(digestKeys_.getInt(i));
+    }
+    if (getDigestHeartbeatsList().size() > 0) {
+      output.writeUInt32NoTag(42);
+      output.writeUInt32NoTag(digestHeartbeatsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < digestHeartbeats_.size(); i++) {
+      output.writeUInt64NoTag(digestHeartbeats_.getLong(i));
+    }
+    if (platformAgeMs_ != 0L) {
+      output.writeUInt64(6, platformAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -200,6 +319,35 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, replyWanted_);
     }
+    {
+      int dataSize = 0;
+      dataSize = 4 * getDigestKeysList().size();
+      size += dataSize;
+      if (!getDigestKeysList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      digestKeysMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < digestHeartbeats_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt64SizeNoTag(digestHeartbeats_.getLong(i));
+      }
+      size += dataSize;
+      if (!getDigestHeartbeatsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      digestHeartbeatsMemoizedSerializedSize = dataSize;
+    }
+    if (platformAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, platformAgeMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -230,6 +378,12 @@
         .equals(other.getRevisionsList())) return false;
     if (getReplyWanted()
         != other.getReplyWanted()) return false;
+    if (!getDigestKeysList()
+        .equals(other.getDigestKeysList())) return false;
+    if (!getDigestHeartbeatsList()
+        .equals(other.getDigestHeartbeatsList())) return false;
+    if (getPlatformAgeMs()
+        != other.getPlatformAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -252,6 +406,17 @@
     hash = (37 * hash) + REPLY_WANTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReplyWanted());
+    if (getDigestKeysCount() > 0) {
+      hash = (37 * hash) + DIGEST_KEYS_FIELD_NUMBER;
+      hash = (53 * hash) + getDigestKeysList().hashCode();
+    }
+    if (getDigestHeartbeatsCount() > 0) {
+      hash = (37 * hash) + DIGEST_HEARTBEATS_FIELD_NUMBER;
+      hash = (53 * hash) + getDigestHeartbeatsList().hashCode();
+    }
+    hash = (37 * hash) + PLATFORM_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPlatformAgeMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -402,6 +567,9 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       replyWanted_ = false;
+      digestKeys_ = emptyIntList();
+      digestHeartbeats_ = emptyLongList();
+      platformAgeMs_ = 0L;
       return this;
     }
 
@@ -460,6 +628,17 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.replyWanted_ = replyWanted_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        digestKeys_.makeImmutable();
+        result.digestKeys_ = digestKeys_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        digestHeartbeats_.makeImmutable();
+        result.digestHeartbeats_ = digestHeartbeats_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.platformAgeMs_ = platformAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -529,6 +708,31 @@
       if (other.getReplyWanted() != false) {
         setReplyWanted(other.getReplyWanted());
       }
+      if (!other.digestKeys_.isEmpty()) {
+        if (digestKeys_.isEmpty()) {
+          digestKeys_ = other.digestKeys_;
+          digestKeys_.makeImmutable();
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureDigestKeysIsMutable();
+          digestKeys_.addAll(other.digestKeys_);
+        }
+        onChanged();
+      }
+      if (!other.digestHeartbeats_.isEmpty()) {
+        if (digestHeartbeats_.isEmpty()) {
+          digestHeartbeats_ = other.digestHeartbeats_;
+          digestHeartbeats_.makeImmutable();
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureDigestHeartbeatsIsMutable();
+          digestHeartbeats_.addAll(other.digestHeartbeats_);
+        }
+        onChanged();
+      }
+      if (other.getPlatformAgeMs() != 0L) {
+        setPlatformAgeMs(other.getPlatformAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -584,6 +788,44 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 37: {
+              int v = input.readFixed32();
+              ensureDigestKeysIsMutable();
+              digestKeys_.addInt(v);
+              break;
+            } // case 37
+            case 34: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureDigestKeysIsMutable(alloc / 4);
+              while (input.getBytesUntilLimit() > 0) {
+                digestKeys_.addInt(input.readFixed32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 34
+            case 40: {
+              long v = input.readUInt64();
+              ensureDigestHeartbeatsIsMutable();
+              digestHeartbeats_.addLong(v);
+              break;
+            } // case 40
+            case 42: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureDigestHeartbeatsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                digestHeartbeats_.addLong(input.readUInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 42
+            case 48: {
+              platformAgeMs_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1113,6 +1355,280 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.IntList digestKeys_ = emptyIntList();
+    private void ensureDigestKeysIsMutable() {
+      if (!digestKeys_.isModifiable()) {
+        digestKeys_ = makeMutableCopy(digestKeys_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    private void ensureDigestKeysIsMutable(int capacity) {
+      if (!digestKeys_.isModifiable()) {
+        digestKeys_ = makeMutableCopy(digestKeys_, capacity);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @return A list containing the digestKeys.
+     */
+    public java.util.List<java.lang.Integer>
+        getDigestKeysList() {
+      digestKeys_.makeImmutable();
+      return digestKeys_;
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @return The count of digestKeys.
+     */
+    public int getDigestKeysCount() {
+      return digestKeys_.size();
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @param index The index of the element to return.
+     * @return The digestKeys at the given index.
+     */
+    public int getDigestKeys(int index) {
+      return digestKeys_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The digestKeys to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigestKeys(
+        int index, int value) {
+
+      ensureDigestKeysIsMutable();
+      digestKeys_.setInt(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @param value The digestKeys to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDigestKeys(int value) {
+
+      ensureDigestKeysIsMutable();
+      digestKeys_.addInt(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @param values The digestKeys to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDigestKeys(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureDigestKeysIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, digestKeys_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys of members that are not among the entries: hashes of name and incarnation.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigestKeys() {
+      digestKeys_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList digestHeartbeats_ = emptyLongList();
+    private void ensureDigestHeartbeatsIsMutable() {
+      if (!digestHeartbeats_.isModifiable()) {
+        digestHeartbeats_ = makeMutableCopy(digestHeartbeats_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @return A list containing the digestHeartbeats.
+     */
+    public java.util.List<java.lang.Long>
+        getDigestHeartbeatsList() {
+      digestHeartbeats_.makeImmutable();
+      return digestHeartbeats_;
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @return The count of digestHeartbeats.
+     */
+    public int getDigestHeartbeatsCount() {
+      return digestHeartbeats_.size();
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @param index The index of the element to return.
+     * @return The digestHeartbeats at the given index.
+     */
+    public long getDigestHeartbeats(int index) {
+      return digestHeartbeats_.getLong(index);
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The digestHeartbeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigestHeartbeats(
+        int index, long value) {
+
+      ensureDigestHeartbeatsIsMutable();
+      digestHeartbeats_.setLong(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @param value The digestHeartbeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDigestHeartbeats(long value) {
+
+      ensureDigestHeartbeatsIsMutable();
+      digestHeartbeats_.addLong(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @param values The digestHeartbeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDigestHeartbeats(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureDigestHeartbeatsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, digestHeartbeats_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat counters in the order of the keys.
+     * </pre>
+     *
+     * <code>repeated uint64 digest_heartbeats = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigestHeartbeats() {
+      digestHeartbeats_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+
+    private long platformAgeMs_ ;
+    /**
+     * <pre>
+     * Milliseconds since the sender's availability zone last heard the platform, plus one; 0: never.
+     * </pre>
+     *
+     * <code>uint64 platform_age_ms = 6;</code>
+     * @return The platformAgeMs.
+     */
+    @java.lang.Override
+    public long getPlatformAgeMs() {
+      return platformAgeMs_;
+    }
+    /**
+     * <pre>
+     * Milliseconds since the sender's availability zone last heard the platform, plus one; 0: never.
+     * </pre>
+     *
+     * <code>uint64 platform_age_ms = 6;</code>
+     * @param value The platformAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPlatformAgeMs(long value) {
+
+      platformAgeMs_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds since the sender's availability zone last heard the platform, plus one; 0: never.
+     * </pre>
+     *
+     * <code>uint64 platform_age_ms = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPlatformAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      platformAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.Heartbeat)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/HeartbeatOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/HeartbeatOrBuilder.java
@@ -67,4 +67,72 @@
    * @return The replyWanted.
    */
   boolean getReplyWanted();
+
+  /**
+   * <pre>
+   * Keys of members that are not among the entries: hashes of name and incarnation.
+   * </pre>
+   *
+   * <code>repeated fixed32 digest_keys = 4;</code>
+   * @return A list containing the digestKeys.
+   */
+  java.util.List<java.lang.Integer> getDigestKeysList();
+  /**
+   * <pre>
+   * Keys of members that are not among the entries: hashes of name and incarnation.
+   * </pre>
+   *
+   * <code>repeated fixed32 digest_keys = 4;</code>
+   * @return The count of digestKeys.
+   */
+  int getDigestKeysCount();
+  /**
+   * <pre>
+   * Keys of members that are not among the entries: hashes of name and incarnation.
+   * </pre>
+   *
+   * <code>repeated fixed32 digest_keys = 4;</code>
+   * @param index The index of the element to return.
+   * @return The digestKeys at the given index.
+   */
+  int getDigestKeys(int index);
+
+  /**
+   * <pre>
+   * Heartbeat counters in the order of the keys.
+   * </pre>
+   *
+   * <code>repeated uint64 digest_heartbeats = 5;</code>
+   * @return A list containing the digestHeartbeats.
+   */
+  java.util.List<java.lang.Long> getDigestHeartbeatsList();
+  /**
+   * <pre>
+   * Heartbeat counters in the order of the keys.
+   * </pre>
+   *
+   * <code>repeated uint64 digest_heartbeats = 5;</code>
+   * @return The count of digestHeartbeats.
+   */
+  int getDigestHeartbeatsCount();
+  /**
+   * <pre>
+   * Heartbeat counters in the order of the keys.
+   * </pre>
+   *
+   * <code>repeated uint64 digest_heartbeats = 5;</code>
+   * @param index The index of the element to return.
+   * @return The digestHeartbeats at the given index.
+   */
+  long getDigestHeartbeats(int index);
+
+  /**
+   * <pre>
+   * Milliseconds since the sender's availability zone last heard the platform, plus one; 0: never.
+   * </pre>
+   *
+   * <code>uint64 platform_age_ms = 6;</code>
+   * @return The platformAgeMs.
+   */
+  long getPlatformAgeMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Membership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Membership.java
@@ -54,12 +54,13 @@
       "emberEntry\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
       "\001(\003\022\021\n\theartbeat\030\003 \001(\003\022\017\n\007leaving\030\004 \001(\010\022" +
       "\017\n\007address\030\005 \001(\t\"2\n\020DocumentRevision\022\014\n\004" +
-      "name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\"\206\001\n\tHeartbe" +
+      "name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\"\317\001\n\tHeartbe" +
       "at\022-\n\007entries\030\001 \003(\0132\034.zinniaspan.peer.Me" +
       "mberEntry\0224\n\trevisions\030\002 \003(\0132!.zinniaspa" +
       "n.peer.DocumentRevision\022\024\n\014reply_wanted\030" +
-      "\003 \001(\010B\035\n\031org.zinniaspan.peer.protoP\001b\006pr" +
-      "oto3"
+      "\003 \001(\010\022\023\n\013digest_keys\030\004 \003(\007\022\031\n\021digest_hea" +
+      "rtbeats\030\005 \003(\004\022\027\n\017platform_age_ms\030\006 \001(\004B\035" +
+      "\n\031org.zinniaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -82,7 +83,7 @@
     internal_static_zinniaspan_peer_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Heartbeat_descriptor,
-        new java.lang.String[] { "Entries", "Revisions", "ReplyWanted", });
+        new java.lang.String[] { "Entries", "Revisions", "ReplyWanted", "DigestKeys", "DigestHeartbeats", "PlatformAgeMs", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
