Make the stand-ins step whole batches, and add load and experiment commands

Cause: the engine stand-in parked one thread per token, so its pace drifted with the number of threads, prompts were read beside the batch at no cost to it, and its counts could not give the waste end to end. Now one loop moves the batch on; a step reads at most 64 prompt tokens, and the counts give generated, delivered and cancelled tokens and bytes. The platform stand-in delays the list of VMs and tells its calls. `load` sends open-loop, seeded requests of both firms; `experiment` compares policies over the same seeds.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/PlatformCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/PlatformCommand.java
@@ -18,6 +18,9 @@
   @Parameter(names = "--documents", description = "Folder with files NAME.json to publish.")
   String documents = "";
 
+  @Parameter(names = "--vms-lag-ms", description = "Age at which a list of VMs becomes visible.")
+  long vmsLagMs;
+
   @Override
   public int run() throws Exception {
     try (PlatformServer server = new PlatformServer(Addresses.parse(listen))) {
@@ -27,6 +30,7 @@
           server.state().publish(name, Files.readAllBytes(file));
         }
       }
+      server.setVmsLagMs(vmsLagMs);
       return StandinCommand.serveUntilStopped();
     }
   }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import org.zinniaspan.cli.EnvironmentDefaults;
 import org.zinniaspan.standins.demo.DemoCommand;
+import org.zinniaspan.standins.load.ExperimentCommand;
+import org.zinniaspan.standins.load.LoadCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -26,6 +28,8 @@
     commands.put("engine", new EngineCommand());
     commands.put("service", new ServiceCommand());
     commands.put("demo", new DemoCommand());
+    commands.put("load", new LoadCommand());
+    commands.put("experiment", new ExperimentCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("zinniaspan-standins")
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/caller/CallerClient.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/caller/CallerClient.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
@@ -36,11 +37,18 @@
       String model, String prompt, Optional<String> serviceClass, boolean stream) {}
 
   private final String key;
+  private final LongConsumer gapNanos;
   private final ObjectMapper mapper = new ObjectMapper();
 
   /** Creates a caller with an organisation's key. */
   public CallerClient(String key) {
+    this(key, nanos -> {});
+  }
+
+  /** Creates a caller that tells the nanoseconds between each two tokens of a stream. */
+  public CallerClient(String key, LongConsumer gapNanos) {
     this.key = key;
+    this.gapNanos = gapNanos;
   }
 
   /** Sends a chat request and waits for its end. */
@@ -144,11 +152,12 @@
     return (System.nanoTime() - startNanos) / NANOS_PER_MS;
   }
 
-  private static final class Reading {
+  private final class Reading {
 
     private final long start;
     private final StringBuilder text = new StringBuilder();
     private double firstTokenMs;
+    private long lastTokenNanos;
     private int tokens;
     private boolean complete;
 
@@ -160,9 +169,13 @@
       if (value.isEmpty()) {
         return;
       }
+      long now = System.nanoTime();
       if (tokens == 0) {
         firstTokenMs = elapsedMs(start);
+      } else {
+        gapNanos.accept(now - lastTokenNanos);
       }
+      lastTokenNanos = now;
       tokens++;
       text.append(value);
     }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineCore.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineCore.java
@@ -1,105 +1,140 @@
 package org.zinniaspan.standins.engine;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.Iterator;
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Set;
 
 /**
  * The scheduler of an engine stand-in: continuous batching by priority, and a prefix cache.
  *
- * <p>State is guarded by this object's lock.
+ * <p>Each step reads a limited number of prompt tokens and adds one token to each answer whose
+ * prompt has been read. State is guarded by this object's lock.
  */
 public final class EngineCore {
 
+  /** Prompt tokens that one step reads at most. */
+  public static final int PREFILL_TOKENS_PER_STEP = 64;
+
+  private static final double MS_PER_SECOND = 1_000.0;
+
   /** What an engine said of its load at one time. */
   public record Load(long atMs, int running, int waiting, double msPerToken) {}
 
-  private record Waiting(int priority, long order) {}
+  /**
+   * What an engine has done since its start.
+   *
+   * @param generated tokens generated
+   * @param delivered tokens of answers that were written to their end
+   * @param cancelled tokens of answers that were broken off
+   * @param deliveredBytes bytes of answers that were written to their end
+   * @param cancelledBytes bytes of answers that were broken off
+   */
+  public record Counts(
+      long generated, long delivered, long cancelled, long deliveredBytes, long cancelledBytes) {}
 
   private final EngineModel model;
-  private final PriorityQueue<Waiting> waiting =
+  private final PriorityQueue<Sequence> waiting =
       new PriorityQueue<>(
-          Comparator.comparingInt(Waiting::priority).thenComparingLong(Waiting::order));
+          Comparator.comparingInt(Sequence::priority).thenComparingLong(Sequence::order));
+  private final List<Sequence> batch = new ArrayList<>();
   private final Deque<Load> loads = new ArrayDeque<>();
-  private final LinkedHashMap<Long, Integer> cache = new LinkedHashMap<>(16, 0.75f, true);
+  private final PrefixCache cache;
   private final Set<String> models = new HashSet<>();
-  private int cachedTokens;
-  private int running;
   private long nextOrder;
   private double slowdown = 1;
   private boolean leaving;
   private long highestFencing;
-  private long generatedTokens;
-  private long cancelledTokens;
+  private Counts counts = new Counts(0, 0, 0, 0, 0);
 
   /** Creates an idle engine that serves the given models. */
   public EngineCore(EngineModel model, Set<String> models) {
     this.model = model;
     this.models.addAll(models);
+    this.cache = new PrefixCache(model.cacheTokens());
   }
 
-  /** Waits for a place in the batch; returns false if the thread was interrupted. */
-  public synchronized boolean enter(int priority) {
-    Waiting own = new Waiting(priority, nextOrder++);
-    waiting.add(own);
-    try {
-      while (running >= model.slots() || waiting.peek() != own) {
-        wait();
-      }
-      running++;
-      return true;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return false;
-    } finally {
-      waiting.remove(own);
-      notifyAll();
+  /** Queues an answer; it joins the batch at one of the next steps. */
+  synchronized Sequence submit(Generation generation) {
+    Sequence sequence = new Sequence(generation, nextOrder++);
+    waiting.add(sequence);
+    notifyAll();
+    return sequence;
+  }
+
+  /** Counts an answer that was written to its end or broken off. */
+  synchronized void ended(Sequence sequence, boolean whole, long bytes) {
+    sequence.stop();
+    int own = sequence.own();
+    counts =
+        new Counts(
+            counts.generated(),
+            counts.delivered() + (whole ? own : 0),
+            counts.cancelled() + (whole ? 0 : own),
+            counts.deliveredBytes() + (whole ? bytes : 0),
+            counts.cancelledBytes() + (whole ? 0 : bytes));
+  }
+
+  /** Fills the batch, reads prompts, and returns the milliseconds that this step takes. */
+  synchronized double beginStep() {
+    batch.removeIf(Sequence::isOver);
+    waiting.removeIf(Sequence::isOver);
+    while (batch.size() < model.slots() && !waiting.isEmpty()) {
+      admit(waiting.poll());
+    }
+    if (batch.isEmpty()) {
+      return 0;
     }
+    return msPerToken() + MS_PER_SECOND * prefill() / model.prefillTokensPerSecond() * slowdown;
   }
 
-  /** Leaves the batch. */
-  public synchronized void exit() {
-    running--;
-    notifyAll();
+  private void admit(Sequence sequence) {
+    Generation generation = sequence.generation();
+    int cached = cache.use(generation.blocks());
+    sequence.admit(Math.max(1, generation.promptTokens() + generation.resumeFrom() - cached));
+    batch.add(sequence);
   }
 
-  /** Returns the milliseconds that reading the prompt takes, and caches the prompt. */
-  public synchronized double prefillMs(long prefixDigest, int prefixTokens, int promptTokens) {
-    int cached = cache.getOrDefault(prefixDigest, 0);
-    remember(prefixDigest, prefixTokens);
-    int toRead = Math.max(1, promptTokens - cached);
-    return 1_000.0 * toRead / model.prefillTokensPerSecond() * slowdown;
+  private int prefill() {
+    int left = PREFILL_TOKENS_PER_STEP;
+    for (Sequence sequence : batch) {
+      left -= sequence.prefill(left);
+    }
+    return PREFILL_TOKENS_PER_STEP - left;
   }
 
-  private void remember(long prefixDigest, int prefixTokens) {
-    Integer before = cache.put(prefixDigest, prefixTokens);
-    cachedTokens += prefixTokens - (before == null ? 0 : before);
-    var oldest = cache.entrySet().iterator();
-    while (cachedTokens > model.cacheTokens() && oldest.hasNext()) {
-      Map.Entry<Long, Integer> entry = oldest.next();
-      cachedTokens -= entry.getValue();
-      oldest.remove();
-    }
+  /** Adds one token to each answer of the batch whose prompt has been read. */
+  synchronized void endStep() {
+    long added = batch.stream().filter(Sequence::decode).count();
+    counts =
+        new Counts(
+            counts.generated() + added,
+            counts.delivered(),
+            counts.cancelled(),
+            counts.deliveredBytes(),
+            counts.cancelledBytes());
   }
 
-  /** Returns the milliseconds until the next token of one request. */
-  public synchronized double msPerToken() {
-    return (model.baseMsPerToken() + running * model.msPerTokenPerRequest()) * slowdown;
+  /** Waits until there is work or the time is over. */
+  synchronized void awaitWork(long waitMs) throws InterruptedException {
+    if (waiting.isEmpty()) {
+      wait(waitMs);
+    }
   }
 
-  /** Counts a generated token. */
-  public synchronized void countToken() {
-    generatedTokens++;
+  /** Returns the milliseconds of a step that reads no prompt. */
+  public synchronized double msPerToken() {
+    return (model.baseMsPerToken() + batch.size() * model.msPerTokenPerRequest()) * slowdown;
   }
 
-  /** Counts the tokens of an answer that nobody received. */
-  public synchronized void countCancelled(int tokens) {
-    cancelledTokens += tokens;
+  /** Returns the prompt tokens that it reads in a second. */
+  public synchronized double prefillTokensPerSecond() {
+    return model.prefillTokensPerSecond() / slowdown;
   }
 
   /** Makes the engine slower, as a straggler; 1 is its usual pace. */
@@ -140,26 +175,31 @@
 
   /** Returns the load of now. */
   public synchronized Load loadNow(long nowMs) {
-    return new Load(nowMs, running, waiting.size(), msPerToken());
+    return new Load(nowMs, batch.size(), waiting.size(), msPerToken());
   }
 
-  /** Returns the load as it was when the report lag began. */
-  public synchronized Load laggedLoad(long nowMs) {
+  /** Keeps the load of now for later reports. */
+  public synchronized void recordLoad(long nowMs) {
     loads.addLast(loadNow(nowMs));
-    while (loads.size() > 1 && secondAge(nowMs) >= model.reportLagMs()) {
+    while (loads.size() > 1 && nowMs - second().atMs() >= model.reportLagMs()) {
       loads.removeFirst();
     }
-    return loads.peekFirst();
   }
 
-  private long secondAge(long nowMs) {
-    var iterator = loads.iterator();
+  private Load second() {
+    Iterator<Load> iterator = loads.iterator();
     iterator.next();
-    return nowMs - iterator.next().atMs();
+    return iterator.next();
+  }
+
+  /** Returns the load as it was when the report lag began. */
+  public synchronized Load laggedLoad(long nowMs) {
+    recordLoad(nowMs);
+    return loads.peekFirst();
   }
 
-  /** Returns the tokens generated, and of these the ones that nobody received. */
-  public synchronized long[] tokenCounts() {
-    return new long[] {generatedTokens, cancelledTokens};
+  /** Returns what the engine has done since its start. */
+  public synchronized Counts counts() {
+    return counts;
   }
 }
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineLoop.java
@@ -0,0 +1,62 @@
+package org.zinniaspan.standins.engine;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** The one thread of an engine stand-in that moves its batch on, step by step. */
+final class EngineLoop implements AutoCloseable {
+
+  private static final double NANOS_PER_MS = 1_000_000.0;
+  private static final long SAMPLE_PERIOD_MS = 50;
+
+  private final EngineCore core;
+  private final Thread thread = new Thread(this::run, "engine-loop");
+  private long nextSampleMs;
+
+  EngineLoop(EngineCore core) {
+    this.core = core;
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void run() {
+    long dueNanos = System.nanoTime();
+    try {
+      while (!Thread.currentThread().isInterrupted()) {
+        sample();
+        double stepMs = core.beginStep();
+        if (stepMs == 0) {
+          core.awaitWork(SAMPLE_PERIOD_MS);
+          dueNanos = System.nanoTime();
+          continue;
+        }
+        dueNanos += (long) (stepMs * NANOS_PER_MS);
+        parkUntil(dueNanos);
+        core.endStep();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void parkUntil(long dueNanos) {
+    long left = dueNanos - System.nanoTime();
+    while (left > 0 && !Thread.currentThread().isInterrupted()) {
+      LockSupport.parkNanos(left);
+      left = dueNanos - System.nanoTime();
+    }
+  }
+
+  private void sample() {
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    if (nowMs >= nextSampleMs) {
+      nextSampleMs = nowMs + SAMPLE_PERIOD_MS;
+      core.recordLoad(System.currentTimeMillis());
+    }
+  }
+
+  @Override
+  public void close() {
+    thread.interrupt();
+  }
+}
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/EngineServer.java
@@ -5,10 +5,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
-import org.apache.commons.codec.digest.MurmurHash3;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -18,6 +16,7 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.zinniaspan.http.HttpListener;
 import org.zinniaspan.http.OpenAiEngineClient;
+import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.standins.Query;
 
 /**
@@ -30,7 +29,6 @@
  */
 public final class EngineServer implements HttpRequestHandler, AutoCloseable {
 
-  private static final int SHARED_PREFIX_CHARACTERS = 512;
   private static final int CHARACTERS_PER_TOKEN = 4;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
@@ -38,13 +36,15 @@
 
   private final EngineCore core;
   private final ObjectMapper mapper = new ObjectMapper();
+  private final Closer closer = new Closer();
   private final HttpListener listener;
 
   /** Starts the stand-in; port 0 takes any free port. */
   public EngineServer(InetSocketAddress address, EngineModel model, Set<String> models)
       throws IOException {
     core = new EngineCore(model, models);
-    listener = HttpListener.start(address, this);
+    closer.add(new EngineLoop(core));
+    listener = closer.add(HttpListener.start(address, this));
   }
 
   /** Returns the scheduler. */
@@ -66,8 +66,7 @@
     } else if (path.equals("/load")) {
       json(response, load());
     } else if (path.equals("/counts")) {
-      long[] counts = core.tokenCounts();
-      json(response, object().put("generated", counts[0]).put("cancelled", counts[1]));
+      json(response, mapper.valueToTree(core.counts()));
     } else if (path.equals("/orders")) {
       order(mapper.readTree(EntityUtils.toByteArray(request.getEntity())), response);
     } else if (path.startsWith("/control")) {
@@ -91,7 +90,7 @@
             .put("running", load.running())
             .put("waiting", load.waiting())
             .put("msPerToken", load.msPerToken())
-            .put("prefillTokensPerSecond", 0.0)
+            .put("prefillTokensPerSecond", core.prefillTokensPerSecond())
             .put("leaving", core.isLeaving())
             .put("highestFencing", core.highestFencing());
     core.models().forEach(body.putArray("models")::add);
@@ -129,14 +128,11 @@
     StringBuilder prompt = new StringBuilder();
     request.path("messages").forEach(m -> prompt.append(m.path("content").asText()).append('\n'));
     String text = prompt.toString();
-    int prefixLength = Math.min(SHARED_PREFIX_CHARACTERS, text.length());
-    byte[] prefix = text.substring(0, prefixLength).getBytes(StandardCharsets.UTF_8);
     Generation generation =
         new Generation(
             request.path("model").asText(),
             text,
-            MurmurHash3.hash128x64(prefix)[0],
-            prefixLength / CHARACTERS_PER_TOKEN,
+            PrefixCache.blocksOf(text),
             text.length() / CHARACTERS_PER_TOKEN,
             request.path("priority").asInt(0),
             request.path("resume_from_token").asInt(0),
@@ -162,6 +158,6 @@
 
   @Override
   public void close() {
-    listener.close();
+    closer.close();
   }
 }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/Generation.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/Generation.java
@@ -1,12 +1,13 @@
 package org.zinniaspan.standins.engine;
 
+import java.util.List;
+
 /**
  * One answer to generate.
  *
  * @param model model that answers
  * @param prompt text of all messages
- * @param prefixDigest digest of the prefix that the cache knows
- * @param prefixTokens length of that prefix in tokens
+ * @param blocks digests of the prompt's blocks, as {@link PrefixCache#blocksOf} returns them
  * @param promptTokens length of the prompt in tokens
  * @param priority lower goes first
  * @param resumeFrom tokens to skip
@@ -15,8 +16,7 @@
 record Generation(
     String model,
     String prompt,
-    long prefixDigest,
-    int prefixTokens,
+    List<Long> blocks,
     int promptTokens,
     int priority,
     int resumeFrom,
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/GenerationEntity.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/GenerationEntity.java
@@ -6,7 +6,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.AbstractHttpEntity;
@@ -14,56 +13,53 @@
 /** Generates an answer token by token at the pace of the engine, as server-sent events. */
 final class GenerationEntity extends AbstractHttpEntity {
 
-  private static final double NANOS_PER_MS = 1_000_000.0;
-  private static final int PROBE_PERIOD_TOKENS = 8;
+  private static final long WAIT_MS = 50;
+  private static final byte[] DATA = "data: ".getBytes(StandardCharsets.UTF_8);
+  private static final byte[] END = "\n\n".getBytes(StandardCharsets.UTF_8);
 
   private final Generation generation;
   private final EngineCore core;
   private final BooleanSupplier callerLeft;
   private final ObjectMapper mapper = new ObjectMapper();
+  private final Words words;
+  private long bytes;
 
   GenerationEntity(Generation generation, EngineCore core, BooleanSupplier callerLeft) {
     super(ContentType.TEXT_EVENT_STREAM, null, true);
     this.generation = generation;
     this.core = core;
     this.callerLeft = callerLeft;
+    this.words = new Words(generation.prompt());
   }
 
   @Override
   public void writeTo(OutputStream out) throws IOException {
-    if (!core.enter(generation.priority())) {
-      throw new IOException("engine stops");
-    }
-    int index = generation.resumeFrom();
+    Sequence sequence = core.submit(generation);
+    boolean whole = false;
     try {
-      double prefillMs =
-          core.prefillMs(
-              generation.prefixDigest(), generation.prefixTokens(), generation.promptTokens());
-      pause(prefillMs);
-      for (; index < generation.length(); index++) {
-        stopIfCallerLeft(index);
-        pause(core.msPerToken());
-        core.countToken();
-        event(out, chunk(Words.token(generation.prompt(), index), null));
+      int written = generation.resumeFrom();
+      while (written < generation.length()) {
+        written = writeTokens(out, written, sequence.awaitMoreThan(written, WAIT_MS));
       }
       event(out, chunk("", "stop"));
       write(out, "[DONE]".getBytes(StandardCharsets.UTF_8));
-    } catch (IOException e) {
-      core.countCancelled(index - generation.resumeFrom());
-      throw e;
+      whole = true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("engine stops", e);
     } finally {
-      core.exit();
+      core.ended(sequence, whole, bytes);
     }
   }
 
-  private void stopIfCallerLeft(int index) throws IOException {
-    if (index % PROBE_PERIOD_TOKENS == 0 && callerLeft.getAsBoolean()) {
+  private int writeTokens(OutputStream out, int written, int generated) throws IOException {
+    if (written == generated && callerLeft.getAsBoolean()) {
       throw new IOException("caller left");
     }
-  }
-
-  private static void pause(double ms) {
-    LockSupport.parkNanos((long) (ms * NANOS_PER_MS));
+    for (int i = written; i < generated; i++) {
+      event(out, chunk(words.token(i), null));
+    }
+    return generated;
   }
 
   private ObjectNode chunk(String text, String finishReason) {
@@ -80,11 +76,12 @@
     write(out, mapper.writeValueAsBytes(data));
   }
 
-  private static void write(OutputStream out, byte[] data) throws IOException {
-    out.write("data: ".getBytes(StandardCharsets.UTF_8));
+  private void write(OutputStream out, byte[] data) throws IOException {
+    out.write(DATA);
     out.write(data);
-    out.write("\n\n".getBytes(StandardCharsets.UTF_8));
+    out.write(END);
     out.flush();
+    bytes += DATA.length + data.length + END.length;
   }
 
   @Override
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/PrefixCache.java
@@ -0,0 +1,56 @@
+package org.zinniaspan.standins.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * The prompt blocks that an engine keeps, least recently used dropped first; not thread-safe.
+ *
+ * <p>A block is found only together with all blocks before it.
+ */
+final class PrefixCache {
+
+  /** Length of a block in characters. */
+  static final int BLOCK_CHARACTERS = 256;
+
+  private static final int CHARACTERS_PER_TOKEN = 4;
+
+  private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
+  private final int capacityBlocks;
+
+  PrefixCache(int capacityTokens) {
+    capacityBlocks = capacityTokens * CHARACTERS_PER_TOKEN / BLOCK_CHARACTERS;
+  }
+
+  /** Returns the digests of the whole blocks of a prompt, each including all blocks before it. */
+  static List<Long> blocksOf(String prompt) {
+    List<Long> digests = new ArrayList<>();
+    long before = 0;
+    for (int end = BLOCK_CHARACTERS; end <= prompt.length(); end += BLOCK_CHARACTERS) {
+      String block = before + prompt.substring(end - BLOCK_CHARACTERS, end);
+      before = MurmurHash3.hash128x64(block.getBytes(StandardCharsets.UTF_8))[0];
+      digests.add(before);
+    }
+    return digests;
+  }
+
+  /** Returns the tokens of the prompt that are cached, and caches the others. */
+  int use(List<Long> digests) {
+    int hits = 0;
+    while (hits < digests.size() && blocks.containsKey(digests.get(hits))) {
+      hits++;
+    }
+    digests.forEach(digest -> blocks.put(digest, Boolean.TRUE));
+    Iterator<Long> oldest = blocks.keySet().iterator();
+    while (blocks.size() > capacityBlocks && oldest.hasNext()) {
+      oldest.next();
+      oldest.remove();
+    }
+    return hits * BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN;
+  }
+}
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/Words.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/engine/Words.java
@@ -26,7 +26,11 @@
   };
   private static final int SHORTEST = 8;
 
-  private Words() {}
+  private final long seed;
+
+  Words(String prompt) {
+    seed = seed(prompt);
+  }
 
   /** Returns the length in tokens of the answer to a prompt whose class is given by its text. */
   public static int length(String prompt, int maxTokens) {
@@ -40,8 +44,8 @@
   }
 
   /** Returns the token of that index. */
-  public static String token(String prompt, int index) {
-    long mixed = MurmurHash3.hash64((int) (seed(prompt) + index * 31L));
+  String token(int index) {
+    long mixed = MurmurHash3.hash64((int) (seed + index * 31L));
     return WORDS[Math.floorMod(mixed, WORDS.length)] + " ";
   }
 
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/load/ExperimentCommand.java
@@ -0,0 +1,74 @@
+package org.zinniaspan.standins.load;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.zinniaspan.standins.StandinCommand;
+
+/**
+ * Runs policies over the same requests, one fleet at a time, and compares them.
+ *
+ * <p>Example: {@code zinniaspan-standins experiment --policy "rr=--endpoint-policy round-robin"
+ * --policy "ll=--endpoint-policy least-load" --demands 0.7,2 --seeds 1,2 --straggler}.
+ */
+@Parameters(commandDescription = "Compare policies over the same requests.")
+public final class ExperimentCommand implements StandinCommand {
+
+  @ParametersDelegate private final ScenarioSettings scenario = new ScenarioSettings();
+
+  @Parameter(
+      names = "--policy",
+      splitter = WholeText.class,
+      description = "NAME=FLAGS of the entry VMs; repeatable.")
+  List<String> policies = new ArrayList<>();
+
+  @Parameter(names = "--demands", description = "Factors of the capacity.")
+  List<Double> demands = new ArrayList<>(List.of(0.7, 1.0, 2.0));
+
+  @Parameter(names = "--seeds", description = "Seeds of the requests.")
+  List<Long> seeds = new ArrayList<>(List.of(1L, 2L));
+
+  @Parameter(names = "--json", description = "File for the figures.")
+  String json = "";
+
+  @Parameter(names = "--plot", description = "SVG file for a plot.")
+  String plot = "";
+
+  @Parameter(names = "--logs", description = "Folder for the logs of the processes.")
+  String logs = "";
+
+  @Override
+  public int run() throws Exception {
+    System.setProperty("java.awt.headless", "true");
+    Path folder =
+        logs.isEmpty() ? Files.createTempDirectory("zinniaspan-experiment") : Path.of(logs);
+    FleetRun runner = new FleetRun(scenario, folder);
+    List<String> named = policies.isEmpty() ? List.of("default") : policies;
+    List<LoadResult> results = new ArrayList<>();
+    for (double demand : demands) {
+      for (String text : named) {
+        for (long seed : seeds) {
+          LoadResult result = runner.run(Policy.parse(text), demand, seed);
+          System.out.println(result.table());
+          results.add(result);
+        }
+      }
+    }
+    report(results);
+    return 0;
+  }
+
+  private void report(List<LoadResult> results) throws Exception {
+    System.out.print(Reports.table(results));
+    if (!json.isEmpty()) {
+      Reports.writeJson(Path.of(json), results);
+    }
+    if (!plot.isEmpty()) {
+      Reports.writePlot(Path.of(plot), results);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/load/Prompts.java
@@ -0,0 +1,28 @@
+package org.zinniaspan.standins.load;
+
+/** Writes the prompts of requests. */
+final class Prompts {
+
+  private static final String FILLER =
+      "the vehicle, its owner, its plate and the page of the town; ";
+
+  private Prompts() {}
+
+  /** Returns a prompt whose first part all requests of its organisation and class share. */
+  static String of(Arrival arrival, RequestKind.Chat chat) {
+    String shared =
+        fill("organisation " + arrival.organisation() + " " + arrival.kind().serviceClass(), chat);
+    String own = "request " + arrival.number() + " ";
+    String text = own + FILLER.repeat(chat.ownCharacters() / FILLER.length());
+    return shared + text + "#tokens=" + arrival.tokens();
+  }
+
+  private static String fill(String start, RequestKind.Chat chat) {
+    StringBuilder text = new StringBuilder(start).append(' ');
+    while (text.length() < chat.sharedCharacters()) {
+      text.append(FILLER);
+    }
+    text.setLength(chat.sharedCharacters());
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/load/RequestKind.java
@@ -0,0 +1,69 @@
+package org.zinniaspan.standins.load;
+
+import java.util.Optional;
+import org.zinniaspan.standins.engine.EngineModel;
+
+/**
+ * One kind of request of a workload.
+ *
+ * @param serviceClass class of the request
+ * @param share share of all requests, from 0 to 1
+ * @param chat its shape if it goes to an engine
+ * @param call its shape if it goes to a plain service
+ */
+record RequestKind(String serviceClass, double share, Optional<Chat> chat, Optional<Call> call) {
+
+  private static final int CHARACTERS_PER_TOKEN = 4;
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  /**
+   * Shape of a chat request.
+   *
+   * @param model model that answers
+   * @param sharedCharacters length of the prefix that all requests of an organisation share
+   * @param ownCharacters length of the rest of the prompt
+   * @param meanTokens mean length of the answer in tokens
+   */
+  record Chat(String model, int sharedCharacters, int ownCharacters, int meanTokens) {}
+
+  /**
+   * Shape of a call to a plain service.
+   *
+   * @param method HTTP method
+   * @param path path with the service's name first
+   * @param keyed whether it carries an idempotency key
+   */
+  record Call(String method, String path, boolean keyed) {}
+
+  static RequestKind chat(
+      String serviceClass, double share, String model, int shared, int own, int meanTokens) {
+    Chat chat = new Chat(model, shared, own, meanTokens);
+    return new RequestKind(serviceClass, share, Optional.of(chat), Optional.empty());
+  }
+
+  static RequestKind read(String serviceClass, double share, String path) {
+    Call call = new Call("GET", path, false);
+    return new RequestKind(serviceClass, share, Optional.empty(), Optional.of(call));
+  }
+
+  static RequestKind keyed(String serviceClass, double share, String path) {
+    Call call = new Call("POST", path, true);
+    return new RequestKind(serviceClass, share, Optional.empty(), Optional.of(call));
+  }
+
+  /** Returns the milliseconds of a whole engine with a full batch that an answer takes. */
+  double engineMs(EngineModel model, int tokens) {
+    if (chat.isEmpty()) {
+      return 0;
+    }
+    double step = model.baseMsPerToken() + model.slots() * model.msPerTokenPerRequest();
+    double promptTokens = (double) chat.get().ownCharacters() / CHARACTERS_PER_TOKEN;
+    return tokens * step / model.slots()
+        + MS_PER_SECOND * promptTokens / model.prefillTokensPerSecond();
+  }
+
+  /** Returns the milliseconds of a whole engine that a request of this kind takes on average. */
+  double meanEngineMs(EngineModel model) {
+    return engineMs(model, chat.map(Chat::meanTokens).orElse(0));
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/load/WholeText.java
@@ -0,0 +1,13 @@
+package org.zinniaspan.standins.load;
+
+import com.beust.jcommander.converters.IParameterSplitter;
+import java.util.List;
+
+/** Keeps a value whole that may contain commas. */
+public final class WholeText implements IParameterSplitter {
+
+  @Override
+  public List<String> split(String value) {
+    return List.of(value);
+  }
+}
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformServer.java
@@ -7,6 +7,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -22,8 +25,9 @@
  * Stand-in for the platform's configuration service.
  *
  * <p>Readers use {@code GET /v1/documents/NAME} and {@code GET /v1/watch?after=R&waitMs=W}.
- * Operators and tests use {@code PUT /v1/documents/NAME} and {@code POST
- * /control?down=BOOL&stale=BOOL}.
+ * Operators and tests use {@code PUT /v1/documents/NAME}, {@code POST
+ * /control?down=BOOL&stale=BOOL&vmsLagMs=N} and {@code GET /counts}. A list of VMs becomes visible
+ * after its lag; until then the answer to its publication names the last revision.
  */
 public final class PlatformServer implements HttpRequestHandler, AutoCloseable {
 
@@ -32,9 +36,13 @@
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
 
+  private static final String VMS = "vms";
+
   private final PlatformState state = new PlatformState();
+  private final ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor();
   private final ObjectMapper mapper = new ObjectMapper();
   private final HttpListener listener;
+  private volatile long vmsLagMs;
 
   /** Starts the stand-in; port 0 takes any free port. */
   public PlatformServer(InetSocketAddress address) throws IOException {
@@ -46,6 +54,11 @@
     return state;
   }
 
+  /** Sets the time after which a published list of VMs is visible, in milliseconds. */
+  public void setVmsLagMs(long value) {
+    vmsLagMs = value;
+  }
+
   /** Returns the bound port. */
   public int port() {
     return listener.port();
@@ -59,9 +72,13 @@
       control(Query.of(path));
       return;
     }
+    if (path.equals("/counts")) {
+      json(response, mapper.createObjectNode().put("calls", state.calls()));
+      return;
+    }
     if (request.getMethod().equals("PUT") && path.startsWith(DOCUMENTS)) {
       byte[] content = EntityUtils.toByteArray(request.getEntity());
-      long revision = state.publish(path.substring(DOCUMENTS.length()), content);
+      long revision = publish(path.substring(DOCUMENTS.length()), content);
       response.setHeader(HttpDocumentSource.REVISION_HEADER, revision);
       return;
     }
@@ -77,9 +94,18 @@
     }
   }
 
+  private long publish(String name, byte[] content) {
+    if (!name.equals(VMS) || vmsLagMs == 0) {
+      return state.publish(name, content);
+    }
+    later.schedule(() -> state.publish(name, content), vmsLagMs, TimeUnit.MILLISECONDS);
+    return state.revision();
+  }
+
   private void control(Query query) {
     query.get("down").ifPresent(value -> state.setDown(Boolean.parseBoolean(value)));
     query.get("stale").ifPresent(value -> state.setStale(Boolean.parseBoolean(value)));
+    setVmsLagMs(query.number("vmsLagMs", vmsLagMs));
   }
 
   private void watch(Query query, ClassicHttpResponse response) throws IOException {
@@ -103,6 +129,10 @@
     for (PlatformState.Published change : changes) {
       rows.addObject().put("name", change.name()).put("revision", change.revision());
     }
+    json(response, body);
+  }
+
+  private void json(ClassicHttpResponse response, ObjectNode body) throws IOException {
     response.setEntity(
         new ByteArrayEntity(mapper.writeValueAsBytes(body), ContentType.APPLICATION_JSON));
   }
@@ -119,6 +149,7 @@
 
   @Override
   public void close() {
+    later.shutdownNow();
     listener.close();
   }
 }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformState.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformState.java
@@ -49,6 +49,11 @@
     return down;
   }
 
+  /** Returns the revision of the last published document. */
+  public synchronized long revision() {
+    return revision;
+  }
+
   /** Counts a call of a reader. */
   public synchronized void countCall() {
     calls++;
