--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -34,20 +34,20 @@
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.lifecycle.Drain;
 import org.zinniaspan.log.EventLog;
-import org.zinniaspan.membership.ListedMembership;
+import org.zinniaspan.membership.GossipMembership;
 import org.zinniaspan.membership.Member;
-import org.zinniaspan.membership.Membership;
 import org.zinniaspan.peer.NettyPeerTransport;
 import org.zinniaspan.peer.PeerLink;
 import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.peer.proto.Envelope;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
-import org.zinniaspan.routing.LeastReportedLoad;
-import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.routing.LearnedOutput;
 import org.zinniaspan.runner.CallRunner;
 import org.zinniaspan.runner.DirectCallRunner;
 import org.zinniaspan.stream.ChatRunner;
-import org.zinniaspan.stream.SingleAttemptRunner;
+import org.zinniaspan.stream.ResumingChatRunner;
+import org.zinniaspan.stream.RetryBudget;
 
 /**
  * The process of an entry VM: builds the parts, connects them and stops them in order.
@@ -68,12 +68,18 @@
   private final PeerRouter peers = new PeerRouter();
   private final List<Ticking> ticking = new ArrayList<>();
   private final EntrySettings settings;
-  private final Membership membership;
+  private final GossipMembership membership;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
     Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
-    this.membership = new ListedMembership(self, settings.zone, () -> store.current().vms());
+    this.membership =
+        new GossipMembership(
+            self,
+            settings.zone,
+            settings.zones.gossip(settings.seed),
+            () -> store.current().vms(),
+            clock);
   }
 
   /**
@@ -139,14 +145,20 @@
   }
 
   private EndpointChooser chooser() {
-    return switch (settings.routing.policy) {
-      case "round-robin" -> new RoundRobin();
-      default -> new LeastReportedLoad();
-    };
+    return settings.routing.chooser(settings.seed);
   }
 
   private ChatRunner chats(SlotService slots, EndpointTable table) {
-    return new SingleAttemptRunner(slots, new OpenAiEngineClient(), this::configuration, clock);
+    RoutingSettings routing = settings.routing;
+    table.setEjecting(routing.isEjecting());
+    return ResumingChatRunner.builder(slots, new OpenAiEngineClient())
+        .configuration(this::configuration)
+        .endpoints(table::endpointsOf)
+        .clock(clock)
+        .budget(new RetryBudget(routing.retryShare(), routing.retriesPerSecond, clock))
+        .estimates(new LearnedOutput())
+        .settings(routing.streams())
+        .build();
   }
 
   private CallRunner calls(SlotService slots, PeerLink link) {
@@ -156,6 +168,10 @@
   }
 
   private void feedConfiguration(PeerLink link) {
+    membership.connect(link, heartbeat -> {});
+    peers.register(membership, Envelope.BodyCase.HEARTBEAT);
+    ticking.add(membership);
+    drain.begun().thenRun(membership::leave);
     HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
     closer.add(new PlatformReader(source, store));
   }
