--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -8,6 +8,7 @@
 import org.zinniaspan.standins.demo.DemoCommand;
 import org.zinniaspan.standins.load.ExperimentCommand;
 import org.zinniaspan.standins.load.LoadCommand;
+import org.zinniaspan.standins.simulation.SimulateSlotsCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -30,6 +31,7 @@
     commands.put("demo", new DemoCommand());
     commands.put("load", new LoadCommand());
     commands.put("experiment", new ExperimentCommand());
+    commands.put("simulate-slots", new SimulateSlotsCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("zinniaspan-standins")
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/EventQueue.java
@@ -0,0 +1,43 @@
+package org.zinniaspan.standins.simulation;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.zinniaspan.clock.Clock;
+
+/** Virtual time: runs actions in order of the time for which they are planned. */
+final class EventQueue implements Clock {
+
+  private record Event(long timeMs, long order, Runnable action) {}
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::timeMs).thenComparingLong(Event::order));
+  private long nowMs = 1_000_000;
+  private long nextOrder;
+
+  @Override
+  public long nowMs() {
+    return nowMs;
+  }
+
+  void after(long delayMs, Runnable action) {
+    events.add(new Event(nowMs + delayMs, nextOrder++, action));
+  }
+
+  void every(long periodMs, Runnable action) {
+    after(
+        periodMs,
+        () -> {
+          action.run();
+          every(periodMs, action);
+        });
+  }
+
+  void runUntil(long endMs) {
+    while (!events.isEmpty() && events.peek().timeMs() <= endMs) {
+      Event event = events.poll();
+      nowMs = event.timeMs();
+      event.action().run();
+    }
+    nowMs = endMs;
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulateSlotsCommand.java
@@ -0,0 +1,81 @@
+package org.zinniaspan.standins.simulation;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.DoubleSummaryStatistics;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import org.zinniaspan.standins.StandinCommand;
+
+/** Compares ways to lend slots in virtual time, by attainment of each class. */
+@Parameters(commandDescription = "Compare ways to lend slots, in virtual time.")
+public final class SimulateSlotsCommand implements StandinCommand {
+
+  private static final double PERCENT = 100;
+
+  @Parameter(names = "--seed", description = "First seed.")
+  long seed = 1;
+
+  @Parameter(names = "--seeds", description = "Number of seeds, for the spread.")
+  int seeds = 5;
+
+  @Parameter(names = "--load", description = "Demand as multiples of the capacity.")
+  List<Double> loads = new ArrayList<>(List.of(0.7, 1.0, 2.0));
+
+  @Override
+  public int run() {
+    System.out.println("| load | policy | class | in time % (least-most) | refused % | late % |");
+    System.out.println("|---|---|---|---|---|---|");
+    for (double load : loads) {
+      for (SlotPolicy policy : SlotPolicy.values()) {
+        compare(load, policy);
+      }
+    }
+    return 0;
+  }
+
+  private void compare(double load, SlotPolicy policy) {
+    Map<String, List<ClassTally>> byClass = new LinkedHashMap<>();
+    DoubleSummaryStatistics goodput = new DoubleSummaryStatistics();
+    for (long s = seed; s < seed + seeds; s++) {
+      SlotSimulation simulation = new SlotSimulation(policy, load, s);
+      simulation
+          .run()
+          .forEach((name, tally) -> byClass.computeIfAbsent(name, n -> new ArrayList<>()).add(tally));
+      goodput.accept(simulation.goodputPerSecond());
+    }
+    byClass.forEach((name, tallies) -> row(load, policy, name, tallies));
+    System.out.printf(
+        Locale.ROOT,
+        "| %.1f | %s | all, goodput/s | %.1f (%.1f-%.1f) | | |%n",
+        load,
+        policy,
+        goodput.getAverage(),
+        goodput.getMin(),
+        goodput.getMax());
+  }
+
+  private static void row(double load, SlotPolicy policy, String name, List<ClassTally> tallies) {
+    DoubleSummaryStatistics inTime = percent(tallies, ClassTally::attainment);
+    System.out.printf(
+        Locale.ROOT,
+        "| %.1f | %s | %s | %.1f (%.1f-%.1f) | %.1f | %.1f |%n",
+        load,
+        policy,
+        name,
+        inTime.getAverage(),
+        inTime.getMin(),
+        inTime.getMax(),
+        percent(tallies, ClassTally::refusedShare).getAverage(),
+        percent(tallies, ClassTally::lateShare).getAverage());
+  }
+
+  private static DoubleSummaryStatistics percent(
+      List<ClassTally> tallies, ToDoubleFunction<ClassTally> share) {
+    return tallies.stream().mapToDouble(share).map(x -> PERCENT * x).summaryStatistics();
+  }
+}
