--- a/zinniaspan/src/test/java/org/zinniaspan/placement/PlacerFuzzTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/placement/PlacerFuzzTest.java
@@ -275,7 +275,7 @@
     start();
     FakePlacer first = placers.get(0);
     FakePlacer second = placers.get(1);
-    Random random = new Random(1);
+    final Random random = new Random(1);
     first.betweenCheckAndSend =
         () -> {
           first.paused = true;
