Add the cost command and a benchmark of decisions

`zinniaspan-standins cost` measures start, path, and control by number of VMs, endpoints and changes; `bin/benchmark` runs JMH over endpoints and organisations.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.zinniaspan.cli.EnvironmentDefaults;
+import org.zinniaspan.standins.cost.CostCommand;
 import org.zinniaspan.standins.demo.DemoCommand;
 import org.zinniaspan.standins.load.ExperimentCommand;
 import org.zinniaspan.standins.load.LoadCommand;
@@ -29,6 +30,7 @@
     commands.put("service", new ServiceCommand());
     commands.put("demo", new DemoCommand());
     commands.put("load", new LoadCommand());
+    commands.put("cost", new CostCommand());
     commands.put("experiment", new ExperimentCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/benchmark/DecisionBenchmark.java
@@ -0,0 +1,98 @@
+package org.zinniaspan.standins.benchmark;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.SlotAnswer;
+import org.zinniaspan.dispatch.SlotAsk;
+import org.zinniaspan.dispatch.SlotResult;
+import org.zinniaspan.dispatch.SlotUse;
+import org.zinniaspan.inventory.Organisation;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.inventory.ServiceClass;
+import org.zinniaspan.routing.EndpointTable;
+import org.zinniaspan.routing.LeastReportedLoad;
+import org.zinniaspan.routing.LoadReport;
+
+/** Decisions a second of the logic that lends slots, without any I/O; run by bin/benchmark. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.Throughput)
+@OutputTimeUnit(TimeUnit.SECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(
+    value = 1,
+    jvmArgs = {"-XX:+UseSerialGC", "-Xmx48m", "-XX:TieredStopAtLevel=1"})
+public class DecisionBenchmark {
+
+  private static final long FAR_MS = 3_600_000;
+
+  /** Endpoints of the availability zone. */
+  @Param({"6", "60", "630"})
+  public int endpoints;
+
+  /** Organisations that call in turn. */
+  @Param({"10", "1500"})
+  public int organisations;
+
+  private final SystemClock clock = new SystemClock();
+  private Configuration configuration;
+  private LocalSlotService slots;
+  private int next;
+
+  /** Builds the configuration and reports the load of each endpoint. */
+  @Setup
+  public void build() {
+    configuration = new Documents().configuration(endpoints, organisations);
+    EndpointTable table = new EndpointTable(Documents.ZONE, () -> configuration, clock);
+    for (int i = 0; i < endpoints; i++) {
+      LoadReport report =
+          new LoadReport(clock.nowMs(), i % 8, 0, 18, 5_000, false, Set.of(Documents.MODEL), 0);
+      table.report("engine-" + i, report);
+    }
+    slots = new LocalSlotService(table, new LeastReportedLoad(), clock);
+  }
+
+  /** Finds the organisation by its key, lends a slot and takes it back. */
+  @Benchmark
+  public SlotAnswer decide() {
+    int number = next++;
+    String hash = DigestUtils.sha256Hex(Documents.name(number % organisations));
+    Organisation organisation = configuration.organisationByKeyHash(hash).orElseThrow();
+    SlotAsk ask = ask("attempt-" + number, organisation.name());
+    SlotAnswer answer = slots.acquire(ask, () -> {}).join();
+    slots.release(ask.attemptId(), SlotUse.of(SlotResult.COMPLETED));
+    return answer;
+  }
+
+  private SlotAsk ask(String attemptId, String organisation) {
+    long now = clock.nowMs();
+    return new SlotAsk(
+        attemptId,
+        Pool.model(Documents.MODEL),
+        new ServiceClass("counter-question", 0, 1_000, 37, 0, 256, false),
+        organisation,
+        now,
+        now + FAR_MS,
+        150,
+        0,
+        List.of(),
+        Set.of(),
+        true);
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/cost/CostCommand.java
@@ -0,0 +1,47 @@
+package org.zinniaspan.standins.cost;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.zinniaspan.standins.StandinCommand;
+
+/**
+ * Measures what entry VMs use, with and without requests.
+ *
+ * <p>Example: {@code zinniaspan-standins cost --parts start,path}.
+ */
+@Parameters(commandDescription = "Measure processor time, memory and messages of entry VMs.")
+public final class CostCommand implements StandinCommand {
+
+  private static final List<String> PARTS = List.of("start", "path", "vms", "endpoints", "changes");
+
+  @ParametersDelegate private final CostSettings settings = new CostSettings();
+
+  @Override
+  public int run() throws Exception {
+    Path logs =
+        settings.logs.isEmpty()
+            ? Files.createTempDirectory("zinniaspan-cost")
+            : Path.of(settings.logs);
+    for (String part : settings.parts) {
+      measure(part, logs);
+    }
+    return 0;
+  }
+
+  private void measure(String part, Path logs) throws Exception {
+    ControlCost control = new ControlCost(settings, logs, System.out);
+    switch (part) {
+      case "start" -> new StartCost(settings, logs, System.out).measure();
+      case "path" -> new PathCost(settings, logs, System.out).measure();
+      case "vms" -> control.byVms();
+      case "endpoints" -> control.byEndpoints();
+      case "changes" -> control.byChanges();
+      default ->
+          throw new IllegalArgumentException(
+              "part '" + part + "' is unknown; valid are: " + String.join(", ", PARTS));
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/cost/FleetProbe.java
@@ -0,0 +1,86 @@
+package org.zinniaspan.standins.cost;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.zinniaspan.standins.fleet.LocalFleet;
+
+/** Measures what the entry VMs of a fleet use over a time. */
+final class FleetProbe {
+
+  private static final double MS_PER_SECOND = 1_000.0;
+  private static final double NANOS_PER_SECOND = 1_000_000_000.0;
+  private static final double PERCENT = 100;
+
+  /**
+   * What one entry VM used, as the mean of all.
+   *
+   * @param corePercent processor time in percent of one core
+   * @param sentBytesPerSecond bytes sent to other VMs a second
+   * @param platformCallsPerSecond calls of all entry VMs to the platform a second
+   * @param residentMb resident memory in megabytes
+   * @param peakResidentMb largest resident memory of any, in megabytes
+   */
+  record Use(
+      double corePercent,
+      double sentBytesPerSecond,
+      double platformCallsPerSecond,
+      double residentMb,
+      double peakResidentMb) {}
+
+  private record Sums(double processorMs, double sentBytes, double calls, long atNanos) {}
+
+  private final LocalFleet fleet;
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  FleetProbe(LocalFleet fleet) {
+    this.fleet = fleet;
+  }
+
+  /** Waits, and returns what was used meanwhile. */
+  Use over(long waitMs) throws IOException, InterruptedException {
+    Sums before = sums();
+    TimeUnit.MILLISECONDS.sleep(waitMs);
+    Sums after = sums();
+    double seconds = (after.atNanos - before.atNanos) / NANOS_PER_SECOND;
+    int vms = fleet.entries().size();
+    double resident = 0;
+    double peak = 0;
+    for (LocalFleet.Entry entry : fleet.entries().values()) {
+      ProcessProbe probe = new ProcessProbe(entry.process().pid());
+      resident += probe.residentMb() / vms;
+      peak = Math.max(peak, probe.peakResidentMb());
+    }
+    return new Use(
+        PERCENT * (after.processorMs - before.processorMs) / MS_PER_SECOND / seconds / vms,
+        (after.sentBytes - before.sentBytes) / seconds / vms,
+        (after.calls - before.calls) / seconds,
+        resident,
+        peak);
+  }
+
+  private Sums sums() throws IOException {
+    double sent = 0;
+    double processorMs = 0;
+    for (LocalFleet.Entry entry : fleet.entries().values()) {
+      sent += gauge(entry, "zinniaspan_peer_sent_bytes");
+    }
+    for (LocalFleet.Entry entry : fleet.entries().values()) {
+      processorMs += new ProcessProbe(entry.process().pid()).processorMs();
+    }
+    String counts = LocalFleet.get(fleet.platform(), "/counts").body();
+    double calls = mapper.readTree(counts).path("calls").asDouble();
+    return new Sums(processorMs, sent, calls, System.nanoTime());
+  }
+
+  /** Returns a metric of an entry VM, zero if it has none of that name and labels. */
+  static double gauge(LocalFleet.Entry entry, String name) {
+    String metrics = LocalFleet.get(entry.admin(), "/metrics").body();
+    return metrics
+        .lines()
+        .filter(line -> line.startsWith(name + " "))
+        .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+        .findFirst()
+        .orElse(0);
+  }
+}
