Run calls through claims in the daemon, and pass them on to their home zone

Non-idempotent calls with a key claim it in their home zone; a VM of another zone passes the call on after it has asked the receiver's time, so that a message that was held up cannot start an old attempt. Keys that a VM issues (POST /v1/idempotency-keys) are run by that process alone, without votes. Idempotent calls are retried from a budget of a tenth of the successes. The runner that sent each call once and knew nothing of earlier attempts is gone. AtMostOnceProcessTest: retry while the first runs, a paused and a killed runner, a fresh VM, no majority; the service counts one run at most.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/CallSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/CallSettings.java
@@ -1,9 +1,51 @@
 package org.zinniaspan.cli;
 
+import com.beust.jcommander.Parameter;
+import org.zinniaspan.runner.AtMostOnceSettings;
+
 /** Settings of calls to plain services. */
 final class CallSettings {
 
+  private static final long SHORTEST_HORIZON_MS = 10_000;
+  private static final long SHORTEST_START_MS = 500;
+
+  @Parameter(
+      names = "--retry-horizon-ms",
+      description =
+          "Milliseconds for which an idempotency key is remembered; callers retry within half.")
+  long retryHorizonMs = AtMostOnceSettings.DEFAULTS.horizonMs();
+
+  @Parameter(
+      names = "--call-start-timeout-ms",
+      description = "Longest time in milliseconds from a call's arrival to its dispatch.")
+  long callStartTimeoutMs = AtMostOnceSettings.DEFAULTS.startTimeoutMs();
+
+  @Parameter(
+      names = "--max-claims",
+      description = "Idempotency keys that a VM remembers at most; beyond, new ones are refused.")
+  int maxClaims = AtMostOnceSettings.DEFAULTS.maxClaims();
+
+  @Parameter(
+      names = "--max-outcome-bytes",
+      description = "Bytes of answers that a VM keeps for retries.")
+  long maxOutcomeBytes = AtMostOnceSettings.DEFAULTS.maxOutcomeBytes();
+
   void check(SettingsChecks checks) {
-    // No setting yet.
+    checks.atLeast("--retry-horizon-ms", retryHorizonMs, SHORTEST_HORIZON_MS);
+    checks.atLeast("--call-start-timeout-ms", callStartTimeoutMs, SHORTEST_START_MS);
+    checks.atLeast("--max-claims", maxClaims, 1);
+    checks.atLeast("--max-outcome-bytes", maxOutcomeBytes, 0);
+  }
+
+  AtMostOnceSettings atMostOnce() {
+    AtMostOnceSettings defaults = AtMostOnceSettings.DEFAULTS;
+    return new AtMostOnceSettings(
+        retryHorizonMs,
+        callStartTimeoutMs,
+        defaults.voteValidMs(),
+        defaults.reachTimeoutMs(),
+        defaults.askPeriodMs(),
+        maxClaims,
+        maxOutcomeBytes);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -42,8 +42,10 @@
 import org.zinniaspan.routing.EndpointTable;
 import org.zinniaspan.routing.LeastReportedLoad;
 import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.runner.BlockingCallSender;
 import org.zinniaspan.runner.CallRunner;
-import org.zinniaspan.runner.DirectCallRunner;
+import org.zinniaspan.runner.RunnerPorts;
+import org.zinniaspan.runner.ServiceCallRunner;
 import org.zinniaspan.stream.ChatRunner;
 import org.zinniaspan.stream.SingleAttemptRunner;
 
@@ -138,8 +140,16 @@
 
   private CallRunner calls(SlotService slots, PeerLink link) {
     ExecutorService threads = executor(Executors.newCachedThreadPool());
-    return new DirectCallRunner(
-        slots, new HttpServiceClient(), this::configuration, threads, clock);
+    RunnerPorts ports =
+        RunnerPorts.of(membership.self(), settings.zone)
+            .configuration(this::configuration)
+            .link(link)
+            .endpoints(slots, new BlockingCallSender(new HttpServiceClient(), threads))
+            .clock(clock)
+            .settings(settings.calls.atMostOnce(), settings.seed);
+    ServiceCallRunner runner = new ServiceCallRunner(ports).register(peers);
+    ticking.add(runner);
+    return runner;
   }
 
   private void feedConfiguration(PeerLink link) {
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/Configuration.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/Configuration.java
@@ -59,6 +59,13 @@
     return Optional.ofNullable(organisationsByKeyHash.get(sha256));
   }
 
+  /** Returns the organisation of that name. */
+  public Optional<Organisation> organisation(String name) {
+    return organisationsByKeyHash.values().stream()
+        .filter(organisation -> organisation.name().equals(name))
+        .findFirst();
+  }
+
   /** Returns the revision in force of each document that has been read. */
   public Map<DocumentName, Long> revisions() {
     return revisions;
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/CallHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/CallHandler.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.gateway;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
@@ -110,6 +111,17 @@
     }
   }
 
+  /** Issues an idempotency key. */
+  void mintKey(ClassicHttpResponse response) {
+    Optional<String> key = runner.mintKey();
+    if (key.isEmpty()) {
+      Answers.notRun(response, NotRunReason.NOT_FOUND, "this VM issues no idempotency keys");
+      return;
+    }
+    response.setHeader(ResponseHeaders.OUTCOME, "answered");
+    Answers.json(response, JsonNodeFactory.instance.objectNode().put("idempotency_key", key.get()));
+  }
+
   private static Optional<String> header(ClassicHttpRequest request, String name) {
     return Optional.ofNullable(request.getFirstHeader(name)).map(Header::getValue);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/Gateway.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/Gateway.java
@@ -84,6 +84,8 @@
       chat.handle(requestId, organisation.get(), request, response);
     } else if (path.equals("/v1/models") && method.equals("GET")) {
       models(response);
+    } else if (path.equals("/v1/idempotency-keys") && method.equals("POST")) {
+      calls.mintKey(response);
     } else if (path.startsWith(CallHandler.PREFIX)) {
       calls.handle(requestId, organisation.get(), request, response);
     } else {
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Claims.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Claims.java
@@ -137,18 +137,20 @@
       "us\030\004 \001(\005\022\024\n\014content_type\030\005 \001(\t\022\014\n\004body\030\006" +
       " \001(\014\022\016\n\006reason\030\007 \001(\t\"Q\n\004Kind\022\024\n\020KIND_UNS" +
       "PECIFIED\020\000\022\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n" +
-      "\007UNKNOWN\020\003\022\013\n\007RUNNING\020\004\"\224\002\n\rForwardedCal" +
+      "\007UNKNOWN\020\003\022\013\n\007RUNNING\020\004\"\313\002\n\rForwardedCal" +
       "l\022\022\n\nrequest_id\030\001 \001(\t\022\024\n\014organisation\030\002 " +
       "\001(\t\022\025\n\rservice_class\030\003 \001(\t\022\017\n\007service\030\004 " +
       "\001(\t\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\022<\n\007hea" +
       "ders\030\007 \003(\0132+.zinniaspan.peer.ForwardedCa" +
       "ll.HeadersEntry\022\014\n\004body\030\010 \001(\014\022\027\n\017idempot" +
-      "ency_key\030\t \001(\t\032.\n\014HeadersEntry\022\013\n\003key\030\001 " +
-      "\001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"n\n\020ForwardedOutco" +
-      "me\022\022\n\nrequest_id\030\001 \001(\t\022.\n\007outcome\030\002 \001(\0132" +
-      "\035.zinniaspan.peer.OutcomeReply\022\026\n\016retry_" +
-      "after_ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer.pr" +
-      "otoP\001b\006proto3"
+      "ency_key\030\t \001(\t\022\020\n\010question\030\n \001(\010\022\023\n\013rece" +
+      "iver_ms\030\013 \001(\003\022\016\n\006age_ms\030\014 \001(\003\032.\n\014Headers" +
+      "Entry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"\177\n" +
+      "\020ForwardedOutcome\022\022\n\nrequest_id\030\001 \001(\t\022.\n" +
+      "\007outcome\030\002 \001(\0132\035.zinniaspan.peer.Outcome" +
+      "Reply\022\026\n\016retry_after_ms\030\003 \001(\003\022\017\n\007sent_ms" +
+      "\030\004 \001(\003B\035\n\031org.zinniaspan.peer.protoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -219,7 +221,7 @@
     internal_static_zinniaspan_peer_ForwardedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_ForwardedCall_descriptor,
-        new java.lang.String[] { "RequestId", "Organisation", "ServiceClass", "Service", "Method", "Path", "Headers", "Body", "IdempotencyKey", });
+        new java.lang.String[] { "RequestId", "Organisation", "ServiceClass", "Service", "Method", "Path", "Headers", "Body", "IdempotencyKey", "Question", "ReceiverMs", "AgeMs", });
     internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_descriptor =
       internal_static_zinniaspan_peer_ForwardedCall_descriptor.getNestedType(0);
     internal_static_zinniaspan_peer_ForwardedCall_HeadersEntry_fieldAccessorTable = new
@@ -231,7 +233,7 @@
     internal_static_zinniaspan_peer_ForwardedOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_ForwardedOutcome_descriptor,
-        new java.lang.String[] { "RequestId", "Outcome", "RetryAfterMs", });
+        new java.lang.String[] { "RequestId", "Outcome", "RetryAfterMs", "SentMs", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedCall.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedCall.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * A call that a VM of another availability zone passes on to one of the call's home zone.
+ * A call that a VM of another availability zone passes on to one of the call's home zone, or only
+ * the question what became of it.
  * </pre>
  *
  * Protobuf type {@code zinniaspan.peer.ForwardedCall}
@@ -435,6 +436,51 @@
     }
   }
 
+  public static final int QUESTION_FIELD_NUMBER = 10;
+  private boolean question_ = false;
+  /**
+   * <pre>
+   * Set for a question, which has no other field than the request id.
+   * </pre>
+   *
+   * <code>bool question = 10;</code>
+   * @return The question.
+   */
+  @java.lang.Override
+  public boolean getQuestion() {
+    return question_;
+  }
+
+  public static final int RECEIVER_MS_FIELD_NUMBER = 11;
+  private long receiverMs_ = 0L;
+  /**
+   * <pre>
+   * Time by the receiver's clock, from its answer to a question; zero for a question.
+   * </pre>
+   *
+   * <code>int64 receiver_ms = 11;</code>
+   * @return The receiverMs.
+   */
+  @java.lang.Override
+  public long getReceiverMs() {
+    return receiverMs_;
+  }
+
+  public static final int AGE_MS_FIELD_NUMBER = 12;
+  private long ageMs_ = 0L;
+  /**
+   * <pre>
+   * Longest time, in milliseconds, from the caller's sending to receiver_ms.
+   * </pre>
+   *
+   * <code>int64 age_ms = 12;</code>
+   * @return The ageMs.
+   */
+  @java.lang.Override
+  public long getAgeMs() {
+    return ageMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -479,6 +525,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 9, idempotencyKey_);
     }
+    if (question_ != false) {
+      output.writeBool(10, question_);
+    }
+    if (receiverMs_ != 0L) {
+      output.writeInt64(11, receiverMs_);
+    }
+    if (ageMs_ != 0L) {
+      output.writeInt64(12, ageMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -518,6 +573,18 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(9, idempotencyKey_);
     }
+    if (question_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, question_);
+    }
+    if (receiverMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, receiverMs_);
+    }
+    if (ageMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, ageMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -560,6 +627,12 @@
         .equals(other.getBody())) return false;
     if (!getIdempotencyKey()
         .equals(other.getIdempotencyKey())) return false;
+    if (getQuestion()
+        != other.getQuestion()) return false;
+    if (getReceiverMs()
+        != other.getReceiverMs()) return false;
+    if (getAgeMs()
+        != other.getAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -591,6 +664,15 @@
     hash = (53 * hash) + getBody().hashCode();
     hash = (37 * hash) + IDEMPOTENCY_KEY_FIELD_NUMBER;
     hash = (53 * hash) + getIdempotencyKey().hashCode();
+    hash = (37 * hash) + QUESTION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getQuestion());
+    hash = (37 * hash) + RECEIVER_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReceiverMs());
+    hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgeMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -690,7 +772,8 @@
   }
   /**
    * <pre>
-   * A call that a VM of another availability zone passes on to one of the call's home zone.
+   * A call that a VM of another availability zone passes on to one of the call's home zone, or only
+   * the question what became of it.
    * </pre>
    *
    * Protobuf type {@code zinniaspan.peer.ForwardedCall}
@@ -757,6 +840,9 @@
       internalGetMutableHeaders().clear();
       body_ = com.google.protobuf.ByteString.EMPTY;
       idempotencyKey_ = "";
+      question_ = false;
+      receiverMs_ = 0L;
+      ageMs_ = 0L;
       return this;
     }
 
@@ -818,6 +904,15 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.idempotencyKey_ = idempotencyKey_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.question_ = question_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.receiverMs_ = receiverMs_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.ageMs_ = ageMs_;
+      }
     }
 
     @java.lang.Override
@@ -873,6 +968,15 @@
         bitField0_ |= 0x00000100;
         onChanged();
       }
+      if (other.getQuestion() != false) {
+        setQuestion(other.getQuestion());
+      }
+      if (other.getReceiverMs() != 0L) {
+        setReceiverMs(other.getReceiverMs());
+      }
+      if (other.getAgeMs() != 0L) {
+        setAgeMs(other.getAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -946,6 +1050,21 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 74
+            case 80: {
+              question_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              receiverMs_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              ageMs_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1626,6 +1745,138 @@
       return this;
     }
 
+    private boolean question_ ;
+    /**
+     * <pre>
+     * Set for a question, which has no other field than the request id.
+     * </pre>
+     *
+     * <code>bool question = 10;</code>
+     * @return The question.
+     */
+    @java.lang.Override
+    public boolean getQuestion() {
+      return question_;
+    }
+    /**
+     * <pre>
+     * Set for a question, which has no other field than the request id.
+     * </pre>
+     *
+     * <code>bool question = 10;</code>
+     * @param value The question to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQuestion(boolean value) {
+
+      question_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set for a question, which has no other field than the request id.
+     * </pre>
+     *
+     * <code>bool question = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQuestion() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      question_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long receiverMs_ ;
+    /**
+     * <pre>
+     * Time by the receiver's clock, from its answer to a question; zero for a question.
+     * </pre>
+     *
+     * <code>int64 receiver_ms = 11;</code>
+     * @return The receiverMs.
+     */
+    @java.lang.Override
+    public long getReceiverMs() {
+      return receiverMs_;
+    }
+    /**
+     * <pre>
+     * Time by the receiver's clock, from its answer to a question; zero for a question.
+     * </pre>
+     *
+     * <code>int64 receiver_ms = 11;</code>
+     * @param value The receiverMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReceiverMs(long value) {
+
+      receiverMs_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time by the receiver's clock, from its answer to a question; zero for a question.
+     * </pre>
+     *
+     * <code>int64 receiver_ms = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReceiverMs() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      receiverMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long ageMs_ ;
+    /**
+     * <pre>
+     * Longest time, in milliseconds, from the caller's sending to receiver_ms.
+     * </pre>
+     *
+     * <code>int64 age_ms = 12;</code>
+     * @return The ageMs.
+     */
+    @java.lang.Override
+    public long getAgeMs() {
+      return ageMs_;
+    }
+    /**
+     * <pre>
+     * Longest time, in milliseconds, from the caller's sending to receiver_ms.
+     * </pre>
+     *
+     * <code>int64 age_ms = 12;</code>
+     * @param value The ageMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMs(long value) {
+
+      ageMs_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Longest time, in milliseconds, from the caller's sending to receiver_ms.
+     * </pre>
+     *
+     * <code>int64 age_ms = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      ageMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.ForwardedCall)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedCallOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedCallOrBuilder.java
@@ -133,4 +133,34 @@
    */
   com.google.protobuf.ByteString
       getIdempotencyKeyBytes();
+
+  /**
+   * <pre>
+   * Set for a question, which has no other field than the request id.
+   * </pre>
+   *
+   * <code>bool question = 10;</code>
+   * @return The question.
+   */
+  boolean getQuestion();
+
+  /**
+   * <pre>
+   * Time by the receiver's clock, from its answer to a question; zero for a question.
+   * </pre>
+   *
+   * <code>int64 receiver_ms = 11;</code>
+   * @return The receiverMs.
+   */
+  long getReceiverMs();
+
+  /**
+   * <pre>
+   * Longest time, in milliseconds, from the caller's sending to receiver_ms.
+   * </pre>
+   *
+   * <code>int64 age_ms = 12;</code>
+   * @return The ageMs.
+   */
+  long getAgeMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedOutcome.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedOutcome.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * The outcome of a forwarded call.
+ * The outcome of a forwarded call; without one if the receiver knows no such call.
  * </pre>
  *
  * Protobuf type {@code zinniaspan.peer.ForwardedOutcome}
@@ -130,6 +130,21 @@
     return retryAfterMs_;
   }
 
+  public static final int SENT_MS_FIELD_NUMBER = 4;
+  private long sentMs_ = 0L;
+  /**
+   * <pre>
+   * Time of sending by the sender's clock.
+   * </pre>
+   *
+   * <code>int64 sent_ms = 4;</code>
+   * @return The sentMs.
+   */
+  @java.lang.Override
+  public long getSentMs() {
+    return sentMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -153,6 +168,9 @@
     if (retryAfterMs_ != 0L) {
       output.writeInt64(3, retryAfterMs_);
     }
+    if (sentMs_ != 0L) {
+      output.writeInt64(4, sentMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -168,6 +186,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, retryAfterMs_);
     }
+    if (sentMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, sentMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -201,6 +223,8 @@
     }
     if (getRetryAfterMs()
         != other.getRetryAfterMs()) return false;
+    if (getSentMs()
+        != other.getSentMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -221,6 +245,9 @@
     hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRetryAfterMs());
+    hash = (37 * hash) + SENT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -320,7 +347,7 @@
   }
   /**
    * <pre>
-   * The outcome of a forwarded call.
+   * The outcome of a forwarded call; without one if the receiver knows no such call.
    * </pre>
    *
    * Protobuf type {@code zinniaspan.peer.ForwardedOutcome}
@@ -369,6 +396,7 @@
         outcomeBuilder_ = null;
       }
       retryAfterMs_ = 0L;
+      sentMs_ = 0L;
       return this;
     }
 
@@ -415,6 +443,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.retryAfterMs_ = retryAfterMs_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.sentMs_ = sentMs_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -441,6 +472,9 @@
       if (other.getRetryAfterMs() != 0L) {
         setRetryAfterMs(other.getRetryAfterMs());
       }
+      if (other.getSentMs() != 0L) {
+        setSentMs(other.getSentMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -482,6 +516,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              sentMs_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -722,6 +761,50 @@
       return this;
     }
 
+    private long sentMs_ ;
+    /**
+     * <pre>
+     * Time of sending by the sender's clock.
+     * </pre>
+     *
+     * <code>int64 sent_ms = 4;</code>
+     * @return The sentMs.
+     */
+    @java.lang.Override
+    public long getSentMs() {
+      return sentMs_;
+    }
+    /**
+     * <pre>
+     * Time of sending by the sender's clock.
+     * </pre>
+     *
+     * <code>int64 sent_ms = 4;</code>
+     * @param value The sentMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentMs(long value) {
+
+      sentMs_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time of sending by the sender's clock.
+     * </pre>
+     *
+     * <code>int64 sent_ms = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentMs() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      sentMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.ForwardedOutcome)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedOutcomeOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ForwardedOutcomeOrBuilder.java
@@ -42,4 +42,14 @@
    * @return The retryAfterMs.
    */
   long getRetryAfterMs();
+
+  /**
+   * <pre>
+   * Time of sending by the sender's clock.
+   * </pre>
+   *
+   * <code>int64 sent_ms = 4;</code>
+   * @return The sentMs.
+   */
+  long getSentMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
@@ -31,9 +31,9 @@
   private volatile long lastRelayMs;
 
   /** Creates a runner and the voter of this VM. */
-  public AtMostOnceRunner(RunnerPorts ports) {
+  AtMostOnceRunner(RunnerPorts ports, ArrivalTimes arrivals) {
     this.ports = ports;
-    this.arrivals = new ArrivalTimes(ports.clock, ports.settings.voteValidMs());
+    this.arrivals = arrivals;
     this.voter =
         new ClaimVoter(
             ports.self,
@@ -50,7 +50,11 @@
   /** Runs a call that carries an idempotency key. */
   @Override
   public CompletableFuture<CallResult> run(ServiceCall call) {
-    long startedMs = arrivals.earliestMs();
+    return run(call, arrivals.earliestMs());
+  }
+
+  /** Runs a call whose caller may have sent it at the given time. */
+  CompletableFuture<CallResult> run(ServiceCall call, long startedMs) {
     CallAttempt attempt =
         new CallAttempt(ports, outcomes, byClaimId, call, claimKey(call), startedMs);
     attempts.put(attempt.id(), attempt);
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceSettings.java
@@ -29,16 +29,4 @@
   public long freshnessMs() {
     return horizonMs / 2;
   }
-
-  /** Returns these settings with another horizon. */
-  public AtMostOnceSettings withHorizonMs(long value) {
-    return new AtMostOnceSettings(
-        value,
-        startTimeoutMs,
-        voteValidMs,
-        reachTimeoutMs,
-        askPeriodMs,
-        maxClaims,
-        maxOutcomeBytes);
-  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/CallAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/CallAttempt.java
@@ -366,14 +366,8 @@
     }
     switch (reply.getKind()) {
       case RUNNING -> holderHeardMs = nowMs();
-      case ANSWERED ->
-          finish(
-              CallResult.answered(
-                  new CallAnswer(
-                      reply.getStatus(), reply.getContentType(), reply.getBody().toByteArray())),
-              false);
       case NOT_RUN -> backOff();
-      default -> finish(CallResult.unknown(reply.getReason()), false);
+      default -> finish(OutcomeMemory.result(reply, 0), false);
     }
   }
 
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ForwardedCalls.java
@@ -0,0 +1,124 @@
+package org.zinniaspan.runner;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.zinniaspan.inventory.ServiceClass;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.ForwardedCall;
+import org.zinniaspan.peer.proto.ForwardedOutcome;
+import org.zinniaspan.peer.proto.OutcomeReply;
+import org.zinniaspan.request.Outcome;
+
+/**
+ * Runs calls that VMs of other zones pass on, each request id once.
+ *
+ * <p>State is guarded by this object's lock.
+ */
+final class ForwardedCalls {
+
+  /** Runs a call that may have been sent by its caller at the given time. */
+  @FunctionalInterface
+  interface Starter {
+    CompletableFuture<CallResult> start(ServiceCall call, long startedMs);
+  }
+
+  private static final int MAX_CALLS = 2_000;
+
+  private final RunnerPorts ports;
+  private final ArrivalTimes arrivals;
+  private final Starter starter;
+  private final Map<String, CompletableFuture<CallResult>> results =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(
+            Map.Entry<String, CompletableFuture<CallResult>> eldest) {
+          return size() > MAX_CALLS && eldest.getValue().isDone();
+        }
+      };
+
+  ForwardedCalls(RunnerPorts ports, ArrivalTimes arrivals, Starter starter) {
+    this.ports = ports;
+    this.arrivals = arrivals;
+    this.starter = starter;
+  }
+
+  /** Handles a call, or a question for one. */
+  void handle(String vm, ForwardedCall forwarded) {
+    String requestId = forwarded.getRequestId();
+    if (!forwarded.getQuestion()) {
+      start(vm, forwarded);
+    }
+    CompletableFuture<CallResult> result;
+    synchronized (this) {
+      result = results.get(requestId);
+    }
+    if (result == null) {
+      send(vm, ForwardedOutcome.newBuilder().setRequestId(requestId));
+    } else if (result.isDone()) {
+      send(vm, requestId, result.join());
+    } else {
+      OutcomeReply running = OutcomeReply.newBuilder().setKind(OutcomeReply.Kind.RUNNING).build();
+      send(vm, ForwardedOutcome.newBuilder().setRequestId(requestId).setOutcome(running));
+    }
+  }
+
+  private void start(String vm, ForwardedCall forwarded) {
+    final long startedMs =
+        Math.min(arrivals.earliestMs(), forwarded.getReceiverMs()) - forwarded.getAgeMs();
+    Optional<ServiceClass> serviceClass =
+        ports.configuration.get().rules().serviceClass(forwarded.getServiceClass());
+    CompletableFuture<CallResult> result = new CompletableFuture<>();
+    synchronized (this) {
+      if (results.putIfAbsent(forwarded.getRequestId(), result) != null) {
+        return;
+      }
+    }
+    result.thenAccept(done -> send(vm, forwarded.getRequestId(), done));
+    if (serviceClass.isEmpty()) {
+      String message = "class '" + forwarded.getServiceClass() + "' is unknown in the home zone";
+      result.complete(CallResult.unknown(message));
+      return;
+    }
+    starter
+        .start(call(forwarded, serviceClass.get(), startedMs), startedMs)
+        .thenAccept(result::complete);
+  }
+
+  private static ServiceCall call(
+      ForwardedCall forwarded, ServiceClass serviceClass, long startedMs) {
+    return new ServiceCall(
+        forwarded.getRequestId(),
+        forwarded.getOrganisation(),
+        serviceClass,
+        forwarded.getService(),
+        forwarded.getMethod(),
+        forwarded.getPath(),
+        forwarded.getHeadersMap(),
+        forwarded.getBody().toByteArray(),
+        Optional.of(forwarded.getIdempotencyKey()),
+        startedMs);
+  }
+
+  private void send(String vm, String requestId, CallResult result) {
+    ForwardedOutcome.Builder outcome =
+        ForwardedOutcome.newBuilder()
+            .setRequestId(requestId)
+            .setOutcome(OutcomeMemory.reply("", requestId, result));
+    if (result.outcome() instanceof Outcome.NotRun notRun) {
+      notRun.retryAfterMs().ifPresent(outcome::setRetryAfterMs);
+    }
+    send(vm, outcome);
+  }
+
+  private void send(String vm, ForwardedOutcome.Builder outcome) {
+    outcome.setSentMs(ports.clock.nowMs());
+    ports.link.send(vm, Envelope.newBuilder().setForwardedOutcome(outcome));
+  }
+
+  /** Returns whether all calls have ended. */
+  synchronized boolean isIdle() {
+    return results.values().stream().allMatch(CompletableFuture::isDone);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/HomeZones.java
@@ -0,0 +1,38 @@
+package org.zinniaspan.runner;
+
+import java.util.List;
+import java.util.Optional;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.inventory.Organisation;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.membership.RendezvousHash;
+
+/** Finds the availability zone in which a call runs. */
+final class HomeZones {
+
+  private HomeZones() {}
+
+  /**
+   * Returns the zone of a call, empty if no zone hosts the service.
+   *
+   * <p>A non-idempotent call has one home for all VMs: the organisation's zone if it hosts the
+   * service, else one chosen by hashing. Other calls stay in the own zone if they can.
+   */
+  static Optional<String> of(ServiceCall call, String ownZone, Configuration configuration) {
+    List<String> hosting =
+        configuration.inventory().endpoints().stream()
+            .filter(endpoint -> endpoint.serves(Pool.service(call.service())))
+            .map(endpoint -> endpoint.zone())
+            .distinct()
+            .sorted()
+            .toList();
+    String preferred =
+        call.serviceClass().nonIdempotent()
+            ? configuration.organisation(call.organisation()).map(Organisation::homeZone).orElse("")
+            : ownZone;
+    if (hosting.contains(preferred)) {
+      return Optional.of(preferred);
+    }
+    return RendezvousHash.ranked(call.organisation(), hosting, 1).stream().findFirst();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/MintedKey.java
@@ -0,0 +1,40 @@
+package org.zinniaspan.runner;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * An idempotency key that a VM has issued; only the process that issued it runs calls with it.
+ *
+ * <p>Example: {@code zk1:entry-1:1767225600000:1767225612345:17}.
+ *
+ * @param vm VM that issued it
+ * @param incarnation process that issued it
+ * @param mintedMs time of issue by that process's clock
+ * @param number number of the key in that process
+ */
+record MintedKey(String vm, long incarnation, long mintedMs, long number) {
+
+  private static final Pattern FORM =
+      Pattern.compile("zk1:([A-Za-z0-9._-]+):(\\d{1,18}):(\\d{1,18}):(\\d{1,18})");
+
+  /** Returns the key that a text stands for, empty if it is a key of the caller's own making. */
+  static Optional<MintedKey> parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new MintedKey(
+            matcher.group(1),
+            Long.parseLong(matcher.group(2)),
+            Long.parseLong(matcher.group(3)),
+            Long.parseLong(matcher.group(4))));
+  }
+
+  /** Returns the form that callers send. */
+  String text() {
+    return "zk1:" + vm + ':' + incarnation + ':' + mintedMs + ':' + number;
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/OutcomeMemory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/OutcomeMemory.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.peer.proto.OutcomeReply;
+import org.zinniaspan.request.NotRunReason;
 import org.zinniaspan.request.Outcome;
 
 /**
@@ -18,6 +19,7 @@
 final class OutcomeMemory {
 
   private static final int OVERHEAD_BYTES = 200;
+  private static final int MAX_RELAYED_BYTES = 250 * 1024;
 
   private record Kept(OutcomeReply reply, long atMs) {
     long bytes() {
@@ -68,6 +70,12 @@
   /** Returns an outcome as a message. */
   static OutcomeReply reply(String key, String claimId, CallResult result) {
     OutcomeReply.Builder reply = OutcomeReply.newBuilder().setKey(key).setAttemptId(claimId);
+    if (result.answer().isPresent() && result.answer().get().body().length > MAX_RELAYED_BYTES) {
+      return reply
+          .setKind(OutcomeReply.Kind.UNKNOWN)
+          .setReason("the call ran; its answer is too long to be passed on")
+          .build();
+    }
     if (result.answer().isPresent()) {
       CallAnswer answer = result.answer().get();
       return reply
@@ -84,4 +92,18 @@
         result.outcome() instanceof Outcome.Unknown unknown ? unknown.reason() : "no answer";
     return reply.setKind(OutcomeReply.Kind.UNKNOWN).setReason(reason).build();
   }
+
+  /** Returns the outcome that a message tells. */
+  static CallResult result(OutcomeReply reply, long retryAfterMs) {
+    if (reply.getKind() == OutcomeReply.Kind.ANSWERED) {
+      byte[] body = reply.getBody().toByteArray();
+      return CallResult.answered(new CallAnswer(reply.getStatus(), reply.getContentType(), body));
+    }
+    if (reply.getKind() == OutcomeReply.Kind.NOT_RUN) {
+      NotRunReason reason = NotRunReason.valueOf(reply.getReason());
+      Optional<Long> after = Optional.of(retryAfterMs).filter(ms -> ms > 0);
+      return CallResult.notRun(reason, after);
+    }
+    return CallResult.unknown(reply.getReason());
+  }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/RetryingCallRunner.java
@@ -0,0 +1,142 @@
+package org.zinniaspan.runner;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.zinniaspan.dispatch.SlotAnswer;
+import org.zinniaspan.dispatch.SlotAsk;
+import org.zinniaspan.dispatch.SlotResult;
+import org.zinniaspan.dispatch.SlotUse;
+import org.zinniaspan.inventory.Endpoint;
+import org.zinniaspan.inventory.Pool;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.request.NotRunReason;
+
+/**
+ * Runs calls on its own: idempotent ones, and non-idempotent ones whose caller sent no key.
+ *
+ * <p>What was not sent goes to another endpoint. What may have been sent is sent again only if the
+ * call is idempotent, and only out of a budget of one tenth of the successes.
+ */
+public final class RetryingCallRunner implements CallRunner {
+
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final int MAX_TRIES = 3;
+  private static final double RETRIES_PER_SUCCESS = 0.1;
+
+  private final RunnerPorts ports;
+  private final RetryBudget budget = new RetryBudget(RETRIES_PER_SUCCESS);
+
+  /** Creates a runner. */
+  public RetryingCallRunner(RunnerPorts ports) {
+    this.ports = ports;
+  }
+
+  @Override
+  public CompletableFuture<CallResult> run(ServiceCall call) {
+    Run run = new Run(call);
+    run.acquireSlot();
+    return run.result;
+  }
+
+  /** One call; each step follows the one before, so that no lock is needed. */
+  private final class Run {
+
+    private final ServiceCall call;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private final Set<String> excluded = new HashSet<>();
+    private int tries;
+    private boolean mayHaveRun;
+
+    Run(ServiceCall call) {
+      this.call = call;
+    }
+
+    void acquireSlot() {
+      tries++;
+      SlotAsk ask = slotAsk(call.requestId() + "-" + tries);
+      ports.slots.acquire(ask, () -> {}).thenAccept(answer -> onSlot(ask, answer));
+    }
+
+    private SlotAsk slotAsk(String attempt) {
+      return new SlotAsk(
+          attempt,
+          Pool.service(call.service()),
+          call.serviceClass(),
+          call.organisation(),
+          call.arrivedMs(),
+          call.dueMs(),
+          0,
+          0,
+          List.of(),
+          excluded,
+          false);
+    }
+
+    private void onSlot(SlotAsk ask, SlotAnswer answer) {
+      if (answer instanceof SlotAnswer.Refused refused) {
+        end(refused.reason(), refused.retryAfterMs());
+        return;
+      }
+      SlotAnswer.Granted granted = (SlotAnswer.Granted) answer;
+      Optional<Endpoint> endpoint = ports.endpoint(granted.endpoint());
+      if (endpoint.isEmpty()) {
+        ports.slots.release(ask.attemptId(), SlotUse.of(SlotResult.UNUSED));
+        end(NotRunReason.NO_ENDPOINT, Optional.of(RETRY_AFTER_MS));
+        return;
+      }
+      ports.sender.send(
+          endpoint.get(),
+          call,
+          ask.attemptId(),
+          () -> ports.clock.nowMs() <= granted.expiresAtMs(),
+          sent -> onSent(ask, granted.endpoint(), sent));
+    }
+
+    private void onSent(SlotAsk ask, String endpoint, SendResult sent) {
+      ports.slots.release(ask.attemptId(), SlotUse.of(use(sent)));
+      excluded.add(endpoint);
+      if (sent instanceof SendResult.Answered answered) {
+        budget.succeeded();
+        result.complete(CallResult.answered(answered.answer()));
+      } else if (sent instanceof SendResult.MaybeSent maybeSent) {
+        mayHaveRun = true;
+        retryOr(!call.serviceClass().nonIdempotent() && budget.take(), maybeSent.reason());
+      } else {
+        retryOr(true, "no endpoint could be reached");
+      }
+    }
+
+    private void retryOr(boolean mayRetry, String reason) {
+      boolean inTime = ports.clock.nowMs() < call.dueMs();
+      if (mayRetry && inTime && tries < MAX_TRIES) {
+        EventLog.event("call-retry")
+            .with("requestId", call.requestId())
+            .with("try", tries)
+            .with("reason", reason)
+            .info();
+        acquireSlot();
+      } else if (mayHaveRun) {
+        result.complete(CallResult.unknown(reason));
+      } else {
+        end(NotRunReason.NO_ENDPOINT, Optional.of(RETRY_AFTER_MS));
+      }
+    }
+
+    private void end(NotRunReason reason, Optional<Long> retryAfterMs) {
+      result.complete(
+          mayHaveRun
+              ? CallResult.unknown("an earlier try may have run: " + reason.code())
+              : CallResult.notRun(reason, retryAfterMs));
+    }
+
+    private SlotResult use(SendResult sent) {
+      if (sent instanceof SendResult.Answered) {
+        return SlotResult.COMPLETED;
+      }
+      return sent instanceof SendResult.MaybeSent ? SlotResult.BROKEN : SlotResult.UNREACHABLE;
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ServiceCallRunner.java
@@ -0,0 +1,143 @@
+package org.zinniaspan.runner;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.peer.PeerHandler;
+import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
+import org.zinniaspan.request.NotRunReason;
+
+/**
+ * Runs all calls to plain services, each in the way that its class and key need.
+ *
+ * <p>A non-idempotent call with a key runs at most once in its home zone. One without a key is made
+ * in one attempt: its caller declares by that never to repeat it. Other calls may be retried.
+ */
+public final class ServiceCallRunner implements CallRunner, PeerHandler, Ticking {
+
+  private final RunnerPorts ports;
+  private final ArrivalTimes arrivals;
+  private final AtMostOnceRunner atMostOnce;
+  private final RetryingCallRunner retrying;
+  private final CallForwarder forwarder;
+  private final ForwardedCalls forwarded;
+  private final MintedKeyRunner mintedKeys;
+
+  /** Creates a runner. */
+  public ServiceCallRunner(RunnerPorts ports) {
+    this.ports = ports;
+    this.arrivals = new ArrivalTimes(ports.clock, ports.settings.voteValidMs());
+    this.atMostOnce = new AtMostOnceRunner(ports, arrivals);
+    this.retrying = new RetryingCallRunner(ports);
+    this.forwarder = new CallForwarder(ports, arrivals);
+    this.mintedKeys = new MintedKeyRunner(ports);
+    this.forwarded = new ForwardedCalls(ports, arrivals, this::runForwarded);
+  }
+
+  /** Registers for the messages that belong here. */
+  public ServiceCallRunner register(PeerRouter router) {
+    router.register(
+        this,
+        BodyCase.CLAIM_REQUEST,
+        BodyCase.CLAIM_VOTE,
+        BodyCase.CLAIM_RELEASE,
+        BodyCase.CLAIM_SYNC_REQUEST,
+        BodyCase.CLAIM_SYNC_REPLY,
+        BodyCase.OUTCOME_REQUEST,
+        BodyCase.OUTCOME_REPLY,
+        BodyCase.FORWARDED_CALL,
+        BodyCase.FORWARDED_OUTCOME);
+    return this;
+  }
+
+  @Override
+  public CompletableFuture<CallResult> run(ServiceCall call) {
+    Optional<MintedKey> minted = mintedKey(call);
+    if (minted.isPresent() && !minted.get().vm().equals(ports.self.vm())) {
+      return forwarder.forwardTo(call, minted.get().vm());
+    }
+    if (minted.isPresent()) {
+      return mintedKeys.run(call, minted.get(), arrivals.earliestMs(), this::runOnce);
+    }
+    return runInHomeZone(call, HomeZones.of(call, ports.zone, ports.configuration.get()));
+  }
+
+  private static Optional<MintedKey> mintedKey(ServiceCall call) {
+    return call.serviceClass().nonIdempotent()
+        ? call.idempotencyKey().flatMap(MintedKey::parse)
+        : Optional.empty();
+  }
+
+  /** Makes one attempt at a call whose key this process alone runs. */
+  private CompletableFuture<CallResult> runOnce(ServiceCall call) {
+    Optional<String> zone = HomeZones.of(call, ports.zone, ports.configuration.get());
+    boolean here = zone.filter(ports.zone::equals).isPresent();
+    return here ? retrying.run(call) : runInHomeZone(call, zone);
+  }
+
+  private CompletableFuture<CallResult> runInHomeZone(ServiceCall call, Optional<String> zone) {
+    if (zone.isEmpty()) {
+      return CompletableFuture.completedFuture(noEndpoint(call));
+    }
+    if (!zone.get().equals(ports.zone)) {
+      return forwarder.forward(call, zone.get());
+    }
+    return runClaimed(call, arrivals.earliestMs());
+  }
+
+  @Override
+  public Optional<String> mintKey() {
+    return Optional.of(mintedKeys.mint());
+  }
+
+  private static CallResult noEndpoint(ServiceCall call) {
+    return call.serviceClass().nonIdempotent()
+        ? CallResult.unknown("no endpoint of service '" + call.service() + "' is listed any more")
+        : CallResult.notRun(NotRunReason.NO_ENDPOINT, Optional.empty());
+  }
+
+  /** Runs a call that another VM passed on, as the runner of its key or in its home zone. */
+  private CompletableFuture<CallResult> runForwarded(ServiceCall call, long startedMs) {
+    Optional<MintedKey> minted = mintedKey(call).filter(key -> key.vm().equals(ports.self.vm()));
+    return minted.isPresent()
+        ? mintedKeys.run(call, minted.get(), startedMs, this::runOnce)
+        : runClaimed(call, startedMs);
+  }
+
+  private CompletableFuture<CallResult> runClaimed(ServiceCall call, long startedMs) {
+    boolean claimed = call.serviceClass().nonIdempotent() && call.idempotencyKey().isPresent();
+    return claimed ? atMostOnce.run(call, startedMs) : retrying.run(call);
+  }
+
+  @Override
+  public void handle(Envelope message) {
+    String vm = message.getFromVm();
+    switch (message.getBodyCase()) {
+      case FORWARDED_CALL -> forwarded.handle(vm, message.getForwardedCall());
+      case FORWARDED_OUTCOME -> forwarder.onOutcome(vm, message.getForwardedOutcome());
+      default -> atMostOnce.handle(message);
+    }
+  }
+
+  @Override
+  public void tick() {
+    atMostOnce.tick();
+    forwarder.tick();
+    mintedKeys.tick();
+  }
+
+  /**
+   * Returns whether no call is open here and no other VM waits for an outcome of this one; a
+   * graceful shutdown waits for it.
+   */
+  public boolean isIdle() {
+    return atMostOnce.isIdle() && forwarder.isIdle() && forwarded.isIdle();
+  }
+
+  /** Returns the voter of this VM. */
+  public ClaimVoter voter() {
+    return atMostOnce.voter();
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/runner/RunnerZone.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/RunnerZone.java
@@ -65,7 +65,7 @@
     final String name;
     final long incarnation = clock.nowMs();
     final ConfigurationStore store = new ConfigurationStore();
-    final AtMostOnceRunner runner;
+    final ServiceCallRunner runner;
     boolean readsPlatform = true;
     private long confirmedMs;
 
@@ -74,7 +74,7 @@
       Member self = new Member(name, incarnation, "127.0.0.1:1", false);
       store.offer(new Document(DocumentName.INVENTORY, 1, bytes(INVENTORY)));
       runner =
-          new AtMostOnceRunner(
+          new ServiceCallRunner(
               RunnerPorts.of(self, ZONE)
                   .configuration(store::current)
                   .link(network.link(name, incarnation))
