Feed the configuration from one reader per availability zone

Cause: every VM read the platform itself, a revision counted as seen although its read had failed, and a fresh VM took what a stale replica said. A fresh VM asks peers before it adopts the platform's documents. Documents travel as deflated difference to the receiver's revision.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -15,8 +15,11 @@
 import org.zinniaspan.clock.SystemClock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.configuration.ConfigurationFeed;
 import org.zinniaspan.configuration.ConfigurationStore;
-import org.zinniaspan.configuration.PlatformReader;
+import org.zinniaspan.configuration.FeedParts;
+import org.zinniaspan.configuration.FeedSettings;
+import org.zinniaspan.configuration.ThreadedPlatform;
 import org.zinniaspan.dispatch.LocalSlotService;
 import org.zinniaspan.dispatch.SlotService;
 import org.zinniaspan.gateway.CallHandler;
@@ -37,7 +40,7 @@
 import org.zinniaspan.peer.NettyPeerTransport;
 import org.zinniaspan.peer.PeerLink;
 import org.zinniaspan.peer.PeerRouter;
-import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
 import org.zinniaspan.routing.LeastReportedLoad;
@@ -149,12 +152,37 @@
   }
 
   private void feedConfiguration(PeerLink link) {
-    membership.connect(link, heartbeat -> {});
-    peers.register(membership, Envelope.BodyCase.HEARTBEAT);
+    HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
+    ConfigurationFeed feed =
+        new FeedParts(
+                store,
+                closer.add(new ThreadedPlatform(source)),
+                membership,
+                settings.zone,
+                link,
+                executor(Executors.newSingleThreadExecutor()),
+                FeedSettings.withSeed(settings.seed),
+                clock)
+            .feed();
+    membership.connect(link, feed::extend);
+    peers.register(
+        message -> {
+          membership.handle(message);
+          feed.handle(message);
+        },
+        BodyCase.HEARTBEAT);
+    peers.register(feed, BodyCase.DOCUMENT_REQUEST, BodyCase.DOCUMENT_PART);
     ticking.add(membership);
+    ticking.add(feed);
+    metrics.gauge(
+        "zinniaspan_platform_age_ms",
+        "Milliseconds since the availability zone last heard the platform, -1 if never.",
+        () -> (double) feed.platformAgeMs());
+    metrics.gauge(
+        "zinniaspan_platform_behind",
+        "Times that the platform listed a revision lower than the one in force.",
+        () -> (double) feed.platformBehind());
     drain.begun().thenRun(membership::leave);
-    HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
-    closer.add(new PlatformReader(source, store));
   }
 
   private ExecutorService executor(ExecutorService executor) {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationFeed.java
@@ -0,0 +1,245 @@
+package org.zinniaspan.configuration;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.inventory.Finding;
+import org.zinniaspan.inventory.VmEntry;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.membership.Member;
+import org.zinniaspan.membership.Membership;
+import org.zinniaspan.peer.PeerHandler;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.proto.DocumentRevision;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Heartbeat;
+
+/**
+ * Brings published documents into force on this VM and tells the others of them.
+ *
+ * <p>One reader in each availability zone follows the platform; the others hear of a revision in
+ * heartbeats and fetch the document from a peer. Any VM reads the platform itself when its zone has
+ * not heard the platform for a while, or when it has no configuration. VMs of other zones are asked
+ * at a low rate.
+ */
+public final class ConfigurationFeed implements Ticking, PeerHandler {
+
+  /** Role of the VM that follows the platform for its availability zone. */
+  public static final String ROLE = "configuration";
+
+  private static final int ANNOUNCED_TO = 4;
+  private static final long ACTING_MS = 10_000;
+
+  private final ConfigurationStore store;
+  private final Membership membership;
+  private final String zone;
+  private final PeerLink link;
+  private final FeedSettings settings;
+  private final Clock clock;
+  private final Executor offers;
+  private final Random random;
+  private final PlatformFollower follower;
+  private final PeerDocuments peers;
+  private final DocumentSender sender;
+  private final FreshGate gate;
+  private final AtomicLong zoneContactMs = new AtomicLong(Long.MIN_VALUE);
+  private long actingUntilMs = Long.MIN_VALUE;
+  private long fallbackMs;
+  private long nextRemoteMs;
+
+  ConfigurationFeed(FeedParts parts) {
+    this.store = parts.store();
+    this.membership = parts.membership();
+    this.zone = parts.zone();
+    this.link = parts.link();
+    this.settings = parts.settings();
+    this.clock = parts.clock();
+    this.offers = parts.offers();
+    this.random = new Random(31 * settings.seed() + membership.self().vm().hashCode());
+    this.peers =
+        new PeerDocuments(
+            store, link, clock, settings.remoteGraceMs(), document -> offer(document, "peer"));
+    this.sender = new DocumentSender(store, link);
+    this.gate = new FreshGate(store, peers, settings.freshWaitMs());
+    this.follower =
+        new PlatformFollower(
+            parts.platform(), store, settings, clock, random, this::readFromPlatform);
+    drawFallback();
+  }
+
+  /** Returns how often the platform listed a revision lower than the one in force. */
+  public long platformBehind() {
+    return follower.behind();
+  }
+
+  /** Returns the milliseconds since the zone last heard the platform, -1 if never. */
+  public long platformAgeMs() {
+    long contactMs = Math.max(zoneContactMs.get(), follower.answeredMs());
+    return contactMs == Long.MIN_VALUE ? -1 : Math.max(0, clock.nowMs() - contactMs);
+  }
+
+  /** Adds what the other VMs need to know to a heartbeat. */
+  public void extend(Heartbeat.Builder heartbeat) {
+    store
+        .current()
+        .revisions()
+        .forEach(
+            (name, revision) ->
+                heartbeat.addRevisions(
+                    DocumentRevision.newBuilder().setName(name.label()).setRevision(revision)));
+    heartbeat.setPlatformAgeMs(platformAgeMs() + 1);
+  }
+
+  @Override
+  public void tick() {
+    long now = clock.nowMs();
+    follower.tick(() -> isWanted(now));
+    peers.tick();
+    gate.release(now).forEach(document -> offer(document, "platform"));
+    exchangeWithOtherZones(now);
+  }
+
+  private boolean isWanted(long nowMs) {
+    if (!store.current().isComplete() || isReader() || nowMs < actingUntilMs) {
+      return true;
+    }
+    long ageMs = platformAgeMs();
+    if (ageMs >= 0 && ageMs < fallbackMs) {
+      return false;
+    }
+    actingUntilMs = nowMs + ACTING_MS;
+    drawFallback();
+    EventLog.event("configuration-fallback").with("platformAgeMs", ageMs).info();
+    return true;
+  }
+
+  private void drawFallback() {
+    fallbackMs = settings.fallbackAfterMs() + random.nextInt((int) settings.fallbackSpreadMs());
+  }
+
+  private boolean isReader() {
+    return membership.ownerOf(ROLE).vm().equals(membership.self().vm());
+  }
+
+  private void exchangeWithOtherZones(long nowMs) {
+    if (nowMs < nextRemoteMs) {
+      return;
+    }
+    nextRemoteMs = nowMs + settings.remotePeriodMs();
+    if (random.nextInt(membership.live().size()) == 0 || !store.current().isComplete()) {
+      askOneOf(othersListed(false));
+    }
+  }
+
+  private List<String> othersListed(boolean ownZone) {
+    String self = membership.self().vm();
+    return store.current().vms().vms().stream()
+        .filter(vm -> vm.isEntry() && vm.zone().equals(zone) == ownZone)
+        .map(VmEntry::name)
+        .filter(name -> !name.equals(self))
+        .toList();
+  }
+
+  private void askOneOf(List<String> vms) {
+    if (!vms.isEmpty()) {
+      sendDigest(vms.get(random.nextInt(vms.size())), true);
+    }
+  }
+
+  private void sendDigest(String vm, boolean replyWanted) {
+    Heartbeat.Builder digest = Heartbeat.newBuilder().setReplyWanted(replyWanted);
+    extend(digest);
+    digest.clearPlatformAgeMs();
+    link.send(vm, Envelope.newBuilder().setHeartbeat(digest));
+  }
+
+  @Override
+  public void handle(Envelope message) {
+    switch (message.getBodyCase()) {
+      case HEARTBEAT -> heard(message.getFromVm(), message.getHeartbeat());
+      case DOCUMENT_REQUEST -> sender.answer(message.getFromVm(), message.getDocumentRequest());
+      case DOCUMENT_PART -> peers.part(message.getDocumentPart());
+      default -> {
+        // Not of this part.
+      }
+    }
+  }
+
+  private void heard(String vm, Heartbeat heartbeat) {
+    boolean ownZone = heartbeat.getEntriesCount() > 0 || membership.member(vm).isPresent();
+    if (ownZone && heartbeat.getPlatformAgeMs() > 0) {
+      long contactMs = clock.nowMs() - (heartbeat.getPlatformAgeMs() - 1);
+      zoneContactMs.accumulateAndGet(contactMs, Math::max);
+    }
+    for (DocumentRevision revision : heartbeat.getRevisionsList()) {
+      peers.heard(vm, revision, ownZone);
+    }
+    if (heartbeat.getRevisionsCount() > 0) {
+      gate.heardPeer();
+    }
+    if (heartbeat.getReplyWanted() && heartbeat.getEntriesCount() == 0) {
+      sendDigest(vm, false);
+    }
+  }
+
+  private void readFromPlatform(Document document) {
+    boolean alone = othersListed(true).isEmpty() && othersListed(false).isEmpty();
+    if (!gate.hold(document, alone, clock.nowMs())) {
+      offer(document, "platform");
+    }
+  }
+
+  private void offer(Document document, String source) {
+    offers.execute(() -> offerNow(document, source));
+  }
+
+  private void offerNow(Document document, String source) {
+    AdoptResult result = store.offer(document);
+    EventLog.event("document")
+        .with("name", document.name().label())
+        .with("revision", document.revision())
+        .with("source", source)
+        .with("result", result.getClass().getSimpleName())
+        .info();
+    if (result instanceof AdoptResult.Adopted) {
+      adopted(document);
+    } else if (result instanceof AdoptResult.Invalid invalid) {
+      refused(document, invalid);
+    }
+  }
+
+  private void adopted(Document document) {
+    if (document.name() == DocumentName.VMS && !store.current().isComplete()) {
+      askOneOf(othersListed(true));
+      askOneOf(othersListed(false));
+    }
+    announce();
+  }
+
+  private void announce() {
+    List<String> others = new ArrayList<>();
+    for (Member member : membership.live()) {
+      if (!member.vm().equals(membership.self().vm())) {
+        others.add(member.vm());
+      }
+    }
+    Collections.shuffle(others, random);
+    others.stream().limit(ANNOUNCED_TO).forEach(vm -> sendDigest(vm, false));
+  }
+
+  private static void refused(Document document, AdoptResult.Invalid invalid) {
+    for (Finding finding : invalid.findings()) {
+      EventLog.event("document-finding")
+          .with("revision", document.revision())
+          .with("sha256", DigestUtils.sha256Hex(document.content()))
+          .with("finding", finding)
+          .warn();
+    }
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationStore.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.zinniaspan.inventory.Finding;
@@ -22,6 +23,8 @@
 public final class ConfigurationStore {
 
   private final Map<DocumentName, Document> documents = new EnumMap<>(DocumentName.class);
+  private final Map<DocumentName, Document> previous = new EnumMap<>(DocumentName.class);
+  private final Map<DocumentName, Long> refused = new ConcurrentHashMap<>();
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
   private final DocumentParser parser = new DocumentParser();
   private Inventory inventory = new Inventory(null, null, null);
@@ -45,6 +48,16 @@
     return Optional.ofNullable(documents.get(name));
   }
 
+  /** Returns the document that was in force before the present one. */
+  public synchronized Optional<Document> previous(DocumentName name) {
+    return Optional.ofNullable(previous.get(name));
+  }
+
+  /** Returns whether this revision of the document was the last one refused as invalid. */
+  public boolean isRefused(DocumentName name, long revision) {
+    return refused.getOrDefault(name, 0L) == revision;
+  }
+
   /** Adopts the document if it is newer than the one in force and has no faults. */
   public AdoptResult offer(Document document) {
     Configuration adopted;
@@ -56,9 +69,13 @@
       List<Finding> findings = new ArrayList<>();
       apply(document, findings);
       if (!findings.isEmpty()) {
+        refused.put(document.name(), document.revision());
         return new AdoptResult.Invalid(List.copyOf(findings));
       }
-      documents.put(document.name(), document);
+      Document replaced = documents.put(document.name(), document);
+      if (replaced != null) {
+        previous.put(document.name(), replaced);
+      }
       adopted = snapshot();
       current = adopted;
     }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/DocumentFetch.java
@@ -0,0 +1,104 @@
+package org.zinniaspan.configuration;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import org.zinniaspan.peer.proto.DocumentPart;
+import org.zinniaspan.peer.proto.DocumentRequest;
+
+/**
+ * The parts of one document that have come from another VM so far.
+ *
+ * <p>A part of a higher revision starts anew. Not thread-safe.
+ */
+final class DocumentFetch {
+
+  private final DocumentName name;
+  private final Optional<Document> base;
+  private final ByteArrayOutputStream payload = new ByteArrayOutputStream();
+  private long revision;
+  private String sha256 = "";
+  private long baseRevision;
+  private String from;
+  private long progressMs;
+  private int retries;
+
+  DocumentFetch(
+      DocumentName name, long revision, Optional<Document> base, String from, long nowMs) {
+    this.name = name;
+    this.revision = revision;
+    this.base = base;
+    this.from = from;
+    this.progressMs = nowMs;
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  String from() {
+    return from;
+  }
+
+  long progressMs() {
+    return progressMs;
+  }
+
+  /** Counts a retry, from another VM if one is given, and returns the retries so far. */
+  int retry(String vm, long nowMs) {
+    from = vm;
+    progressMs = nowMs;
+    return ++retries;
+  }
+
+  DocumentRequest request() {
+    return DocumentRequest.newBuilder()
+        .setName(name.label())
+        .setNewerThan(base.map(Document::revision).orElse(0L))
+        .setOffset(payload.size())
+        .setRevision(payload.size() == 0 ? 0 : revision)
+        .build();
+  }
+
+  /** Adds a part; returns false if it does not continue what has come. */
+  boolean add(DocumentPart part, long nowMs) {
+    if (part.getRevision() < revision || part.getTotal() > DocumentTransfer.MAX_CONTENT_BYTES * 2) {
+      return false;
+    }
+    if (isOther(part)) {
+      payload.reset();
+      revision = part.getRevision();
+      sha256 = part.getSha256();
+      baseRevision = part.getBaseRevision();
+    }
+    if (part.getOffset() != payload.size()) {
+      return false;
+    }
+    payload.writeBytes(part.getContent().toByteArray());
+    progressMs = nowMs;
+    retries = 0;
+    return true;
+  }
+
+  private boolean isOther(DocumentPart part) {
+    return part.getRevision() != revision
+        || !part.getSha256().equals(sha256)
+        || part.getBaseRevision() != baseRevision;
+  }
+
+  boolean isComplete(DocumentPart last) {
+    return payload.size() >= last.getTotal();
+  }
+
+  /** Returns the document, empty if the bytes are not those of the hash. */
+  Optional<Document> document(DocumentPart last) {
+    DocumentTransfer transfer =
+        new DocumentTransfer(
+            last.getBaseRevision(),
+            last.getBasePrefix(),
+            last.getBaseSuffix(),
+            last.getSha256(),
+            payload.toByteArray());
+    Optional<Document> known = base.filter(old -> old.revision() == last.getBaseRevision());
+    return transfer.content(known).map(content -> new Document(name, revision, content));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/DocumentTransfer.java
@@ -0,0 +1,107 @@
+package org.zinniaspan.configuration;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * The form in which a document travels between VMs.
+ *
+ * <p>The bytes that it shares with the start and the end of the receiver's revision are left out,
+ * and the rest is deflated.
+ *
+ * @param baseRevision revision that the receiver has; 0 for none
+ * @param prefix bytes taken from the start of the base
+ * @param suffix bytes taken from the end of the base
+ * @param sha256 SHA-256 of the whole content in hexadecimal
+ * @param payload deflated bytes between prefix and suffix
+ */
+record DocumentTransfer(long baseRevision, int prefix, int suffix, String sha256, byte[] payload) {
+
+  /** Longest content of a document, in bytes. */
+  static final int MAX_CONTENT_BYTES = 1024 * 1024;
+
+  private static final int BUFFER_BYTES = 8 * 1024;
+
+  static DocumentTransfer of(Document document, Optional<Document> base) {
+    byte[] content = document.content();
+    byte[] old = base.map(Document::content).orElse(new byte[0]);
+    int mismatch = Arrays.mismatch(old, content);
+    int prefix = mismatch < 0 ? content.length : mismatch;
+    int suffix = commonSuffix(old, content, Math.min(old.length, content.length) - prefix);
+    byte[] middle = Arrays.copyOfRange(content, prefix, content.length - suffix);
+    return new DocumentTransfer(
+        base.map(Document::revision).orElse(0L),
+        prefix,
+        suffix,
+        DigestUtils.sha256Hex(content),
+        deflate(middle));
+  }
+
+  private static int commonSuffix(byte[] a, byte[] b, int limit) {
+    int length = 0;
+    while (length < limit && a[a.length - 1 - length] == b[b.length - 1 - length]) {
+      length++;
+    }
+    return length;
+  }
+
+  /** Returns the whole content, empty if the bytes are not those of the hash. */
+  Optional<byte[]> content(Optional<Document> base) {
+    byte[] old = base.map(Document::content).orElse(new byte[0]);
+    if (prefix < 0 || suffix < 0 || prefix + suffix > old.length) {
+      return Optional.empty();
+    }
+    return inflate(payload)
+        .map(middle -> join(old, middle))
+        .filter(content -> DigestUtils.sha256Hex(content).equals(sha256));
+  }
+
+  private byte[] join(byte[] old, byte[] middle) {
+    byte[] content = Arrays.copyOf(old, prefix + middle.length + suffix);
+    System.arraycopy(middle, 0, content, prefix, middle.length);
+    System.arraycopy(old, old.length - suffix, content, prefix + middle.length, suffix);
+    return content;
+  }
+
+  private static byte[] deflate(byte[] bytes) {
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    try {
+      deflater.setInput(bytes);
+      deflater.finish();
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      byte[] buffer = new byte[BUFFER_BYTES];
+      while (!deflater.finished()) {
+        out.write(buffer, 0, deflater.deflate(buffer));
+      }
+      return out.toByteArray();
+    } finally {
+      deflater.end();
+    }
+  }
+
+  private static Optional<byte[]> inflate(byte[] bytes) {
+    Inflater inflater = new Inflater();
+    try {
+      inflater.setInput(bytes);
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      byte[] buffer = new byte[BUFFER_BYTES];
+      while (!inflater.finished()) {
+        int count = inflater.inflate(buffer);
+        if ((count == 0 && !inflater.finished()) || out.size() > MAX_CONTENT_BYTES) {
+          return Optional.empty();
+        }
+        out.write(buffer, 0, count);
+      }
+      return Optional.of(out.toByteArray());
+    } catch (DataFormatException e) {
+      return Optional.empty();
+    } finally {
+      inflater.end();
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/FeedParts.java
@@ -0,0 +1,34 @@
+package org.zinniaspan.configuration;
+
+import java.util.concurrent.Executor;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.membership.Membership;
+import org.zinniaspan.peer.PeerLink;
+
+/**
+ * What a {@link ConfigurationFeed} works with.
+ *
+ * @param store holds the documents in force
+ * @param platform asks the platform
+ * @param membership VMs of the own availability zone
+ * @param zone own availability zone
+ * @param link sends to other VMs
+ * @param offers checks and adopts documents, which may take long
+ * @param settings times and seed
+ * @param clock source of time
+ */
+public record FeedParts(
+    ConfigurationStore store,
+    PlatformPort platform,
+    Membership membership,
+    String zone,
+    PeerLink link,
+    Executor offers,
+    FeedSettings settings,
+    Clock clock) {
+
+  /** Returns a feed of these parts. */
+  public ConfigurationFeed feed() {
+    return new ConfigurationFeed(this);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/FreshGate.java
@@ -0,0 +1,69 @@
+package org.zinniaspan.configuration;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the first documents that a fresh VM read from the platform until its peers had the time to
+ * tell of higher revisions.
+ *
+ * <p>State is guarded by this object's lock.
+ */
+final class FreshGate {
+
+  private static final long LONGEST_FETCH_MS = 5_000;
+
+  private record Held(Document document, long sinceMs) {}
+
+  private final ConfigurationStore store;
+  private final PeerDocuments peers;
+  private final long waitMs;
+  private final Map<DocumentName, Held> held = new EnumMap<>(DocumentName.class);
+  private boolean heardPeer;
+
+  FreshGate(ConfigurationStore store, PeerDocuments peers, long waitMs) {
+    this.store = store;
+    this.peers = peers;
+    this.waitMs = waitMs;
+  }
+
+  synchronized void heardPeer() {
+    heardPeer = true;
+  }
+
+  /** Holds a document; returns false if it may be adopted at once. */
+  synchronized boolean hold(Document document, boolean alone, long nowMs) {
+    DocumentName name = document.name();
+    boolean fresh = store.current().revision(name) == 0 && name != DocumentName.VMS;
+    if (!fresh || alone) {
+      return false;
+    }
+    Held known = held.get(name);
+    long sinceMs = known == null ? nowMs : known.sinceMs();
+    if (known == null || known.document().revision() < document.revision()) {
+      held.put(name, new Held(document, sinceMs));
+    }
+    return true;
+  }
+
+  /** Returns the documents that have been held long enough. */
+  synchronized List<Document> release(long nowMs) {
+    List<Document> released = new ArrayList<>();
+    held.values().stream()
+        .filter(waiting -> isDue(waiting, nowMs))
+        .forEach(waiting -> released.add(waiting.document()));
+    released.forEach(document -> held.remove(document.name()));
+    return released;
+  }
+
+  private boolean isDue(Held waiting, long nowMs) {
+    long waitedMs = nowMs - waiting.sinceMs();
+    Document document = waiting.document();
+    if (peers.isFetchingNewer(document.name(), document.revision())) {
+      return waitedMs >= LONGEST_FETCH_MS;
+    }
+    return heardPeer || waitedMs >= waitMs;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/PeerDocuments.java
@@ -0,0 +1,154 @@
+package org.zinniaspan.configuration;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.proto.DocumentPart;
+import org.zinniaspan.peer.proto.DocumentRevision;
+import org.zinniaspan.peer.proto.Envelope;
+
+/**
+ * Fetches documents that other VMs have at a higher revision.
+ *
+ * <p>One fetch for each document at a time; a lost part is asked for again, from the VM that last
+ * told of the revision. State is guarded by this object's lock.
+ */
+final class PeerDocuments {
+
+  private static final long RETRY_MS = 700;
+  private static final int MAX_RETRIES = 8;
+
+  private record Remote(long revision, String vm, long heardMs) {}
+
+  private final ConfigurationStore store;
+  private final PeerLink link;
+  private final Clock clock;
+  private final long remoteGraceMs;
+  private final Consumer<Document> sink;
+  private final Map<DocumentName, DocumentFetch> fetches = new EnumMap<>(DocumentName.class);
+  private final Map<DocumentName, Remote> remote = new EnumMap<>(DocumentName.class);
+  private final Map<DocumentName, String> lastHolder = new HashMap<>();
+  private final Map<DocumentName, Long> offered = new EnumMap<>(DocumentName.class);
+
+  PeerDocuments(
+      ConfigurationStore store,
+      PeerLink link,
+      Clock clock,
+      long remoteGraceMs,
+      Consumer<Document> sink) {
+    this.store = store;
+    this.link = link;
+    this.clock = clock;
+    this.remoteGraceMs = remoteGraceMs;
+    this.sink = sink;
+  }
+
+  /** Notes that a VM has a revision in force. */
+  synchronized void heard(String vm, DocumentRevision heard, boolean ownZone) {
+    Optional<DocumentName> name = DocumentName.of(heard.getName());
+    if (name.isEmpty() || !isNews(name.get(), heard.getRevision())) {
+      return;
+    }
+    if (ownZone) {
+      lastHolder.put(name.get(), vm);
+      fetch(name.get(), heard.getRevision(), vm);
+    } else {
+      Remote known = remote.get(name.get());
+      long sinceMs =
+          known != null && known.revision() >= heard.getRevision()
+              ? known.heardMs()
+              : clock.nowMs();
+      remote.put(name.get(), new Remote(heard.getRevision(), vm, sinceMs));
+    }
+  }
+
+  private boolean isNews(DocumentName name, long revision) {
+    long known = Math.max(store.current().revision(name), offered.getOrDefault(name, 0L));
+    return revision > known && !store.isRefused(name, revision);
+  }
+
+  /** Returns whether a revision of the document higher than the given one is being fetched. */
+  synchronized boolean isFetchingNewer(DocumentName name, long revision) {
+    DocumentFetch fetch = fetches.get(name);
+    return fetch != null && fetch.revision() > revision;
+  }
+
+  private void fetch(DocumentName name, long revision, String vm) {
+    DocumentFetch active = fetches.get(name);
+    if (active != null && active.revision() >= revision) {
+      return;
+    }
+    DocumentFetch fetch =
+        new DocumentFetch(name, revision, store.document(name), vm, clock.nowMs());
+    fetches.put(name, fetch);
+    ask(fetch);
+  }
+
+  private void ask(DocumentFetch fetch) {
+    link.send(fetch.from(), Envelope.newBuilder().setDocumentRequest(fetch.request()));
+  }
+
+  /** Takes a part that a VM has sent. */
+  void part(DocumentPart part) {
+    complete(part).ifPresent(sink);
+  }
+
+  private synchronized Optional<Document> complete(DocumentPart part) {
+    Optional<DocumentName> name = DocumentName.of(part.getName());
+    DocumentFetch fetch = name.map(fetches::get).orElse(null);
+    if (fetch == null || !fetch.add(part, clock.nowMs())) {
+      return Optional.empty();
+    }
+    if (!fetch.isComplete(part)) {
+      ask(fetch);
+      return Optional.empty();
+    }
+    fetches.remove(name.get());
+    Optional<Document> document = fetch.document(part);
+    if (document.isEmpty()) {
+      EventLog.event("document-corrupt")
+          .with("name", part.getName())
+          .with("revision", part.getRevision())
+          .with("from", fetch.from())
+          .warn();
+    }
+    document.ifPresent(found -> offered.put(name.get(), found.revision()));
+    return document;
+  }
+
+  /** Asks for lost parts again, and for what only other zones have. */
+  synchronized void tick() {
+    long now = clock.nowMs();
+    fetches.entrySet().removeIf(entry -> isGivenUp(entry.getKey(), entry.getValue(), now));
+    for (DocumentName name : DocumentName.values()) {
+      Remote known = remote.get(name);
+      if (known != null && !isNews(name, known.revision())) {
+        remote.remove(name);
+      } else if (known != null && isDue(name, known, now)) {
+        remote.remove(name);
+        fetch(name, known.revision(), known.vm());
+      }
+    }
+  }
+
+  private boolean isDue(DocumentName name, Remote known, long nowMs) {
+    return store.current().revision(name) == 0 || nowMs - known.heardMs() >= remoteGraceMs;
+  }
+
+  private boolean isGivenUp(DocumentName name, DocumentFetch fetch, long nowMs) {
+    if (nowMs - fetch.progressMs() < RETRY_MS) {
+      return false;
+    }
+    String vm = lastHolder.getOrDefault(name, fetch.from());
+    if (fetch.retry(vm, nowMs) > MAX_RETRIES) {
+      return true;
+    }
+    ask(fetch);
+    return false;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/ThreadedPlatform.java
@@ -0,0 +1,41 @@
+package org.zinniaspan.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+import org.zinniaspan.configuration.DocumentSource.Change;
+
+/** Asks a blocking source on a thread of its own. */
+public final class ThreadedPlatform implements PlatformPort, AutoCloseable {
+
+  private final DocumentSource source;
+  private final ExecutorService thread =
+      Executors.newSingleThreadExecutor(
+          task -> {
+            Thread created = new Thread(task, "platform-reader");
+            created.setDaemon(true);
+            return created;
+          });
+
+  /** Creates a port over the given source. */
+  public ThreadedPlatform(DocumentSource source) {
+    this.source = source;
+  }
+
+  @Override
+  public void watch(long afterRevision, long waitMs, Consumer<Optional<List<Change>>> done) {
+    thread.execute(() -> done.accept(source.watch(afterRevision, waitMs)));
+  }
+
+  @Override
+  public void read(DocumentName name, Consumer<Optional<Document>> done) {
+    thread.execute(() -> done.accept(source.read(name)));
+  }
+
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/configuration/ConfigurationFeedTest.java
@@ -0,0 +1,144 @@
+package org.zinniaspan.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationFeedTest {
+
+  private final FeedFleet fleet = new FeedFleet(4, 3, 5);
+
+  @BeforeEach
+  void settle() {
+    fleet.network.advance(8_000);
+    assertThat(fleet.isInForce()).isTrue();
+  }
+
+  private long inForceMs(String what) {
+    long tookMs = fleet.until(fleet::isInForce, 60_000);
+    System.out.println("in force everywhere, " + what + ": " + tookMs + " ms");
+    assertThat(fleet.violations).isEmpty();
+    return tookMs;
+  }
+
+  @Nested
+  class InSteadyState {
+    @Test
+    void changeIsInForceEverywhereWithinOneSecond() {
+      fleet.publishRules(100);
+      assertThat(inForceMs("100 B")).isAtMost(1_000L);
+    }
+
+    @Test
+    void largeDocumentIsTooAndCrossesNoZone() {
+      fleet.remoteBytes = 0;
+      fleet.publishRules(900_000);
+      assertThat(inForceMs("900 kB")).isAtMost(2_000L);
+      fleet.network.advance(10_000);
+      assertThat(fleet.remoteBytes).isLessThan(20_000L);
+    }
+
+    @Test
+    void oneReaderPerZoneCallsThePlatform() {
+      fleet.platform.calls = 0;
+      fleet.network.advance(60_000);
+      System.out.println("platform calls of 2 readers in 60 s: " + fleet.platform.calls);
+      assertThat(fleet.platform.calls).isAtMost(100L);
+    }
+  }
+
+  @Nested
+  class WithFaults {
+    @Test
+    void killedReaderIsReplaced() {
+      String reader = fleet.vms.get("a-1").membership().ownerOf(ConfigurationFeed.ROLE).vm();
+      fleet.kill(reader);
+      fleet.publishRules(100);
+      assertThat(inForceMs("reader killed")).isAtMost(9_000L);
+    }
+
+    @Test
+    void zoneThatIsCutFromThePlatformHearsFromTheOther() {
+      fleet.platform.setDown("a", true);
+      fleet.network.advance(20_000);
+      fleet.publishRules(100);
+      assertThat(inForceMs("zone cut from platform")).isAtMost(9_000L);
+    }
+
+    @Test
+    void zoneWithStaleReplicaHearsFromTheOther() {
+      fleet.platform.freeze("a");
+      fleet.publishRules(100);
+      assertThat(inForceMs("stale replica")).isAtMost(9_000L);
+    }
+
+    @Test
+    void lostPartsAreAskedForAgain() {
+      fleet.network.faults(0.2, 0.05);
+      fleet.publishRules(500_000);
+      assertThat(inForceMs("500 kB with 20% loss")).isAtMost(60_000L);
+    }
+
+    @Test
+    void platformThatGoesBackIsNoticedAndNotFollowed() {
+      fleet.platform.remember();
+      fleet.publishRules(100);
+      inForceMs("before going back");
+      fleet.platform.goBack("a");
+      fleet.network.advance(25_000);
+      assertThat(fleet.isInForce()).isTrue();
+      long behind = fleet.ofZone("a").stream().mapToLong(vm -> vm.feed().platformBehind()).sum();
+      assertThat(behind).isAtLeast(1L);
+    }
+
+    @Test
+    void freshVmWithStalePlatformTakesThePeersRevisionAtOnce() {
+      fleet.platform.freeze("a");
+      final long newest = fleet.publishRules(100);
+      inForceMs("before the fresh VM");
+      fleet.kill("a-2");
+      FeedFleet.Vm fresh = fleet.start("a-2");
+      fleet.until(() -> fresh.store().current().isComplete(), 10_000);
+      assertThat(fresh.revision(DocumentName.RULES)).isEqualTo(newest);
+    }
+
+    @Test
+    void invalidDocumentIsRefusedOnceAndTheNextOneAdopted() {
+      fleet.platform.publish(DocumentName.RULES, "{\"classes\":[{\"tier\":-1}]}", false);
+      fleet.network.advance(5_000);
+      fleet.platform.calls = 0;
+      fleet.network.advance(30_000);
+      assertThat(fleet.platform.calls).isAtMost(60L);
+      fleet.publishRules(100);
+      assertThat(inForceMs("after an invalid one")).isAtMost(2_000L);
+    }
+  }
+
+  @Nested
+  class TransferForm {
+    @Test
+    void sameContentAtHigherRevisionIsRestored() {
+      Document base = new Document(DocumentName.RULES, 1, new byte[] {'{', '}'});
+      Document document = new Document(DocumentName.RULES, 2, new byte[] {'{', '}'});
+      DocumentTransfer transfer = DocumentTransfer.of(document, Optional.of(base));
+      assertThat(transfer.content(Optional.of(base)).orElseThrow()).isEqualTo(document.content());
+    }
+
+    @Test
+    void smallChangeOfLargeDocumentIsSmall() {
+      byte[] old = new byte[500_000];
+      new java.util.Random(1).nextBytes(old);
+      byte[] changed = old.clone();
+      changed[250_000]++;
+      Document base = new Document(DocumentName.RULES, 1, old);
+      Document document = new Document(DocumentName.RULES, 2, changed);
+      DocumentTransfer transfer = DocumentTransfer.of(document, Optional.of(base));
+      assertThat(transfer.payload().length).isLessThan(100);
+      assertThat(transfer.content(Optional.of(base)).orElseThrow()).isEqualTo(changed);
+      assertThat(transfer.content(Optional.empty())).isEmpty();
+    }
+  }
+}
