--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
@@ -56,7 +56,10 @@
       List.of("-XX:+UseSerialGC", "-Xmx256m", "-Xss256k", "-XX:TieredStopAtLevel=1");
   private static final String STANDINS_MAIN = "org.zinniaspan.standins.StandinsMain";
   private static final String ENTRY_MAIN = "org.zinniaspan.cli.Main";
-  private static final String LOOPBACK = "127.0.0.1";
+
+  /** Not 127.0.0.1, whose ports outgoing connections take at any moment. */
+  private static final String LOOPBACK = "127.0.0.2";
+
   private static final int HTTP_TIMEOUT_MS = 2_000;
   private static final long READY_TIMEOUT_MS = 20_000;
   private static final long POLL_MS = 20;
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/engine/EngineCoreTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/engine/EngineCoreTest.java
@@ -102,8 +102,8 @@
   class Orders {
     @Test
     void oldFencingNumberIsRefused() {
-      assertThat(core.order(7, Set.of("model-b"), Set.of())).isTrue();
-      assertThat(core.order(6, Set.of("model-c"), Set.of())).isFalse();
+      assertThat(core.order(7, Set.of("model-a", "model-b"))).isTrue();
+      assertThat(core.order(6, Set.of("model-c"))).isFalse();
       assertThat(core.models()).containsExactly("model-a", "model-b");
     }
   }
