--- a/zinniaspan/src/test/java/org/zinniaspan/placement/PlacerFuzzTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/placement/PlacerFuzzTest.java
@@ -231,8 +231,7 @@
 
   @Property(tries = 60, seed = "2026")
   void enginesEndInTheNewestDecisionAndDoNotFlap(@ForAll long seed) {
-    Random random = new Random(seed);
-    clock.advance(0);
+    final Random random = new Random(seed);
     engines.clear();
     placers.clear();
     start();
@@ -275,7 +274,7 @@
     start();
     FakePlacer first = placers.get(0);
     FakePlacer second = placers.get(1);
-    Random random = new Random(1);
+    final Random random = new Random(1);
     first.betweenCheckAndSend =
         () -> {
           first.paused = true;
