--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SlotFleet.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SlotFleet.java
@@ -33,6 +33,14 @@
   static final int SLOTS_PER_ENGINE = 8;
 
   private static final String ZONE = "zone";
+  private static final int FIRST_PORT = 9_000;
+  private static final String ENDPOINT =
+      "{'name':'%s','kind':'engine','zone':'%s','address':'127.0.0.1:%d',"
+          .concat("'models':['%s'],'slots':%d}")
+          .replace('\'', '"');
+  private static final String INVENTORY =
+      "{'regions':[{'name':'region','zones':['%s']}],'models':[{'name':'%s'}],'endpoints':[%s]}"
+          .replace('\'', '"');
   private static final long TICK_MS = 50;
   private static final long LINK_MS = 1;
   private static final long REPORT_PERIOD_MS = 500;
@@ -77,7 +85,7 @@
       case DISPATCHER -> startDispatchers();
       case ALONE -> startAlone();
       case FIRST_COME -> startFirstCome(Integer.MAX_VALUE);
-      case FIRST_COME_LIMITED -> startFirstCome(QUEUE_LIMIT);
+      default -> startFirstCome(QUEUE_LIMIT);
     }
   }
 
@@ -95,16 +103,9 @@
       String name = "engine-" + i;
       engines.put(name, new SimulatedEngine(time, SLOTS_PER_ENGINE));
       rows.add(
-          """
-          {"name":"%s","kind":"engine","zone":"%s","address":"127.0.0.1:%d",\
-          "models":["%s"],"slots":%d}"""
-              .formatted(name, ZONE, 9_000 + i, SlotSimulation.MODEL, SLOTS_PER_ENGINE));
+          ENDPOINT.formatted(name, ZONE, FIRST_PORT + i, SlotSimulation.MODEL, SLOTS_PER_ENGINE));
     }
-    String inventory =
-        """
-        {"regions":[{"name":"region","zones":["%s"]}],"models":[{"name":"%s"}],\
-        "endpoints":[%s]}"""
-            .formatted(ZONE, SlotSimulation.MODEL, String.join(",", rows));
+    String inventory = INVENTORY.formatted(ZONE, SlotSimulation.MODEL, String.join(",", rows));
     byte[] body = inventory.getBytes(StandardCharsets.UTF_8);
     store.offer(new Document(DocumentName.INVENTORY, 1, body));
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/PoolQueue.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/PoolQueue.java
@@ -23,6 +23,12 @@
   /** Factor on the estimated wait of a new ask, so that it need not be refused later. */
   private static final double ADMISSION_MARGIN = 1.3;
 
+  /** Factor on the estimated wait of an ask that waits, since the estimate varies. */
+  private static final double RECHECK_MARGIN = 0.5;
+
+  /** Lowest tier for which work of lower ones is preempted. */
+  private static final int LOWEST_PREEMPTING_TIER = 1;
+
   private final SlotSource source;
   private final QueueLimits limits;
   private final ToIntFunction<String> weights;
@@ -213,6 +219,9 @@
   }
 
   private boolean preemptFor(QueuedAsk entry, List<SlotDecision> decisions) {
+    if (entry.tier() > LOWEST_PREEMPTING_TIER) {
+      return false;
+    }
     Optional<QueuedAsk> victim =
         entries.values().stream()
             .filter(other -> isVictim(other, entry))
@@ -255,7 +264,9 @@
           decisions.add(unreachable(entry));
         } else if (nowMs >= entry.ask().deadlineMs()) {
           decisions.add(refuse(entry, nowMs));
-        } else if (!kept && !canWait(entry, ahead, 1, nowMs) && !preemptFor(entry, decisions)) {
+        } else if (!kept
+            && !canWait(entry, ahead, RECHECK_MARGIN, nowMs)
+            && !preemptFor(entry, decisions)) {
           decisions.add(refuse(entry, nowMs));
         } else {
           ahead++;
