--- a/zinniaspan/src/test/java/org/zinniaspan/dispatch/DispatcherTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/dispatch/DispatcherTest.java
@@ -118,6 +118,19 @@
       assertThat(fleet.mostBusy).isEqualTo(DispatchFleet.SLOTS);
     }
 
+    @Test
+    void slotsOfReplacedVmComeBackThoughItStaysSilent() {
+      fleet.meanServiceMs = 60_000;
+      String gateway = other();
+      fleet.ask(gateway, LOWEST, "o", false);
+      fleet.advance(100);
+      assertThat(fleet.believedHeld()).isEqualTo(1);
+      fleet.kill(gateway);
+      fleet.start(gateway);
+      fleet.advance(3_000);
+      assertThat(fleet.believedHeld()).isEqualTo(0);
+    }
+
     @Test
     void gatewayOutOfReachLendsItsShareByTier() {
       String gateway = other();
