Wire placement, one dispatcher for pools that share engines, door refusals

Cause: (1) two pools on one engine had two dispatchers, each lending all of its slots; (2) a call with an idempotency key that a VM did not take (draining, full, no configuration) was told not-run although an earlier attempt may have run; (3) a blocked write to a slow caller had no timeout; (4) placement was not wired; its first process test waited in vain for 20 s because the weight-store budget of a new placer counted a whole minute as spent.

Commands import, status and explain; at most 400 requests in flight.

Ruled out: one dispatcher for a whole zone; at the target it would take about 950 requests a second on one VM, against 1.3% of a core.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetSpec.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetSpec.java
@@ -22,7 +22,9 @@
   final List<String> entryFlags = new ArrayList<>();
   final Map<String, String> documents = new LinkedHashMap<>();
   List<String> models = List.of("model-a");
+  List<String> allowedModels = List.of();
   int engineSlots = 8;
+  int engineMemoryMb;
 
   /** Adds an availability zone with a number of entry VMs. */
   public FleetSpec zone(String zone, int entries) {
@@ -36,6 +38,13 @@
     return this;
   }
 
+  /** Lets placement load these models on all engines, which have the given memory. */
+  public FleetSpec placeable(int memoryMb, String... names) {
+    engineMemoryMb = memoryMb;
+    allowedModels = List.of(names);
+    return this;
+  }
+
   /** Sets the slots of all engines; the default is 8. */
   public FleetSpec engineSlots(int slots) {
     engineSlots = slots;
--- a/zinniaspan/src/main/java/org/zinniaspan/admin/AdminHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/admin/AdminHandler.java
@@ -16,6 +16,7 @@
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.zinniaspan.lifecycle.Drain;
+import org.zinniaspan.log.EventLog;
 
 /**
  * The operators' side: health, readiness, metrics, status and the drain of this VM.
@@ -24,6 +25,7 @@
  */
 public final class AdminHandler implements HttpRequestHandler {
 
+  private static final String EXPLAIN = "GET /explain/";
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
   private static final int UNAUTHORIZED = 401;
@@ -79,15 +81,15 @@
       text(response, UNAUTHORIZED, "send the token as 'Authorization: Bearer TOKEN'");
       return;
     }
+    if (call.startsWith(EXPLAIN)) {
+      json(response, EventLog.recent().about(call.substring(EXPLAIN.length())));
+      return;
+    }
     switch (call) {
       case "GET /metrics" ->
           response.setEntity(
               new ByteArrayEntity(metrics.exposition(), ContentType.parse("text/plain")));
-      case "GET /status" ->
-          response.setEntity(
-              new ByteArrayEntity(
-                  mapper.writerWithDefaultPrettyPrinter().writeValueAsBytes(status.get()),
-                  ContentType.APPLICATION_JSON));
+      case "GET /status" -> json(response, status.get());
       case "POST /drain" -> {
         drain.begin();
         text(response, ACCEPTED, "draining");
@@ -99,10 +101,15 @@
               "'"
                   + call
                   + "' is unknown; valid are GET /healthz, GET /readyz, GET /metrics,"
-                  + " GET /status and POST /drain");
+                  + " GET /status, GET /explain/ID and POST /drain");
     }
   }
 
+  private void json(ClassicHttpResponse response, Object value) throws IOException {
+    byte[] body = mapper.writerWithDefaultPrettyPrinter().writeValueAsBytes(value);
+    response.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_JSON));
+  }
+
   private boolean isAuthorised(ClassicHttpRequest request) {
     Header header = request.getFirstHeader("Authorization");
     byte[] wanted = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/AdminClient.java
@@ -0,0 +1,47 @@
+package org.zinniaspan.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.http.BodyReader;
+import org.zinniaspan.http.HttpExchange;
+
+/** Calls the administration API of one daemon. */
+final class AdminClient {
+
+  private static final int TIMEOUT_MS = 3_000;
+  private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+  private static final int OK = 200;
+
+  private AdminClient() {}
+
+  /**
+   * Returns the answer to a GET.
+   *
+   * @throws IOException if the daemon cannot be reached, or refuses, with its reason
+   */
+  static String get(String adminAddress, String token, String path) throws IOException {
+    InetSocketAddress address = Addresses.parse(adminAddress);
+    try (HttpExchange exchange = HttpExchange.connect(address, TIMEOUT_MS, TIMEOUT_MS)) {
+      ClassicHttpResponse response =
+          exchange.execute(
+              ClassicRequestBuilder.get(path)
+                  .setHttpHost(new HttpHost(address.getHostString(), address.getPort()))
+                  .addHeader("Authorization", "Bearer " + token)
+                  .build());
+      byte[] body = BodyReader.read(response.getEntity(), MAX_ANSWER_BYTES).orElse(new byte[0]);
+      String text = new String(body, StandardCharsets.UTF_8);
+      if (response.getCode() != OK) {
+        throw new IOException(adminAddress + ": status " + response.getCode() + ": " + text);
+      }
+      return text;
+    } catch (HttpException e) {
+      throw new IOException(adminAddress + ": " + e.getMessage(), e);
+    }
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -28,12 +28,15 @@
 import org.zinniaspan.gateway.ChatHandler;
 import org.zinniaspan.gateway.Gateway;
 import org.zinniaspan.gateway.Limits;
+import org.zinniaspan.gateway.SlowCallers;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.http.HttpDocumentSource;
 import org.zinniaspan.http.HttpListener;
+import org.zinniaspan.http.HttpOrderClient;
 import org.zinniaspan.http.HttpServiceClient;
 import org.zinniaspan.http.LoadPoller;
 import org.zinniaspan.http.OpenAiEngineClient;
+import org.zinniaspan.inventory.Endpoint;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.lifecycle.Drain;
 import org.zinniaspan.log.EventLog;
@@ -43,6 +46,8 @@
 import org.zinniaspan.peer.PeerLink;
 import org.zinniaspan.peer.PeerRouter;
 import org.zinniaspan.peer.proto.Envelope.BodyCase;
+import org.zinniaspan.placement.DemandMeter;
+import org.zinniaspan.placement.Placer;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
 import org.zinniaspan.routing.LearnedOutput;
@@ -64,6 +69,7 @@
 
   private static final long TICK_MS = 50;
   private static final int POLL_THREADS = 2;
+  private static final long PLACEMENT_POLL_MS = 2_000;
 
   private final Closer closer = new Closer();
   private final Drain drain = new Drain();
@@ -72,6 +78,7 @@
   private final ConfigurationStore store = new ConfigurationStore();
   private final PeerRouter peers = new PeerRouter();
   private final List<Ticking> ticking = new ArrayList<>();
+  private final DemandMeter demand = new DemandMeter(clock);
   private final EntrySettings settings;
   private final GossipMembership membership;
 
@@ -115,14 +122,19 @@
     SlotService slots = slots(table, transport);
     ChatRunner chats = chats(slots, table);
     CallRunner calls = calls(slots, transport);
-    Limits limits = new Limits(settings.maxBodyBytes);
+    Limits limits = new Limits(settings.maxBodyBytes, settings.maxInFlight);
+    SlowCallers slowCallers = new SlowCallers(clock);
+    ticking.add(slowCallers);
     Gateway gateway =
         new Gateway(
             this::configuration,
             drain,
-            new ChatHandler(this::configuration, chats, metrics, limits, clock),
+            limits,
+            slowCallers,
+            new ChatHandler(this::configuration, counted(chats), metrics, limits, clock),
             new CallHandler(this::configuration, calls, metrics, limits, clock));
     feedConfiguration(transport);
+    placeModels(table);
     closer.add(HttpListener.start(Addresses.parse(settings.listen), gateway));
     closer.add(HttpListener.start(Addresses.parse(settings.adminListen), admin(transport)));
     startTicking();
@@ -166,6 +178,13 @@
         .build();
   }
 
+  private ChatRunner counted(ChatRunner runner) {
+    return (call, callerLeft) -> {
+      demand.count(call.model());
+      return runner.start(call, callerLeft);
+    };
+  }
+
   private CallRunner calls(SlotService slots, PeerLink link) {
     ExecutorService threads = executor(Executors.newCachedThreadPool());
     RunnerPorts ports =
@@ -214,6 +233,32 @@
     drain.begun().thenRun(membership::leave);
   }
 
+  private void placeModels(EndpointTable table) {
+    if (!settings.placement.enabled) {
+      return;
+    }
+    ExecutorService threads = executor(Executors.newSingleThreadExecutor());
+    Placer placer =
+        new Placer.Builder()
+            .membership(membership)
+            .table(table)
+            .inventory(() -> configuration().inventory())
+            .demand(demand::perSecond)
+            .client(new HttpOrderClient(), threads)
+            .clock(clock)
+            .limits(settings.placement.limits())
+            .build();
+    ticking.add(placer);
+    ticking.add(
+        new LoadPoller(
+            table, endpoint -> readsForPlacement(endpoint), PLACEMENT_POLL_MS, threads, clock));
+  }
+
+  private boolean readsForPlacement(Endpoint endpoint) {
+    boolean managed = endpoint.memoryMb() > 0;
+    return managed && membership.ownerOf(Placer.ROLE).vm().equals(settings.vmName);
+  }
+
   private ExecutorService executor(ExecutorService executor) {
     closer.add(executor::shutdownNow);
     return executor;
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntrySettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntrySettings.java
@@ -44,6 +44,9 @@
   @Parameter(names = "--max-body-bytes", description = "Longest body of a caller, in bytes.")
   int maxBodyBytes = 1024 * 1024;
 
+  @Parameter(names = "--max-in-flight", description = "Most requests at one time.")
+  int maxInFlight = 400;
+
   @Parameter(names = "--seed", description = "Seed of all random numbers.")
   long seed = 1;
 
@@ -51,6 +54,7 @@
   @ParametersDelegate RoutingSettings routing = new RoutingSettings();
   @ParametersDelegate CallSettings calls = new CallSettings();
   @ParametersDelegate ZoneSettings zones = new ZoneSettings();
+  @ParametersDelegate PlacementSettings placement = new PlacementSettings();
 
   /** Returns all faults of the settings. */
   public List<Finding> findings() {
@@ -69,6 +73,8 @@
     routing.check(checks);
     calls.check(checks);
     zones.check(checks);
+    placement.check(checks);
+    checks.atLeast("--max-in-flight", maxInFlight, 1);
     return checks.findings();
   }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ExplainCommand.java
@@ -0,0 +1,31 @@
+package org.zinniaspan.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.PrintStream;
+
+/** Shows the decisions that a daemon made about one request. */
+@Parameters(commandDescription = "Show why a request went where it did.")
+public final class ExplainCommand {
+
+  @Parameter(names = "--help", help = true, description = "Show this help.")
+  boolean help;
+
+  @Parameter(names = "--admin", description = "Address of the daemon's administration API.")
+  String admin = "127.0.0.1:8082";
+
+  @Parameter(names = "--admin-token", description = "Token that operators send.")
+  String token = "";
+
+  @Parameter(names = "--request-id", description = "Value of the answer's X-Request-Id header.")
+  String requestId = "";
+
+  /** Prints the newest log lines about the request and returns the exit code. */
+  public int run(PrintStream out) {
+    if (requestId.isBlank()) {
+      out.println("explain: --request-id is missing; it is the answer's X-Request-Id header");
+      return Main.EXIT_USAGE;
+    }
+    return StatusCommand.print(out, admin, token, "/explain/" + requestId);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -42,12 +42,18 @@
   public static int run(String[] args, Map<String, String> environment) {
     EntrySettings entry = new EntrySettings();
     CheckCommand check = new CheckCommand();
+    ImportCommand imports = new ImportCommand();
+    StatusCommand status = new StatusCommand();
+    ExplainCommand explain = new ExplainCommand();
     JCommander commander =
         JCommander.newBuilder()
             .programName("zinniaspan")
             .defaultProvider(new EnvironmentDefaults(environment))
             .addCommand("entry", entry)
             .addCommand("check", check)
+            .addCommand("import", imports)
+            .addCommand("status", status)
+            .addCommand("explain", explain)
             .build();
     try {
       commander.parse(args);
@@ -61,7 +67,10 @@
     }
     return switch (commander.getParsedCommand()) {
       case "entry" -> entry.help ? usage(commander) : entry(entry);
-      default -> check.help ? usage(commander) : check.run(System.out);
+      case "check" -> check.help ? usage(commander) : check.run(System.out);
+      case "import" -> imports.help ? usage(commander) : imports.run(System.out);
+      case "status" -> status.help ? usage(commander) : status.run(System.out);
+      default -> explain.help ? usage(commander) : explain.run(System.out);
     };
   }
 
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/PlacementSettings.java
@@ -0,0 +1,42 @@
+package org.zinniaspan.cli;
+
+import com.beust.jcommander.Parameter;
+import org.zinniaspan.placement.PlacementLimits;
+
+/** Settings of the placement of models. */
+final class PlacementSettings {
+
+  private static final int ONE_MINUTE_MS = 60_000;
+
+  @Parameter(
+      names = "--placement",
+      arity = 1,
+      description = "Whether engines are ordered to load models.")
+  boolean enabled = true;
+
+  @Parameter(
+      names = "--weight-store-mb-per-minute",
+      description = "Megabytes of weights that one availability zone may load in a minute.")
+  int weightStoreMb = PlacementLimits.DEFAULT.weightStoreMb();
+
+  @Parameter(
+      names = "--placement-damping-ms",
+      description = "Shortest time between two changes of one engine, in milliseconds.")
+  long dampingMs = PlacementLimits.DEFAULT.dampingMs();
+
+  void check(SettingsChecks checks) {
+    checks.atLeast("--weight-store-mb-per-minute", weightStoreMb, 1);
+    checks.atLeast("--placement-damping-ms", dampingMs, 1_000);
+  }
+
+  PlacementLimits limits() {
+    PlacementLimits defaults = PlacementLimits.DEFAULT;
+    return new PlacementLimits(
+        defaults.handoverMs(),
+        dampingMs,
+        defaults.orderValidMs(),
+        defaults.reportMaxAgeMs(),
+        weightStoreMb,
+        ONE_MINUTE_MS);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/StatusCommand.java
@@ -0,0 +1,35 @@
+package org.zinniaspan.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.io.PrintStream;
+
+/** Shows members, roles, revisions, pools and queues as one daemon sees them. */
+@Parameters(commandDescription = "Show what a running daemon knows.")
+public final class StatusCommand {
+
+  @Parameter(names = "--help", help = true, description = "Show this help.")
+  boolean help;
+
+  @Parameter(names = "--admin", description = "Address of the daemon's administration API.")
+  String admin = "127.0.0.1:8082";
+
+  @Parameter(names = "--admin-token", description = "Token that operators send.")
+  String token = "";
+
+  /** Prints the status and returns the exit code. */
+  public int run(PrintStream out) {
+    return print(out, admin, token, "/status");
+  }
+
+  static int print(PrintStream out, String admin, String token, String path) {
+    try {
+      out.println(AdminClient.get(admin, token, path));
+      return Main.EXIT_OK;
+    } catch (IOException | IllegalArgumentException e) {
+      out.println("zinniaspan: " + e.getMessage());
+      return Main.EXIT_FAILURE;
+    }
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatchContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatchContext.java
@@ -23,6 +23,7 @@
  * @param clock source of time
  * @param limits limits of each pool's queue
  * @param listener is told of each decision
+ * @param sharedPools groups of pools that share endpoints
  */
 public record DispatchContext(
     Membership membership,
@@ -31,14 +32,28 @@
     Supplier<Configuration> configuration,
     Clock clock,
     QueueLimits limits,
-    SlotListener listener) {
+    SlotListener listener,
+    SharedPools sharedPools) {
+
+  /** Creates a context whose groups of pools are derived from the inventory. */
+  public DispatchContext(
+      Membership membership,
+      EndpointTable table,
+      EndpointChooser chooser,
+      Supplier<Configuration> configuration,
+      Clock clock,
+      QueueLimits limits,
+      SlotListener listener) {
+    this(membership, table, chooser, configuration, clock, limits, listener, new SharedPools());
+  }
 
   /** Longest gap between two ticks, in milliseconds, that does not count as a pause. */
   static final long MAX_TICK_GAP_MS = 1_000;
 
   /** Returns the VM that owns the slots of a pool, by this process's view. */
   public String ownerOf(Pool pool) {
-    return membership.ownerOf("dispatch/" + pool.id()).vm();
+    String group = sharedPools.groupOf(pool, configuration.get(), table.endpoints());
+    return membership.ownerOf("dispatch/" + group).vm();
   }
 
   /** Returns whether this process owns the slots of a pool, by its own view. */
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/SharedPools.java
@@ -0,0 +1,57 @@
+package org.zinniaspan.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.configuration.DocumentName;
+import org.zinniaspan.inventory.Endpoint;
+import org.zinniaspan.inventory.Pool;
+
+/**
+ * Groups the pools of an availability zone that share endpoints, directly or through others.
+ *
+ * <p>One dispatcher must own all pools of a group, or the slots of a shared endpoint would be lent
+ * twice. State is guarded by this object's lock and renewed with each inventory.
+ */
+final class SharedPools {
+
+  private final Map<Pool, Pool> parents = new HashMap<>();
+  private long revision = -1;
+
+  /** Returns the name of the group to which a pool belongs. */
+  synchronized String groupOf(Pool pool, Configuration configuration, List<Endpoint> endpoints) {
+    long current = configuration.revision(DocumentName.INVENTORY);
+    if (current != revision) {
+      parents.clear();
+      endpoints.forEach(this::join);
+      revision = current;
+    }
+    return root(pool).id();
+  }
+
+  private void join(Endpoint endpoint) {
+    List<Pool> pools = DispatchContext.pools(endpoint).toList();
+    for (Pool pool : pools) {
+      union(pools.get(0), pool);
+    }
+  }
+
+  private void union(Pool a, Pool b) {
+    Pool rootA = root(a);
+    Pool rootB = root(b);
+    if (rootA.id().compareTo(rootB.id()) < 0) {
+      parents.put(rootB, rootA);
+    } else if (!rootA.equals(rootB)) {
+      parents.put(rootA, rootB);
+    }
+  }
+
+  private Pool root(Pool pool) {
+    Pool at = pool;
+    while (parents.containsKey(at)) {
+      at = parents.get(at);
+    }
+    return at;
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/Answers.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/Answers.java
@@ -35,6 +35,21 @@
     }
   }
 
+  /**
+   * Answers a request that this VM does not take.
+   *
+   * <p>Another attempt with the same idempotency key may have run, so a call that carries one is
+   * unknown, not not-run, until an attempt that was taken says otherwise.
+   */
+  static void notTaken(ClassicHttpResponse response, Outcome.NotRun refusal, boolean carriesKey) {
+    String message = "this VM does not take the request: " + refusal.reason().code();
+    ended(response, refusal, message);
+    if (carriesKey) {
+      response.setHeader(ResponseHeaders.OUTCOME, new Outcome.Unknown("").label());
+    }
+    response.setHeader("Connection", "close");
+  }
+
   static void error(ClassicHttpResponse response, int status, String code, String message) {
     response.setCode(status);
     ObjectNode body = MAPPER.createObjectNode();
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/ExitEntity.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/ExitEntity.java
@@ -10,26 +10,28 @@
 /** Runs an action once the answer has been delivered, or its connection has broken. */
 final class ExitEntity extends HttpEntityWrapper {
 
+  private final SlowCallers slowCallers;
   private final Runnable exit;
 
-  private ExitEntity(HttpEntity wrapped, Runnable exit) {
+  private ExitEntity(HttpEntity wrapped, SlowCallers slowCallers, Runnable exit) {
     super(wrapped);
+    this.slowCallers = slowCallers;
     this.exit = exit;
   }
 
-  static void attach(ClassicHttpResponse response, Runnable exit) {
+  static void attach(ClassicHttpResponse response, SlowCallers slowCallers, Runnable exit) {
     HttpEntity entity = response.getEntity();
     if (entity == null) {
       entity = new ByteArrayEntity(new byte[0], null);
     }
-    response.setEntity(new ExitEntity(entity, exit));
+    response.setEntity(new ExitEntity(entity, slowCallers, exit));
   }
 
   @Override
   public void writeTo(OutputStream out) throws IOException {
-    try {
-      super.writeTo(out);
-      out.flush();
+    try (SlowCallers.Guarded guarded = slowCallers.guard(out)) {
+      super.writeTo(guarded);
+      guarded.flush();
     } finally {
       exit.run();
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/Gateway.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -26,18 +27,27 @@
  */
 public final class Gateway implements HttpRequestHandler {
 
-  private static final long NOT_READY_RETRY_MS = 1_000;
+  private static final long RETRY_AFTER_MS = 1_000;
 
   private final Supplier<Configuration> configuration;
   private final Drain drain;
+  private final Limits limits;
   private final ChatHandler chat;
   private final CallHandler calls;
+  private final SlowCallers slowCallers;
 
   /** Creates a gateway. */
   public Gateway(
-      Supplier<Configuration> configuration, Drain drain, ChatHandler chat, CallHandler calls) {
+      Supplier<Configuration> configuration,
+      Drain drain,
+      Limits limits,
+      SlowCallers slowCallers,
+      ChatHandler chat,
+      CallHandler calls) {
     this.configuration = configuration;
     this.drain = drain;
+    this.limits = limits;
+    this.slowCallers = slowCallers;
     this.chat = chat;
     this.calls = calls;
   }
@@ -47,12 +57,9 @@
       throws IOException {
     String requestId = UUID.randomUUID().toString();
     response.setHeader(ResponseHeaders.REQUEST_ID, requestId);
-    if (!configuration.get().isComplete() || !drain.enter()) {
-      Answers.ended(
-          response,
-          Outcome.NotRun.retryAfter(NotRunReason.NOT_READY, NOT_READY_RETRY_MS),
-          "this VM takes no requests now; ask again");
-      response.setHeader("Connection", "close");
+    Optional<Outcome.NotRun> refusal = refusal();
+    if (refusal.isPresent()) {
+      Answers.notTaken(response, refusal.get(), carriesKey(request));
       return;
     }
     Runnable exit = once(drain::exit);
@@ -62,12 +69,27 @@
       exit.run();
       throw e;
     }
-    ExitEntity.attach(response, exit);
+    ExitEntity.attach(response, slowCallers, exit);
     if (drain.hasBegun()) {
       response.setHeader("Connection", "close");
     }
   }
 
+  /** Returns why a request is not taken; if it is, it counts as in flight from here on. */
+  private Optional<Outcome.NotRun> refusal() {
+    if (drain.inFlight() >= limits.maxInFlight()) {
+      return Optional.of(Outcome.NotRun.retryAfter(NotRunReason.OVERLOADED, RETRY_AFTER_MS));
+    }
+    if (!configuration.get().isComplete() || !drain.enter()) {
+      return Optional.of(Outcome.NotRun.retryAfter(NotRunReason.NOT_READY, RETRY_AFTER_MS));
+    }
+    return Optional.empty();
+  }
+
+  private static boolean carriesKey(ClassicHttpRequest request) {
+    return request.containsHeader(ResponseHeaders.IDEMPOTENCY_KEY);
+  }
+
   private void route(String requestId, ClassicHttpRequest request, ClassicHttpResponse response)
       throws IOException {
     Optional<Organisation> organisation = Caller.organisation(request, configuration.get());
@@ -96,8 +118,8 @@
               + method
               + " "
               + path
-              + "' is unknown; valid are POST /v1/chat/completions,"
-              + " GET /v1/models and /services/SERVICE/PATH");
+              + "' is unknown; valid are POST /v1/chat/completions, GET /v1/models,"
+              + " POST /v1/idempotency-keys and /services/SERVICE/PATH");
     }
   }
 
@@ -117,8 +139,7 @@
   }
 
   private static Runnable once(Runnable action) {
-    java.util.concurrent.atomic.AtomicBoolean done =
-        new java.util.concurrent.atomic.AtomicBoolean();
+    AtomicBoolean done = new AtomicBoolean();
     return () -> {
       if (done.compareAndSet(false, true)) {
         action.run();
--- a/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
@@ -5,6 +5,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.io.CloseMode;
 
 /** A caller's connection that its handler can ask whether the caller has left. */
 final class CallerConnection extends DefaultBHttpServerConnection {
@@ -21,6 +22,12 @@
     return connection != null && connection.hasLeft();
   }
 
+  /** Returns what closes the connection of the request that this thread handles, at once. */
+  static Runnable closer() {
+    CallerConnection connection = CURRENT.get();
+    return connection == null ? () -> {} : () -> connection.close(CloseMode.IMMEDIATE);
+  }
+
   private boolean hasLeft() {
     try {
       return isStale();
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
@@ -91,6 +91,11 @@
     return CallerConnection.callerLeft();
   }
 
+  /** Returns what closes the connection of the request that this thread handles, at once. */
+  public static Runnable callerCloser() {
+    return CallerConnection.closer();
+  }
+
   @Override
   public void close() {
     server.initiateShutdown();
--- a/zinniaspan/src/main/java/org/zinniaspan/inventory/Endpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/inventory/Endpoint.java
@@ -9,7 +9,7 @@
  * @param kind engine or plain service
  * @param zone availability zone in which it stands
  * @param address numeric host and port, as {@code 10.0.0.7:8000}
- * @param models models that an engine serves from the start; empty for a plain service
+ * @param models models that an engine may serve; empty for a plain service
  * @param service name of the plain service; empty for an engine
  * @param slots requests it runs at once
  * @param checksFencing whether it refuses orders that carry an old fencing number
--- a/zinniaspan/src/main/java/org/zinniaspan/log/EventLog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/EventLog.java
@@ -13,6 +13,9 @@
 
   private static final Logger LOGGER = LogManager.getLogger("zinniaspan");
 
+  private static final int RECENT_LINES = 1_000;
+  private static final RecentEvents RECENT = new RecentEvents(RECENT_LINES);
+
   private final StringMapMessage message = new StringMapMessage();
 
   private EventLog(String event) {
@@ -24,6 +27,11 @@
     return new EventLog(event);
   }
 
+  /** Returns the newest lines of this process. */
+  public static RecentEvents recent() {
+    return RECENT;
+  }
+
   /** Adds a field. */
   public EventLog with(String field, Object value) {
     message.with(field, String.valueOf(value));
@@ -32,11 +40,13 @@
 
   /** Writes the line at level INFO. */
   public void info() {
+    RECENT.add(message.getData());
     LOGGER.info(message);
   }
 
   /** Writes the line at level WARN. */
   public void warn() {
+    RECENT.add(message.getData());
     LOGGER.warn(message);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/placement/LoadBudget.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/LoadBudget.java
@@ -1,40 +1,39 @@
 package org.zinniaspan.placement;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-
 /**
- * Holds the rate of the weight store.
+ * Holds the rate of the weight store: a load may begin once the one before would have been read.
  *
- * <p>A new budget counts as spent for its first window, because a former placer may have spent it.
- * Not safe for use by several threads.
+ * <p>A new budget starts with the debt of the largest load that a former placer may just have
+ * begun. Not safe for use by several threads.
  */
 final class LoadBudget {
 
-  private record Spent(long atMs, int mb) {}
-
-  private final int windowMb;
-  private final long windowMs;
-  private final Deque<Spent> spent = new ArrayDeque<>();
-
-  LoadBudget(int windowMb, long windowMs, long nowMs) {
-    this.windowMb = windowMb;
-    this.windowMs = windowMs;
-    spent.add(new Spent(nowMs, windowMb));
-  }
+  private final double msPerMb;
+  private long freeAtMs;
 
   /**
-   * Spends the megabytes if the window has room for them; a load above the window waits for all.
+   * Creates a budget.
+   *
+   * @param mbPerWindow megabytes that may be loaded in each window
+   * @param windowMs length of the window in milliseconds
+   * @param debtMb megabytes that count as spent now
+   * @param nowMs time of creation
    */
+  LoadBudget(int mbPerWindow, long windowMs, int debtMb, long nowMs) {
+    this.msPerMb = (double) windowMs / mbPerWindow;
+    this.freeAtMs = nowMs + durationMs(debtMb);
+  }
+
+  /** Spends the megabytes if no earlier load is still being paid for. */
   boolean trySpend(int mb, long nowMs) {
-    while (!spent.isEmpty() && spent.peek().atMs() <= nowMs - windowMs) {
-      spent.poll();
-    }
-    int used = spent.stream().mapToInt(Spent::mb).sum();
-    if (used > 0 && used + mb > windowMb) {
+    if (nowMs < freeAtMs) {
       return false;
     }
-    spent.add(new Spent(nowMs, mb));
+    freeAtMs = nowMs + durationMs(mb);
     return true;
   }
+
+  private long durationMs(int mb) {
+    return Math.round(mb * msPerMb);
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/placement/PlacementPlanner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/PlacementPlanner.java
@@ -58,6 +58,7 @@
   private Optional<Change> serve(String model, List<EngineView> engines) {
     Optional<EngineView> roomy =
         engines.stream()
+            .filter(engine -> engine.allowed().contains(model))
             .filter(engine -> freeMb(engine) >= memoryMb(model))
             .max(Comparator.comparingInt(this::freeMb));
     if (roomy.isPresent()) {
@@ -111,7 +112,8 @@
   }
 
   private boolean fitsInstead(EngineView engine, String victim, String model) {
-    return freeMb(engine) + memoryMb(victim) >= memoryMb(model);
+    boolean fits = freeMb(engine) + memoryMb(victim) >= memoryMb(model);
+    return fits && engine.allowed().contains(model);
   }
 
   private int freeMb(EngineView engine) {
--- a/zinniaspan/src/main/java/org/zinniaspan/placement/Placer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/Placer.java
@@ -14,6 +14,7 @@
 import org.zinniaspan.inventory.Endpoint;
 import org.zinniaspan.inventory.EndpointKind;
 import org.zinniaspan.inventory.Inventory;
+import org.zinniaspan.inventory.Model;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.membership.Membership;
 import org.zinniaspan.routing.EndpointTable;
@@ -138,8 +139,7 @@
     }
     if (ownerSinceMs.isEmpty()) {
       ownerSinceMs = Optional.of(now);
-      budget =
-          Optional.of(new LoadBudget(limits.weightStoreMb(), limits.weightStoreWindowMs(), now));
+      budget = Optional.of(newBudget(now));
     }
     if (inFlight || now - ownerSinceMs.get() < limits.handoverMs()) {
       return Optional.empty();
@@ -152,6 +152,11 @@
         .flatMap(change -> prepare(change, engines, planner, now));
   }
 
+  private LoadBudget newBudget(long now) {
+    int largestMb = inventory.get().models().stream().mapToInt(Model::memoryMb).max().orElse(0);
+    return new LoadBudget(limits.weightStoreMb(), limits.weightStoreWindowMs(), largestMb, now);
+  }
+
   private boolean ownsRole() {
     return membership.ownerOf(ROLE).vm().equals(membership.self().vm());
   }
@@ -180,6 +185,7 @@
     return new EngineView(
         endpoint.name(),
         endpoint.memoryMb(),
+        Set.copyOf(endpoint.models()),
         report.models(),
         report.highestFencing(),
         endpoint.checksFencing());
--- a/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointTable.java
@@ -12,6 +12,7 @@
 import org.zinniaspan.dispatch.SlotResult;
 import org.zinniaspan.dispatch.SlotUse;
 import org.zinniaspan.inventory.Endpoint;
+import org.zinniaspan.inventory.EndpointKind;
 import org.zinniaspan.inventory.Pool;
 import org.zinniaspan.log.EventLog;
 
@@ -38,11 +39,22 @@
     this.clock = clock;
   }
 
-  /** Returns the endpoints of the pool in this availability zone. */
+  /**
+   * Returns the endpoints of the pool in this availability zone.
+   *
+   * <p>An engine serves the models that its last report lists, or those of the inventory while
+   * there is no report, or one without models.
+   */
   public List<Endpoint> endpointsOf(Pool pool) {
-    return configuration.get().inventory().endpoints().stream()
-        .filter(endpoint -> endpoint.zone().equals(zone) && endpoint.serves(pool))
-        .toList();
+    return endpoints().stream().filter(endpoint -> serves(endpoint, pool)).toList();
+  }
+
+  private boolean serves(Endpoint endpoint, Pool pool) {
+    Set<String> loaded = state(endpoint).report().map(LoadReport::models).orElse(Set.of());
+    if (pool.kind() == EndpointKind.SERVICE || loaded.isEmpty()) {
+      return endpoint.serves(pool);
+    }
+    return endpoint.kind() == EndpointKind.ENGINE && loaded.contains(pool.name());
   }
 
   /** Returns the endpoints of this availability zone. */
