--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SlotFleet.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SlotFleet.java
@@ -78,6 +78,7 @@
       case ALONE -> startAlone();
       case FIRST_COME -> startFirstCome(Integer.MAX_VALUE);
       case FIRST_COME_LIMITED -> startFirstCome(QUEUE_LIMIT);
+      default -> throw new IllegalArgumentException("policy " + policy);
     }
   }
 
@@ -97,13 +98,15 @@
       rows.add(
           """
           {"name":"%s","kind":"engine","zone":"%s","address":"127.0.0.1:%d",\
-          "models":["%s"],"slots":%d}"""
+          "models":["%s"],"slots":%d}
+          """
               .formatted(name, ZONE, 9_000 + i, SlotSimulation.MODEL, SLOTS_PER_ENGINE));
     }
     String inventory =
         """
         {"regions":[{"name":"region","zones":["%s"]}],"models":[{"name":"%s"}],\
-        "endpoints":[%s]}"""
+        "endpoints":[%s]}
+        """
             .formatted(ZONE, SlotSimulation.MODEL, String.join(",", rows));
     byte[] body = inventory.getBytes(StandardCharsets.UTF_8);
     store.offer(new Document(DocumentName.INVENTORY, 1, body));
