--- a/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
@@ -23,6 +23,7 @@
   private static final long RELAY_GRACE_MS = 500;
 
   private final RunnerPorts ports;
+  private final ClaimMessages messages;
   private final ClaimVoter voter;
   private final OutcomeMemory outcomes;
   private final Map<String, CallAttempt> attempts = new ConcurrentHashMap<>();
@@ -33,6 +34,7 @@
   /** Creates a runner and the voter of this VM. */
   AtMostOnceRunner(RunnerPorts ports, ArrivalTimes arrivals) {
     this.ports = ports;
+    this.messages = new ClaimMessages(ports);
     this.arrivals = arrivals;
     this.voter =
         new ClaimVoter(
@@ -89,11 +91,8 @@
 
   private void onOutcomeRequest(Envelope message, OutcomeRequest request) {
     lastRelayMs = ports.clock.nowMs();
-    OutcomeReply reply =
-        outcome(message.getFromVm(), request).toBuilder()
-            .setAttemptId(request.getAttemptId())
-            .build();
-    ports.link.send(message.getFromVm(), Envelope.newBuilder().setOutcomeReply(reply));
+    String vm = message.getFromVm();
+    messages.tell(vm, request.getAttemptId(), outcome(vm, request));
   }
 
   private OutcomeReply outcome(String vm, OutcomeRequest request) {
@@ -119,9 +118,11 @@
 
   /** Repeats the release of a claim that a voter still holds; the first one was lost. */
   private void releaseAgain(OutcomeRequest request) {
-    long blockMs = ports.settings.startTimeoutMs() + ports.settings.voteValidMs();
-    CallAttempt.release(
-        ports, ports.voters(), request.getKey(), request.getHolderAttemptId(), blockMs);
+    messages.release(
+        ports.voters(),
+        request.getKey(),
+        request.getHolderAttemptId(),
+        ports.settings.blockMs());
   }
 
   private void onOutcomeReply(OutcomeReply reply) {
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceSettings.java
@@ -29,4 +29,9 @@
   public long freshnessMs() {
     return horizonMs / 2;
   }
+
+  /** Milliseconds after an answer of not run in which no earlier attempt may be dispatched. */
+  public long blockMs() {
+    return startTimeoutMs + voteValidMs;
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/CallAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/CallAttempt.java
@@ -14,12 +14,8 @@
 import org.zinniaspan.inventory.Endpoint;
 import org.zinniaspan.inventory.Pool;
 import org.zinniaspan.log.EventLog;
-import org.zinniaspan.peer.proto.ClaimRelease;
-import org.zinniaspan.peer.proto.ClaimRequest;
 import org.zinniaspan.peer.proto.ClaimVote;
-import org.zinniaspan.peer.proto.Envelope;
 import org.zinniaspan.peer.proto.OutcomeReply;
-import org.zinniaspan.peer.proto.OutcomeRequest;
 import org.zinniaspan.request.NotRunReason;
 
 /**
@@ -49,6 +45,7 @@
   private static final int MAX_ENDPOINT_TRIES = 2;
 
   private final RunnerPorts ports;
+  private final ClaimMessages messages;
   private final OutcomeMemory outcomes;
   private final Map<String, CallAttempt> byClaimId;
   private final ServiceCall call;
@@ -79,6 +76,7 @@
       String key,
       long startedMs) {
     this.ports = ports;
+    this.messages = new ClaimMessages(ports);
     this.outcomes = outcomes;
     this.byClaimId = byClaimId;
     this.call = call;
@@ -123,16 +121,7 @@
     if (list.revision() != round.list().revision()) {
       round.restart(list, nowMs);
     }
-    ClaimRequest request =
-        ClaimRequest.newBuilder()
-            .setKey(key)
-            .setAttemptId(round.claimId())
-            .setListRevision(list.revision())
-            .setAsk(round.nextAsk(nowMs))
-            .build();
-    for (String vm : round.missing(nowMs)) {
-      ports.link.send(vm, Envelope.newBuilder().setClaimRequest(request));
-    }
+    messages.ask(key, round, nowMs);
   }
 
   /** Acts as time passes. */
@@ -215,7 +204,7 @@
   }
 
   private long blockMs() {
-    return ports.settings.startTimeoutMs() + ports.settings.voteValidMs();
+    return ports.settings.blockMs();
   }
 
   private void acquireSlot() {
@@ -350,13 +339,7 @@
 
   private void askHolder(long nowMs) {
     holderAskedMs = nowMs;
-    OutcomeRequest request =
-        OutcomeRequest.newBuilder()
-            .setKey(key)
-            .setAttemptId(id)
-            .setHolderAttemptId(holder.attemptId())
-            .build();
-    ports.link.send(holder.vm(), Envelope.newBuilder().setOutcomeRequest(request));
+    messages.askHolder(holder, key, id);
   }
 
   /** Takes in what the holder of the key says. */
@@ -416,16 +399,7 @@
     CallResult notRun = CallResult.notRun(NotRunReason.OVERLOADED, Optional.empty());
     tellWaiters(outcomes.put(key, round.claimId(), notRun));
     byClaimId.remove(round.claimId());
-    release(ports, round.list(), key, round.claimId(), blockMs);
-  }
-
-  /** Sends the release of a claim to all voters. */
-  static void release(RunnerPorts ports, VoterList list, String key, String claimId, long blockMs) {
-    ClaimRelease release =
-        ClaimRelease.newBuilder().setKey(key).setAttemptId(claimId).setBlockMs(blockMs).build();
-    for (String vm : list.voters()) {
-      ports.link.send(vm, Envelope.newBuilder().setClaimRelease(release));
-    }
+    messages.release(round.list(), key, round.claimId(), blockMs);
   }
 
   private void finish(CallResult outcome, boolean dispatched) {
@@ -439,11 +413,7 @@
   }
 
   private void tellWaiters(OutcomeReply reply) {
-    waiters.forEach(
-        (attemptId, vm) ->
-            ports.link.send(
-                vm,
-                Envelope.newBuilder().setOutcomeReply(reply.toBuilder().setAttemptId(attemptId))));
+    waiters.forEach((attemptId, vm) -> messages.tell(vm, attemptId, reply));
     waiters.clear();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/CallForwarder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/CallForwarder.java
@@ -3,8 +3,10 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.inventory.VmEntry;
 import org.zinniaspan.log.EventLog;
@@ -35,28 +37,34 @@
 
   /** Passes a call on to a VM of the zone. */
   CompletableFuture<CallResult> forward(ServiceCall call, String zone) {
+    return forward(call, () -> anyVmOf(zone));
+  }
+
+  /** Passes a call on to a VM. */
+  CompletableFuture<CallResult> forwardTo(ServiceCall call, String vm) {
+    return forward(call, () -> Optional.of(vm));
+  }
+
+  private Optional<String> anyVmOf(String zone) {
     List<String> vms =
         ports.configuration.get().vms().entriesOf(zone).stream()
             .filter(vm -> !vm.isLeaving())
             .map(VmEntry::name)
             .toList();
-    if (vms.isEmpty()) {
-      return CompletableFuture.completedFuture(
-          CallResult.unknown("no VM of zone '" + zone + "' is listed"));
-    }
-    return forwardTo(call, vms.get(ports.random.nextInt(vms.size())));
+    return vms.isEmpty()
+        ? Optional.empty()
+        : Optional.of(vms.get(ports.random.nextInt(vms.size())));
   }
 
-  /** Passes a call on to a VM. */
-  CompletableFuture<CallResult> forwardTo(ServiceCall call, String vm) {
+  private CompletableFuture<CallResult> forward(
+      ServiceCall call, Supplier<Optional<String>> target) {
     if (call.body().length > MAX_BODY_BYTES) {
       String message =
-          "body of %d bytes is too long to be passed on to VM '%s'; %d bytes are not"
-              .formatted(call.body().length, vm, MAX_BODY_BYTES);
+          "body of %d bytes is too long to be passed on to another VM; %d bytes are not"
+              .formatted(call.body().length, MAX_BODY_BYTES);
       return CompletableFuture.completedFuture(CallResult.unknown(message));
     }
-    EventLog.event("call-forward").with("requestId", call.requestId()).with("vm", vm).info();
-    Forward forward = new Forward(call, vm);
+    Forward forward = new Forward(call, target);
     open.put(call.requestId(), forward);
     forward.result.whenComplete((result, failure) -> open.remove(call.requestId()));
     forward.ask();
@@ -66,8 +74,8 @@
   /** Takes in what the receiver says. */
   void onOutcome(String vm, ForwardedOutcome outcome) {
     Forward forward = open.get(outcome.getRequestId());
-    if (forward != null && forward.vm.equals(vm)) {
-      forward.onOutcome(outcome);
+    if (forward != null) {
+      forward.onOutcome(vm, outcome);
     }
   }
 
@@ -84,43 +92,64 @@
   private final class Forward {
 
     private final ServiceCall call;
-    private final String vm;
+    private final Supplier<Optional<String>> target;
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private final long startedMs = arrivals.earliestMs();
+    private Optional<String> vm = Optional.empty();
     private long askedMs;
     private long heardMs = ports.clock.nowMs();
 
-    Forward(ServiceCall call, String vm) {
+    Forward(ServiceCall call, Supplier<Optional<String>> target) {
       this.call = call;
-      this.vm = vm;
+      this.target = target;
     }
 
     synchronized void ask() {
       askedMs = ports.clock.nowMs();
+      if (vm.isEmpty()) {
+        vm = target.get();
+        vm.ifPresent(this::log);
+      }
       ForwardedCall question =
           ForwardedCall.newBuilder().setRequestId(call.requestId()).setQuestion(true).build();
-      ports.link.send(vm, Envelope.newBuilder().setForwardedCall(question));
+      send(question);
+    }
+
+    private void send(ForwardedCall message) {
+      vm.ifPresent(to -> ports.link.send(to, Envelope.newBuilder().setForwardedCall(message)));
+    }
+
+    private void log(String to) {
+      EventLog.event("call-forward").with("requestId", call.requestId()).with("vm", to).info();
     }
 
     synchronized void tick() {
       long nowMs = ports.clock.nowMs();
       if (nowMs - heardMs >= ports.settings.reachTimeoutMs()) {
-        result.complete(CallResult.unknown("VM " + vm + " of the home zone is out of reach"));
+        result.complete(CallResult.unknown(unreachable()));
       } else if (nowMs - askedMs >= ports.settings.askPeriodMs()) {
         ask();
       }
     }
 
-    synchronized void onOutcome(ForwardedOutcome outcome) {
+    private String unreachable() {
+      return vm.map(name -> "VM " + name + ", which runs the call, is out of reach")
+          .orElse("no VM of the home zone is listed");
+    }
+
+    synchronized void onOutcome(String from, ForwardedOutcome outcome) {
+      if (!vm.equals(Optional.of(from))) {
+        return;
+      }
       heardMs = ports.clock.nowMs();
       if (!outcome.hasOutcome()) {
-        send(outcome.getSentMs());
+        sendCall(outcome.getSentMs());
       } else if (outcome.getOutcome().getKind() != OutcomeReply.Kind.RUNNING) {
         result.complete(OutcomeMemory.result(outcome.getOutcome(), outcome.getRetryAfterMs()));
       }
     }
 
-    private void send(long receiverMs) {
+    private void sendCall(long receiverMs) {
       ForwardedCall forwarded =
           ForwardedCall.newBuilder()
               .setRequestId(call.requestId())
@@ -135,7 +164,7 @@
               .setReceiverMs(receiverMs)
               .setAgeMs(ports.clock.nowMs() - startedMs)
               .build();
-      ports.link.send(vm, Envelope.newBuilder().setForwardedCall(forwarded));
+      send(forwarded);
     }
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/MintedKeyRunner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/MintedKeyRunner.java
@@ -57,47 +57,56 @@
     if (key.incarnation() != ports.self.incarnation()) {
       return unknown("the process that issued the key is gone");
     }
-    String claimKey = AtMostOnceRunner.claimKey(call);
-    Entry entry;
     CompletableFuture<CallResult> result = new CompletableFuture<>();
+    Entry entry;
     synchronized (this) {
-      long nowMs = ports.clock.nowMs();
-      entry = entries.get(claimKey);
-      if (entry == null && isExpired(key.mintedMs(), nowMs)) {
-        return unknown("the key has expired");
-      }
-      if (entry == null && entries.size() >= ports.settings.maxClaims()) {
-        return unknown("this VM remembers too many keys to take another one");
-      }
-      if (entry == null) {
-        entry = new Entry(key.mintedMs());
-        entries.put(claimKey, entry);
-      }
-      if (entry.current.isPresent()) {
-        return entry.current.get();
-      }
-      if (nowMs < entry.blockedUntilMs) {
-        entry.blockedUntilMs = nowMs + blockMs();
-        return CompletableFuture.completedFuture(
-            CallResult.notRun(NotRunReason.OVERLOADED, Optional.of(blockMs())));
-      }
-      if (nowMs >= startedMs + ports.settings.startTimeoutMs()) {
-        return unknown("the call waited too long to be started");
+      Optional<CompletableFuture<CallResult>> settled = settled(call, key, startedMs);
+      if (settled.isPresent()) {
+        return settled.get();
       }
+      entry = entries.computeIfAbsent(claimKey(call), k -> new Entry(key.mintedMs()));
       entry.current = Optional.of(result);
     }
-    Entry started = entry;
-    once.apply(call).thenAccept(outcome -> end(started, result, outcome));
+    once.apply(call).thenAccept(outcome -> end(entry, result, outcome));
     return result;
   }
 
+  /** Returns the result of a call that needs no attempt of its own, or must not have one. */
+  private Optional<CompletableFuture<CallResult>> settled(
+      ServiceCall call, MintedKey key, long startedMs) {
+    long nowMs = ports.clock.nowMs();
+    Entry entry = entries.get(claimKey(call));
+    if (entry == null && isExpired(key.mintedMs(), nowMs)) {
+      return Optional.of(unknown("the key has expired"));
+    }
+    if (entry == null && entries.size() >= ports.settings.maxClaims()) {
+      return Optional.of(unknown("this VM remembers too many keys to take another one"));
+    }
+    if (entry != null && entry.current.isPresent()) {
+      return entry.current;
+    }
+    if (entry != null && nowMs < entry.blockedUntilMs) {
+      long blockMs = ports.settings.blockMs();
+      entry.blockedUntilMs = nowMs + blockMs;
+      CallResult notRun = CallResult.notRun(NotRunReason.OVERLOADED, Optional.of(blockMs));
+      return Optional.of(CompletableFuture.completedFuture(notRun));
+    }
+    return nowMs >= startedMs + ports.settings.startTimeoutMs()
+        ? Optional.of(unknown("the call waited too long to be started"))
+        : Optional.empty();
+  }
+
+  private static String claimKey(ServiceCall call) {
+    return AtMostOnceRunner.claimKey(call);
+  }
+
   private void end(Entry entry, CompletableFuture<CallResult> result, CallResult outcome) {
     boolean notRun = outcome.outcome() instanceof Outcome.NotRun;
     result.complete(notRun ? withLaterRetry(outcome) : outcome);
     synchronized (this) {
       if (notRun) {
         entry.current = Optional.empty();
-        entry.blockedUntilMs = ports.clock.nowMs() + blockMs();
+        entry.blockedUntilMs = ports.clock.nowMs() + ports.settings.blockMs();
       }
     }
   }
@@ -105,14 +114,10 @@
   /** Attempts that started before an answer of not run end before a retry may run. */
   private CallResult withLaterRetry(CallResult outcome) {
     Outcome.NotRun notRun = (Outcome.NotRun) outcome.outcome();
-    Optional<Long> after = notRun.retryAfterMs().map(ms -> Math.max(ms, blockMs()));
+    Optional<Long> after = notRun.retryAfterMs().map(ms -> Math.max(ms, ports.settings.blockMs()));
     return CallResult.notRun(notRun.reason(), after);
   }
 
-  private long blockMs() {
-    return ports.settings.startTimeoutMs() + ports.settings.voteValidMs();
-  }
-
   private boolean isExpired(long mintedMs, long nowMs) {
     return nowMs - mintedMs > ports.settings.horizonMs();
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/runner/AtMostOnceFuzzTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/AtMostOnceFuzzTest.java
@@ -76,6 +76,7 @@
     private final Random random;
     private final String label;
     private final Map<String, Long> firstAttemptMs = new HashMap<>();
+    private final List<String> keys = new ArrayList<>();
     private final Set<String> paused = new HashSet<>();
     private final long startMs;
     private int nextVm = 100;
@@ -104,11 +105,9 @@
     private void step() {
       int action = random.nextInt(100);
       if (action < 20) {
-        call("key-" + firstAttemptMs.size());
-      } else if (action < 55 && !firstAttemptMs.isEmpty()) {
-        call(
-            "key-"
-                + (firstAttemptMs.size() - 1 - random.nextInt(Math.min(3, firstAttemptMs.size()))));
+        newKey();
+      } else if (action < 55 && !keys.isEmpty()) {
+        call(keys.get(keys.size() - 1 - random.nextInt(Math.min(3, keys.size()))));
       } else if (action < 62) {
         replace();
       } else if (action < 70) {
@@ -124,6 +123,14 @@
       }
     }
 
+    /** Makes a key of the caller's own, or has a VM issue one. */
+    private void newKey() {
+      RunnerZone.Vm issuer = zone.vms.get(anyVm());
+      boolean issued = random.nextInt(4) == 0 && !paused.contains(issuer.name);
+      keys.add(issued ? issuer.runner.mintKey().orElseThrow() : "key-" + keys.size());
+      call(keys.get(keys.size() - 1));
+    }
+
     private String anyVm() {
       List<String> names = new ArrayList<>(new java.util.TreeSet<>(zone.vms.keySet()));
       return names.get(random.nextInt(names.size()));
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/AtMostOncePriceTest.java
@@ -0,0 +1,182 @@
+package org.zinniaspan.runner;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Measures the share of first attempts that each way refuses or leaves unknown under each failure.
+ *
+ * <p>Three VMs of one zone on virtual time; 20 calls a second for 30 s from the fault on, each at a
+ * VM that the balancer holds for healthy. The retry horizon is 20 s.
+ */
+class AtMostOncePriceTest {
+
+  static {
+    Configurator.setLevel("zinniaspan", Level.WARN);
+  }
+
+  private static final int CALLS = 600;
+  private static final long CALL_PERIOD_MS = 50;
+  private static final int SEEDS = 5;
+
+  /** A fault, and what the platform does about it after a while. */
+  private record Scenario(
+      String name, Consumer<RunnerZone> fault, long remedyAfterMs, Consumer<RunnerZone> remedy) {}
+
+  private static final Consumer<RunnerZone> NOTHING = zone -> {};
+
+  private static final List<Scenario> SCENARIOS =
+      List.of(
+          new Scenario("no failure", NOTHING, 0, NOTHING),
+          new Scenario("list published anew, adopted within 2 s", lag(2_000), 0, publish()),
+          new Scenario("one VM killed, replaced after 5 s", kill("vm-1"), 5_000, replace("vm-1")),
+          new Scenario("one VM restarted in place", kill("vm-1"), 500, zone -> zone.start("vm-1")),
+          new Scenario(
+              "one VM paused for 5 s", zone -> zone.pause("vm-1"), 5_000, z -> z.resume("vm-1")),
+          new Scenario("one VM cut off for 5 s", cut("vm-1"), 5_000, RunnerZone::heal),
+          new Scenario(
+              "all VMs cut from each other for 5 s", cut("vm-1", "vm-2"), 5_000, RunnerZone::heal),
+          new Scenario(
+              "two VMs killed, replaced after 5 s",
+              kill("vm-1", "vm-2"),
+              5_000,
+              replace("vm-1", "vm-2")),
+          new Scenario("platform down, one VM killed", blind("vm-1"), 0, NOTHING));
+
+  private static Consumer<RunnerZone> lag(long ms) {
+    return zone -> zone.adoptionLagMs = ms;
+  }
+
+  private static Consumer<RunnerZone> publish() {
+    return RunnerZone::publish;
+  }
+
+  private static Consumer<RunnerZone> kill(String... names) {
+    return zone -> List.of(names).forEach(zone::kill);
+  }
+
+  private static Consumer<RunnerZone> replace(String... names) {
+    return zone -> {
+      for (String name : names) {
+        zone.start("new-" + name);
+        zone.listed.set(zone.listed.indexOf(name), "new-" + name);
+      }
+      zone.publish();
+    };
+  }
+
+  private static Consumer<RunnerZone> cut(String... names) {
+    return zone -> {
+      for (String name : names) {
+        zone.listed.stream().filter(vm -> !vm.equals(name)).forEach(vm -> zone.cut(name, vm));
+      }
+    };
+  }
+
+  private static Consumer<RunnerZone> blind(String killed) {
+    return zone -> {
+      zone.vms.values().forEach(vm -> vm.readsPlatform = false);
+      zone.kill(killed);
+    };
+  }
+
+  /** Counts of one scenario. */
+  private static final class Price {
+    private int claimsNotRun;
+    private int claimsUnknown;
+    private int mintedUnknown;
+    private int hashedUnknown;
+    private int calls;
+
+    private String row(String name) {
+      return "| %s | %s | %s | %s | %s |"
+          .formatted(
+              name,
+              share(claimsNotRun),
+              share(claimsUnknown),
+              share(hashedUnknown),
+              share(mintedUnknown));
+    }
+
+    private String share(int count) {
+      return "%.1f%%".formatted(100.0 * count / calls);
+    }
+  }
+
+  @Test
+  void failureFreeCallsAreAllAnsweredAndFaultsHaveTheirPrice() {
+    System.out.println("| failure | claims: not run | claims: unknown | hashed | minted |");
+    System.out.println("|---|---|---|---|---|");
+    for (Scenario scenario : SCENARIOS) {
+      Price price = new Price();
+      for (int seed = 1; seed <= SEEDS; seed++) {
+        play(scenario, seed, price);
+      }
+      System.out.println(price.row(scenario.name()));
+      if (scenario.name().equals("no failure")) {
+        assertThat(price.claimsNotRun + price.claimsUnknown + price.mintedUnknown).isEqualTo(0);
+      }
+    }
+  }
+
+  private static void play(Scenario scenario, int seed, Price price) {
+    RunnerZone zone = new RunnerZone(3, seed);
+    Random random = new Random(seed);
+    zone.network.advance(RunnerZone.SETTINGS.horizonMs() * 2);
+    HashedRunnerModel hashed = new HashedRunnerModel(zone);
+    hashed.observe();
+    List<String> minted = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      minted.add(mint(zone, random));
+    }
+    scenario.fault().accept(zone);
+    boolean remedied = false;
+    for (int i = 0; i < CALLS; i++) {
+      if (!remedied && i * CALL_PERIOD_MS >= scenario.remedyAfterMs()) {
+        scenario.remedy().accept(zone);
+        remedied = true;
+      }
+      minted.add(mint(zone, random));
+      zone.call(healthy(zone, random), minted.get(i));
+      String key = "key-" + i;
+      String vm = healthy(zone, random);
+      zone.call(vm, key);
+      price.hashedUnknown += hashed.isAnswered(vm, key) ? 0 : 1;
+      price.calls++;
+      zone.network.advance(CALL_PERIOD_MS);
+    }
+    zone.network.advance(10_000);
+    zone.check("" + seed);
+    zone.attempts.forEach(attempt -> count(attempt, price));
+  }
+
+  private static void count(RunnerZone.Attempt attempt, Price price) {
+    boolean minted = attempt.key.startsWith("zk1:");
+    String label = attempt.label();
+    if (minted) {
+      price.mintedUnknown += label.equals("answered") ? 0 : 1;
+    } else if (label.equals("not-run")) {
+      price.claimsNotRun++;
+    } else if (!label.equals("answered")) {
+      price.claimsUnknown++;
+    }
+  }
+
+  private static String healthy(RunnerZone zone, Random random) {
+    List<String> names = new ArrayList<>(new TreeSet<>(zone.vms.keySet()));
+    names.removeIf(name -> zone.isPaused(name) || name.equals(RunnerZone.OUTSIDE));
+    return names.get(random.nextInt(names.size()));
+  }
+
+  private static String mint(RunnerZone zone, Random random) {
+    return zone.vms.get(healthy(zone, random)).runner.mintKey().orElseThrow();
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/runner/RunnerZone.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/RunnerZone.java
@@ -5,14 +5,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.zinniaspan.configuration.ConfigurationStore;
 import org.zinniaspan.configuration.Document;
 import org.zinniaspan.configuration.DocumentName;
@@ -36,10 +39,17 @@
       new AtMostOnceSettings(20_000, 2_000, 1_000, 800, 100, 1_000, 1_000_000);
   private static final ServiceClass CLASS = new ServiceClass("charge", 0, 1_500, 0, 0, 0, true);
   private static final String INVENTORY =
-      "{\"regions\":[{\"name\":\"r\",\"zones\":[\"zone-a\"]}],\"models\":[],\"endpoints\":["
+      "{\"regions\":[{\"name\":\"r\",\"zones\":[\"zone-a\",\"zone-b\"]}],\"models\":[],\"endpoints\":["
           + "{\"name\":\"app-1\",\"kind\":\"service\",\"zone\":\"zone-a\","
           + "\"address\":\"127.0.0.1:1\",\"service\":\"app\",\"slots\":8}]}";
 
+  private static final String RULES =
+      "{\"classes\":[{\"name\":\"charge\",\"tier\":0,\"firstTokenTargetMs\":1500,"
+          + "\"nonIdempotent\":true}],\"assign\":[]}";
+
+  /** A VM of another zone, which has no endpoint. */
+  static final String OUTSIDE = "outside";
+
   /** One attempt of a caller. */
   static final class Attempt {
     final String key;
@@ -73,9 +83,10 @@
       this.name = name;
       Member self = new Member(name, incarnation, "127.0.0.1:1", false);
       store.offer(new Document(DocumentName.INVENTORY, 1, bytes(INVENTORY)));
+      store.offer(new Document(DocumentName.RULES, 1, bytes(RULES)));
       runner =
           new ServiceCallRunner(
-              RunnerPorts.of(self, ZONE)
+              RunnerPorts.of(self, zoneOf(name))
                   .configuration(store::current)
                   .link(network.link(name, incarnation))
                   .endpoints(new Slots(), this::send)
@@ -150,6 +161,8 @@
   final List<Attempt> attempts = new ArrayList<>();
   private final List<Run> runs = new ArrayList<>();
   final List<String> listed = new ArrayList<>();
+  private final Set<String> paused = new HashSet<>();
+  private final Set<Set<String>> cuts = new HashSet<>();
   private final Map<String, Long> sinceMs = new HashMap<>();
   private Document list;
   private long revision = 1;
@@ -167,8 +180,12 @@
       start("vm-" + i);
       listed.add("vm-" + i);
     }
+    start(OUTSIDE);
     publish();
-    start("outside");
+  }
+
+  private static String zoneOf(String name) {
+    return name.equals(OUTSIDE) ? "zone-b" : ZONE;
   }
 
   static byte[] bytes(String text) {
@@ -186,19 +203,48 @@
 
   void kill(String name) {
     network.kill(name);
+    paused.remove(name);
     vms.remove(name);
   }
 
+  void pause(String name) {
+    network.pause(name);
+    paused.add(name);
+  }
+
+  void resume(String name) {
+    network.resume(name);
+    paused.remove(name);
+  }
+
+  boolean isPaused(String name) {
+    return paused.contains(name);
+  }
+
+  void cut(String a, String b) {
+    network.cut(a, b);
+    cuts.add(Set.of(a, b));
+  }
+
+  void heal() {
+    network.heal();
+    cuts.clear();
+  }
+
+  boolean isCut(String a, String b) {
+    return !a.equals(b) && cuts.contains(Set.of(a, b));
+  }
+
   /** Publishes the list of VMs; each adopts it after the lag, if it reads the platform. */
   void publish() {
     revision++;
     publishedMs = clock.nowMs();
     String rows =
-        listed.stream()
+        Stream.concat(listed.stream(), Stream.of(OUTSIDE))
             .map(
                 name ->
-                    "{\"name\":\"%s\",\"zone\":\"zone-a\",\"role\":\"entry\",\"state\":\"live\","
-                            .formatted(name)
+                    "{\"name\":\"%s\",\"zone\":\"%s\",\"role\":\"entry\",\"state\":\"live\","
+                            .formatted(name, zoneOf(name))
                         + "\"address\":\"127.0.0.1:1\",\"sinceMs\":%d}"
                             .formatted(sinceMs.get(name)))
             .collect(Collectors.joining(","));
