--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -15,9 +15,14 @@
 import org.zinniaspan.clock.SystemClock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.configuration.ConfigurationFeed;
 import org.zinniaspan.configuration.ConfigurationStore;
-import org.zinniaspan.configuration.PlatformReader;
+import org.zinniaspan.configuration.FeedParts;
+import org.zinniaspan.configuration.FeedSettings;
+import org.zinniaspan.configuration.ThreadedPlatform;
+import org.zinniaspan.dispatch.DispatchContext;
 import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.RouteLog;
 import org.zinniaspan.dispatch.SlotService;
 import org.zinniaspan.gateway.CallHandler;
 import org.zinniaspan.gateway.ChatHandler;
@@ -32,22 +37,22 @@
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.lifecycle.Drain;
 import org.zinniaspan.log.EventLog;
-import org.zinniaspan.membership.ListedMembership;
+import org.zinniaspan.membership.GossipMembership;
 import org.zinniaspan.membership.Member;
-import org.zinniaspan.membership.Membership;
 import org.zinniaspan.peer.NettyPeerTransport;
 import org.zinniaspan.peer.PeerLink;
 import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
-import org.zinniaspan.routing.LeastReportedLoad;
-import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.routing.LearnedOutput;
 import org.zinniaspan.runner.BlockingCallSender;
 import org.zinniaspan.runner.CallRunner;
 import org.zinniaspan.runner.RunnerPorts;
 import org.zinniaspan.runner.ServiceCallRunner;
 import org.zinniaspan.stream.ChatRunner;
-import org.zinniaspan.stream.SingleAttemptRunner;
+import org.zinniaspan.stream.ResumingChatRunner;
+import org.zinniaspan.stream.RetryBudget;
 
 /**
  * The process of an entry VM: builds the parts, connects them and stops them in order.
@@ -68,12 +73,18 @@
   private final PeerRouter peers = new PeerRouter();
   private final List<Ticking> ticking = new ArrayList<>();
   private final EntrySettings settings;
-  private final Membership membership;
+  private final GossipMembership membership;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
     Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
-    this.membership = new ListedMembership(self, settings.zone, () -> store.current().vms());
+    this.membership =
+        new GossipMembership(
+            self,
+            settings.zone,
+            settings.zones.gossip(settings.seed),
+            () -> store.current().vms(),
+            clock);
   }
 
   /**
@@ -121,21 +132,38 @@
   private SlotService slots(EndpointTable table, PeerLink link) {
     ExecutorService polls = executor(Executors.newFixedThreadPool(POLL_THREADS));
     long periodMs = settings.routing.loadPeriodMs;
-    ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
-    LocalSlotService slots = new LocalSlotService(table, chooser(), clock);
-    ticking.add(slots);
-    return slots;
+    if (settings.slots.policy.equals(SlotSettings.LOCAL)) {
+      LocalSlotService local = new LocalSlotService(table, chooser(), clock);
+      ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
+      ticking.add(local);
+      return local;
+    }
+    RouteLog log = new RouteLog();
+    DispatchContext context =
+        new DispatchContext(
+            membership, table, chooser(), this::configuration, clock, settings.slots.limits(), log);
+    SlotAssembly assembly = new SlotAssembly(context, link, peers);
+    assembly.export(metrics, log);
+    ticking.add(new LoadPoller(table, assembly::polls, periodMs, polls, clock));
+    ticking.addAll(assembly.ticking());
+    return assembly.service();
   }
 
   private EndpointChooser chooser() {
-    return switch (settings.routing.policy) {
-      case "round-robin" -> new RoundRobin();
-      default -> new LeastReportedLoad();
-    };
+    return settings.routing.chooser(settings.seed);
   }
 
   private ChatRunner chats(SlotService slots, EndpointTable table) {
-    return new SingleAttemptRunner(slots, new OpenAiEngineClient(), this::configuration, clock);
+    RoutingSettings routing = settings.routing;
+    table.setEjecting(routing.isEjecting());
+    return ResumingChatRunner.builder(slots, new OpenAiEngineClient())
+        .configuration(this::configuration)
+        .endpoints(table::endpointsOf)
+        .clock(clock)
+        .budget(new RetryBudget(routing.retryShare(), routing.retriesPerSecond, clock))
+        .estimates(new LearnedOutput())
+        .settings(routing.streams())
+        .build();
   }
 
   private CallRunner calls(SlotService slots, PeerLink link) {
@@ -154,7 +182,36 @@
 
   private void feedConfiguration(PeerLink link) {
     HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
-    closer.add(new PlatformReader(source, store));
+    ConfigurationFeed feed =
+        new FeedParts(
+                store,
+                closer.add(new ThreadedPlatform(source)),
+                membership,
+                settings.zone,
+                link,
+                executor(Executors.newSingleThreadExecutor()),
+                FeedSettings.withSeed(settings.seed),
+                clock)
+            .feed();
+    membership.connect(link, feed::extend);
+    peers.register(
+        message -> {
+          membership.handle(message);
+          feed.handle(message);
+        },
+        BodyCase.HEARTBEAT);
+    peers.register(feed, BodyCase.DOCUMENT_REQUEST, BodyCase.DOCUMENT_PART);
+    ticking.add(membership);
+    ticking.add(feed);
+    metrics.gauge(
+        "zinniaspan_platform_age_ms",
+        "Milliseconds since the availability zone last heard the platform, -1 if never.",
+        () -> (double) feed.platformAgeMs());
+    metrics.gauge(
+        "zinniaspan_platform_behind",
+        "Times that the platform listed a revision lower than the one in force.",
+        () -> (double) feed.platformBehind());
+    drain.begun().thenRun(membership::leave);
   }
 
   private ExecutorService executor(ExecutorService executor) {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/StarvationGate.java
@@ -0,0 +1,89 @@
+package org.zinniaspan.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+
+/**
+ * Closes higher tiers to new asks for a moment so that a starved tier gets a slot.
+ *
+ * <p>Asks that wait already keep their places and are served first; the starved tier gets the next
+ * slot after them. So a grant of a lower tier never comes between the arrival of an ask and its
+ * refusal. The highest tier whose queue has not been empty for a while is closed, and all between
+ * it and the starved one, until that is served.
+ */
+final class StarvationGate {
+
+  private static final int NONE = Integer.MAX_VALUE;
+
+  private final QueueLimits limits;
+  private final Map<Integer, Long> starvedSinceMs = new HashMap<>();
+  private final Map<Integer, Long> waitingSinceMs = new HashMap<>();
+  private int closedFrom = NONE;
+  private int grantsSinceGate;
+
+  StarvationGate(QueueLimits limits) {
+    this.limits = limits;
+    this.grantsSinceGate = limits.grantsBetweenGates();
+  }
+
+  /** Records that a tier of which nothing waited asks for a slot. */
+  void asked(int tier, long nowMs) {
+    waitingSinceMs.put(tier, nowMs);
+    starvedSinceMs.putIfAbsent(tier, nowMs);
+  }
+
+  /** Records a grant, and returns whether it went to a tier that was starved. */
+  boolean granted(int tier, long nowMs) {
+    boolean starved = isStarved(tier, nowMs);
+    starvedSinceMs.put(tier, nowMs);
+    if (starved) {
+      closedFrom = NONE;
+    }
+    grantsSinceGate = starved ? 0 : grantsSinceGate + 1;
+    return starved;
+  }
+
+  /** Returns whether a tier has asked for long without a grant, and is due one. */
+  private boolean isStarved(int tier, long nowMs) {
+    return overdueMs(tier, nowMs) >= 0 && grantsSinceGate >= limits.grantsBetweenGates();
+  }
+
+  /** Returns the starved tier that is served first: the one that waits for longest. */
+  Optional<Integer> next(SortedMap<Integer, TierQueue> tiers, long nowMs) {
+    return tiers.entrySet().stream()
+        .filter(entry -> !entry.getValue().isEmpty())
+        .map(Map.Entry::getKey)
+        .filter(tier -> isStarved(tier, nowMs))
+        .min(Comparator.comparingLong(starvedSinceMs::get));
+  }
+
+  /** Returns whether a tier takes no new asks, because it crowds out a lower one. */
+  boolean isClosed(int tier, SortedMap<Integer, TierQueue> tiers, long nowMs) {
+    Optional<Integer> starved = next(tiers, nowMs);
+    if (starved.isEmpty()) {
+      closedFrom = NONE;
+      return false;
+    }
+    if (tier >= starved.get()) {
+      return false;
+    }
+    for (Map.Entry<Integer, TierQueue> higher : tiers.headMap(starved.get()).entrySet()) {
+      if (!higher.getValue().isEmpty() && crowdsOut(higher.getKey(), nowMs)) {
+        closedFrom = Math.min(closedFrom, higher.getKey());
+      }
+    }
+    return tier >= closedFrom;
+  }
+
+  private boolean crowdsOut(int tier, long nowMs) {
+    return nowMs - waitingSinceMs.getOrDefault(tier, nowMs) >= limits.crowdedAfterMs();
+  }
+
+  private long overdueMs(int tier, long nowMs) {
+    Long since = starvedSinceMs.get(tier);
+    return since == null ? -1 : nowMs - since - limits.starvedAfterMs();
+  }
+}
