--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -20,7 +20,9 @@
 import org.zinniaspan.configuration.FeedParts;
 import org.zinniaspan.configuration.FeedSettings;
 import org.zinniaspan.configuration.ThreadedPlatform;
+import org.zinniaspan.dispatch.DispatchContext;
 import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.RouteLog;
 import org.zinniaspan.dispatch.SlotService;
 import org.zinniaspan.gateway.CallHandler;
 import org.zinniaspan.gateway.ChatHandler;
@@ -43,12 +45,12 @@
 import org.zinniaspan.peer.proto.Envelope.BodyCase;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
-import org.zinniaspan.routing.LeastReportedLoad;
-import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.routing.LearnedOutput;
 import org.zinniaspan.runner.CallRunner;
 import org.zinniaspan.runner.DirectCallRunner;
 import org.zinniaspan.stream.ChatRunner;
-import org.zinniaspan.stream.SingleAttemptRunner;
+import org.zinniaspan.stream.ResumingChatRunner;
+import org.zinniaspan.stream.RetryBudget;
 
 /**
  * The process of an entry VM: builds the parts, connects them and stops them in order.
@@ -128,21 +130,38 @@
   private SlotService slots(EndpointTable table, PeerLink link) {
     ExecutorService polls = executor(Executors.newFixedThreadPool(POLL_THREADS));
     long periodMs = settings.routing.loadPeriodMs;
-    ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
-    LocalSlotService slots = new LocalSlotService(table, chooser(), clock);
-    ticking.add(slots);
-    return slots;
+    if (settings.slots.policy.equals(SlotSettings.LOCAL)) {
+      LocalSlotService local = new LocalSlotService(table, chooser(), clock);
+      ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
+      ticking.add(local);
+      return local;
+    }
+    RouteLog log = new RouteLog();
+    DispatchContext context =
+        new DispatchContext(
+            membership, table, chooser(), this::configuration, clock, settings.slots.limits(), log);
+    SlotAssembly assembly = new SlotAssembly(context, link, peers);
+    assembly.export(metrics, log);
+    ticking.add(new LoadPoller(table, assembly::polls, periodMs, polls, clock));
+    ticking.addAll(assembly.ticking());
+    return assembly.service();
   }
 
   private EndpointChooser chooser() {
-    return switch (settings.routing.policy) {
-      case "round-robin" -> new RoundRobin();
-      default -> new LeastReportedLoad();
-    };
+    return settings.routing.chooser(settings.seed);
   }
 
   private ChatRunner chats(SlotService slots, EndpointTable table) {
-    return new SingleAttemptRunner(slots, new OpenAiEngineClient(), this::configuration, clock);
+    RoutingSettings routing = settings.routing;
+    table.setEjecting(routing.isEjecting());
+    return ResumingChatRunner.builder(slots, new OpenAiEngineClient())
+        .configuration(this::configuration)
+        .endpoints(table::endpointsOf)
+        .clock(clock)
+        .budget(new RetryBudget(routing.retryShare(), routing.retriesPerSecond, clock))
+        .estimates(new LearnedOutput())
+        .settings(routing.streams())
+        .build();
   }
 
   private CallRunner calls(SlotService slots, PeerLink link) {
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Envelope.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Envelope.java
@@ -66,11 +66,18 @@
     SLOT_RELEASE(23),
     SLOT_PREEMPTION(24),
     SLOT_REGISTRATION(25),
+    SLOT_RECEIPT(26),
+    SLOT_ACCEPTANCE(27),
+    SLOT_REGISTRATION_CALL(28),
     CLAIM_REQUEST(30),
     CLAIM_VOTE(31),
     CLAIM_RELEASE(32),
     OUTCOME_REQUEST(33),
     OUTCOME_REPLY(34),
+    CLAIM_SYNC_REQUEST(35),
+    CLAIM_SYNC_REPLY(36),
+    FORWARDED_CALL(37),
+    FORWARDED_OUTCOME(38),
     DOCUMENT_REQUEST(40),
     DOCUMENT_PART(41),
     BODY_NOT_SET(0);
@@ -97,11 +104,18 @@
         case 23: return SLOT_RELEASE;
         case 24: return SLOT_PREEMPTION;
         case 25: return SLOT_REGISTRATION;
+        case 26: return SLOT_RECEIPT;
+        case 27: return SLOT_ACCEPTANCE;
+        case 28: return SLOT_REGISTRATION_CALL;
         case 30: return CLAIM_REQUEST;
         case 31: return CLAIM_VOTE;
         case 32: return CLAIM_RELEASE;
         case 33: return OUTCOME_REQUEST;
         case 34: return OUTCOME_REPLY;
+        case 35: return CLAIM_SYNC_REQUEST;
+        case 36: return CLAIM_SYNC_REPLY;
+        case 37: return FORWARDED_CALL;
+        case 38: return FORWARDED_OUTCOME;
         case 40: return DOCUMENT_REQUEST;
         case 41: return DOCUMENT_PART;
         case 0: return BODY_NOT_SET;
@@ -390,6 +404,99 @@
     return org.zinniaspan.peer.proto.SlotRegistration.getDefaultInstance();
   }
 
+  public static final int SLOT_RECEIPT_FIELD_NUMBER = 26;
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   * @return Whether the slotReceipt field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlotReceipt() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   * @return The slotReceipt.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotReceipt getSlotReceipt() {
+    if (bodyCase_ == 26) {
+       return (org.zinniaspan.peer.proto.SlotReceipt) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotReceiptOrBuilder getSlotReceiptOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (org.zinniaspan.peer.proto.SlotReceipt) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
+  }
+
+  public static final int SLOT_ACCEPTANCE_FIELD_NUMBER = 27;
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   * @return Whether the slotAcceptance field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlotAcceptance() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   * @return The slotAcceptance.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotAcceptance getSlotAcceptance() {
+    if (bodyCase_ == 27) {
+       return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder getSlotAcceptanceOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+  }
+
+  public static final int SLOT_REGISTRATION_CALL_FIELD_NUMBER = 28;
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   * @return Whether the slotRegistrationCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasSlotRegistrationCall() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   * @return The slotRegistrationCall.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotRegistrationCall getSlotRegistrationCall() {
+    if (bodyCase_ == 28) {
+       return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder getSlotRegistrationCallOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+    }
+    return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+  }
+
   public static final int CLAIM_REQUEST_FIELD_NUMBER = 30;
   /**
    * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
@@ -545,6 +652,130 @@
     return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
   }
 
+  public static final int CLAIM_SYNC_REQUEST_FIELD_NUMBER = 35;
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   * @return Whether the claimSyncRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasClaimSyncRequest() {
+    return bodyCase_ == 35;
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   * @return The claimSyncRequest.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncRequest getClaimSyncRequest() {
+    if (bodyCase_ == 35) {
+       return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder getClaimSyncRequestOrBuilder() {
+    if (bodyCase_ == 35) {
+       return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
+  }
+
+  public static final int CLAIM_SYNC_REPLY_FIELD_NUMBER = 36;
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   * @return Whether the claimSyncReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasClaimSyncReply() {
+    return bodyCase_ == 36;
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   * @return The claimSyncReply.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncReply getClaimSyncReply() {
+    if (bodyCase_ == 36) {
+       return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder getClaimSyncReplyOrBuilder() {
+    if (bodyCase_ == 36) {
+       return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
+    }
+    return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
+  }
+
+  public static final int FORWARDED_CALL_FIELD_NUMBER = 37;
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   * @return Whether the forwardedCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasForwardedCall() {
+    return bodyCase_ == 37;
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   * @return The forwardedCall.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedCall getForwardedCall() {
+    if (bodyCase_ == 37) {
+       return (org.zinniaspan.peer.proto.ForwardedCall) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedCallOrBuilder getForwardedCallOrBuilder() {
+    if (bodyCase_ == 37) {
+       return (org.zinniaspan.peer.proto.ForwardedCall) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
+  }
+
+  public static final int FORWARDED_OUTCOME_FIELD_NUMBER = 38;
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   * @return Whether the forwardedOutcome field is set.
+   */
+  @java.lang.Override
+  public boolean hasForwardedOutcome() {
+    return bodyCase_ == 38;
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   * @return The forwardedOutcome.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedOutcome getForwardedOutcome() {
+    if (bodyCase_ == 38) {
+       return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+  }
+  /**
+   * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder getForwardedOutcomeOrBuilder() {
+    if (bodyCase_ == 38) {
+       return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
+    }
+    return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
+  }
+
   public static final int DOCUMENT_REQUEST_FIELD_NUMBER = 40;
   /**
    * <code>.zinniaspan.peer.DocumentRequest document_request = 40;</code>
@@ -648,6 +879,15 @@
     if (bodyCase_ == 25) {
       output.writeMessage(25, (org.zinniaspan.peer.proto.SlotRegistration) body_);
     }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (org.zinniaspan.peer.proto.SlotReceipt) body_);
+    }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (org.zinniaspan.peer.proto.SlotAcceptance) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.zinniaspan.peer.proto.SlotRegistrationCall) body_);
+    }
     if (bodyCase_ == 30) {
       output.writeMessage(30, (org.zinniaspan.peer.proto.ClaimRequest) body_);
     }
@@ -663,6 +903,18 @@
     if (bodyCase_ == 34) {
       output.writeMessage(34, (org.zinniaspan.peer.proto.OutcomeReply) body_);
     }
+    if (bodyCase_ == 35) {
+      output.writeMessage(35, (org.zinniaspan.peer.proto.ClaimSyncRequest) body_);
+    }
+    if (bodyCase_ == 36) {
+      output.writeMessage(36, (org.zinniaspan.peer.proto.ClaimSyncReply) body_);
+    }
+    if (bodyCase_ == 37) {
+      output.writeMessage(37, (org.zinniaspan.peer.proto.ForwardedCall) body_);
+    }
+    if (bodyCase_ == 38) {
+      output.writeMessage(38, (org.zinniaspan.peer.proto.ForwardedOutcome) body_);
+    }
     if (bodyCase_ == 40) {
       output.writeMessage(40, (org.zinniaspan.peer.proto.DocumentRequest) body_);
     }
@@ -708,6 +960,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(25, (org.zinniaspan.peer.proto.SlotRegistration) body_);
     }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.zinniaspan.peer.proto.SlotReceipt) body_);
+    }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.zinniaspan.peer.proto.SlotAcceptance) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.zinniaspan.peer.proto.SlotRegistrationCall) body_);
+    }
     if (bodyCase_ == 30) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(30, (org.zinniaspan.peer.proto.ClaimRequest) body_);
@@ -728,6 +992,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(34, (org.zinniaspan.peer.proto.OutcomeReply) body_);
     }
+    if (bodyCase_ == 35) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(35, (org.zinniaspan.peer.proto.ClaimSyncRequest) body_);
+    }
+    if (bodyCase_ == 36) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(36, (org.zinniaspan.peer.proto.ClaimSyncReply) body_);
+    }
+    if (bodyCase_ == 37) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(37, (org.zinniaspan.peer.proto.ForwardedCall) body_);
+    }
+    if (bodyCase_ == 38) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(38, (org.zinniaspan.peer.proto.ForwardedOutcome) body_);
+    }
     if (bodyCase_ == 40) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(40, (org.zinniaspan.peer.proto.DocumentRequest) body_);
@@ -794,6 +1074,18 @@
         if (!getSlotRegistration()
             .equals(other.getSlotRegistration())) return false;
         break;
+      case 26:
+        if (!getSlotReceipt()
+            .equals(other.getSlotReceipt())) return false;
+        break;
+      case 27:
+        if (!getSlotAcceptance()
+            .equals(other.getSlotAcceptance())) return false;
+        break;
+      case 28:
+        if (!getSlotRegistrationCall()
+            .equals(other.getSlotRegistrationCall())) return false;
+        break;
       case 30:
         if (!getClaimRequest()
             .equals(other.getClaimRequest())) return false;
@@ -814,6 +1106,22 @@
         if (!getOutcomeReply()
             .equals(other.getOutcomeReply())) return false;
         break;
+      case 35:
+        if (!getClaimSyncRequest()
+            .equals(other.getClaimSyncRequest())) return false;
+        break;
+      case 36:
+        if (!getClaimSyncReply()
+            .equals(other.getClaimSyncReply())) return false;
+        break;
+      case 37:
+        if (!getForwardedCall()
+            .equals(other.getForwardedCall())) return false;
+        break;
+      case 38:
+        if (!getForwardedOutcome()
+            .equals(other.getForwardedOutcome())) return false;
+        break;
       case 40:
         if (!getDocumentRequest()
             .equals(other.getDocumentRequest())) return false;
@@ -870,6 +1178,18 @@
         hash = (37 * hash) + SLOT_REGISTRATION_FIELD_NUMBER;
         hash = (53 * hash) + getSlotRegistration().hashCode();
         break;
+      case 26:
+        hash = (37 * hash) + SLOT_RECEIPT_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotReceipt().hashCode();
+        break;
+      case 27:
+        hash = (37 * hash) + SLOT_ACCEPTANCE_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotAcceptance().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + SLOT_REGISTRATION_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getSlotRegistrationCall().hashCode();
+        break;
       case 30:
         hash = (37 * hash) + CLAIM_REQUEST_FIELD_NUMBER;
         hash = (53 * hash) + getClaimRequest().hashCode();
@@ -890,6 +1210,22 @@
         hash = (37 * hash) + OUTCOME_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getOutcomeReply().hashCode();
         break;
+      case 35:
+        hash = (37 * hash) + CLAIM_SYNC_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getClaimSyncRequest().hashCode();
+        break;
+      case 36:
+        hash = (37 * hash) + CLAIM_SYNC_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getClaimSyncReply().hashCode();
+        break;
+      case 37:
+        hash = (37 * hash) + FORWARDED_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getForwardedCall().hashCode();
+        break;
+      case 38:
+        hash = (37 * hash) + FORWARDED_OUTCOME_FIELD_NUMBER;
+        hash = (53 * hash) + getForwardedOutcome().hashCode();
+        break;
       case 40:
         hash = (37 * hash) + DOCUMENT_REQUEST_FIELD_NUMBER;
         hash = (53 * hash) + getDocumentRequest().hashCode();
@@ -1059,6 +1395,15 @@
       if (slotRegistrationBuilder_ != null) {
         slotRegistrationBuilder_.clear();
       }
+      if (slotReceiptBuilder_ != null) {
+        slotReceiptBuilder_.clear();
+      }
+      if (slotAcceptanceBuilder_ != null) {
+        slotAcceptanceBuilder_.clear();
+      }
+      if (slotRegistrationCallBuilder_ != null) {
+        slotRegistrationCallBuilder_.clear();
+      }
       if (claimRequestBuilder_ != null) {
         claimRequestBuilder_.clear();
       }
@@ -1074,6 +1419,18 @@
       if (outcomeReplyBuilder_ != null) {
         outcomeReplyBuilder_.clear();
       }
+      if (claimSyncRequestBuilder_ != null) {
+        claimSyncRequestBuilder_.clear();
+      }
+      if (claimSyncReplyBuilder_ != null) {
+        claimSyncReplyBuilder_.clear();
+      }
+      if (forwardedCallBuilder_ != null) {
+        forwardedCallBuilder_.clear();
+      }
+      if (forwardedOutcomeBuilder_ != null) {
+        forwardedOutcomeBuilder_.clear();
+      }
       if (documentRequestBuilder_ != null) {
         documentRequestBuilder_.clear();
       }
@@ -1155,6 +1512,18 @@
           slotRegistrationBuilder_ != null) {
         result.body_ = slotRegistrationBuilder_.build();
       }
+      if (bodyCase_ == 26 &&
+          slotReceiptBuilder_ != null) {
+        result.body_ = slotReceiptBuilder_.build();
+      }
+      if (bodyCase_ == 27 &&
+          slotAcceptanceBuilder_ != null) {
+        result.body_ = slotAcceptanceBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          slotRegistrationCallBuilder_ != null) {
+        result.body_ = slotRegistrationCallBuilder_.build();
+      }
       if (bodyCase_ == 30 &&
           claimRequestBuilder_ != null) {
         result.body_ = claimRequestBuilder_.build();
@@ -1175,6 +1544,22 @@
           outcomeReplyBuilder_ != null) {
         result.body_ = outcomeReplyBuilder_.build();
       }
+      if (bodyCase_ == 35 &&
+          claimSyncRequestBuilder_ != null) {
+        result.body_ = claimSyncRequestBuilder_.build();
+      }
+      if (bodyCase_ == 36 &&
+          claimSyncReplyBuilder_ != null) {
+        result.body_ = claimSyncReplyBuilder_.build();
+      }
+      if (bodyCase_ == 37 &&
+          forwardedCallBuilder_ != null) {
+        result.body_ = forwardedCallBuilder_.build();
+      }
+      if (bodyCase_ == 38 &&
+          forwardedOutcomeBuilder_ != null) {
+        result.body_ = forwardedOutcomeBuilder_.build();
+      }
       if (bodyCase_ == 40 &&
           documentRequestBuilder_ != null) {
         result.body_ = documentRequestBuilder_.build();
@@ -1234,6 +1619,18 @@
           mergeSlotRegistration(other.getSlotRegistration());
           break;
         }
+        case SLOT_RECEIPT: {
+          mergeSlotReceipt(other.getSlotReceipt());
+          break;
+        }
+        case SLOT_ACCEPTANCE: {
+          mergeSlotAcceptance(other.getSlotAcceptance());
+          break;
+        }
+        case SLOT_REGISTRATION_CALL: {
+          mergeSlotRegistrationCall(other.getSlotRegistrationCall());
+          break;
+        }
         case CLAIM_REQUEST: {
           mergeClaimRequest(other.getClaimRequest());
           break;
@@ -1254,6 +1651,22 @@
           mergeOutcomeReply(other.getOutcomeReply());
           break;
         }
+        case CLAIM_SYNC_REQUEST: {
+          mergeClaimSyncRequest(other.getClaimSyncRequest());
+          break;
+        }
+        case CLAIM_SYNC_REPLY: {
+          mergeClaimSyncReply(other.getClaimSyncReply());
+          break;
+        }
+        case FORWARDED_CALL: {
+          mergeForwardedCall(other.getForwardedCall());
+          break;
+        }
+        case FORWARDED_OUTCOME: {
+          mergeForwardedOutcome(other.getForwardedOutcome());
+          break;
+        }
         case DOCUMENT_REQUEST: {
           mergeDocumentRequest(other.getDocumentRequest());
           break;
@@ -1349,6 +1762,27 @@
               bodyCase_ = 25;
               break;
             } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetSlotReceiptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetSlotAcceptanceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetSlotRegistrationCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
             case 242: {
               input.readMessage(
                   internalGetClaimRequestFieldBuilder().getBuilder(),
@@ -1384,6 +1818,34 @@
               bodyCase_ = 34;
               break;
             } // case 274
+            case 282: {
+              input.readMessage(
+                  internalGetClaimSyncRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 35;
+              break;
+            } // case 282
+            case 290: {
+              input.readMessage(
+                  internalGetClaimSyncReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 36;
+              break;
+            } // case 290
+            case 298: {
+              input.readMessage(
+                  internalGetForwardedCallFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 37;
+              break;
+            } // case 298
+            case 306: {
+              input.readMessage(
+                  internalGetForwardedOutcomeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 38;
+              break;
+            } // case 306
             case 322: {
               input.readMessage(
                   internalGetDocumentRequestFieldBuilder().getBuilder(),
@@ -2527,703 +2989,1683 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder> claimRequestBuilder_;
+        org.zinniaspan.peer.proto.SlotReceipt, org.zinniaspan.peer.proto.SlotReceipt.Builder, org.zinniaspan.peer.proto.SlotReceiptOrBuilder> slotReceiptBuilder_;
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
-     * @return Whether the claimRequest field is set.
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     * @return Whether the slotReceipt field is set.
      */
     @java.lang.Override
-    public boolean hasClaimRequest() {
-      return bodyCase_ == 30;
+    public boolean hasSlotReceipt() {
+      return bodyCase_ == 26;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
-     * @return The claimRequest.
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
+     * @return The slotReceipt.
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.ClaimRequest getClaimRequest() {
-      if (claimRequestBuilder_ == null) {
-        if (bodyCase_ == 30) {
-          return (org.zinniaspan.peer.proto.ClaimRequest) body_;
+    public org.zinniaspan.peer.proto.SlotReceipt getSlotReceipt() {
+      if (slotReceiptBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (org.zinniaspan.peer.proto.SlotReceipt) body_;
         }
-        return org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+        return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
       } else {
-        if (bodyCase_ == 30) {
-          return claimRequestBuilder_.getMessage();
+        if (bodyCase_ == 26) {
+          return slotReceiptBuilder_.getMessage();
         }
-        return org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+        return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
-    public Builder setClaimRequest(org.zinniaspan.peer.proto.ClaimRequest value) {
-      if (claimRequestBuilder_ == null) {
+    public Builder setSlotReceipt(org.zinniaspan.peer.proto.SlotReceipt value) {
+      if (slotReceiptBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        claimRequestBuilder_.setMessage(value);
+        slotReceiptBuilder_.setMessage(value);
       }
-      bodyCase_ = 30;
+      bodyCase_ = 26;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
-    public Builder setClaimRequest(
-        org.zinniaspan.peer.proto.ClaimRequest.Builder builderForValue) {
-      if (claimRequestBuilder_ == null) {
+    public Builder setSlotReceipt(
+        org.zinniaspan.peer.proto.SlotReceipt.Builder builderForValue) {
+      if (slotReceiptBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        claimRequestBuilder_.setMessage(builderForValue.build());
+        slotReceiptBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 30;
+      bodyCase_ = 26;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
-    public Builder mergeClaimRequest(org.zinniaspan.peer.proto.ClaimRequest value) {
-      if (claimRequestBuilder_ == null) {
-        if (bodyCase_ == 30 &&
-            body_ != org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance()) {
-          body_ = org.zinniaspan.peer.proto.ClaimRequest.newBuilder((org.zinniaspan.peer.proto.ClaimRequest) body_)
+    public Builder mergeSlotReceipt(org.zinniaspan.peer.proto.SlotReceipt value) {
+      if (slotReceiptBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.SlotReceipt.newBuilder((org.zinniaspan.peer.proto.SlotReceipt) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 30) {
-          claimRequestBuilder_.mergeFrom(value);
+        if (bodyCase_ == 26) {
+          slotReceiptBuilder_.mergeFrom(value);
         } else {
-          claimRequestBuilder_.setMessage(value);
+          slotReceiptBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 30;
+      bodyCase_ = 26;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
-    public Builder clearClaimRequest() {
-      if (claimRequestBuilder_ == null) {
-        if (bodyCase_ == 30) {
+    public Builder clearSlotReceipt() {
+      if (slotReceiptBuilder_ == null) {
+        if (bodyCase_ == 26) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 30) {
+        if (bodyCase_ == 26) {
           bodyCase_ = 0;
           body_ = null;
         }
-        claimRequestBuilder_.clear();
+        slotReceiptBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
-    public org.zinniaspan.peer.proto.ClaimRequest.Builder getClaimRequestBuilder() {
-      return internalGetClaimRequestFieldBuilder().getBuilder();
+    public org.zinniaspan.peer.proto.SlotReceipt.Builder getSlotReceiptBuilder() {
+      return internalGetSlotReceiptFieldBuilder().getBuilder();
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.ClaimRequestOrBuilder getClaimRequestOrBuilder() {
-      if ((bodyCase_ == 30) && (claimRequestBuilder_ != null)) {
-        return claimRequestBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.SlotReceiptOrBuilder getSlotReceiptOrBuilder() {
+      if ((bodyCase_ == 26) && (slotReceiptBuilder_ != null)) {
+        return slotReceiptBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 30) {
-          return (org.zinniaspan.peer.proto.ClaimRequest) body_;
+        if (bodyCase_ == 26) {
+          return (org.zinniaspan.peer.proto.SlotReceipt) body_;
         }
-        return org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+        return org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * <code>.zinniaspan.peer.SlotReceipt slot_receipt = 26;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder> 
-        internalGetClaimRequestFieldBuilder() {
-      if (claimRequestBuilder_ == null) {
-        if (!(bodyCase_ == 30)) {
-          body_ = org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+        org.zinniaspan.peer.proto.SlotReceipt, org.zinniaspan.peer.proto.SlotReceipt.Builder, org.zinniaspan.peer.proto.SlotReceiptOrBuilder> 
+        internalGetSlotReceiptFieldBuilder() {
+      if (slotReceiptBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = org.zinniaspan.peer.proto.SlotReceipt.getDefaultInstance();
         }
-        claimRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder>(
-                (org.zinniaspan.peer.proto.ClaimRequest) body_,
+        slotReceiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SlotReceipt, org.zinniaspan.peer.proto.SlotReceipt.Builder, org.zinniaspan.peer.proto.SlotReceiptOrBuilder>(
+                (org.zinniaspan.peer.proto.SlotReceipt) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 30;
+      bodyCase_ = 26;
       onChanged();
-      return claimRequestBuilder_;
+      return slotReceiptBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.ClaimVote, org.zinniaspan.peer.proto.ClaimVote.Builder, org.zinniaspan.peer.proto.ClaimVoteOrBuilder> claimVoteBuilder_;
+        org.zinniaspan.peer.proto.SlotAcceptance, org.zinniaspan.peer.proto.SlotAcceptance.Builder, org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder> slotAcceptanceBuilder_;
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
-     * @return Whether the claimVote field is set.
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     * @return Whether the slotAcceptance field is set.
      */
     @java.lang.Override
-    public boolean hasClaimVote() {
+    public boolean hasSlotAcceptance() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     * @return The slotAcceptance.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotAcceptance getSlotAcceptance() {
+      if (slotAcceptanceBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return slotAcceptanceBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder setSlotAcceptance(org.zinniaspan.peer.proto.SlotAcceptance value) {
+      if (slotAcceptanceBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        slotAcceptanceBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder setSlotAcceptance(
+        org.zinniaspan.peer.proto.SlotAcceptance.Builder builderForValue) {
+      if (slotAcceptanceBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        slotAcceptanceBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder mergeSlotAcceptance(org.zinniaspan.peer.proto.SlotAcceptance value) {
+      if (slotAcceptanceBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.SlotAcceptance.newBuilder((org.zinniaspan.peer.proto.SlotAcceptance) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          slotAcceptanceBuilder_.mergeFrom(value);
+        } else {
+          slotAcceptanceBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public Builder clearSlotAcceptance() {
+      if (slotAcceptanceBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        slotAcceptanceBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    public org.zinniaspan.peer.proto.SlotAcceptance.Builder getSlotAcceptanceBuilder() {
+      return internalGetSlotAcceptanceFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder getSlotAcceptanceOrBuilder() {
+      if ((bodyCase_ == 27) && (slotAcceptanceBuilder_ != null)) {
+        return slotAcceptanceBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (org.zinniaspan.peer.proto.SlotAcceptance) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotAcceptance slot_acceptance = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotAcceptance, org.zinniaspan.peer.proto.SlotAcceptance.Builder, org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder> 
+        internalGetSlotAcceptanceFieldBuilder() {
+      if (slotAcceptanceBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = org.zinniaspan.peer.proto.SlotAcceptance.getDefaultInstance();
+        }
+        slotAcceptanceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SlotAcceptance, org.zinniaspan.peer.proto.SlotAcceptance.Builder, org.zinniaspan.peer.proto.SlotAcceptanceOrBuilder>(
+                (org.zinniaspan.peer.proto.SlotAcceptance) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return slotAcceptanceBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotRegistrationCall, org.zinniaspan.peer.proto.SlotRegistrationCall.Builder, org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder> slotRegistrationCallBuilder_;
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     * @return Whether the slotRegistrationCall field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlotRegistrationCall() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     * @return The slotRegistrationCall.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotRegistrationCall getSlotRegistrationCall() {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return slotRegistrationCallBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder setSlotRegistrationCall(org.zinniaspan.peer.proto.SlotRegistrationCall value) {
+      if (slotRegistrationCallBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        slotRegistrationCallBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder setSlotRegistrationCall(
+        org.zinniaspan.peer.proto.SlotRegistrationCall.Builder builderForValue) {
+      if (slotRegistrationCallBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        slotRegistrationCallBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder mergeSlotRegistrationCall(org.zinniaspan.peer.proto.SlotRegistrationCall value) {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.SlotRegistrationCall.newBuilder((org.zinniaspan.peer.proto.SlotRegistrationCall) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          slotRegistrationCallBuilder_.mergeFrom(value);
+        } else {
+          slotRegistrationCallBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public Builder clearSlotRegistrationCall() {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        slotRegistrationCallBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    public org.zinniaspan.peer.proto.SlotRegistrationCall.Builder getSlotRegistrationCallBuilder() {
+      return internalGetSlotRegistrationCallFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder getSlotRegistrationCallOrBuilder() {
+      if ((bodyCase_ == 28) && (slotRegistrationCallBuilder_ != null)) {
+        return slotRegistrationCallBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (org.zinniaspan.peer.proto.SlotRegistrationCall) body_;
+        }
+        return org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.SlotRegistrationCall slot_registration_call = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SlotRegistrationCall, org.zinniaspan.peer.proto.SlotRegistrationCall.Builder, org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder> 
+        internalGetSlotRegistrationCallFieldBuilder() {
+      if (slotRegistrationCallBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.zinniaspan.peer.proto.SlotRegistrationCall.getDefaultInstance();
+        }
+        slotRegistrationCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SlotRegistrationCall, org.zinniaspan.peer.proto.SlotRegistrationCall.Builder, org.zinniaspan.peer.proto.SlotRegistrationCallOrBuilder>(
+                (org.zinniaspan.peer.proto.SlotRegistrationCall) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return slotRegistrationCallBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder> claimRequestBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * @return Whether the claimRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasClaimRequest() {
+      return bodyCase_ == 30;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     * @return The claimRequest.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimRequest getClaimRequest() {
+      if (claimRequestBuilder_ == null) {
+        if (bodyCase_ == 30) {
+          return (org.zinniaspan.peer.proto.ClaimRequest) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 30) {
+          return claimRequestBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    public Builder setClaimRequest(org.zinniaspan.peer.proto.ClaimRequest value) {
+      if (claimRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        claimRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    public Builder setClaimRequest(
+        org.zinniaspan.peer.proto.ClaimRequest.Builder builderForValue) {
+      if (claimRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        claimRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    public Builder mergeClaimRequest(org.zinniaspan.peer.proto.ClaimRequest value) {
+      if (claimRequestBuilder_ == null) {
+        if (bodyCase_ == 30 &&
+            body_ != org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimRequest.newBuilder((org.zinniaspan.peer.proto.ClaimRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 30) {
+          claimRequestBuilder_.mergeFrom(value);
+        } else {
+          claimRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    public Builder clearClaimRequest() {
+      if (claimRequestBuilder_ == null) {
+        if (bodyCase_ == 30) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 30) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        claimRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    public org.zinniaspan.peer.proto.ClaimRequest.Builder getClaimRequestBuilder() {
+      return internalGetClaimRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimRequestOrBuilder getClaimRequestOrBuilder() {
+      if ((bodyCase_ == 30) && (claimRequestBuilder_ != null)) {
+        return claimRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 30) {
+          return (org.zinniaspan.peer.proto.ClaimRequest) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRequest claim_request = 30;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder> 
+        internalGetClaimRequestFieldBuilder() {
+      if (claimRequestBuilder_ == null) {
+        if (!(bodyCase_ == 30)) {
+          body_ = org.zinniaspan.peer.proto.ClaimRequest.getDefaultInstance();
+        }
+        claimRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimRequest, org.zinniaspan.peer.proto.ClaimRequest.Builder, org.zinniaspan.peer.proto.ClaimRequestOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 30;
+      onChanged();
+      return claimRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimVote, org.zinniaspan.peer.proto.ClaimVote.Builder, org.zinniaspan.peer.proto.ClaimVoteOrBuilder> claimVoteBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * @return Whether the claimVote field is set.
+     */
+    @java.lang.Override
+    public boolean hasClaimVote() {
       return bodyCase_ == 31;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
-     * @return The claimVote.
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * @return The claimVote.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimVote getClaimVote() {
+      if (claimVoteBuilder_ == null) {
+        if (bodyCase_ == 31) {
+          return (org.zinniaspan.peer.proto.ClaimVote) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 31) {
+          return claimVoteBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    public Builder setClaimVote(org.zinniaspan.peer.proto.ClaimVote value) {
+      if (claimVoteBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        claimVoteBuilder_.setMessage(value);
+      }
+      bodyCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    public Builder setClaimVote(
+        org.zinniaspan.peer.proto.ClaimVote.Builder builderForValue) {
+      if (claimVoteBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        claimVoteBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    public Builder mergeClaimVote(org.zinniaspan.peer.proto.ClaimVote value) {
+      if (claimVoteBuilder_ == null) {
+        if (bodyCase_ == 31 &&
+            body_ != org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimVote.newBuilder((org.zinniaspan.peer.proto.ClaimVote) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 31) {
+          claimVoteBuilder_.mergeFrom(value);
+        } else {
+          claimVoteBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    public Builder clearClaimVote() {
+      if (claimVoteBuilder_ == null) {
+        if (bodyCase_ == 31) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 31) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        claimVoteBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    public org.zinniaspan.peer.proto.ClaimVote.Builder getClaimVoteBuilder() {
+      return internalGetClaimVoteFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimVoteOrBuilder getClaimVoteOrBuilder() {
+      if ((bodyCase_ == 31) && (claimVoteBuilder_ != null)) {
+        return claimVoteBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 31) {
+          return (org.zinniaspan.peer.proto.ClaimVote) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimVote, org.zinniaspan.peer.proto.ClaimVote.Builder, org.zinniaspan.peer.proto.ClaimVoteOrBuilder> 
+        internalGetClaimVoteFieldBuilder() {
+      if (claimVoteBuilder_ == null) {
+        if (!(bodyCase_ == 31)) {
+          body_ = org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+        }
+        claimVoteBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimVote, org.zinniaspan.peer.proto.ClaimVote.Builder, org.zinniaspan.peer.proto.ClaimVoteOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimVote) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 31;
+      onChanged();
+      return claimVoteBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimRelease, org.zinniaspan.peer.proto.ClaimRelease.Builder, org.zinniaspan.peer.proto.ClaimReleaseOrBuilder> claimReleaseBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * @return Whether the claimRelease field is set.
+     */
+    @java.lang.Override
+    public boolean hasClaimRelease() {
+      return bodyCase_ == 32;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * @return The claimRelease.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimRelease getClaimRelease() {
+      if (claimReleaseBuilder_ == null) {
+        if (bodyCase_ == 32) {
+          return (org.zinniaspan.peer.proto.ClaimRelease) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 32) {
+          return claimReleaseBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    public Builder setClaimRelease(org.zinniaspan.peer.proto.ClaimRelease value) {
+      if (claimReleaseBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        claimReleaseBuilder_.setMessage(value);
+      }
+      bodyCase_ = 32;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    public Builder setClaimRelease(
+        org.zinniaspan.peer.proto.ClaimRelease.Builder builderForValue) {
+      if (claimReleaseBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        claimReleaseBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 32;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    public Builder mergeClaimRelease(org.zinniaspan.peer.proto.ClaimRelease value) {
+      if (claimReleaseBuilder_ == null) {
+        if (bodyCase_ == 32 &&
+            body_ != org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimRelease.newBuilder((org.zinniaspan.peer.proto.ClaimRelease) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 32) {
+          claimReleaseBuilder_.mergeFrom(value);
+        } else {
+          claimReleaseBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 32;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    public Builder clearClaimRelease() {
+      if (claimReleaseBuilder_ == null) {
+        if (bodyCase_ == 32) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 32) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        claimReleaseBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    public org.zinniaspan.peer.proto.ClaimRelease.Builder getClaimReleaseBuilder() {
+      return internalGetClaimReleaseFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimReleaseOrBuilder getClaimReleaseOrBuilder() {
+      if ((bodyCase_ == 32) && (claimReleaseBuilder_ != null)) {
+        return claimReleaseBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 32) {
+          return (org.zinniaspan.peer.proto.ClaimRelease) body_;
+        }
+        return org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimRelease, org.zinniaspan.peer.proto.ClaimRelease.Builder, org.zinniaspan.peer.proto.ClaimReleaseOrBuilder> 
+        internalGetClaimReleaseFieldBuilder() {
+      if (claimReleaseBuilder_ == null) {
+        if (!(bodyCase_ == 32)) {
+          body_ = org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+        }
+        claimReleaseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimRelease, org.zinniaspan.peer.proto.ClaimRelease.Builder, org.zinniaspan.peer.proto.ClaimReleaseOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimRelease) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 32;
+      onChanged();
+      return claimReleaseBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.OutcomeRequest, org.zinniaspan.peer.proto.OutcomeRequest.Builder, org.zinniaspan.peer.proto.OutcomeRequestOrBuilder> outcomeRequestBuilder_;
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * @return Whether the outcomeRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasOutcomeRequest() {
+      return bodyCase_ == 33;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * @return The outcomeRequest.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.OutcomeRequest getOutcomeRequest() {
+      if (outcomeRequestBuilder_ == null) {
+        if (bodyCase_ == 33) {
+          return (org.zinniaspan.peer.proto.OutcomeRequest) body_;
+        }
+        return org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 33) {
+          return outcomeRequestBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    public Builder setOutcomeRequest(org.zinniaspan.peer.proto.OutcomeRequest value) {
+      if (outcomeRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        outcomeRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 33;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    public Builder setOutcomeRequest(
+        org.zinniaspan.peer.proto.OutcomeRequest.Builder builderForValue) {
+      if (outcomeRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        outcomeRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 33;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    public Builder mergeOutcomeRequest(org.zinniaspan.peer.proto.OutcomeRequest value) {
+      if (outcomeRequestBuilder_ == null) {
+        if (bodyCase_ == 33 &&
+            body_ != org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.OutcomeRequest.newBuilder((org.zinniaspan.peer.proto.OutcomeRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 33) {
+          outcomeRequestBuilder_.mergeFrom(value);
+        } else {
+          outcomeRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 33;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    public Builder clearOutcomeRequest() {
+      if (outcomeRequestBuilder_ == null) {
+        if (bodyCase_ == 33) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 33) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        outcomeRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    public org.zinniaspan.peer.proto.OutcomeRequest.Builder getOutcomeRequestBuilder() {
+      return internalGetOutcomeRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.OutcomeRequestOrBuilder getOutcomeRequestOrBuilder() {
+      if ((bodyCase_ == 33) && (outcomeRequestBuilder_ != null)) {
+        return outcomeRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 33) {
+          return (org.zinniaspan.peer.proto.OutcomeRequest) body_;
+        }
+        return org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.OutcomeRequest, org.zinniaspan.peer.proto.OutcomeRequest.Builder, org.zinniaspan.peer.proto.OutcomeRequestOrBuilder> 
+        internalGetOutcomeRequestFieldBuilder() {
+      if (outcomeRequestBuilder_ == null) {
+        if (!(bodyCase_ == 33)) {
+          body_ = org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+        }
+        outcomeRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.OutcomeRequest, org.zinniaspan.peer.proto.OutcomeRequest.Builder, org.zinniaspan.peer.proto.OutcomeRequestOrBuilder>(
+                (org.zinniaspan.peer.proto.OutcomeRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 33;
+      onChanged();
+      return outcomeRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.OutcomeReply, org.zinniaspan.peer.proto.OutcomeReply.Builder, org.zinniaspan.peer.proto.OutcomeReplyOrBuilder> outcomeReplyBuilder_;
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * @return Whether the outcomeReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasOutcomeReply() {
+      return bodyCase_ == 34;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * @return The outcomeReply.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.OutcomeReply getOutcomeReply() {
+      if (outcomeReplyBuilder_ == null) {
+        if (bodyCase_ == 34) {
+          return (org.zinniaspan.peer.proto.OutcomeReply) body_;
+        }
+        return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 34) {
+          return outcomeReplyBuilder_.getMessage();
+        }
+        return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    public Builder setOutcomeReply(org.zinniaspan.peer.proto.OutcomeReply value) {
+      if (outcomeReplyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        outcomeReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 34;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    public Builder setOutcomeReply(
+        org.zinniaspan.peer.proto.OutcomeReply.Builder builderForValue) {
+      if (outcomeReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        outcomeReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 34;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    public Builder mergeOutcomeReply(org.zinniaspan.peer.proto.OutcomeReply value) {
+      if (outcomeReplyBuilder_ == null) {
+        if (bodyCase_ == 34 &&
+            body_ != org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.OutcomeReply.newBuilder((org.zinniaspan.peer.proto.OutcomeReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 34) {
+          outcomeReplyBuilder_.mergeFrom(value);
+        } else {
+          outcomeReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 34;
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    public Builder clearOutcomeReply() {
+      if (outcomeReplyBuilder_ == null) {
+        if (bodyCase_ == 34) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 34) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        outcomeReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    public org.zinniaspan.peer.proto.OutcomeReply.Builder getOutcomeReplyBuilder() {
+      return internalGetOutcomeReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.OutcomeReplyOrBuilder getOutcomeReplyOrBuilder() {
+      if ((bodyCase_ == 34) && (outcomeReplyBuilder_ != null)) {
+        return outcomeReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 34) {
+          return (org.zinniaspan.peer.proto.OutcomeReply) body_;
+        }
+        return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.OutcomeReply, org.zinniaspan.peer.proto.OutcomeReply.Builder, org.zinniaspan.peer.proto.OutcomeReplyOrBuilder> 
+        internalGetOutcomeReplyFieldBuilder() {
+      if (outcomeReplyBuilder_ == null) {
+        if (!(bodyCase_ == 34)) {
+          body_ = org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+        }
+        outcomeReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.OutcomeReply, org.zinniaspan.peer.proto.OutcomeReply.Builder, org.zinniaspan.peer.proto.OutcomeReplyOrBuilder>(
+                (org.zinniaspan.peer.proto.OutcomeReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 34;
+      onChanged();
+      return outcomeReplyBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.ClaimSyncRequest, org.zinniaspan.peer.proto.ClaimSyncRequest.Builder, org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder> claimSyncRequestBuilder_;
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     * @return Whether the claimSyncRequest field is set.
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.ClaimVote getClaimVote() {
-      if (claimVoteBuilder_ == null) {
-        if (bodyCase_ == 31) {
-          return (org.zinniaspan.peer.proto.ClaimVote) body_;
+    public boolean hasClaimSyncRequest() {
+      return bodyCase_ == 35;
+    }
+    /**
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
+     * @return The claimSyncRequest.
+     */
+    @java.lang.Override
+    public org.zinniaspan.peer.proto.ClaimSyncRequest getClaimSyncRequest() {
+      if (claimSyncRequestBuilder_ == null) {
+        if (bodyCase_ == 35) {
+          return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
         }
-        return org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
       } else {
-        if (bodyCase_ == 31) {
-          return claimVoteBuilder_.getMessage();
+        if (bodyCase_ == 35) {
+          return claimSyncRequestBuilder_.getMessage();
         }
-        return org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
-    public Builder setClaimVote(org.zinniaspan.peer.proto.ClaimVote value) {
-      if (claimVoteBuilder_ == null) {
+    public Builder setClaimSyncRequest(org.zinniaspan.peer.proto.ClaimSyncRequest value) {
+      if (claimSyncRequestBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        claimVoteBuilder_.setMessage(value);
+        claimSyncRequestBuilder_.setMessage(value);
       }
-      bodyCase_ = 31;
+      bodyCase_ = 35;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
-    public Builder setClaimVote(
-        org.zinniaspan.peer.proto.ClaimVote.Builder builderForValue) {
-      if (claimVoteBuilder_ == null) {
+    public Builder setClaimSyncRequest(
+        org.zinniaspan.peer.proto.ClaimSyncRequest.Builder builderForValue) {
+      if (claimSyncRequestBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        claimVoteBuilder_.setMessage(builderForValue.build());
+        claimSyncRequestBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 31;
+      bodyCase_ = 35;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
-    public Builder mergeClaimVote(org.zinniaspan.peer.proto.ClaimVote value) {
-      if (claimVoteBuilder_ == null) {
-        if (bodyCase_ == 31 &&
-            body_ != org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance()) {
-          body_ = org.zinniaspan.peer.proto.ClaimVote.newBuilder((org.zinniaspan.peer.proto.ClaimVote) body_)
+    public Builder mergeClaimSyncRequest(org.zinniaspan.peer.proto.ClaimSyncRequest value) {
+      if (claimSyncRequestBuilder_ == null) {
+        if (bodyCase_ == 35 &&
+            body_ != org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncRequest.newBuilder((org.zinniaspan.peer.proto.ClaimSyncRequest) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 31) {
-          claimVoteBuilder_.mergeFrom(value);
+        if (bodyCase_ == 35) {
+          claimSyncRequestBuilder_.mergeFrom(value);
         } else {
-          claimVoteBuilder_.setMessage(value);
+          claimSyncRequestBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 31;
+      bodyCase_ = 35;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
-    public Builder clearClaimVote() {
-      if (claimVoteBuilder_ == null) {
-        if (bodyCase_ == 31) {
+    public Builder clearClaimSyncRequest() {
+      if (claimSyncRequestBuilder_ == null) {
+        if (bodyCase_ == 35) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 31) {
+        if (bodyCase_ == 35) {
           bodyCase_ = 0;
           body_ = null;
         }
-        claimVoteBuilder_.clear();
+        claimSyncRequestBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
-    public org.zinniaspan.peer.proto.ClaimVote.Builder getClaimVoteBuilder() {
-      return internalGetClaimVoteFieldBuilder().getBuilder();
+    public org.zinniaspan.peer.proto.ClaimSyncRequest.Builder getClaimSyncRequestBuilder() {
+      return internalGetClaimSyncRequestFieldBuilder().getBuilder();
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.ClaimVoteOrBuilder getClaimVoteOrBuilder() {
-      if ((bodyCase_ == 31) && (claimVoteBuilder_ != null)) {
-        return claimVoteBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder getClaimSyncRequestOrBuilder() {
+      if ((bodyCase_ == 35) && (claimSyncRequestBuilder_ != null)) {
+        return claimSyncRequestBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 31) {
-          return (org.zinniaspan.peer.proto.ClaimVote) body_;
+        if (bodyCase_ == 35) {
+          return (org.zinniaspan.peer.proto.ClaimSyncRequest) body_;
         }
-        return org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.ClaimVote claim_vote = 31;</code>
+     * <code>.zinniaspan.peer.ClaimSyncRequest claim_sync_request = 35;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.ClaimVote, org.zinniaspan.peer.proto.ClaimVote.Builder, org.zinniaspan.peer.proto.ClaimVoteOrBuilder> 
-        internalGetClaimVoteFieldBuilder() {
-      if (claimVoteBuilder_ == null) {
-        if (!(bodyCase_ == 31)) {
-          body_ = org.zinniaspan.peer.proto.ClaimVote.getDefaultInstance();
+        org.zinniaspan.peer.proto.ClaimSyncRequest, org.zinniaspan.peer.proto.ClaimSyncRequest.Builder, org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder> 
+        internalGetClaimSyncRequestFieldBuilder() {
+      if (claimSyncRequestBuilder_ == null) {
+        if (!(bodyCase_ == 35)) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncRequest.getDefaultInstance();
         }
-        claimVoteBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.ClaimVote, org.zinniaspan.peer.proto.ClaimVote.Builder, org.zinniaspan.peer.proto.ClaimVoteOrBuilder>(
-                (org.zinniaspan.peer.proto.ClaimVote) body_,
+        claimSyncRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimSyncRequest, org.zinniaspan.peer.proto.ClaimSyncRequest.Builder, org.zinniaspan.peer.proto.ClaimSyncRequestOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimSyncRequest) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 31;
+      bodyCase_ = 35;
       onChanged();
-      return claimVoteBuilder_;
+      return claimSyncRequestBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.ClaimRelease, org.zinniaspan.peer.proto.ClaimRelease.Builder, org.zinniaspan.peer.proto.ClaimReleaseOrBuilder> claimReleaseBuilder_;
+        org.zinniaspan.peer.proto.ClaimSyncReply, org.zinniaspan.peer.proto.ClaimSyncReply.Builder, org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder> claimSyncReplyBuilder_;
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
-     * @return Whether the claimRelease field is set.
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     * @return Whether the claimSyncReply field is set.
      */
     @java.lang.Override
-    public boolean hasClaimRelease() {
-      return bodyCase_ == 32;
+    public boolean hasClaimSyncReply() {
+      return bodyCase_ == 36;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
-     * @return The claimRelease.
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
+     * @return The claimSyncReply.
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.ClaimRelease getClaimRelease() {
-      if (claimReleaseBuilder_ == null) {
-        if (bodyCase_ == 32) {
-          return (org.zinniaspan.peer.proto.ClaimRelease) body_;
+    public org.zinniaspan.peer.proto.ClaimSyncReply getClaimSyncReply() {
+      if (claimSyncReplyBuilder_ == null) {
+        if (bodyCase_ == 36) {
+          return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
         }
-        return org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
       } else {
-        if (bodyCase_ == 32) {
-          return claimReleaseBuilder_.getMessage();
+        if (bodyCase_ == 36) {
+          return claimSyncReplyBuilder_.getMessage();
         }
-        return org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
-    public Builder setClaimRelease(org.zinniaspan.peer.proto.ClaimRelease value) {
-      if (claimReleaseBuilder_ == null) {
+    public Builder setClaimSyncReply(org.zinniaspan.peer.proto.ClaimSyncReply value) {
+      if (claimSyncReplyBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        claimReleaseBuilder_.setMessage(value);
+        claimSyncReplyBuilder_.setMessage(value);
       }
-      bodyCase_ = 32;
+      bodyCase_ = 36;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
-    public Builder setClaimRelease(
-        org.zinniaspan.peer.proto.ClaimRelease.Builder builderForValue) {
-      if (claimReleaseBuilder_ == null) {
+    public Builder setClaimSyncReply(
+        org.zinniaspan.peer.proto.ClaimSyncReply.Builder builderForValue) {
+      if (claimSyncReplyBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        claimReleaseBuilder_.setMessage(builderForValue.build());
+        claimSyncReplyBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 32;
+      bodyCase_ = 36;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
-    public Builder mergeClaimRelease(org.zinniaspan.peer.proto.ClaimRelease value) {
-      if (claimReleaseBuilder_ == null) {
-        if (bodyCase_ == 32 &&
-            body_ != org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance()) {
-          body_ = org.zinniaspan.peer.proto.ClaimRelease.newBuilder((org.zinniaspan.peer.proto.ClaimRelease) body_)
+    public Builder mergeClaimSyncReply(org.zinniaspan.peer.proto.ClaimSyncReply value) {
+      if (claimSyncReplyBuilder_ == null) {
+        if (bodyCase_ == 36 &&
+            body_ != org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncReply.newBuilder((org.zinniaspan.peer.proto.ClaimSyncReply) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 32) {
-          claimReleaseBuilder_.mergeFrom(value);
+        if (bodyCase_ == 36) {
+          claimSyncReplyBuilder_.mergeFrom(value);
         } else {
-          claimReleaseBuilder_.setMessage(value);
+          claimSyncReplyBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 32;
+      bodyCase_ = 36;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
-    public Builder clearClaimRelease() {
-      if (claimReleaseBuilder_ == null) {
-        if (bodyCase_ == 32) {
+    public Builder clearClaimSyncReply() {
+      if (claimSyncReplyBuilder_ == null) {
+        if (bodyCase_ == 36) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 32) {
+        if (bodyCase_ == 36) {
           bodyCase_ = 0;
           body_ = null;
         }
-        claimReleaseBuilder_.clear();
+        claimSyncReplyBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
-    public org.zinniaspan.peer.proto.ClaimRelease.Builder getClaimReleaseBuilder() {
-      return internalGetClaimReleaseFieldBuilder().getBuilder();
+    public org.zinniaspan.peer.proto.ClaimSyncReply.Builder getClaimSyncReplyBuilder() {
+      return internalGetClaimSyncReplyFieldBuilder().getBuilder();
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.ClaimReleaseOrBuilder getClaimReleaseOrBuilder() {
-      if ((bodyCase_ == 32) && (claimReleaseBuilder_ != null)) {
-        return claimReleaseBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder getClaimSyncReplyOrBuilder() {
+      if ((bodyCase_ == 36) && (claimSyncReplyBuilder_ != null)) {
+        return claimSyncReplyBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 32) {
-          return (org.zinniaspan.peer.proto.ClaimRelease) body_;
+        if (bodyCase_ == 36) {
+          return (org.zinniaspan.peer.proto.ClaimSyncReply) body_;
         }
-        return org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.ClaimRelease claim_release = 32;</code>
+     * <code>.zinniaspan.peer.ClaimSyncReply claim_sync_reply = 36;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.ClaimRelease, org.zinniaspan.peer.proto.ClaimRelease.Builder, org.zinniaspan.peer.proto.ClaimReleaseOrBuilder> 
-        internalGetClaimReleaseFieldBuilder() {
-      if (claimReleaseBuilder_ == null) {
-        if (!(bodyCase_ == 32)) {
-          body_ = org.zinniaspan.peer.proto.ClaimRelease.getDefaultInstance();
+        org.zinniaspan.peer.proto.ClaimSyncReply, org.zinniaspan.peer.proto.ClaimSyncReply.Builder, org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder> 
+        internalGetClaimSyncReplyFieldBuilder() {
+      if (claimSyncReplyBuilder_ == null) {
+        if (!(bodyCase_ == 36)) {
+          body_ = org.zinniaspan.peer.proto.ClaimSyncReply.getDefaultInstance();
         }
-        claimReleaseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.ClaimRelease, org.zinniaspan.peer.proto.ClaimRelease.Builder, org.zinniaspan.peer.proto.ClaimReleaseOrBuilder>(
-                (org.zinniaspan.peer.proto.ClaimRelease) body_,
+        claimSyncReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ClaimSyncReply, org.zinniaspan.peer.proto.ClaimSyncReply.Builder, org.zinniaspan.peer.proto.ClaimSyncReplyOrBuilder>(
+                (org.zinniaspan.peer.proto.ClaimSyncReply) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 32;
+      bodyCase_ = 36;
       onChanged();
-      return claimReleaseBuilder_;
+      return claimSyncReplyBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.OutcomeRequest, org.zinniaspan.peer.proto.OutcomeRequest.Builder, org.zinniaspan.peer.proto.OutcomeRequestOrBuilder> outcomeRequestBuilder_;
+        org.zinniaspan.peer.proto.ForwardedCall, org.zinniaspan.peer.proto.ForwardedCall.Builder, org.zinniaspan.peer.proto.ForwardedCallOrBuilder> forwardedCallBuilder_;
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
-     * @return Whether the outcomeRequest field is set.
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     * @return Whether the forwardedCall field is set.
      */
     @java.lang.Override
-    public boolean hasOutcomeRequest() {
-      return bodyCase_ == 33;
+    public boolean hasForwardedCall() {
+      return bodyCase_ == 37;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
-     * @return The outcomeRequest.
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
+     * @return The forwardedCall.
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.OutcomeRequest getOutcomeRequest() {
-      if (outcomeRequestBuilder_ == null) {
-        if (bodyCase_ == 33) {
-          return (org.zinniaspan.peer.proto.OutcomeRequest) body_;
+    public org.zinniaspan.peer.proto.ForwardedCall getForwardedCall() {
+      if (forwardedCallBuilder_ == null) {
+        if (bodyCase_ == 37) {
+          return (org.zinniaspan.peer.proto.ForwardedCall) body_;
         }
-        return org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
       } else {
-        if (bodyCase_ == 33) {
-          return outcomeRequestBuilder_.getMessage();
+        if (bodyCase_ == 37) {
+          return forwardedCallBuilder_.getMessage();
         }
-        return org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
-    public Builder setOutcomeRequest(org.zinniaspan.peer.proto.OutcomeRequest value) {
-      if (outcomeRequestBuilder_ == null) {
+    public Builder setForwardedCall(org.zinniaspan.peer.proto.ForwardedCall value) {
+      if (forwardedCallBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        outcomeRequestBuilder_.setMessage(value);
+        forwardedCallBuilder_.setMessage(value);
       }
-      bodyCase_ = 33;
+      bodyCase_ = 37;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
-    public Builder setOutcomeRequest(
-        org.zinniaspan.peer.proto.OutcomeRequest.Builder builderForValue) {
-      if (outcomeRequestBuilder_ == null) {
+    public Builder setForwardedCall(
+        org.zinniaspan.peer.proto.ForwardedCall.Builder builderForValue) {
+      if (forwardedCallBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        outcomeRequestBuilder_.setMessage(builderForValue.build());
+        forwardedCallBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 33;
+      bodyCase_ = 37;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
-    public Builder mergeOutcomeRequest(org.zinniaspan.peer.proto.OutcomeRequest value) {
-      if (outcomeRequestBuilder_ == null) {
-        if (bodyCase_ == 33 &&
-            body_ != org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance()) {
-          body_ = org.zinniaspan.peer.proto.OutcomeRequest.newBuilder((org.zinniaspan.peer.proto.OutcomeRequest) body_)
+    public Builder mergeForwardedCall(org.zinniaspan.peer.proto.ForwardedCall value) {
+      if (forwardedCallBuilder_ == null) {
+        if (bodyCase_ == 37 &&
+            body_ != org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ForwardedCall.newBuilder((org.zinniaspan.peer.proto.ForwardedCall) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 33) {
-          outcomeRequestBuilder_.mergeFrom(value);
+        if (bodyCase_ == 37) {
+          forwardedCallBuilder_.mergeFrom(value);
         } else {
-          outcomeRequestBuilder_.setMessage(value);
+          forwardedCallBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 33;
+      bodyCase_ = 37;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
-    public Builder clearOutcomeRequest() {
-      if (outcomeRequestBuilder_ == null) {
-        if (bodyCase_ == 33) {
+    public Builder clearForwardedCall() {
+      if (forwardedCallBuilder_ == null) {
+        if (bodyCase_ == 37) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 33) {
+        if (bodyCase_ == 37) {
           bodyCase_ = 0;
           body_ = null;
         }
-        outcomeRequestBuilder_.clear();
+        forwardedCallBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
-    public org.zinniaspan.peer.proto.OutcomeRequest.Builder getOutcomeRequestBuilder() {
-      return internalGetOutcomeRequestFieldBuilder().getBuilder();
+    public org.zinniaspan.peer.proto.ForwardedCall.Builder getForwardedCallBuilder() {
+      return internalGetForwardedCallFieldBuilder().getBuilder();
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.OutcomeRequestOrBuilder getOutcomeRequestOrBuilder() {
-      if ((bodyCase_ == 33) && (outcomeRequestBuilder_ != null)) {
-        return outcomeRequestBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.ForwardedCallOrBuilder getForwardedCallOrBuilder() {
+      if ((bodyCase_ == 37) && (forwardedCallBuilder_ != null)) {
+        return forwardedCallBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 33) {
-          return (org.zinniaspan.peer.proto.OutcomeRequest) body_;
+        if (bodyCase_ == 37) {
+          return (org.zinniaspan.peer.proto.ForwardedCall) body_;
         }
-        return org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeRequest outcome_request = 33;</code>
+     * <code>.zinniaspan.peer.ForwardedCall forwarded_call = 37;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.OutcomeRequest, org.zinniaspan.peer.proto.OutcomeRequest.Builder, org.zinniaspan.peer.proto.OutcomeRequestOrBuilder> 
-        internalGetOutcomeRequestFieldBuilder() {
-      if (outcomeRequestBuilder_ == null) {
-        if (!(bodyCase_ == 33)) {
-          body_ = org.zinniaspan.peer.proto.OutcomeRequest.getDefaultInstance();
+        org.zinniaspan.peer.proto.ForwardedCall, org.zinniaspan.peer.proto.ForwardedCall.Builder, org.zinniaspan.peer.proto.ForwardedCallOrBuilder> 
+        internalGetForwardedCallFieldBuilder() {
+      if (forwardedCallBuilder_ == null) {
+        if (!(bodyCase_ == 37)) {
+          body_ = org.zinniaspan.peer.proto.ForwardedCall.getDefaultInstance();
         }
-        outcomeRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.OutcomeRequest, org.zinniaspan.peer.proto.OutcomeRequest.Builder, org.zinniaspan.peer.proto.OutcomeRequestOrBuilder>(
-                (org.zinniaspan.peer.proto.OutcomeRequest) body_,
+        forwardedCallBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ForwardedCall, org.zinniaspan.peer.proto.ForwardedCall.Builder, org.zinniaspan.peer.proto.ForwardedCallOrBuilder>(
+                (org.zinniaspan.peer.proto.ForwardedCall) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 33;
+      bodyCase_ = 37;
       onChanged();
-      return outcomeRequestBuilder_;
+      return forwardedCallBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.OutcomeReply, org.zinniaspan.peer.proto.OutcomeReply.Builder, org.zinniaspan.peer.proto.OutcomeReplyOrBuilder> outcomeReplyBuilder_;
+        org.zinniaspan.peer.proto.ForwardedOutcome, org.zinniaspan.peer.proto.ForwardedOutcome.Builder, org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder> forwardedOutcomeBuilder_;
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
-     * @return Whether the outcomeReply field is set.
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     * @return Whether the forwardedOutcome field is set.
      */
     @java.lang.Override
-    public boolean hasOutcomeReply() {
-      return bodyCase_ == 34;
+    public boolean hasForwardedOutcome() {
+      return bodyCase_ == 38;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
-     * @return The outcomeReply.
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
+     * @return The forwardedOutcome.
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.OutcomeReply getOutcomeReply() {
-      if (outcomeReplyBuilder_ == null) {
-        if (bodyCase_ == 34) {
-          return (org.zinniaspan.peer.proto.OutcomeReply) body_;
+    public org.zinniaspan.peer.proto.ForwardedOutcome getForwardedOutcome() {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (bodyCase_ == 38) {
+          return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
         }
-        return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
       } else {
-        if (bodyCase_ == 34) {
-          return outcomeReplyBuilder_.getMessage();
+        if (bodyCase_ == 38) {
+          return forwardedOutcomeBuilder_.getMessage();
         }
-        return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
-    public Builder setOutcomeReply(org.zinniaspan.peer.proto.OutcomeReply value) {
-      if (outcomeReplyBuilder_ == null) {
+    public Builder setForwardedOutcome(org.zinniaspan.peer.proto.ForwardedOutcome value) {
+      if (forwardedOutcomeBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        outcomeReplyBuilder_.setMessage(value);
+        forwardedOutcomeBuilder_.setMessage(value);
       }
-      bodyCase_ = 34;
+      bodyCase_ = 38;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
-    public Builder setOutcomeReply(
-        org.zinniaspan.peer.proto.OutcomeReply.Builder builderForValue) {
-      if (outcomeReplyBuilder_ == null) {
+    public Builder setForwardedOutcome(
+        org.zinniaspan.peer.proto.ForwardedOutcome.Builder builderForValue) {
+      if (forwardedOutcomeBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        outcomeReplyBuilder_.setMessage(builderForValue.build());
+        forwardedOutcomeBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 34;
+      bodyCase_ = 38;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
-    public Builder mergeOutcomeReply(org.zinniaspan.peer.proto.OutcomeReply value) {
-      if (outcomeReplyBuilder_ == null) {
-        if (bodyCase_ == 34 &&
-            body_ != org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance()) {
-          body_ = org.zinniaspan.peer.proto.OutcomeReply.newBuilder((org.zinniaspan.peer.proto.OutcomeReply) body_)
+    public Builder mergeForwardedOutcome(org.zinniaspan.peer.proto.ForwardedOutcome value) {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (bodyCase_ == 38 &&
+            body_ != org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance()) {
+          body_ = org.zinniaspan.peer.proto.ForwardedOutcome.newBuilder((org.zinniaspan.peer.proto.ForwardedOutcome) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 34) {
-          outcomeReplyBuilder_.mergeFrom(value);
+        if (bodyCase_ == 38) {
+          forwardedOutcomeBuilder_.mergeFrom(value);
         } else {
-          outcomeReplyBuilder_.setMessage(value);
+          forwardedOutcomeBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 34;
+      bodyCase_ = 38;
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
-    public Builder clearOutcomeReply() {
-      if (outcomeReplyBuilder_ == null) {
-        if (bodyCase_ == 34) {
+    public Builder clearForwardedOutcome() {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (bodyCase_ == 38) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 34) {
+        if (bodyCase_ == 38) {
           bodyCase_ = 0;
           body_ = null;
         }
-        outcomeReplyBuilder_.clear();
+        forwardedOutcomeBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
-    public org.zinniaspan.peer.proto.OutcomeReply.Builder getOutcomeReplyBuilder() {
-      return internalGetOutcomeReplyFieldBuilder().getBuilder();
+    public org.zinniaspan.peer.proto.ForwardedOutcome.Builder getForwardedOutcomeBuilder() {
+      return internalGetForwardedOutcomeFieldBuilder().getBuilder();
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
     @java.lang.Override
-    public org.zinniaspan.peer.proto.OutcomeReplyOrBuilder getOutcomeReplyOrBuilder() {
-      if ((bodyCase_ == 34) && (outcomeReplyBuilder_ != null)) {
-        return outcomeReplyBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder getForwardedOutcomeOrBuilder() {
+      if ((bodyCase_ == 38) && (forwardedOutcomeBuilder_ != null)) {
+        return forwardedOutcomeBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 34) {
-          return (org.zinniaspan.peer.proto.OutcomeReply) body_;
+        if (bodyCase_ == 38) {
+          return (org.zinniaspan.peer.proto.ForwardedOutcome) body_;
         }
-        return org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+        return org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
       }
     }
     /**
-     * <code>.zinniaspan.peer.OutcomeReply outcome_reply = 34;</code>
+     * <code>.zinniaspan.peer.ForwardedOutcome forwarded_outcome = 38;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.OutcomeReply, org.zinniaspan.peer.proto.OutcomeReply.Builder, org.zinniaspan.peer.proto.OutcomeReplyOrBuilder> 
-        internalGetOutcomeReplyFieldBuilder() {
-      if (outcomeReplyBuilder_ == null) {
-        if (!(bodyCase_ == 34)) {
-          body_ = org.zinniaspan.peer.proto.OutcomeReply.getDefaultInstance();
+        org.zinniaspan.peer.proto.ForwardedOutcome, org.zinniaspan.peer.proto.ForwardedOutcome.Builder, org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder> 
+        internalGetForwardedOutcomeFieldBuilder() {
+      if (forwardedOutcomeBuilder_ == null) {
+        if (!(bodyCase_ == 38)) {
+          body_ = org.zinniaspan.peer.proto.ForwardedOutcome.getDefaultInstance();
         }
-        outcomeReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.OutcomeReply, org.zinniaspan.peer.proto.OutcomeReply.Builder, org.zinniaspan.peer.proto.OutcomeReplyOrBuilder>(
-                (org.zinniaspan.peer.proto.OutcomeReply) body_,
+        forwardedOutcomeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.ForwardedOutcome, org.zinniaspan.peer.proto.ForwardedOutcome.Builder, org.zinniaspan.peer.proto.ForwardedOutcomeOrBuilder>(
+                (org.zinniaspan.peer.proto.ForwardedOutcome) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 34;
+      bodyCase_ = 38;
       onChanged();
-      return outcomeReplyBuilder_;
+      return forwardedOutcomeBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
