--- a/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
@@ -119,10 +119,7 @@
   /** Repeats the release of a claim that a voter still holds; the first one was lost. */
   private void releaseAgain(OutcomeRequest request) {
     messages.release(
-        ports.voters(),
-        request.getKey(),
-        request.getHolderAttemptId(),
-        ports.settings.blockMs());
+        ports.voters(), request.getKey(), request.getHolderAttemptId(), ports.settings.blockMs());
   }
 
   private void onOutcomeReply(OutcomeReply reply) {
--- a/zinniaspan/src/test/java/org/zinniaspan/runner/HashedRunnerModel.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/HashedRunnerModel.java
@@ -45,9 +45,7 @@
       long revision = revisionAt(vm);
       listsByRevision.putIfAbsent(
           revision,
-          vm.store.current().vms().entriesOf(RunnerZone.ZONE).stream()
-              .map(VmEntry::name)
-              .toList());
+          vm.store.current().vms().entriesOf(RunnerZone.ZONE).stream().map(VmEntry::name).toList());
       sinceMs.putIfAbsent(revision, zone.clock.nowMs());
     }
   }
