--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulateSlotsCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulateSlotsCommand.java
@@ -45,7 +45,8 @@
       SlotSimulation simulation = new SlotSimulation(policy, load, s);
       simulation
           .run()
-          .forEach((name, tally) -> byClass.computeIfAbsent(name, n -> new ArrayList<>()).add(tally));
+          .forEach(
+              (name, tally) -> byClass.computeIfAbsent(name, n -> new ArrayList<>()).add(tally));
       goodput.accept(simulation.goodputPerSecond());
     }
     byClass.forEach((name, tallies) -> row(load, policy, name, tallies));
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.zinniaspan.admin.AdminHandler;
 import org.zinniaspan.admin.RouterMetrics;
 import org.zinniaspan.clock.Clock;
@@ -74,6 +75,7 @@
   private final List<Ticking> ticking = new ArrayList<>();
   private final EntrySettings settings;
   private final GossipMembership membership;
+  private volatile LongSupplier platformAgeMs = () -> -1;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
@@ -174,12 +176,19 @@
             .link(link)
             .endpoints(slots, new BlockingCallSender(new HttpServiceClient(), threads))
             .clock(clock)
+            .listConfirmedMs(this::platformHeardMs)
             .settings(settings.calls.atMostOnce(), settings.seed);
     ServiceCallRunner runner = new ServiceCallRunner(ports).register(peers);
     ticking.add(runner);
     return runner;
   }
 
+  /** Returns the time at which the zone last heard the platform. */
+  private long platformHeardMs() {
+    long ageMs = platformAgeMs.getAsLong();
+    return ageMs < 0 ? Long.MIN_VALUE / 2 : clock.nowMs() - ageMs;
+  }
+
   private void feedConfiguration(PeerLink link) {
     HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
     ConfigurationFeed feed =
@@ -193,6 +202,7 @@
                 FeedSettings.withSeed(settings.seed),
                 clock)
             .feed();
+    platformAgeMs = feed::platformAgeMs;
     membership.connect(link, feed::extend);
     peers.register(
         message -> {
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/ArrivalTimes.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ArrivalTimes.java
@@ -35,6 +35,12 @@
     lastSeenMs = nowMs;
   }
 
+  /** Returns whether the process has only just woken, so that what it hears may be old. */
+  synchronized boolean isJustAwake() {
+    observe();
+    return lastSeenMs < suspectUntilMs;
+  }
+
   /** Returns the earliest time at which a request that is read now may have arrived. */
   synchronized long earliestMs() {
     observe();
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/AtMostOnceRunner.java
@@ -40,7 +40,7 @@
         new ClaimVoter(
             ports.self,
             ports::voters,
-            ports.listConfirmedMs,
+            this::listConfirmedMs,
             ports.link,
             ports.clock,
             ports.settings);
@@ -49,6 +49,10 @@
             ports.clock, ports.settings.horizonMs(), ports.settings.maxOutcomeBytes());
   }
 
+  private long listConfirmedMs() {
+    return arrivals.isJustAwake() ? Long.MIN_VALUE / 2 : ports.listConfirmedMs.getAsLong();
+  }
+
   /** Runs a call that carries an idempotency key. */
   @Override
   public CompletableFuture<CallResult> run(ServiceCall call) {
@@ -119,10 +123,7 @@
   /** Repeats the release of a claim that a voter still holds; the first one was lost. */
   private void releaseAgain(OutcomeRequest request) {
     messages.release(
-        ports.voters(),
-        request.getKey(),
-        request.getHolderAttemptId(),
-        ports.settings.blockMs());
+        ports.voters(), request.getKey(), request.getHolderAttemptId(), ports.settings.blockMs());
   }
 
   private void onOutcomeReply(OutcomeReply reply) {
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/CallForwarder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/CallForwarder.java
@@ -37,12 +37,12 @@
 
   /** Passes a call on to a VM of the zone. */
   CompletableFuture<CallResult> forward(ServiceCall call, String zone) {
-    return forward(call, () -> anyVmOf(zone));
+    return open(call, () -> anyVmOf(zone));
   }
 
   /** Passes a call on to a VM. */
   CompletableFuture<CallResult> forwardTo(ServiceCall call, String vm) {
-    return forward(call, () -> Optional.of(vm));
+    return open(call, () -> Optional.of(vm));
   }
 
   private Optional<String> anyVmOf(String zone) {
@@ -56,8 +56,7 @@
         : Optional.of(vms.get(ports.random.nextInt(vms.size())));
   }
 
-  private CompletableFuture<CallResult> forward(
-      ServiceCall call, Supplier<Optional<String>> target) {
+  private CompletableFuture<CallResult> open(ServiceCall call, Supplier<Optional<String>> target) {
     if (call.body().length > MAX_BODY_BYTES) {
       String message =
           "body of %d bytes is too long to be passed on to another VM; %d bytes are not"
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimMessages.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimMessages.java
@@ -32,11 +32,7 @@
   /** Gives a claim back at all voters; with a block, nobody may run the call for that time. */
   void release(VoterList list, String key, String claimId, long blockMs) {
     ClaimRelease release =
-        ClaimRelease.newBuilder()
-            .setKey(key)
-            .setAttemptId(claimId)
-            .setBlockMs(blockMs)
-            .build();
+        ClaimRelease.newBuilder().setKey(key).setAttemptId(claimId).setBlockMs(blockMs).build();
     for (String vm : list.voters()) {
       ports.link.send(vm, Envelope.newBuilder().setClaimRelease(release));
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/RetryingCallRunner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/RetryingCallRunner.java
@@ -13,6 +13,7 @@
 import org.zinniaspan.inventory.Pool;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.request.NotRunReason;
+import org.zinniaspan.stream.RetryBudget;
 
 /**
  * Runs calls on its own: idempotent ones, and non-idempotent ones whose caller sent no key.
@@ -25,13 +26,15 @@
   private static final long RETRY_AFTER_MS = 1_000;
   private static final int MAX_TRIES = 3;
   private static final double RETRIES_PER_SUCCESS = 0.1;
+  private static final double RETRIES_PER_SECOND = 0.1;
 
   private final RunnerPorts ports;
-  private final RetryBudget budget = new RetryBudget(RETRIES_PER_SUCCESS);
+  private final RetryBudget budget;
 
   /** Creates a runner. */
   public RetryingCallRunner(RunnerPorts ports) {
     this.ports = ports;
+    this.budget = new RetryBudget(RETRIES_PER_SUCCESS, RETRIES_PER_SECOND, ports.clock);
   }
 
   @Override
@@ -99,11 +102,11 @@
       ports.slots.release(ask.attemptId(), SlotUse.of(use(sent)));
       excluded.add(endpoint);
       if (sent instanceof SendResult.Answered answered) {
-        budget.succeeded();
+        budget.onSuccess();
         result.complete(CallResult.answered(answered.answer()));
       } else if (sent instanceof SendResult.MaybeSent maybeSent) {
         mayHaveRun = true;
-        retryOr(!call.serviceClass().nonIdempotent() && budget.take(), maybeSent.reason());
+        retryOr(!call.serviceClass().nonIdempotent() && budget.tryTake(), maybeSent.reason());
       } else {
         retryOr(true, "no endpoint could be reached");
       }
--- a/zinniaspan/src/test/java/org/zinniaspan/runner/AtMostOncePriceTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/AtMostOncePriceTest.java
@@ -173,6 +173,7 @@
   private static String healthy(RunnerZone zone, Random random) {
     List<String> names = new ArrayList<>(new TreeSet<>(zone.vms.keySet()));
     names.removeIf(name -> zone.isPaused(name) || name.equals(RunnerZone.OUTSIDE));
+    names.removeIf(name -> !zone.hasList(name));
     return names.get(random.nextInt(names.size()));
   }
 
