--- a/zinniaspan/src/test/java/org/zinniaspan/runner/HashedRunnerModel.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/runner/HashedRunnerModel.java
@@ -43,6 +43,9 @@
   void observe() {
     for (RunnerZone.Vm vm : zone.vms.values()) {
       long revision = revisionAt(vm);
+      if (revision == 0) {
+        continue;
+      }
       listsByRevision.putIfAbsent(
           revision,
           vm.store.current().vms().entriesOf(RunnerZone.ZONE).stream().map(VmEntry::name).toList());
