--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.zinniaspan.cli.EnvironmentDefaults;
 import org.zinniaspan.standins.demo.DemoCommand;
+import org.zinniaspan.standins.simulation.SimulateCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -26,6 +27,7 @@
     commands.put("engine", new EngineCommand());
     commands.put("service", new ServiceCommand());
     commands.put("demo", new DemoCommand());
+    commands.put("simulate", new SimulateCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("zinniaspan-standins")
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulateCommand.java
@@ -0,0 +1,106 @@
+package org.zinniaspan.standins.simulation;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongFunction;
+import java.util.function.ToDoubleFunction;
+import org.zinniaspan.routing.EndpointChooser;
+import org.zinniaspan.routing.EstimatedFirstToken;
+import org.zinniaspan.routing.LeastReportedLoad;
+import org.zinniaspan.routing.RandomChoice;
+import org.zinniaspan.routing.RoundRobin;
+import org.zinniaspan.standins.StandinCommand;
+
+/**
+ * Compares policies of the choice of endpoints in virtual time; the same seeds give the same table.
+ *
+ * <p>Example: {@code bin/zinniaspan-standins simulate --rate 30 --seeds 5}. Lines that begin with a
+ * brace are the log of the ejections.
+ */
+@Parameters(commandDescription = "Compare endpoint choice, ejection and hedging in virtual time.")
+public final class SimulateCommand implements StandinCommand {
+
+  private static final String COUNTER = "counter-question";
+
+  @Parameter(names = "--rate", description = "Requests in a second.")
+  double rate = 30;
+
+  @Parameter(names = "--seeds", description = "Number of runs of each policy; seeds are 1, 2, ...")
+  int seeds = 5;
+
+  private record Policy(
+      String name, LongFunction<EndpointChooser> chooser, Simulation.Options options) {}
+
+  @Override
+  public int run() {
+    System.out.printf(
+        "%-44s %15s %15s %9s %9s %8s %8s%n",
+        "policy and faults", "counter in time", "goodput", "p50 ms", "p95 ms", "retries", "hedges");
+    policies().forEach(this::print);
+    LengthComparison.print(1);
+    return 0;
+  }
+
+  private List<Policy> policies() {
+    Map<String, LongFunction<EndpointChooser>> choosers = new LinkedHashMap<>();
+    choosers.put("estimated", EstimatedFirstToken::new);
+    choosers.put("least-load", seed -> new LeastReportedLoad());
+    choosers.put("round-robin", seed -> new RoundRobin());
+    choosers.put("random", RandomChoice::new);
+    List<Policy> policies = new ArrayList<>();
+    for (boolean ejection : new boolean[] {true, false}) {
+      choosers.forEach(
+          (name, chooser) -> {
+            String suffix = ejection ? "" : ", no ejection";
+            policies.add(policy(name + ", no fault" + suffix, chooser, false, ejection, false));
+            policies.add(policy(name + ", faults" + suffix, chooser, true, ejection, false));
+          });
+    }
+    LongFunction<EndpointChooser> estimated = choosers.get("estimated");
+    policies.add(policy("estimated, no fault, hedging", estimated, false, true, true));
+    policies.add(policy("estimated, faults, hedging", estimated, true, true, true));
+    policies.add(policy("estimated, faults, no ejection, hedging", estimated, true, false, true));
+    return policies;
+  }
+
+  private Policy policy(
+      String name,
+      LongFunction<EndpointChooser> chooser,
+      boolean faults,
+      boolean ejection,
+      boolean hedging) {
+    return new Policy(
+        name, chooser, new Simulation.Options(rate, faults, faults, ejection, hedging));
+  }
+
+  private void print(Policy policy) {
+    List<SimulationResult> results = new ArrayList<>();
+    for (long seed = 1; seed <= seeds; seed++) {
+      results.add(new Simulation(policy.options(), policy.chooser().apply(seed), seed).run());
+    }
+    System.out.printf(
+        "%-44s %15s %15s %9.0f %9.0f %8.0f %8.0f%n",
+        policy.name(),
+        spread(results, result -> result.attainment(COUNTER)),
+        spread(results, SimulationResult::goodput),
+        mean(results, result -> result.firstTokenMs(COUNTER, 50)),
+        mean(results, result -> result.firstTokenMs(COUNTER, 95)),
+        mean(results, result -> result.retries),
+        mean(results, result -> result.hedges));
+  }
+
+  private static String spread(
+      List<SimulationResult> results, ToDoubleFunction<SimulationResult> value) {
+    double least = results.stream().mapToDouble(value).min().orElse(0);
+    return String.format("%.1f (>=%.1f)", mean(results, value), least);
+  }
+
+  private static double mean(
+      List<SimulationResult> results, ToDoubleFunction<SimulationResult> value) {
+    return results.stream().mapToDouble(value).average().orElse(0);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/http/OpenAiEngineClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/OpenAiEngineClient.java
@@ -23,7 +23,7 @@
   /** Header that names the attempt; an engine may repeat it in its answer. */
   public static final String REQUEST_ID_HEADER = "X-Request-Id";
 
-  private static final int CONNECT_TIMEOUT_MS = 500;
+  private static final int CONNECT_TIMEOUT_MS = 250;
   private static final int READ_TIMEOUT_MS = 15_000;
 
   private final ObjectMapper mapper = new ObjectMapper();
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/Attempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/Attempt.java
@@ -99,13 +99,6 @@
     }
   }
 
-  /** Stops the work of an attempt none of whose tokens the caller has. */
-  void stopUnused() {
-    int received = tokens;
-    stop(SlotResult.CANCELLED);
-    wasted += received;
-  }
-
   boolean isPreempted() {
     return lease.isPreempted();
   }
@@ -118,10 +111,6 @@
     return wasted;
   }
 
-  long sentMs() {
-    return sentMs;
-  }
-
   String endpoint() {
     return endpoint;
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/AttemptOpener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/AttemptOpener.java
@@ -53,16 +53,9 @@
     }
   }
 
-  /** Asks for a slot, without waiting, that is not at the given endpoint. */
-  SlotLease askBeside(String endpoint) {
-    Set<String> others = new HashSet<>(excluded);
-    others.add(endpoint);
-    return SlotLease.ask(parts.slots(), ask(others));
-  }
-
   /** Asks for a slot, waits for it and opens its endpoint. */
   Opening open(BooleanSupplier callerLeft) {
-    SlotLease lease = SlotLease.ask(parts.slots(), ask(excluded));
+    SlotLease lease = SlotLease.ask(parts.slots(), ask());
     SlotAnswer answer = lease.await(parts.slotWait(), callerLeft);
     if (answer instanceof SlotAnswer.Granted granted) {
       return openGranted(lease, granted);
@@ -70,7 +63,7 @@
     return new Opening.Refused((SlotAnswer.Refused) answer);
   }
 
-  private SlotAsk ask(Set<String> without) {
+  private SlotAsk ask() {
     asks++;
     return new SlotAsk(
         call.requestId() + "-" + asks,
@@ -82,7 +75,7 @@
         call.promptTokens(),
         expectedTokens(),
         call.prefixDigests(),
-        without,
+        excluded,
         !call.serviceClass().nonIdempotent());
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/SlotLease.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/SlotLease.java
@@ -59,7 +59,7 @@
   }
 
   /** Withdraws the ask; a grant that crosses the withdrawal is released unused. */
-  void abandon() {
+  private void abandon() {
     slots.withdraw(ask.attemptId());
     answer.thenAccept(
         last -> {
@@ -69,11 +69,6 @@
         });
   }
 
-  /** Returns the answer if there is one. */
-  Optional<SlotAnswer> now() {
-    return answer.isDone() ? Optional.of(finalAnswer()) : Optional.empty();
-  }
-
   /** Returns the id of the attempt. */
   String attemptId() {
     return ask.attemptId();
--- a/zinniaspan/src/main/java/org/zinniaspan/stream/StreamSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/stream/StreamSettings.java
@@ -8,32 +8,20 @@
  * @param stallGaps number of median gaps between tokens without a token that counts as a stall
  * @param lateGraceMs milliseconds after the first token was due until which a retry is made
  * @param resumePatienceMs milliseconds that a broken stream waits for another slot
- * @param hedging whether a second attempt may be made beside a slow one
  */
 public record StreamSettings(
-    int maxRetries,
-    long stallMs,
-    int stallGaps,
-    long lateGraceMs,
-    long resumePatienceMs,
-    boolean hedging) {
+    int maxRetries, long stallMs, int stallGaps, long lateGraceMs, long resumePatienceMs) {
 
   /** The defaults: 3 retries, stall after 2 s or 8 gaps, 2 s of grace, 5 s of patience. */
-  public static final StreamSettings DEFAULTS =
-      new StreamSettings(3, 2_000, 8, 2_000, 5_000, false);
+  public static final StreamSettings DEFAULTS = new StreamSettings(3, 2_000, 8, 2_000, 5_000);
 
   /** Returns a copy with another number of retries. */
   public StreamSettings withMaxRetries(int retries) {
-    return new StreamSettings(retries, stallMs, stallGaps, lateGraceMs, resumePatienceMs, hedging);
+    return new StreamSettings(retries, stallMs, stallGaps, lateGraceMs, resumePatienceMs);
   }
 
   /** Returns a copy with another shortest stall. */
   public StreamSettings withStallMs(long ms) {
-    return new StreamSettings(maxRetries, ms, stallGaps, lateGraceMs, resumePatienceMs, hedging);
-  }
-
-  /** Returns a copy with hedging on or off. */
-  public StreamSettings withHedging(boolean on) {
-    return new StreamSettings(maxRetries, stallMs, stallGaps, lateGraceMs, resumePatienceMs, on);
+    return new StreamSettings(maxRetries, ms, stallGaps, lateGraceMs, resumePatienceMs);
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/stream/ResumingChatRunnerFuzzTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/stream/ResumingChatRunnerFuzzTest.java
@@ -32,6 +32,7 @@
         .withAction(5, slotFault())
         .withAction(5, read())
         .withAction(2, step("preempt", StreamWorld::preempt))
+        .withAction(2, refuseFrom())
         .withAction(1, pause())
         .withAction(1, step("caller leaves", world -> world.callerGone = true))
         .withAction(1, step("close", StreamWorld::close))
@@ -58,6 +59,13 @@
                 fault -> Transformer.mutate("slot " + fault, world -> world.slotFaults.add(fault)));
   }
 
+  private static Action.Independent<StreamWorld> refuseFrom() {
+    return () ->
+        Arbitraries.integers()
+            .between(2, 5)
+            .map(ask -> Transformer.mutate("refuse " + ask, w -> w.refuseFromAsk = ask));
+  }
+
   private static Action.Independent<StreamWorld> read() {
     return step("read", StreamWorld::read);
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/stream/StreamWorld.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/stream/StreamWorld.java
@@ -59,6 +59,7 @@
   static final int LENGTH = 12;
   static final long TARGET_MS = 10_000;
   private static final long TOKEN_MS = 30;
+  private static final int LONGEST_WAITS = 20;
   private static final ServiceClass CLASS =
       new ServiceClass("draft", 1, TARGET_MS, 0, 0, 64, false);
 
@@ -66,6 +67,8 @@
   final Deque<EngineScript> engineScripts = new ArrayDeque<>();
   final Deque<SlotFault> slotFaults = new ArrayDeque<>();
   boolean callerGone;
+  int refuseFromAsk = Integer.MAX_VALUE;
+  private int waits;
   private final Map<String, Slot> slots = new HashMap<>();
   private final StringBuilder received = new StringBuilder();
   private final ChatSession[] session = new ChatSession[1];
@@ -81,6 +84,7 @@
     private final CompletableFuture<SlotAnswer> answer = new CompletableFuture<>();
     private long expiresAtMs;
     private boolean granted;
+    private boolean crossing;
     private int releases;
     private boolean open;
 
@@ -127,7 +131,9 @@
   }
 
   private void grantLate(Slot slot) {
-    if (!slot.granted && !slot.answer.isDone()) {
+    if (slot.crossing) {
+      callerGone |= ++waits > LONGEST_WAITS;
+    } else if (!slot.granted && !slot.answer.isDone()) {
       grant(slot, 500);
     }
   }
@@ -225,7 +231,9 @@
       Slot slot = new Slot(onPreempt);
       assertThat(slots.put(ask.attemptId(), slot)).isNull();
       newest = Optional.of(slot);
-      SlotFault fault = Optional.ofNullable(slotFaults.poll()).orElse(SlotFault.NONE);
+      SlotFault scripted = Optional.ofNullable(slotFaults.poll()).orElse(SlotFault.NONE);
+      SlotFault fault = slots.size() >= refuseFromAsk ? SlotFault.REFUSED : scripted;
+      slot.crossing = fault == SlotFault.GRANT_CROSSES_WITHDRAWAL;
       switch (fault) {
         case NONE -> grant(slot, 500);
         case EXPIRED -> grant(slot, -1);
