--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -10,6 +10,7 @@
 import org.zinniaspan.standins.load.ExperimentCommand;
 import org.zinniaspan.standins.load.LoadCommand;
 import org.zinniaspan.standins.simulation.SimulateSlotsCommand;
+import org.zinniaspan.standins.choice.SimulateCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -34,6 +35,7 @@
     commands.put("cost", new CostCommand());
     commands.put("experiment", new ExperimentCommand());
     commands.put("simulate-slots", new SimulateSlotsCommand());
+    commands.put("simulate", new SimulateCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("zinniaspan-standins")
