Stop a VM gracefully and prove the feed with real processes

Cause: a stopping VM refused new requests at once although balancers learn late, its idle caller connections were reset, and its last chunk could be lost with the process, because a request counts as delivered before its last chunk is written. Failures found by ConfigurationProcessTest: a fresh VM took revision 3 of a platform that went back while its peers had 5. First, documents were held only once the list was in force, which lagged behind the read; second, peers could not answer a VM that the list lacked: it now introduces itself with its address, and waits for a peer that names the document.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Returns the exit code of a process that has ended. */
+  public int exitCode() {
+    return process.exitValue();
+  }
+
   private void signal(String signal) throws IOException {
     Process sender = new ProcessBuilder("kill", "-" + signal, String.valueOf(pid())).start();
     try {
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformServer.java
@@ -26,8 +26,9 @@
  *
  * <p>Readers use {@code GET /v1/documents/NAME} and {@code GET /v1/watch?after=R&waitMs=W}.
  * Operators and tests use {@code PUT /v1/documents/NAME}, {@code POST
- * /control?down=BOOL&stale=BOOL&vmsLagMs=N} and {@code GET /counts}. A list of VMs becomes visible
- * after its lag; until then the answer to its publication names the last revision.
+ * /control?down=BOOL&stale=BOOL&vmsLagMs=N}, {@code mark=true} and {@code back=BOOL} (show the
+ * marked documents) and {@code GET /counts}. A list of VMs becomes visible after its lag; until
+ * then the answer to its publication names the last revision.
  */
 public final class PlatformServer implements HttpRequestHandler, AutoCloseable {
 
@@ -105,6 +106,8 @@
   private void control(Query query) {
     query.get("down").ifPresent(value -> state.setDown(Boolean.parseBoolean(value)));
     query.get("stale").ifPresent(value -> state.setStale(Boolean.parseBoolean(value)));
+    query.get("mark").ifPresent(value -> state.mark());
+    query.get("back").ifPresent(value -> state.setBack(Boolean.parseBoolean(value)));
     setVmsLagMs(query.number("vmsLagMs", vmsLagMs));
   }
 
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformState.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/platform/PlatformState.java
@@ -20,6 +20,7 @@
 
   private final Map<String, Published> documents = new HashMap<>();
   private Optional<Map<String, Published>> frozen = Optional.empty();
+  private Map<String, Published> marked = Map.of();
   private long revision;
   private boolean down;
   private long calls;
@@ -44,6 +45,17 @@
     notifyAll();
   }
 
+  /** Remembers the documents of now for {@link #setBack}. */
+  public synchronized void mark() {
+    marked = new HashMap<>(documents);
+  }
+
+  /** Makes the service show the marked documents for good, or the newest again. */
+  public synchronized void setBack(boolean value) {
+    frozen = value ? Optional.of(marked) : Optional.empty();
+    notifyAll();
+  }
+
   /** Returns whether the service answers nothing. */
   public synchronized boolean isDown() {
     return down;
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -66,8 +66,8 @@
   private static final int POLL_THREADS = 2;
 
   private final Closer closer = new Closer();
-  private final Drain drain = new Drain();
   private final Clock clock = new SystemClock();
+  private final Drain drain;
   private final RouterMetrics metrics = new RouterMetrics();
   private final ConfigurationStore store = new ConfigurationStore();
   private final PeerRouter peers = new PeerRouter();
@@ -77,6 +77,7 @@
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
+    this.drain = new Drain(clock, settings.zones.drainGraceMs);
     Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
     this.membership =
         new GossipMembership(
@@ -212,6 +213,7 @@
         "Times that the platform listed a revision lower than the one in force.",
         () -> (double) feed.platformBehind());
     drain.begun().thenRun(membership::leave);
+    ticking.add(drain);
   }
 
   private ExecutorService executor(ExecutorService executor) {
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ZoneSettings.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ZoneSettings.java
@@ -17,12 +17,18 @@
       description = "Milliseconds without a heartbeat after which a VM is not live.")
   long deadAfterMs = GossipSettings.DEAD_AFTER_MS;
 
+  @Parameter(
+      names = "--drain-grace-ms",
+      description = "Milliseconds after SIGTERM in which new requests are still taken.")
+  long drainGraceMs = 3_000;
+
   GossipSettings gossip(long seed) {
     return new GossipSettings(heartbeatMs, deadAfterMs, GossipSettings.FAN_OUT, seed);
   }
 
   void check(SettingsChecks checks) {
     checks.atLeast("--heartbeat-ms", heartbeatMs, SHORTEST_HEARTBEAT_MS);
+    checks.atLeast("--drain-grace-ms", drainGraceMs, 0);
     checks.atLeast("--dead-after-ms", deadAfterMs, LEAST_PERIODS * heartbeatMs);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationFeed.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationFeed.java
@@ -19,6 +19,7 @@
 import org.zinniaspan.peer.proto.DocumentRevision;
 import org.zinniaspan.peer.proto.Envelope;
 import org.zinniaspan.peer.proto.Heartbeat;
+import org.zinniaspan.peer.proto.MemberEntry;
 
 /**
  * Brings published documents into force on this VM and tells the others of them.
@@ -179,9 +180,7 @@
     }
     for (DocumentRevision revision : heartbeat.getRevisionsList()) {
       peers.heard(vm, revision, ownZone);
-    }
-    if (heartbeat.getRevisionsCount() > 0) {
-      gate.heardPeer();
+      DocumentName.of(revision.getName()).ifPresent(gate::heard);
     }
     if (heartbeat.getReplyWanted() && heartbeat.getEntriesCount() == 0) {
       sendDigest(vm, false);
@@ -189,9 +188,13 @@
   }
 
   private void readFromPlatform(Document document) {
+    offers.execute(() -> offerOrHold(document));
+  }
+
+  private void offerOrHold(Document document) {
     boolean alone = othersListed(true).isEmpty() && othersListed(false).isEmpty();
     if (!gate.hold(document, alone, clock.nowMs())) {
-      offer(document, "platform");
+      offerNow(document, "platform");
     }
   }
 
@@ -216,12 +219,29 @@
 
   private void adopted(Document document) {
     if (document.name() == DocumentName.VMS && !store.current().isComplete()) {
-      askOneOf(othersListed(true));
+      introduce();
       askOneOf(othersListed(false));
     }
     announce();
   }
 
+  /** Tells listed VMs of the own zone this VM's address, which the list may lack, and asks them. */
+  private void introduce() {
+    Member self = membership.self();
+    MemberEntry entry =
+        MemberEntry.newBuilder()
+            .setVm(self.vm())
+            .setIncarnation(self.incarnation())
+            .setAddress(self.address())
+            .build();
+    List<String> others = new ArrayList<>(othersListed(true));
+    Collections.shuffle(others, random);
+    for (String vm : others.subList(0, Math.min(ANNOUNCED_TO, others.size()))) {
+      Heartbeat.Builder hello = Heartbeat.newBuilder().addEntries(entry).setReplyWanted(true);
+      link.send(vm, Envelope.newBuilder().setHeartbeat(hello));
+    }
+  }
+
   private void announce() {
     List<String> others = new ArrayList<>();
     for (Member member : membership.live()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/FreshGate.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/FreshGate.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Holds the first documents that a fresh VM read from the platform until its peers had the time to
@@ -21,7 +23,7 @@
   private final PeerDocuments peers;
   private final long waitMs;
   private final Map<DocumentName, Held> held = new EnumMap<>(DocumentName.class);
-  private boolean heardPeer;
+  private final Set<DocumentName> heard = EnumSet.noneOf(DocumentName.class);
 
   FreshGate(ConfigurationStore store, PeerDocuments peers, long waitMs) {
     this.store = store;
@@ -29,8 +31,9 @@
     this.waitMs = waitMs;
   }
 
-  synchronized void heardPeer() {
-    heardPeer = true;
+  /** Notes that a peer told which revision of the document it has. */
+  synchronized void heard(DocumentName name) {
+    heard.add(name);
   }
 
   /** Holds a document; returns false if it may be adopted at once. */
@@ -64,6 +67,6 @@
     if (peers.isFetchingNewer(document.name(), document.revision())) {
       return waitedMs >= LONGEST_FETCH_MS;
     }
-    return heardPeer || waitedMs >= waitMs;
+    return heard.contains(document.name()) || waitedMs >= waitMs;
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
@@ -1,18 +1,73 @@
 package org.zinniaspan.http;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
 
 /** A caller's connection that its handler can ask whether the caller has left. */
 final class CallerConnection extends DefaultBHttpServerConnection {
 
   private static final ThreadLocal<CallerConnection> CURRENT = new ThreadLocal<>();
 
-  CallerConnection(Http1Config config) {
+  private static final int POLL_MS = 500;
+  private static final Timeout POLL = Timeout.ofMilliseconds(POLL_MS);
+
+  private final OpenConnections connections;
+
+  CallerConnection(Http1Config config, OpenConnections connections) {
     super("http", config);
+    this.connections = connections;
+  }
+
+  /** Waits for the first byte of a request, unless the listener closes before it comes. */
+  private void awaitRequest() throws IOException {
+    for (int waitedMs = 0; !isDataAvailable(POLL); waitedMs += POLL_MS) {
+      boolean isOver = waitedMs >= HttpListener.READ_TIMEOUT_MS || connections.isClosing();
+      if (isStale() || (isOver && !isDataAvailable(POLL))) {
+        endCleanly();
+        throw new ConnectionClosedException("no request came");
+      }
+    }
+  }
+
+  /** Sends the end of the stream and waits for the caller's, so that nothing is reset. */
+  private void endCleanly() throws IOException {
+    Socket socket = getSocketHolder().getBaseSocket();
+    socket.setSoTimeout(POLL_MS);
+    socket.shutdownOutput();
+    try {
+      while (socket.getInputStream().read() >= 0) {
+        // What comes now cannot be answered any more.
+      }
+    } catch (SocketTimeoutException e) {
+      // The caller keeps its side open; the connection ends all the same.
+    }
+    close();
+  }
+
+  @Override
+  public void close() throws IOException {
+    try {
+      super.close();
+    } finally {
+      connections.remove(this);
+    }
+  }
+
+  @Override
+  public void close(CloseMode closeMode) {
+    try {
+      super.close(closeMode);
+    } finally {
+      connections.remove(this);
+    }
   }
 
   /** Returns whether the caller of the request that this thread handles has left. */
@@ -31,6 +86,7 @@
 
   @Override
   public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
+    awaitRequest();
     ClassicHttpRequest request = super.receiveRequestHeader();
     CURRENT.set(this);
     return request;
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
@@ -35,13 +35,16 @@
   /** Most headers of a request. */
   public static final int MAX_HEADERS = 100;
 
+  private static final long CLOSE_TIMEOUT_MS = 3_000;
   private static final int BACKLOG = 1_024;
   private static final int BUFFER_BYTES = 4 * 1024;
 
   private final HttpServer server;
+  private final OpenConnections open;
 
-  private HttpListener(HttpServer server) {
+  private HttpListener(HttpServer server, OpenConnections open) {
     this.server = server;
+    this.open = open;
   }
 
   /**
@@ -57,9 +60,11 @@
             .setMaxLineLength(MAX_HEADER_LINE_BYTES)
             .setBufferSize(BUFFER_BYTES)
             .build();
+    OpenConnections open = new OpenConnections();
     HttpConnectionFactory<DefaultBHttpServerConnection> connections =
         socket -> {
-          CallerConnection connection = new CallerConnection(config);
+          CallerConnection connection = new CallerConnection(config, open);
+          open.add(connection);
           connection.bind(socket);
           return connection;
         };
@@ -78,7 +83,7 @@
             .setRequestRouter((request, context) -> handler)
             .create();
     server.start();
-    return new HttpListener(server);
+    return new HttpListener(server, open);
   }
 
   /** Returns the port that was bound. */
@@ -91,10 +96,12 @@
     return CallerConnection.callerLeft();
   }
 
+  /** Lets idle connections end cleanly, then ends the others. */
   @Override
   public void close() {
-    server.initiateShutdown();
     try {
+      open.close(CLOSE_TIMEOUT_MS);
+      server.initiateShutdown();
       server.awaitTermination(TimeValue.ofMilliseconds(200));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/zinniaspan/src/main/java/org/zinniaspan/lifecycle/Drain.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/lifecycle/Drain.java
@@ -1,47 +1,93 @@
 package org.zinniaspan.lifecycle;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.clock.Ticking;
 
 /**
  * Counts requests in flight and tells when a graceful shutdown may end.
  *
- * <p>State is guarded by this object's lock.
+ * <p>For a grace period after its begin new requests are still counted, because the balancer learns
+ * late that the VM is not ready. After that they are refused, and the shutdown ends once no request
+ * is in flight and all conditions hold, however long that takes. State is guarded by this object's
+ * lock.
  */
-public final class Drain {
+public final class Drain implements Ticking {
 
   private final CompletableFuture<Void> begun = new CompletableFuture<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final List<BooleanSupplier> conditions = new CopyOnWriteArrayList<>();
+  private final Clock clock;
+  private final long graceMs;
+  private long begunMs;
   private int inFlight;
 
-  /** Counts a new request; returns false, and counts nothing, once the shutdown has begun. */
+  /** Creates a shutdown without a grace period. */
+  public Drain() {
+    this(new SystemClock(), 0);
+  }
+
+  /**
+   * Creates a shutdown.
+   *
+   * @param clock source of time
+   * @param graceMs milliseconds after the begin in which new requests are still taken
+   */
+  public Drain(Clock clock, long graceMs) {
+    this.clock = clock;
+    this.graceMs = graceMs;
+  }
+
+  /** Adds a condition that must hold before the shutdown ends, such as nothing owed to peers. */
+  public void addCondition(BooleanSupplier idle) {
+    conditions.add(idle);
+  }
+
+  /** Counts a new request; returns false, and counts nothing, once requests are refused. */
   public synchronized boolean enter() {
-    if (begun.isDone()) {
+    if (isRefusing()) {
       return false;
     }
     inFlight++;
     return true;
   }
 
+  private boolean isRefusing() {
+    return begun.isDone() && clock.nowMs() - begunMs >= graceMs;
+  }
+
   /** Counts a request whose answer has been delivered. */
   public void exit() {
-    boolean last;
     synchronized (this) {
       inFlight--;
-      last = inFlight == 0 && begun.isDone();
-    }
-    if (last) {
-      drained.complete(null);
     }
+    tick();
   }
 
   /** Begins the shutdown; a second call does nothing. */
   public void begin() {
+    synchronized (this) {
+      if (begun.isDone()) {
+        return;
+      }
+      begunMs = clock.nowMs();
+    }
     begun.complete(null);
+    tick();
+  }
+
+  /** Ends the shutdown if nothing is left to do. */
+  @Override
+  public void tick() {
     boolean idle;
     synchronized (this) {
-      idle = inFlight == 0;
+      idle = isRefusing() && inFlight == 0;
     }
-    if (idle) {
+    if (idle && conditions.stream().allMatch(BooleanSupplier::getAsBoolean)) {
       drained.complete(null);
     }
   }
@@ -61,7 +107,7 @@
     return begun;
   }
 
-  /** Completes when the shutdown has begun and no request is in flight. */
+  /** Completes when the shutdown has begun and nothing is left to do. */
   public CompletableFuture<Void> drained() {
     return drained;
   }
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/lifecycle/DrainTest.java
@@ -0,0 +1,64 @@
+package org.zinniaspan.lifecycle;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.zinniaspan.testkit.VirtualClock;
+
+class DrainTest {
+
+  private static final long GRACE_MS = 3_000;
+
+  private final VirtualClock clock = new VirtualClock(0);
+  private final Drain drain = new Drain(clock, GRACE_MS);
+
+  private boolean isDrainedAfter(long ms) {
+    clock.advance(ms);
+    drain.tick();
+    return drain.drained().isDone();
+  }
+
+  @Test
+  void requestsAreTakenDuringTheGracePeriodOnly() {
+    drain.begin();
+    assertThat(drain.hasBegun()).isTrue();
+    assertThat(drain.enter()).isTrue();
+    clock.advance(GRACE_MS);
+    assertThat(drain.enter()).isFalse();
+  }
+
+  @Test
+  void waitsForTheLastRequestHoweverLong() {
+    drain.enter();
+    drain.begin();
+    assertThat(isDrainedAfter(3_600_000)).isFalse();
+    drain.exit();
+    assertThat(drain.drained().isDone()).isTrue();
+  }
+
+  @Test
+  void idleProcessWaitsForTheGracePeriod() {
+    drain.begin();
+    assertThat(isDrainedAfter(GRACE_MS - 1)).isFalse();
+    assertThat(isDrainedAfter(1)).isTrue();
+  }
+
+  @Test
+  void waitsForConditions() {
+    AtomicBoolean idle = new AtomicBoolean();
+    drain.addCondition(idle::get);
+    drain.begin();
+    assertThat(isDrainedAfter(GRACE_MS)).isFalse();
+    idle.set(true);
+    assertThat(isDrainedAfter(50)).isTrue();
+  }
+
+  @Test
+  void secondBeginDoesNotStartAnew() {
+    drain.begin();
+    clock.advance(GRACE_MS - 1);
+    drain.begin();
+    assertThat(isDrainedAfter(1)).isTrue();
+  }
+}
