--- a/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
@@ -76,6 +76,12 @@
     return connection != null && connection.hasLeft();
   }
 
+  /** Returns what closes the connection of the request that this thread handles, at once. */
+  static Runnable closer() {
+    CallerConnection connection = CURRENT.get();
+    return connection == null ? () -> {} : () -> connection.close(CloseMode.IMMEDIATE);
+  }
+
   private boolean hasLeft() {
     try {
       return isStale();
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
@@ -96,6 +96,11 @@
     return CallerConnection.callerLeft();
   }
 
+  /** Returns what closes the connection of the request that this thread handles, at once. */
+  public static Runnable callerCloser() {
+    return CallerConnection.closer();
+  }
+
   /** Lets idle connections end cleanly, then ends the others. */
   @Override
   public void close() {
