--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/benchmark/DecisionBenchmark.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/benchmark/DecisionBenchmark.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.standins.benchmark;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -16,17 +17,28 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.dispatch.DispatchContext;
+import org.zinniaspan.dispatch.Dispatcher;
+import org.zinniaspan.dispatch.DispatcherSlotService;
 import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.QueueLimits;
 import org.zinniaspan.dispatch.SlotAnswer;
 import org.zinniaspan.dispatch.SlotAsk;
 import org.zinniaspan.dispatch.SlotResult;
+import org.zinniaspan.dispatch.SlotService;
 import org.zinniaspan.dispatch.SlotUse;
 import org.zinniaspan.inventory.Organisation;
 import org.zinniaspan.inventory.Pool;
 import org.zinniaspan.inventory.ServiceClass;
+import org.zinniaspan.membership.ListedMembership;
+import org.zinniaspan.membership.Member;
+import org.zinniaspan.membership.Membership;
+import org.zinniaspan.peer.PeerLink;
+import org.zinniaspan.peer.PeerRouter;
 import org.zinniaspan.routing.EndpointTable;
-import org.zinniaspan.routing.LeastReportedLoad;
+import org.zinniaspan.routing.EstimatedFirstToken;
 import org.zinniaspan.routing.LoadReport;
 
 /** Decisions a second of the logic that lends slots, without any I/O; run by bin/benchmark. */
@@ -40,7 +52,9 @@
     jvmArgs = {"-XX:+UseSerialGC", "-Xmx48m", "-XX:TieredStopAtLevel=1"})
 public class DecisionBenchmark {
 
-  private static final long FAR_MS = 3_600_000;
+  private static final long FAR_MS = 30_000;
+  private static final long TICK_MS = 50;
+  private static final long SETTLE_MS = 3_000;
 
   /** Endpoints of the availability zone. */
   @Param({"6", "60", "630"})
@@ -50,14 +64,20 @@
   @Param({"10", "1500"})
   public int organisations;
 
+  /** Who lends the slots; a dispatcher and its gateway are in one process here. */
+  @Param({"local", "dispatcher"})
+  public String service;
+
   private final SystemClock clock = new SystemClock();
+  private final List<Ticking> ticking = new ArrayList<>();
   private Configuration configuration;
-  private LocalSlotService slots;
+  private SlotService slots;
+  private long nextTickMs;
   private int next;
 
   /** Builds the configuration and reports the load of each endpoint. */
   @Setup
-  public void build() {
+  public void build() throws InterruptedException {
     configuration = new Documents().configuration(endpoints, organisations);
     EndpointTable table = new EndpointTable(Documents.ZONE, () -> configuration, clock);
     for (int i = 0; i < endpoints; i++) {
@@ -65,17 +85,61 @@
           new LoadReport(clock.nowMs(), i % 8, 0, 18, 5_000, false, Set.of(Documents.MODEL), 0);
       table.report("engine-" + i, report);
     }
-    slots = new LocalSlotService(table, new LeastReportedLoad(), clock);
+    slots = service.equals("local") ? local(table) : dispatcher(table);
+    for (long until = clock.nowMs() + SETTLE_MS; clock.nowMs() < until; ) {
+      tick();
+      TimeUnit.MILLISECONDS.sleep(TICK_MS);
+    }
+  }
+
+  private SlotService local(EndpointTable table) {
+    LocalSlotService local = new LocalSlotService(table, new EstimatedFirstToken(1), clock);
+    ticking.add(local);
+    return local;
+  }
+
+  private SlotService dispatcher(EndpointTable table) {
+    Member self = new Member("vm-1", 1, "127.0.0.1:1", false);
+    Membership members = new ListedMembership(self, Documents.ZONE, configuration::vms);
+    DispatchContext context =
+        new DispatchContext(
+            members,
+            table,
+            new EstimatedFirstToken(1),
+            () -> configuration,
+            clock,
+            QueueLimits.DEFAULT,
+            new Silent());
+    PeerRouter peers = new PeerRouter();
+    PeerLink link =
+        (vm, message) -> peers.handle(message.setFromVm("vm-1").setFromIncarnation(1).build());
+    Dispatcher owner = new Dispatcher(context, link);
+    DispatcherSlotService gateway = new DispatcherSlotService(context, link);
+    peers.register(owner, Dispatcher.bodies());
+    peers.register(gateway, DispatcherSlotService.bodies());
+    ticking.add(owner);
+    ticking.add(gateway);
+    return gateway;
+  }
+
+  private void tick() {
+    long now = clock.nowMs();
+    if (now >= nextTickMs) {
+      nextTickMs = now + TICK_MS;
+      ticking.forEach(Ticking::tick);
+    }
   }
 
   /** Finds the organisation by its key, lends a slot and takes it back. */
   @Benchmark
   public SlotAnswer decide() {
+    tick();
     int number = next++;
     String hash = DigestUtils.sha256Hex(Documents.name(number % organisations));
     Organisation organisation = configuration.organisationByKeyHash(hash).orElseThrow();
     SlotAsk ask = ask("attempt-" + number, organisation.name());
-    SlotAnswer answer = slots.acquire(ask, () -> {}).join();
+    SlotAnswer answer =
+        slots.acquire(ask, () -> {}).orTimeout(FAR_MS, TimeUnit.MILLISECONDS).join();
     slots.release(ask.attemptId(), SlotUse.of(SlotResult.COMPLETED));
     return answer;
   }
