--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -5,12 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.zinniaspan.cli.EnvironmentDefaults;
+import org.zinniaspan.standins.choice.SimulateCommand;
 import org.zinniaspan.standins.cost.CostCommand;
 import org.zinniaspan.standins.demo.DemoCommand;
 import org.zinniaspan.standins.load.ExperimentCommand;
 import org.zinniaspan.standins.load.LoadCommand;
 import org.zinniaspan.standins.simulation.SimulateSlotsCommand;
-import org.zinniaspan.standins.choice.SimulateCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
