--- a/zinniaspan/src/main/java/org/zinniaspan/cli/CheckCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/CheckCommand.java
@@ -13,7 +13,7 @@
 
 /** Checks documents before they are published. */
 @Parameters(commandDescription = "Check documents and report all findings together.")
-public final class CheckCommand {
+public final class CheckCommand implements Command {
 
   @Parameter(names = "--help", help = true, description = "Show this help.")
   boolean help;
@@ -27,7 +27,12 @@
   @Parameter(names = "--rules", description = "File with classes and rules.")
   String rules;
 
-  /** Checks the files, prints the findings and returns the exit code. */
+  @Override
+  public boolean isHelp() {
+    return help;
+  }
+
+  @Override
   public int run(PrintStream out) {
     DocumentParser parser = new DocumentParser();
     List<Finding> findings = new ArrayList<>();
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ExplainCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ExplainCommand.java
@@ -6,7 +6,7 @@
 
 /** Shows the decisions that a daemon made about one request. */
 @Parameters(commandDescription = "Show why a request went where it did.")
-public final class ExplainCommand {
+public final class ExplainCommand implements Command {
 
   @Parameter(names = "--help", help = true, description = "Show this help.")
   boolean help;
@@ -20,7 +20,12 @@
   @Parameter(names = "--request-id", description = "Value of the answer's X-Request-Id header.")
   String requestId = "";
 
-  /** Prints the newest log lines about the request and returns the exit code. */
+  @Override
+  public boolean isHelp() {
+    return help;
+  }
+
+  @Override
   public int run(PrintStream out) {
     if (requestId.isBlank()) {
       out.println("explain: --request-id is missing; it is the answer's X-Request-Id header");
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ImportCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ImportCommand.java
@@ -24,7 +24,7 @@
  * hash. Nothing is written if there are findings.
  */
 @Parameters(commandDescription = "Turn an asset register into the documents to publish.")
-public final class ImportCommand {
+public final class ImportCommand implements Command {
 
   @Parameter(names = "--help", help = true, description = "Show this help.")
   boolean help;
@@ -37,7 +37,12 @@
 
   private final ObjectMapper mapper = new ObjectMapper();
 
-  /** Writes the documents, or prints all findings, and returns the exit code. */
+  @Override
+  public boolean isHelp() {
+    return help;
+  }
+
+  @Override
   public int run(PrintStream messages) {
     if (register.isBlank() || out.isBlank()) {
       messages.println("import: --register and --out are both needed");
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import java.io.IOException;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -41,42 +42,39 @@
   /** Runs the command line and returns its exit code. */
   public static int run(String[] args, Map<String, String> environment) {
     EntrySettings entry = new EntrySettings();
-    CheckCommand check = new CheckCommand();
-    ImportCommand imports = new ImportCommand();
-    StatusCommand status = new StatusCommand();
-    ExplainCommand explain = new ExplainCommand();
-    JCommander commander =
-        JCommander.newBuilder()
-            .programName("zinniaspan")
-            .defaultProvider(new EnvironmentDefaults(environment))
-            .addCommand("entry", entry)
-            .addCommand("check", check)
-            .addCommand("import", imports)
-            .addCommand("status", status)
-            .addCommand("explain", explain)
-            .build();
+    Map<String, Command> commands = new LinkedHashMap<>();
+    commands.put("entry", Command.of(entry, () -> entry.help, out -> entry(entry)));
+    commands.put("check", new CheckCommand());
+    commands.put("import", new ImportCommand());
+    commands.put("status", new StatusCommand());
+    commands.put("explain", new ExplainCommand());
+    JCommander commander = commander(environment, commands);
+    if (args.length == 0 || args[0].equals("--help")) {
+      commander.usage();
+      return args.length == 0 ? EXIT_USAGE : EXIT_OK;
+    }
     try {
       commander.parse(args);
     } catch (ParameterException e) {
       System.err.println("zinniaspan: " + e.getMessage());
       return EXIT_USAGE;
     }
-    if (commander.getParsedCommand() == null) {
-      commander.usage();
-      return EXIT_USAGE;
+    Command command = commands.get(commander.getParsedCommand());
+    if (command.isHelp()) {
+      commander.getUsageFormatter().usage(commander.getParsedCommand());
+      return EXIT_OK;
     }
-    return switch (commander.getParsedCommand()) {
-      case "entry" -> entry.help ? usage(commander) : entry(entry);
-      case "check" -> check.help ? usage(commander) : check.run(System.out);
-      case "import" -> imports.help ? usage(commander) : imports.run(System.out);
-      case "status" -> status.help ? usage(commander) : status.run(System.out);
-      default -> explain.help ? usage(commander) : explain.run(System.out);
-    };
+    return command.run(System.out);
   }
 
-  private static int usage(JCommander commander) {
-    commander.getUsageFormatter().usage(commander.getParsedCommand());
-    return EXIT_OK;
+  private static JCommander commander(
+      Map<String, String> environment, Map<String, Command> commands) {
+    JCommander.Builder builder =
+        JCommander.newBuilder()
+            .programName("zinniaspan")
+            .defaultProvider(new EnvironmentDefaults(environment));
+    commands.forEach((name, command) -> builder.addCommand(name, command.parameters()));
+    return builder.build();
   }
 
   private static int entry(EntrySettings settings) {
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/StatusCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/StatusCommand.java
@@ -7,7 +7,7 @@
 
 /** Shows members, roles, revisions, pools and queues as one daemon sees them. */
 @Parameters(commandDescription = "Show what a running daemon knows.")
-public final class StatusCommand {
+public final class StatusCommand implements Command {
 
   @Parameter(names = "--help", help = true, description = "Show this help.")
   boolean help;
@@ -18,7 +18,12 @@
   @Parameter(names = "--admin-token", description = "Token that operators send.")
   String token = "";
 
-  /** Prints the status and returns the exit code. */
+  @Override
+  public boolean isHelp() {
+    return help;
+  }
+
+  @Override
   public int run(PrintStream out) {
     return print(out, admin, token, "/status");
   }
