Show roles in the status, and prove that a dead or frozen dispatcher stops nobody

Cause: the handover of a pool's dispatcher was proved on virtual VMs only. Seen to fail: with the local share out of reach (OUT_OF_REACH_MS = 400 s) both tests fail at the first request (429 after 1.0 s). With it both pass, 30 requests each before and after the change of owner.

--- /dev/null
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/DispatcherProcessTest.java
@@ -0,0 +1,111 @@
+package org.zinniaspan.standins;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.zinniaspan.standins.caller.CallerClient;
+import org.zinniaspan.standins.caller.CallerClient.ChatRequest;
+import org.zinniaspan.standins.caller.CallerResult;
+import org.zinniaspan.standins.fleet.FleetSpec;
+import org.zinniaspan.standins.fleet.LocalFleet;
+
+/** A pool's dispatcher dies or freezes, and the other VMs of the zone go on serving. */
+class DispatcherProcessTest {
+
+  private static final String ZONE = "recife-a";
+  private static final String MODEL = "counter-3b";
+  private static final int REQUESTS = 30;
+
+  private LocalFleet fleet;
+
+  @BeforeEach
+  void start() throws IOException {
+    String rules = Files.readString(Path.of("..", "config", "placa-limpa", "rules.json"));
+    FleetSpec spec =
+        new FleetSpec()
+            .zone(ZONE, 3)
+            .models(MODEL)
+            .engine("engine-1", ZONE)
+            .engine("engine-2", ZONE)
+            .document("rules", rules);
+    fleet = LocalFleet.start(spec, Path.of("target", "fleet", "dispatcher"));
+    LocalFleet.await("one view of the owner", this::isAgreed);
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  private boolean isAgreed() {
+    List<String> owners =
+        fleet.entries().values().stream().map(DispatcherProcessTest::ownerAsSeenBy).toList();
+    return fleet.entries().containsKey(owners.get(0)) && owners.stream().distinct().count() == 1;
+  }
+
+  private static String ownerAsSeenBy(LocalFleet.Entry entry) {
+    try {
+      String status = LocalFleet.get(entry.admin(), "/status").body();
+      return new ObjectMapper()
+          .readTree(status)
+          .path("roles")
+          .path("dispatch model/" + MODEL)
+          .asText();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  private LocalFleet.Entry owner() {
+    return fleet.entries().get(ownerAsSeenBy(fleet.entries().get(ZONE + "-1")));
+  }
+
+  private LocalFleet.Entry survivor(LocalFleet.Entry owner) {
+    return fleet.entries().values().stream()
+        .filter(entry -> !entry.name().equals(owner.name()))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static void assertServes(LocalFleet.Entry entry) {
+    CallerClient caller = new CallerClient(LocalFleet.KEY);
+    for (int i = 0; i < REQUESTS; i++) {
+      ChatRequest request =
+          new ChatRequest(MODEL, "request " + i + " #tokens=8", Optional.empty(), i % 2 == 0);
+      CallerResult result = caller.chat(entry.callers(), request);
+      assertWithMessage("request %s: %s", i, result).that(result.isAnswered()).isTrue();
+    }
+  }
+
+  @Test
+  void survivorsServeFromTheFirstRequestAfterTheOwnerWasKilled() {
+    LocalFleet.Entry owner = owner();
+    LocalFleet.Entry survivor = survivor(owner);
+    owner.process().kill();
+    assertServes(survivor);
+    LocalFleet.await("a new owner", () -> !ownerAsSeenBy(survivor).equals(owner.name()));
+    assertServes(survivor);
+  }
+
+  @Test
+  void survivorsServeWhileTheOwnerIsFrozenAndSoDoesTheOwnerAfterwards() throws IOException {
+    LocalFleet.Entry owner = owner();
+    LocalFleet.Entry survivor = survivor(owner);
+    owner.process().pause();
+    assertServes(survivor);
+    LocalFleet.await("a new owner", () -> !ownerAsSeenBy(survivor).equals(owner.name()));
+    owner.process().resume();
+    LocalFleet.await("one view of the owner", this::isAgreed);
+    assertServes(owner);
+    assertThat(ownerAsSeenBy(survivor)).isEqualTo(owner.name());
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.zinniaspan.admin.AdminHandler;
 import org.zinniaspan.admin.RouterMetrics;
 import org.zinniaspan.clock.Clock;
@@ -81,6 +82,7 @@
   private final List<Ticking> ticking = new ArrayList<>();
   private final DemandMeter demand = new DemandMeter(clock);
   private final EntrySettings settings;
+  private Supplier<Map<String, String>> dispatchers = Map::of;
   private final GossipMembership membership;
   private volatile LongSupplier platformAgeMs = () -> -1;
 
@@ -159,6 +161,7 @@
             membership, table, chooser(), this::configuration, clock, settings.slots.limits(), log);
     SlotAssembly assembly = new SlotAssembly(context, link, peers);
     assembly.export(metrics, log);
+    dispatchers = assembly::owners;
     ticking.add(new LoadPoller(table, assembly::polls, periodMs, polls, clock));
     ticking.addAll(assembly.ticking());
     return assembly.service();
@@ -320,9 +323,18 @@
     status.put("inFlight", drain.inFlight());
     status.put("revisions", revisions());
     status.put("members", membership.live());
+    status.put("roles", roles());
     return status;
   }
 
+  private Map<String, String> roles() {
+    Map<String, String> roles = new LinkedHashMap<>();
+    roles.put("configuration", membership.ownerOf(ConfigurationFeed.ROLE).vm());
+    roles.put("placement", membership.ownerOf(Placer.ROLE).vm());
+    dispatchers.get().forEach((pool, vm) -> roles.put("dispatch " + pool, vm));
+    return roles;
+  }
+
   private Configuration configuration() {
     return store.current();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/SlotAssembly.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/SlotAssembly.java
@@ -1,6 +1,8 @@
 package org.zinniaspan.cli;
 
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.zinniaspan.admin.RouterMetrics;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.dispatch.DispatchContext;
@@ -41,6 +43,15 @@
         .anyMatch(pool -> context.isOwner(pool) || service.isFallback(pool));
   }
 
+  /** Returns the VM that owns the slots of each pool of this availability zone, by pool id. */
+  Map<String, String> owners() {
+    Map<String, String> owners = new TreeMap<>();
+    context.table().endpoints().stream()
+        .flatMap(DispatchContext::pools)
+        .forEach(pool -> owners.put(pool.id(), context.ownerOf(pool)));
+    return owners;
+  }
+
   void export(RouterMetrics metrics, RouteLog log) {
     metrics.gauges(
         "zinniaspan_slots_held", "Slots lent, by pool owned here.", "pool", dispatcher::held);
