Let a voter that had no news of the list vote only after fresh news has lasted

A voter that wakes, or hears the platform again, could vote at its old list in the moment before it adopts the new one, and vouch for lists it had missed. Found by reading; VoterMaturityTest fails in two of three cases without this. Not caught by the fuzz: a voter without news that goes on voting; the unit test holds that.

--- a/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimVoter.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimVoter.java
@@ -104,6 +104,7 @@
   private void refresh() {
     long nowMs = clock.nowMs();
     final boolean before = maturity.mayVote();
+    maturity.evaluate(confirmedMs.getAsLong(), nowMs);
     if (maturity.adopt(list.get(), nowMs)) {
       sync.restart();
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/VoterMaturity.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/VoterMaturity.java
@@ -19,6 +19,9 @@
 
   private record Reply(long incarnation, boolean complete) {}
 
+  /** Milliseconds of fresh news after which a voter that had none votes again. */
+  private static final long RESUME_AFTER_MS = 2_000;
+
   private final String self;
   private final AtMostOnceSettings settings;
   private final Map<Long, SeenList> lists = new TreeMap<>();
@@ -28,6 +31,7 @@
   private Optional<VoterList> current = Optional.empty();
   private long replacedMs = Long.MIN_VALUE;
   private long adoptedMs;
+  private long staleSeenMs = Long.MIN_VALUE / 2;
   private boolean complete;
   private boolean mature;
   private boolean stale;
@@ -44,10 +48,8 @@
         || current.map(known -> known.revision() >= list.revision()).orElse(false)) {
       return false;
     }
-    if (stale) {
-      complete = false;
-      stale = false;
-    }
+    boolean missedLists = nowMs - staleSeenMs < settings.freshnessMs();
+    complete = complete && !missedLists;
     current.ifPresent(old -> lists.put(old.revision(), new SeenList(old, nowMs)));
     lists.put(list.revision(), new SeenList(list, nowMs));
     current = Optional.of(list);
@@ -140,7 +142,11 @@
     if (current.isEmpty()) {
       return;
     }
-    stale = nowMs - Math.max(confirmedMs, leastRecentlyHeardMs()) > settings.freshnessMs();
+    long newsMs = Math.max(confirmedMs, leastRecentlyHeardMs());
+    if (nowMs - newsMs > settings.freshnessMs()) {
+      staleSeenMs = nowMs;
+    }
+    stale = nowMs - staleSeenMs < RESUME_AFTER_MS;
     if (mature || stale) {
       return;
     }
