--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -5,8 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.zinniaspan.cli.EnvironmentDefaults;
+import org.zinniaspan.standins.choice.SimulateChoiceCommand;
+import org.zinniaspan.standins.cost.CostCommand;
 import org.zinniaspan.standins.demo.DemoCommand;
-import org.zinniaspan.standins.simulation.SimulateCommand;
+import org.zinniaspan.standins.load.ExperimentCommand;
+import org.zinniaspan.standins.load.LoadCommand;
+import org.zinniaspan.standins.simulation.SimulateSlotsCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -27,7 +31,11 @@
     commands.put("engine", new EngineCommand());
     commands.put("service", new ServiceCommand());
     commands.put("demo", new DemoCommand());
-    commands.put("simulate", new SimulateCommand());
+    commands.put("simulate-choice", new SimulateChoiceCommand());
+    commands.put("load", new LoadCommand());
+    commands.put("cost", new CostCommand());
+    commands.put("experiment", new ExperimentCommand());
+    commands.put("simulate-slots", new SimulateSlotsCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("zinniaspan-standins")
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulatedAttempt.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/SimulatedAttempt.java
@@ -1,4 +1,4 @@
-package org.zinniaspan.standins.simulation;
+package org.zinniaspan.standins.choice;
 
 import org.zinniaspan.dispatch.SlotResult;
 import org.zinniaspan.dispatch.SlotUse;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/Simulation.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/Simulation.java
@@ -1,4 +1,4 @@
-package org.zinniaspan.standins.simulation;
+package org.zinniaspan.standins.choice;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulationResult.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/SimulationResult.java
@@ -1,4 +1,4 @@
-package org.zinniaspan.standins.simulation;
+package org.zinniaspan.standins.choice;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/Timeline.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/Timeline.java
@@ -1,4 +1,4 @@
-package org.zinniaspan.standins.simulation;
+package org.zinniaspan.standins.choice;
 
 import java.util.PriorityQueue;
 import org.zinniaspan.clock.Clock;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
@@ -56,7 +56,10 @@
       List.of("-XX:+UseSerialGC", "-Xmx256m", "-Xss256k", "-XX:TieredStopAtLevel=1");
   private static final String STANDINS_MAIN = "org.zinniaspan.standins.StandinsMain";
   private static final String ENTRY_MAIN = "org.zinniaspan.cli.Main";
-  private static final String LOOPBACK = "127.0.0.1";
+
+  /** Not 127.0.0.1, whose ports outgoing connections take at any moment. */
+  private static final String LOOPBACK = "127.0.0.2";
+
   private static final int HTTP_TIMEOUT_MS = 2_000;
   private static final long READY_TIMEOUT_MS = 20_000;
   private static final long POLL_MS = 20;
@@ -234,14 +237,15 @@
     spec.entriesByZone.keySet().forEach(zones::add);
     ArrayNode models = inventory.putArray("models");
     spec.engines.stream()
-        .flatMap(engine -> engine.models().stream())
+        .flatMap(engine -> allowed(engine).stream())
         .distinct()
         .forEach(model -> models.addObject().put("name", model).put("memoryMb", 1_000));
     ArrayNode rows = inventory.putArray("endpoints");
     for (FleetSpec.EngineSpec engine : spec.engines) {
       ObjectNode row = row(rows, engine.name(), "engine", engine.zone());
       row.put("slots", spec.engineSlots);
-      engine.models().forEach(row.putArray("models")::add);
+      row.put("memoryMb", spec.engineMemoryMb);
+      allowed(engine).forEach(row.putArray("models")::add);
     }
     for (FleetSpec.ServiceSpec service : spec.services) {
       row(rows, service.name(), "service", service.zone())
@@ -251,6 +255,10 @@
     return inventory.toString();
   }
 
+  private List<String> allowed(FleetSpec.EngineSpec engine) {
+    return spec.allowedModels.isEmpty() ? engine.models() : spec.allowedModels;
+  }
+
   private ObjectNode row(ArrayNode rows, String name, String kind, String zone) {
     return rows.addObject()
         .put("name", name)
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulatedEngine.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/simulation/SimulatedEngine.java
@@ -1,115 +1,103 @@
 package org.zinniaspan.standins.simulation;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.LinkedHashSet;
-import java.util.List;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import org.zinniaspan.routing.LoadReport;
 
-/** An engine that reads prompts one after the other and generates for all requests at once. */
+/** An engine with a fixed number of slots; what exceeds them waits inside, by tier. */
 final class SimulatedEngine {
 
-  static final int SLOTS = 8;
-  private static final double BASE_MS_PER_TOKEN = 10;
-  private static final double MS_PER_TOKEN_PER_REQUEST = 1;
-  private static final double PREFILL_TOKENS_PER_MS = 4;
-  private static final int CACHED_FAMILIES = 8;
-
-  private record Load(double atMs, int running, double msPerToken) {}
-
-  private final String name;
-  private final Timeline timeline;
-  private final List<SimulatedAttempt> running = new ArrayList<>();
-  private final LinkedHashSet<Integer> cache = new LinkedHashSet<>();
-  private final Deque<Load> history = new ArrayDeque<>();
-  private double prefillFreeMs;
-  private double slowdown = 1;
-  private boolean dead;
-
-  SimulatedEngine(String name, Timeline timeline) {
-    this.name = name;
-    this.timeline = timeline;
-  }
+  private static final double PREFILL_TOKENS_PER_SECOND = 4_000;
 
-  String name() {
-    return name;
-  }
+  /** Milliseconds between two tokens of an answer. */
+  static final double TOKEN_MS = 10;
 
-  boolean isDead() {
-    return dead;
-  }
+  /** Milliseconds from the start of a request to its first token. */
+  static final long PREFILL_MS = 50;
 
-  void setSlowdown(double value) {
-    slowdown = value;
-  }
+  /** A request in the engine. */
+  static final class Work {
+    final int tier;
+    final int tokens;
+    final LongConsumer onFirstToken;
+    final Runnable onEnd;
+    private long order;
+    private long startedMs;
 
-  /** Cuts all streams and answers no connection. */
-  void die() {
-    dead = true;
-    List.copyOf(running).forEach(SimulatedAttempt::onBroken);
-    running.clear();
+    Work(int tier, int tokens, LongConsumer onFirstToken, Runnable onEnd) {
+      this.tier = tier;
+      this.tokens = tokens;
+      this.onFirstToken = onFirstToken;
+      this.onEnd = onEnd;
+    }
   }
 
-  void revive() {
-    dead = false;
+  private final EventQueue time;
+  private final int slots;
+  private final Set<Work> running = new HashSet<>();
+  private final PriorityQueue<Work> waiting =
+      new PriorityQueue<>(
+          Comparator.<Work>comparingInt(work -> work.tier).thenComparingLong(work -> work.order));
+  private long nextOrder;
+
+  SimulatedEngine(EventQueue time, int slots) {
+    this.time = time;
+    this.slots = slots;
   }
 
-  void accept(SimulatedAttempt attempt) {
-    running.add(attempt);
-    int toRead = attempt.promptTokens() - (isCached(attempt.family()) ? attempt.prefixTokens() : 0);
-    double startMs = Math.max(timeline.exactMs(), prefillFreeMs);
-    prefillFreeMs = startMs + toRead / PREFILL_TOKENS_PER_MS * slowdown;
-    timeline.after(prefillFreeMs - timeline.exactMs() + msPerToken(), () -> token(attempt));
+  void submit(Work work) {
+    work.order = nextOrder++;
+    waiting.add(work);
+    startNext();
   }
 
-  private boolean isCached(int family) {
-    boolean cached = cache.remove(family);
-    cache.add(family);
-    if (cache.size() > CACHED_FAMILIES) {
-      cache.remove(cache.iterator().next());
-    }
-    return cached;
+  /** Stops a request, and returns the tokens that it has not produced. */
+  int cancel(Work work) {
+    waiting.remove(work);
+    boolean ran = running.remove(work);
+    long ranMs = ran ? Math.max(0, time.nowMs() - work.startedMs - PREFILL_MS) : 0;
+    startNext();
+    return Math.max(1, work.tokens - (int) (ranMs / TOKEN_MS));
   }
 
-  private void token(SimulatedAttempt attempt) {
-    if (!running.contains(attempt)) {
-      return;
-    }
-    if (attempt.onToken()) {
-      running.remove(attempt);
-      attempt.onFinished();
-    } else {
-      timeline.after(msPerToken(), () -> token(attempt));
-    }
-  }
-
-  void cancel(SimulatedAttempt attempt) {
-    running.remove(attempt);
+  LoadReport report() {
+    return new LoadReport(
+        time.nowMs(),
+        running.size(),
+        waiting.size(),
+        TOKEN_MS,
+        PREFILL_TOKENS_PER_SECOND,
+        false,
+        Set.of(SlotSimulation.MODEL),
+        0);
   }
 
-  private double msPerToken() {
-    return (BASE_MS_PER_TOKEN + MS_PER_TOKEN_PER_REQUEST * running.size()) * slowdown;
+  private void startNext() {
+    while (running.size() < slots && !waiting.isEmpty()) {
+      start(waiting.poll());
+    }
   }
 
-  void recordLoad() {
-    history.addLast(new Load(timeline.exactMs(), running.size(), msPerToken()));
+  private void start(Work work) {
+    running.add(work);
+    work.startedMs = time.nowMs();
+    time.after(PREFILL_MS, () -> ifRunning(work, () -> work.onFirstToken.accept(time.nowMs())));
+    time.after(
+        PREFILL_MS + (long) (work.tokens * TOKEN_MS), () -> ifRunning(work, () -> finish(work)));
   }
 
-  /** Returns the newest report that is at least as old as the lag. */
-  LoadReport report(double lagMs) {
-    while (history.size() > 1 && secondAgeMs() >= lagMs) {
-      history.removeFirst();
+  private void ifRunning(Work work, Runnable action) {
+    if (running.contains(work)) {
+      action.run();
     }
-    Load load = history.getFirst();
-    return new LoadReport(
-        (long) load.atMs(), load.running(), 0, load.msPerToken(), 0, false, Set.of(), 0);
   }
 
-  private double secondAgeMs() {
-    var loads = history.iterator();
-    loads.next();
-    return timeline.exactMs() - loads.next().atMs();
+  private void finish(Work work) {
+    running.remove(work);
+    startNext();
+    work.onEnd.run();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -9,40 +9,53 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.zinniaspan.admin.AdminHandler;
 import org.zinniaspan.admin.RouterMetrics;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.SystemClock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.configuration.Configuration;
+import org.zinniaspan.configuration.ConfigurationFeed;
 import org.zinniaspan.configuration.ConfigurationStore;
-import org.zinniaspan.configuration.PlatformReader;
+import org.zinniaspan.configuration.FeedParts;
+import org.zinniaspan.configuration.FeedSettings;
+import org.zinniaspan.configuration.ThreadedPlatform;
+import org.zinniaspan.dispatch.DispatchContext;
 import org.zinniaspan.dispatch.LocalSlotService;
+import org.zinniaspan.dispatch.RouteLog;
 import org.zinniaspan.dispatch.SlotService;
 import org.zinniaspan.gateway.CallHandler;
 import org.zinniaspan.gateway.ChatHandler;
 import org.zinniaspan.gateway.Gateway;
 import org.zinniaspan.gateway.Limits;
+import org.zinniaspan.gateway.SlowCallers;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.http.HttpDocumentSource;
 import org.zinniaspan.http.HttpListener;
+import org.zinniaspan.http.HttpOrderClient;
 import org.zinniaspan.http.HttpServiceClient;
 import org.zinniaspan.http.LoadPoller;
 import org.zinniaspan.http.OpenAiEngineClient;
+import org.zinniaspan.inventory.Endpoint;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.lifecycle.Drain;
 import org.zinniaspan.log.EventLog;
-import org.zinniaspan.membership.ListedMembership;
+import org.zinniaspan.membership.GossipMembership;
 import org.zinniaspan.membership.Member;
-import org.zinniaspan.membership.Membership;
 import org.zinniaspan.peer.NettyPeerTransport;
 import org.zinniaspan.peer.PeerLink;
 import org.zinniaspan.peer.PeerRouter;
+import org.zinniaspan.peer.proto.Envelope.BodyCase;
+import org.zinniaspan.placement.DemandMeter;
+import org.zinniaspan.placement.Placer;
 import org.zinniaspan.routing.EndpointChooser;
 import org.zinniaspan.routing.EndpointTable;
 import org.zinniaspan.routing.LearnedOutput;
+import org.zinniaspan.runner.BlockingCallSender;
 import org.zinniaspan.runner.CallRunner;
-import org.zinniaspan.runner.DirectCallRunner;
+import org.zinniaspan.runner.RunnerPorts;
+import org.zinniaspan.runner.ServiceCallRunner;
 import org.zinniaspan.stream.ChatRunner;
 import org.zinniaspan.stream.ResumingChatRunner;
 import org.zinniaspan.stream.RetryBudget;
@@ -57,6 +70,7 @@
 
   private static final long TICK_MS = 50;
   private static final int POLL_THREADS = 2;
+  private static final long PLACEMENT_POLL_MS = 2_000;
 
   private final Closer closer = new Closer();
   private final Drain drain = new Drain();
@@ -65,13 +79,21 @@
   private final ConfigurationStore store = new ConfigurationStore();
   private final PeerRouter peers = new PeerRouter();
   private final List<Ticking> ticking = new ArrayList<>();
+  private final DemandMeter demand = new DemandMeter(clock);
   private final EntrySettings settings;
-  private final Membership membership;
+  private final GossipMembership membership;
+  private volatile LongSupplier platformAgeMs = () -> -1;
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
     Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
-    this.membership = new ListedMembership(self, settings.zone, () -> store.current().vms());
+    this.membership =
+        new GossipMembership(
+            self,
+            settings.zone,
+            settings.zones.gossip(settings.seed),
+            () -> store.current().vms(),
+            clock);
   }
 
   /**
@@ -102,14 +124,19 @@
     SlotService slots = slots(table, transport);
     ChatRunner chats = chats(slots, table);
     CallRunner calls = calls(slots, transport);
-    Limits limits = new Limits(settings.maxBodyBytes);
+    Limits limits = new Limits(settings.maxBodyBytes, settings.maxInFlight);
+    SlowCallers slowCallers = new SlowCallers(clock);
+    ticking.add(slowCallers);
     Gateway gateway =
         new Gateway(
             this::configuration,
             drain,
-            new ChatHandler(this::configuration, chats, metrics, limits, clock),
+            limits,
+            slowCallers,
+            new ChatHandler(this::configuration, counted(chats), metrics, limits, clock),
             new CallHandler(this::configuration, calls, metrics, limits, clock));
     feedConfiguration(transport);
+    placeModels(table);
     closer.add(HttpListener.start(Addresses.parse(settings.listen), gateway));
     closer.add(HttpListener.start(Addresses.parse(settings.adminListen), admin(transport)));
     startTicking();
@@ -119,10 +146,21 @@
   private SlotService slots(EndpointTable table, PeerLink link) {
     ExecutorService polls = executor(Executors.newFixedThreadPool(POLL_THREADS));
     long periodMs = settings.routing.loadPeriodMs;
-    ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
-    LocalSlotService slots = new LocalSlotService(table, chooser(), clock);
-    ticking.add(slots);
-    return slots;
+    if (settings.slots.policy.equals(SlotSettings.LOCAL)) {
+      LocalSlotService local = new LocalSlotService(table, chooser(), clock);
+      ticking.add(new LoadPoller(table, endpoint -> true, periodMs, polls, clock));
+      ticking.add(local);
+      return local;
+    }
+    RouteLog log = new RouteLog();
+    DispatchContext context =
+        new DispatchContext(
+            membership, table, chooser(), this::configuration, clock, settings.slots.limits(), log);
+    SlotAssembly assembly = new SlotAssembly(context, link, peers);
+    assembly.export(metrics, log);
+    ticking.add(new LoadPoller(table, assembly::polls, periodMs, polls, clock));
+    ticking.addAll(assembly.ticking());
+    return assembly.service();
   }
 
   private EndpointChooser chooser() {
@@ -142,15 +180,93 @@
         .build();
   }
 
+  private ChatRunner counted(ChatRunner runner) {
+    return (call, callerLeft) -> {
+      demand.count(call.model());
+      return runner.start(call, callerLeft);
+    };
+  }
+
   private CallRunner calls(SlotService slots, PeerLink link) {
     ExecutorService threads = executor(Executors.newCachedThreadPool());
-    return new DirectCallRunner(
-        slots, new HttpServiceClient(), this::configuration, threads, clock);
+    RunnerPorts ports =
+        RunnerPorts.of(membership.self(), settings.zone)
+            .configuration(this::configuration)
+            .link(link)
+            .endpoints(slots, new BlockingCallSender(new HttpServiceClient(), threads))
+            .clock(clock)
+            .listConfirmedMs(this::platformHeardMs)
+            .settings(settings.calls.atMostOnce(), settings.seed);
+    ServiceCallRunner runner = new ServiceCallRunner(ports).register(peers);
+    ticking.add(runner);
+    return runner;
+  }
+
+  /** Returns the time at which the zone last heard the platform. */
+  private long platformHeardMs() {
+    long ageMs = platformAgeMs.getAsLong();
+    return ageMs < 0 ? Long.MIN_VALUE / 2 : clock.nowMs() - ageMs;
   }
 
   private void feedConfiguration(PeerLink link) {
     HttpDocumentSource source = new HttpDocumentSource(Addresses.parse(settings.platform));
-    closer.add(new PlatformReader(source, store));
+    ConfigurationFeed feed =
+        new FeedParts(
+                store,
+                closer.add(new ThreadedPlatform(source)),
+                membership,
+                settings.zone,
+                link,
+                executor(Executors.newSingleThreadExecutor()),
+                FeedSettings.withSeed(settings.seed),
+                clock)
+            .feed();
+    platformAgeMs = feed::platformAgeMs;
+    membership.connect(link, feed::extend);
+    peers.register(
+        message -> {
+          membership.handle(message);
+          feed.handle(message);
+        },
+        BodyCase.HEARTBEAT);
+    peers.register(feed, BodyCase.DOCUMENT_REQUEST, BodyCase.DOCUMENT_PART);
+    ticking.add(membership);
+    ticking.add(feed);
+    metrics.gauge(
+        "zinniaspan_platform_age_ms",
+        "Milliseconds since the availability zone last heard the platform, -1 if never.",
+        () -> (double) feed.platformAgeMs());
+    metrics.gauge(
+        "zinniaspan_platform_behind",
+        "Times that the platform listed a revision lower than the one in force.",
+        () -> (double) feed.platformBehind());
+    drain.begun().thenRun(membership::leave);
+  }
+
+  private void placeModels(EndpointTable table) {
+    if (!settings.placement.enabled) {
+      return;
+    }
+    ExecutorService threads = executor(Executors.newSingleThreadExecutor());
+    Placer placer =
+        new Placer.Builder()
+            .membership(membership)
+            .table(table)
+            .inventory(() -> configuration().inventory())
+            .demand(demand::perSecond)
+            .client(new HttpOrderClient(), threads)
+            .clock(clock)
+            .limits(settings.placement.limits())
+            .build();
+    ticking.add(placer);
+    ticking.add(
+        new LoadPoller(
+            table, endpoint -> readsForPlacement(endpoint), PLACEMENT_POLL_MS, threads, clock));
+  }
+
+  private boolean readsForPlacement(Endpoint endpoint) {
+    boolean managed = endpoint.memoryMb() > 0;
+    return managed && membership.ownerOf(Placer.ROLE).vm().equals(settings.vmName);
   }
 
   private ExecutorService executor(ExecutorService executor) {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/CallForwarder.java
@@ -0,0 +1,169 @@
+package org.zinniaspan.runner;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.inventory.VmEntry;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.ForwardedCall;
+import org.zinniaspan.peer.proto.ForwardedOutcome;
+import org.zinniaspan.peer.proto.OutcomeReply;
+
+/**
+ * Passes calls on to a VM of their home zone and waits for the outcome.
+ *
+ * <p>It first asks that VM for its time, and sends the call with that time, so that the receiver
+ * can tell how old a call that was held up on the way is.
+ */
+final class CallForwarder implements Ticking {
+
+  /** Longest body, in bytes, that fits a message with its headers. */
+  static final int MAX_BODY_BYTES = 200 * 1024;
+
+  private final RunnerPorts ports;
+  private final ArrivalTimes arrivals;
+  private final Map<String, Forward> open = new ConcurrentHashMap<>();
+
+  CallForwarder(RunnerPorts ports, ArrivalTimes arrivals) {
+    this.ports = ports;
+    this.arrivals = arrivals;
+  }
+
+  /** Passes a call on to a VM of the zone. */
+  CompletableFuture<CallResult> forward(ServiceCall call, String zone) {
+    return open(call, () -> anyVmOf(zone));
+  }
+
+  /** Passes a call on to a VM. */
+  CompletableFuture<CallResult> forwardTo(ServiceCall call, String vm) {
+    return open(call, () -> Optional.of(vm));
+  }
+
+  private Optional<String> anyVmOf(String zone) {
+    List<String> vms =
+        ports.configuration.get().vms().entriesOf(zone).stream()
+            .filter(vm -> !vm.isLeaving())
+            .map(VmEntry::name)
+            .toList();
+    return vms.isEmpty()
+        ? Optional.empty()
+        : Optional.of(vms.get(ports.random.nextInt(vms.size())));
+  }
+
+  private CompletableFuture<CallResult> open(ServiceCall call, Supplier<Optional<String>> target) {
+    if (call.body().length > MAX_BODY_BYTES) {
+      String message =
+          "body of %d bytes is too long to be passed on to another VM; %d bytes are not"
+              .formatted(call.body().length, MAX_BODY_BYTES);
+      return CompletableFuture.completedFuture(CallResult.unknown(message));
+    }
+    Forward forward = new Forward(call, target);
+    open.put(call.requestId(), forward);
+    forward.result.whenComplete((result, failure) -> open.remove(call.requestId()));
+    forward.ask();
+    return forward.result;
+  }
+
+  /** Takes in what the receiver says. */
+  void onOutcome(String vm, ForwardedOutcome outcome) {
+    Forward forward = open.get(outcome.getRequestId());
+    if (forward != null) {
+      forward.onOutcome(vm, outcome);
+    }
+  }
+
+  @Override
+  public void tick() {
+    open.values().forEach(Forward::tick);
+  }
+
+  boolean isIdle() {
+    return open.isEmpty();
+  }
+
+  /** One call; state is guarded by this object's lock. */
+  private final class Forward {
+
+    private final ServiceCall call;
+    private final Supplier<Optional<String>> target;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private final long startedMs = arrivals.earliestMs();
+    private Optional<String> vm = Optional.empty();
+    private long askedMs;
+    private long heardMs = ports.clock.nowMs();
+
+    Forward(ServiceCall call, Supplier<Optional<String>> target) {
+      this.call = call;
+      this.target = target;
+    }
+
+    synchronized void ask() {
+      askedMs = ports.clock.nowMs();
+      if (vm.isEmpty()) {
+        vm = target.get();
+        vm.ifPresent(this::log);
+      }
+      ForwardedCall question =
+          ForwardedCall.newBuilder().setRequestId(call.requestId()).setQuestion(true).build();
+      send(question);
+    }
+
+    private void send(ForwardedCall message) {
+      vm.ifPresent(to -> ports.link.send(to, Envelope.newBuilder().setForwardedCall(message)));
+    }
+
+    private void log(String to) {
+      EventLog.event("call-forward").with("requestId", call.requestId()).with("vm", to).info();
+    }
+
+    synchronized void tick() {
+      long nowMs = ports.clock.nowMs();
+      if (nowMs - heardMs >= ports.settings.reachTimeoutMs()) {
+        result.complete(CallResult.unknown(unreachable()));
+      } else if (nowMs - askedMs >= ports.settings.askPeriodMs()) {
+        ask();
+      }
+    }
+
+    private String unreachable() {
+      return vm.map(name -> "VM " + name + ", which runs the call, is out of reach")
+          .orElse("no VM of the home zone is listed");
+    }
+
+    synchronized void onOutcome(String from, ForwardedOutcome outcome) {
+      if (!vm.equals(Optional.of(from))) {
+        return;
+      }
+      heardMs = ports.clock.nowMs();
+      if (!outcome.hasOutcome()) {
+        sendCall(outcome.getSentMs());
+      } else if (outcome.getOutcome().getKind() != OutcomeReply.Kind.RUNNING) {
+        result.complete(OutcomeMemory.result(outcome.getOutcome(), outcome.getRetryAfterMs()));
+      }
+    }
+
+    private void sendCall(long receiverMs) {
+      ForwardedCall forwarded =
+          ForwardedCall.newBuilder()
+              .setRequestId(call.requestId())
+              .setOrganisation(call.organisation())
+              .setServiceClass(call.serviceClass().name())
+              .setService(call.service())
+              .setMethod(call.method())
+              .setPath(call.path())
+              .putAllHeaders(call.headers())
+              .setBody(ByteString.copyFrom(call.body()))
+              .setIdempotencyKey(call.idempotencyKey().orElse(call.requestId()))
+              .setReceiverMs(receiverMs)
+              .setAgeMs(ports.clock.nowMs() - startedMs)
+              .build();
+      send(forwarded);
+    }
+  }
+}
