--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/SimulateChoiceCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/SimulateCommand.java
@@ -18,11 +18,11 @@
 /**
  * Compares policies of the choice of endpoints in virtual time; the same seeds give the same table.
  *
- * <p>Example: {@code bin/zinniaspan-standins simulate-choice --rate 30 --seeds 5}. Lines that begin
- * with a brace are the log of the ejections.
+ * <p>Example: {@code bin/zinniaspan-standins simulate --rate 30 --seeds 5}. Lines that begin with a
+ * brace are the log of the ejections.
  */
 @Parameters(commandDescription = "Compare endpoint choice, ejection and hedging in virtual time.")
-public final class SimulateChoiceCommand implements StandinCommand {
+public final class SimulateCommand implements StandinCommand {
 
   private static final String COUNTER = "counter-question";
 
