--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/SlotMessages.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/SlotMessages.java
@@ -60,7 +60,8 @@
 
   static SlotUse use(SlotRelease release) {
     SlotResult result = SlotResult.valueOf(release.getResult());
-    return new SlotUse(result, release.getOutputTokens(), release.getFirstTokenMs());
+    return new SlotUse(
+        result, release.getOutputTokens(), release.getFirstTokenMs(), release.getDurationMs());
   }
 
   static SlotRelease release(SlotAsk ask, String endpoint, SlotUse use) {
@@ -71,6 +72,7 @@
         .setResult(use.result().name())
         .setOutputTokens(use.outputTokens())
         .setFirstTokenMs(use.firstTokenMs())
+        .setDurationMs(use.durationMs())
         .build();
   }
 
