Test lower incarnations and wrong hashes by themselves

Planted faults (a lower incarnation replaces a higher one; the hash is not checked) passed the fuzz test and the feed test. Both new tests fail with them and pass without.

--- a/zinniaspan/src/test/java/org/zinniaspan/configuration/ConfigurationFeedTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/configuration/ConfigurationFeedTest.java
@@ -119,6 +119,14 @@
 
   @Nested
   class TransferForm {
+    @Test
+    void contentThatIsNotOfTheHashIsRefused() {
+      Document document = new Document(DocumentName.RULES, 2, new byte[] {'{', '}'});
+      byte[] payload = DocumentTransfer.of(document, Optional.empty()).payload();
+      DocumentTransfer wrong = new DocumentTransfer(0, 0, 0, "0".repeat(64), payload);
+      assertThat(wrong.content(Optional.empty())).isEmpty();
+    }
+
     @Test
     void sameContentAtHigherRevisionIsRestored() {
       Document base = new Document(DocumentName.RULES, 1, new byte[] {'{', '}'});
--- a/zinniaspan/src/test/java/org/zinniaspan/membership/GossipMembershipTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/membership/GossipMembershipTest.java
@@ -7,6 +7,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.zinniaspan.peer.proto.Envelope;
+import org.zinniaspan.peer.proto.Heartbeat;
+import org.zinniaspan.peer.proto.MemberEntry;
 
 class GossipMembershipTest {
 
@@ -53,6 +56,16 @@
       assertThat(fleet.convergenceMs(5_000)).isAtMost(2_000L);
     }
 
+    @Test
+    void lowerIncarnationIsIgnored() {
+      fleet.network.advance(3_000);
+      final Member before = vm(0).member("vm-003").orElseThrow();
+      MemberEntry old = MemberEntry.newBuilder().setVm("vm-003").setIncarnation(1).build();
+      Heartbeat heartbeat = Heartbeat.newBuilder().addEntries(old).build();
+      vm(0).handle(Envelope.newBuilder().setFromVm("vm-003").setHeartbeat(heartbeat).build());
+      assertThat(vm(0).member("vm-003").orElseThrow()).isEqualTo(before);
+    }
+
     @Test
     void higherIncarnationReplacesAtOnce() {
       fleet.network.advance(3_000);
