--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.zinniaspan.cli.EnvironmentDefaults;
+import org.zinniaspan.standins.choice.SimulateCommand;
 import org.zinniaspan.standins.cost.CostCommand;
 import org.zinniaspan.standins.demo.DemoCommand;
 import org.zinniaspan.standins.load.ExperimentCommand;
@@ -34,6 +35,7 @@
     commands.put("cost", new CostCommand());
     commands.put("experiment", new ExperimentCommand());
     commands.put("simulate-slots", new SimulateSlotsCommand());
+    commands.put("simulate", new SimulateCommand());
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("zinniaspan-standins")
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -73,8 +73,8 @@
   private static final long PLACEMENT_POLL_MS = 2_000;
 
   private final Closer closer = new Closer();
-  private final Drain drain = new Drain();
   private final Clock clock = new SystemClock();
+  private final Drain drain;
   private final RouterMetrics metrics = new RouterMetrics();
   private final ConfigurationStore store = new ConfigurationStore();
   private final PeerRouter peers = new PeerRouter();
@@ -86,6 +86,7 @@
 
   private EntryDaemon(EntrySettings settings) {
     this.settings = settings;
+    this.drain = new Drain(clock, settings.zones.drainGraceMs);
     Member self = new Member(settings.vmName, clock.nowMs(), settings.peerListen, false);
     this.membership =
         new GossipMembership(
@@ -241,6 +242,7 @@
         "Times that the platform listed a revision lower than the one in force.",
         () -> (double) feed.platformBehind());
     drain.begun().thenRun(membership::leave);
+    ticking.add(drain);
   }
 
   private void placeModels(EndpointTable table) {
