Wait for owed outcomes in a planned stop, and order engines only on a settled view

Cause: the drain did not wait for outcomes that other VMs still ask for, and the placer did not ask whether the view of members was renewed after a pause. Both conditions existed in the parts and were not connected.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -203,6 +203,7 @@
             .settings(settings.calls.atMostOnce(), settings.seed);
     ServiceCallRunner runner = new ServiceCallRunner(ports).register(peers);
     ticking.add(runner);
+    drain.addCondition(runner::isIdle);
     return runner;
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/placement/Placer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/Placer.java
@@ -158,7 +158,7 @@
   }
 
   private boolean ownsRole() {
-    return membership.ownerOf(ROLE).vm().equals(membership.self().vm());
+    return membership.isSettled() && membership.ownerOf(ROLE).vm().equals(membership.self().vm());
   }
 
   private boolean isDue(Change change, long now) {
