Decide on cached endpoint states, and measure what periodic work costs

Cause: each decision selected the zone's endpoints from the whole inventory, built every endpoint's state anew (up to 256 entries each) and scanned the list of VMs once for each endpoint; the placer planned at every tick.

Ruled out: the periodic work as the whole of the idle processor time.

Change: endpoints of the zone and groups of pools are selected once for each inventory, a state is derived once for each change of its record, leaving VMs are a set, the placer plans once a second.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -281,19 +281,15 @@
   }
 
   private void startTicking() {
-    ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
-    executor(ticker);
-    ticker.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-  }
-
-  private void tick() {
-    for (Ticking component : ticking) {
-      try {
-        component.tick();
-      } catch (RuntimeException e) {
-        EventLog.event("tick-failed").with("component", component).with("error", e).warn();
-      }
-    }
+    Ticker ticker = new Ticker(ticking);
+    ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+    executor(thread);
+    thread.scheduleWithFixedDelay(ticker::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    metrics.gauges(
+        "zinniaspan_tick_seconds",
+        "Time spent in periodic work since the start.",
+        "component",
+        ticker::seconds);
   }
 
   private AdminHandler admin(NettyPeerTransport transport) {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Ticker.java
@@ -0,0 +1,45 @@
+package org.zinniaspan.cli;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * Ticks all components in turn and measures what each costs; used by one thread.
+ *
+ * <p>A component that fails is logged and ticked again next time.
+ */
+final class Ticker implements Ticking {
+
+  private static final double NANOS_PER_SECOND = 1_000_000_000.0;
+
+  private final List<Ticking> components;
+  private final Map<String, Double> seconds = new ConcurrentHashMap<>();
+
+  Ticker(List<Ticking> components) {
+    this.components = List.copyOf(components);
+  }
+
+  @Override
+  public void tick() {
+    components.forEach(this::tick);
+  }
+
+  private void tick(Ticking component) {
+    String name = component.getClass().getSimpleName();
+    long start = System.nanoTime();
+    try {
+      component.tick();
+    } catch (RuntimeException e) {
+      EventLog.event("tick-failed").with("component", name).with("error", e).warn();
+    }
+    seconds.merge(name, (System.nanoTime() - start) / NANOS_PER_SECOND, Double::sum);
+  }
+
+  /** Returns the seconds spent in each component since the start. */
+  Map<String, Double> seconds() {
+    return Map.copyOf(seconds);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/Configuration.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/Configuration.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.zinniaspan.inventory.Inventory;
 import org.zinniaspan.inventory.Organisation;
 import org.zinniaspan.inventory.Rules;
+import org.zinniaspan.inventory.VmEntry;
 import org.zinniaspan.inventory.VmList;
 
 /** An immutable view of the documents in force. */
@@ -20,6 +22,7 @@
   private final Map<String, Organisation> organisationsByKeyHash;
   private final Map<String, Organisation> organisationsByName;
   private final Map<DocumentName, Long> revisions;
+  private final Set<String> leaving;
 
   Configuration(
       Inventory inventory,
@@ -35,6 +38,11 @@
         organisations.stream()
             .collect(Collectors.toMap(Organisation::name, Function.identity(), (a, b) -> b));
     this.revisions = Map.copyOf(revisions);
+    this.leaving =
+        vms.vms().stream()
+            .filter(VmEntry::isLeaving)
+            .map(VmEntry::name)
+            .collect(Collectors.toUnmodifiableSet());
   }
 
   private static Map<String, Organisation> indexByKeyHash(List<Organisation> organisations) {
@@ -55,6 +63,11 @@
     return rules;
   }
 
+  /** Returns whether the platform's list calls the VM of that name leaving. */
+  public boolean isLeaving(String name) {
+    return leaving.contains(name);
+  }
+
   /** Returns the platform's lagging list of VMs; empty until one has been read. */
   public VmList vms() {
     return vms;
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatchContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/DispatchContext.java
@@ -2,7 +2,6 @@
 
 import java.util.Set;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.configuration.Configuration;
@@ -63,7 +62,7 @@
 
   /** Returns the pools that have endpoints in this availability zone. */
   Set<Pool> pools() {
-    return table.endpoints().stream().flatMap(DispatchContext::pools).collect(Collectors.toSet());
+    return sharedPools.pools(configuration.get(), table.endpoints());
   }
 
   /** Returns the pools that an endpoint serves from the start. */
--- a/zinniaspan/src/main/java/org/zinniaspan/dispatch/SharedPools.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/dispatch/SharedPools.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.zinniaspan.configuration.Configuration;
 import org.zinniaspan.configuration.DocumentName;
 import org.zinniaspan.inventory.Endpoint;
@@ -17,17 +19,31 @@
 final class SharedPools {
 
   private final Map<Pool, Pool> parents = new HashMap<>();
+  private Set<Pool> pools = Set.of();
   private long revision = -1;
 
   /** Returns the name of the group to which a pool belongs. */
   synchronized String groupOf(Pool pool, Configuration configuration, List<Endpoint> endpoints) {
+    renew(configuration, endpoints);
+    return root(pool).id();
+  }
+
+  /** Returns all pools that the endpoints may serve. */
+  synchronized Set<Pool> pools(Configuration configuration, List<Endpoint> endpoints) {
+    renew(configuration, endpoints);
+    return pools;
+  }
+
+  private void renew(Configuration configuration, List<Endpoint> endpoints) {
     long current = configuration.revision(DocumentName.INVENTORY);
-    if (current != revision) {
-      parents.clear();
-      endpoints.forEach(this::join);
-      revision = current;
+    if (current == revision) {
+      return;
     }
-    return root(pool).id();
+    parents.clear();
+    endpoints.forEach(this::join);
+    pools =
+        endpoints.stream().flatMap(DispatchContext::pools).collect(Collectors.toUnmodifiableSet());
+    revision = current;
   }
 
   private void join(Endpoint endpoint) {
--- a/zinniaspan/src/main/java/org/zinniaspan/placement/Placer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/placement/Placer.java
@@ -33,6 +33,7 @@
   public static final String ROLE = "placement";
 
   private static final long MAX_GAP_MS = 1_000;
+  private static final long PLAN_PERIOD_MS = 1_000;
   private static final long FENCING_STEPS_PER_MS = 1_024;
 
   private final Membership membership;
@@ -49,6 +50,7 @@
   private Optional<Long> ownerSinceMs = Optional.empty();
   private long lastFencing;
   private boolean inFlight;
+  private long nextPlanMs = Long.MIN_VALUE;
 
   /** Builds a {@link Placer}; every part but the limits must be given. */
   public static final class Builder {
@@ -141,9 +143,10 @@
       ownerSinceMs = Optional.of(now);
       budget = Optional.of(newBudget(now));
     }
-    if (inFlight || now - ownerSinceMs.get() < limits.handoverMs()) {
+    if (inFlight || now < nextPlanMs || now - ownerSinceMs.get() < limits.handoverMs()) {
       return Optional.empty();
     }
+    nextPlanMs = now + PLAN_PERIOD_MS;
     PlacementPlanner planner = new PlacementPlanner(inventory.get().models());
     List<EngineView> engines = engines(now);
     return planner
--- a/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointRecord.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointRecord.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.zinniaspan.dispatch.SlotAsk;
 import org.zinniaspan.dispatch.SlotUse;
 import org.zinniaspan.inventory.Endpoint;
@@ -24,10 +25,28 @@
   private final LeavingMark leaving = new LeavingMark();
   private final PrefixMemory prefixes = new PrefixMemory();
   private Optional<LoadReport> report = Optional.empty();
+  private Optional<EndpointState> known = Optional.empty();
+  private long knownUntilMs;
   private double observedMsPerToken;
   private long observedMs = Long.MIN_VALUE / 2;
 
+  /** Returns the models that the last report lists, none without a report. */
+  synchronized Set<String> loadedModels() {
+    return report.map(LoadReport::models).orElse(Set.of());
+  }
+
   synchronized EndpointState state(Endpoint endpoint, long nowMs) {
+    boolean usable =
+        known.isPresent() && known.get().endpoint() == endpoint && nowMs <= knownUntilMs;
+    if (!usable) {
+      known = Optional.of(derive(endpoint, nowMs));
+      boolean paceIsOwn = nowMs - observedMs <= PACE_VALID_MS;
+      knownUntilMs = paceIsOwn ? observedMs + PACE_VALID_MS : Long.MAX_VALUE;
+    }
+    return known.get();
+  }
+
+  private EndpointState derive(Endpoint endpoint, long nowMs) {
     long reportedMs = report.map(LoadReport::asOfMs).orElse(Long.MIN_VALUE);
     long since = heldSinceMs.values().stream().filter(ms -> ms > reportedMs).count();
     long gone =
@@ -52,17 +71,20 @@
   /** Returns whether the report changes what is known of the endpoint's leaving. */
   synchronized boolean report(LoadReport newer, long nowMs) {
     report = Optional.of(newer);
+    known = Optional.empty();
     return leaving.onReport(newer.leaving(), newer.asOfMs(), nowMs);
   }
 
   synchronized void hold(SlotAsk ask, long nowMs) {
     heldSinceMs.put(ask.attemptId(), nowMs);
+    known = Optional.empty();
     health.onHold(ask.attemptId());
     prefixes.remember(ask.prefixDigests(), nowMs);
   }
 
   synchronized void free(String attemptId, long nowMs) {
     health.onFree(attemptId);
+    known = Optional.empty();
     Long heldMs = heldSinceMs.remove(attemptId);
     if (heldMs == null) {
       return;
@@ -76,6 +98,7 @@
   /** Learns from a use; returns whether it ejected the endpoint. */
   synchronized boolean observe(SlotUse use, long nowMs) {
     double pace = use.msPerToken();
+    known = Optional.empty();
     if (pace > 0) {
       boolean fresh = nowMs - observedMs <= PACE_VALID_MS;
       observedMsPerToken =
--- a/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/routing/EndpointTable.java
@@ -26,7 +26,7 @@
   /** Time for which a word of leaving holds if nothing newer is heard, in milliseconds. */
   public static final long LEAVING_MS = LeavingMark.LAPSE_MS;
 
-  private final String zone;
+  private final ZoneEndpoints endpoints;
   private final Supplier<Configuration> configuration;
   private final Clock clock;
   private final Map<String, EndpointRecord> rows = new ConcurrentHashMap<>();
@@ -34,7 +34,7 @@
 
   /** Creates an empty table for an availability zone. */
   public EndpointTable(String zone, Supplier<Configuration> configuration, Clock clock) {
-    this.zone = zone;
+    this.endpoints = new ZoneEndpoints(zone, configuration);
     this.configuration = configuration;
     this.clock = clock;
   }
@@ -50,7 +50,7 @@
   }
 
   private boolean serves(Endpoint endpoint, Pool pool) {
-    Set<String> loaded = state(endpoint).report().map(LoadReport::models).orElse(Set.of());
+    Set<String> loaded = row(endpoint.name()).loadedModels();
     if (pool.kind() == EndpointKind.SERVICE || loaded.isEmpty()) {
       return endpoint.serves(pool);
     }
@@ -59,9 +59,7 @@
 
   /** Returns the endpoints of this availability zone. */
   public List<Endpoint> endpoints() {
-    return configuration.get().inventory().endpoints().stream()
-        .filter(endpoint -> endpoint.zone().equals(zone))
-        .toList();
+    return endpoints.list();
   }
 
   /** Returns the endpoints of a pool that may get new work and have a free slot. */
@@ -141,7 +139,7 @@
 
   /** Returns whether the endpoint gets no new work because it leaves. */
   public boolean isLeaving(String endpoint) {
-    return row(endpoint).isLeaving(clock.nowMs()) || configuration.get().vms().isLeaving(endpoint);
+    return row(endpoint).isLeaving(clock.nowMs()) || configuration.get().isLeaving(endpoint);
   }
 
   private EndpointRecord row(String endpoint) {
