--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -0,0 +1,139 @@
+package org.zinniaspan.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import org.zinniaspan.forwarding.ZoneMap;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.inventory.Finding;
+import org.zinniaspan.platform.HttpDialect;
+import org.zinniaspan.platform.StoreClient;
+import org.zinniaspan.proxy.ForwardDaemon;
+import org.zinniaspan.proxy.ForwardSettings;
+import sun.misc.Signal;
+
+/**
+ * Runs the daemon that forwards requests to the endpoints of a platform.
+ *
+ * <p>Example: {@code zinniaspan forward --zone recife-a --listen 10.1.0.40:8227 --ready-listen
+ * 10.1.0.40:8220 --platform 10.200.1.7:8223}
+ */
+@Parameters(commandDescription = "Run the daemon of an entry VM on a platform.")
+final class ForwardCommand implements Command {
+
+  private static final long MS_PER_SECOND = 1_000;
+
+  /** Longest time until an answer of the platform, in milliseconds. */
+  private static final long PLATFORM_TIMEOUT_MS = 800;
+
+  /** Time by which trust ends before a key that was taken away must not be used, in ms. */
+  private static final long TRUST_MARGIN_MS = 400;
+
+  @Parameter(names = "--help", help = true, description = "Show this help.")
+  private boolean help;
+
+  @Parameter(names = "--zone", description = "Availability zone of this VM.")
+  private String zone = "";
+
+  @Parameter(
+      names = "--zones",
+      description = "Region of each availability zone, as {\"zone-a\":\"region-1\"}.")
+  private String zones = "{}";
+
+  @Parameter(names = "--listen", description = "Address for clients, host:port.")
+  private String listen = "127.0.0.1:8080";
+
+  @Parameter(names = "--ready-listen", description = "Address for readiness checks, host:port.")
+  private String readyListen = "127.0.0.1:8081";
+
+  @Parameter(names = "--platform", description = "Address of the platform's store, host:port.")
+  private String platform = "";
+
+  @Parameter(
+      names = "--revoke-ms",
+      description = "Time after which a key that was taken away must not be used, in ms.")
+  private long revokeMs = 5_000;
+
+  @Parameter(names = "--grace-s", description = "Time that a planned stop may take, in s.")
+  private double graceS = 8;
+
+  @Parameter(
+      names = "--retry-ratio",
+      description = "Retries per request that all VMs together may make.")
+  private double retryRatio = 0.2;
+
+  @Parameter(names = "--seed", description = "Seed of all random numbers; 0 takes any.")
+  private long seed = 0;
+
+  @Override
+  public boolean isHelp() {
+    return help;
+  }
+
+  @Override
+  public int run(PrintStream out) {
+    List<Finding> findings = findings();
+    if (!findings.isEmpty()) {
+      findings.forEach(System.err::println);
+      return Main.EXIT_USAGE;
+    }
+    try (ForwardDaemon daemon = ForwardDaemon.start(parts())) {
+      Signal.handle(new Signal("TERM"), signal -> daemon.stop());
+      Signal.handle(new Signal("INT"), signal -> daemon.stop());
+      Signal.handle(new Signal("HUP"), signal -> daemon.reload());
+      daemon.awaitEnd();
+      return Main.EXIT_OK;
+    } catch (IOException e) {
+      System.err.println("zinniaspan: " + e.getMessage());
+      return Main.EXIT_FAILURE;
+    }
+  }
+
+  private ForwardDaemon.Parts parts() {
+    InetSocketAddress store = Addresses.parse(platform);
+    long trustMs = Math.max(revokeMs / 2, revokeMs - TRUST_MARGIN_MS);
+    return new ForwardDaemon.Parts(
+        Addresses.parse(listen),
+        Addresses.parse(readyListen),
+        store,
+        caller -> new StoreClient(caller, store, PLATFORM_TIMEOUT_MS),
+        new HttpDialect(),
+        new ZoneMap(zone, regions()),
+        new ForwardSettings(trustMs, retryRatio, Math.round(graceS * MS_PER_SECOND)),
+        seed == 0 ? System.nanoTime() : seed);
+  }
+
+  private List<Finding> findings() {
+    SettingsChecks checks = new SettingsChecks();
+    checks.required("--zone", zone);
+    checks.address("--listen", listen);
+    checks.address("--ready-listen", readyListen);
+    checks.address("--platform", platform);
+    checks.atLeast("--revoke-ms", revokeMs, 1);
+    checks.atLeast("--grace-s", Math.round(graceS), 1);
+    if (retryRatio < 0 || retryRatio > 1) {
+      checks.add("--retry-ratio", "is " + retryRatio + "; valid are numbers from 0 to 1");
+    }
+    try {
+      regions();
+    } catch (IllegalArgumentException e) {
+      checks.add("--zones", "'" + zones + "' is no object as {\"zone-a\":\"region-1\"}");
+    }
+    return checks.findings();
+  }
+
+  private Map<String, String> regions() {
+    try {
+      return new ObjectMapper().readValue(zones, new TypeReference<Map<String, String>>() {});
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -0,0 +1,216 @@
+package org.zinniaspan.forwarding;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * Keeps the routing table and the list of endpoints up to date.
+ *
+ * <p>A watch brings changes at once. As a watch may stay silent without cause, the table is also
+ * read again at an interval; only such a read confirms it. Versions never go back.
+ */
+public final class CatalogFollower implements Ticking {
+
+  /**
+   * Time between two confirming reads, in milliseconds: below the 2,500 ms within which a
+   * configuration has to be in force, less one failed read.
+   */
+  private static final long CONFIRM_INTERVAL_MS = 1_400;
+
+  /** Time between two complete reads of the endpoints while the watch works, in milliseconds. */
+  private static final long ENDPOINTS_INTERVAL_MS = 10_000;
+
+  /** Longest wait of a watch, in milliseconds; it bounds how long a dead one goes unnoticed. */
+  private static final long WATCH_WAIT_MS = 1_200;
+
+  /** Time after a failed call until the next one, in milliseconds, and as much again at random. */
+  private static final int RETRY_PAUSE_MS = 120;
+
+  /** Age of the last answered read from which the platform counts as having been away, in ms. */
+  private static final long OUTAGE_MS = 1_800;
+
+  private final Catalog catalog;
+  private final Clock clock;
+  private final TableTrust trust;
+  private final EndpointDirectory directory;
+  private final Random random;
+  private final Runnable onConfirmed;
+
+  private Optional<RoutingTable> table = Optional.empty();
+  private boolean readingTable;
+  private boolean readingEndpoints;
+  private boolean watching;
+  private boolean listComplete;
+  private boolean reachable = true;
+  private long revision;
+  private long lastAnswerMs;
+  private long nextTableMs;
+  private long nextEndpointsMs;
+
+  /**
+   * Creates a follower that has read nothing.
+   *
+   * @param onConfirmed called after each confirmation of the table
+   */
+  public CatalogFollower(
+      Catalog catalog,
+      Clock clock,
+      TableTrust trust,
+      EndpointDirectory directory,
+      Random random,
+      Runnable onConfirmed) {
+    this.catalog = catalog;
+    this.clock = clock;
+    this.trust = trust;
+    this.directory = directory;
+    this.random = random;
+    this.onConfirmed = onConfirmed;
+    this.lastAnswerMs = clock.nowMs();
+  }
+
+  /** Returns the table in force. */
+  public Optional<RoutingTable> table() {
+    return table;
+  }
+
+  /** Returns whether the endpoints were listed completely at least once. */
+  public boolean isListComplete() {
+    return listComplete;
+  }
+
+  @Override
+  public void tick() {
+    long now = clock.nowMs();
+    if (trust.clocksDisagree()) {
+      nextTableMs = Math.min(nextTableMs, now);
+    }
+    if (!readingTable && now >= nextTableMs) {
+      readTable();
+    }
+    if (!readingEndpoints && now >= nextEndpointsMs) {
+      readEndpoints();
+    }
+  }
+
+  private void readTable() {
+    readingTable = true;
+    TableTrust.Sent sent = trust.now();
+    catalog.readTable(
+        result -> {
+          readingTable = false;
+          onTable(result, sent);
+        });
+  }
+
+  private void onTable(CatalogResult<Optional<RoutingTable>> result, TableTrust.Sent sent) {
+    if (result instanceof CatalogResult.Read<Optional<RoutingTable>> read) {
+      onAnswered();
+      nextTableMs = clock.nowMs() + CONFIRM_INTERVAL_MS;
+      read.value().ifPresent(this::adopt);
+      if (table.isPresent()) {
+        trust.confirm(sent);
+        onConfirmed.run();
+      } else {
+        nextTableMs = clock.nowMs() + pause();
+      }
+    } else {
+      onFailed("table", result);
+      nextTableMs = clock.nowMs() + pause();
+    }
+  }
+
+  private void readEndpoints() {
+    readingEndpoints = true;
+    catalog.readEndpoints(
+        result -> {
+          readingEndpoints = false;
+          onEndpoints(result);
+        });
+  }
+
+  private void onEndpoints(CatalogResult<List<ListedEndpoint>> result) {
+    if (result instanceof CatalogResult.Read<List<ListedEndpoint>> read) {
+      onAnswered();
+      nextEndpointsMs = clock.nowMs() + ENDPOINTS_INTERVAL_MS;
+      directory.replaceAll(read.value());
+      listComplete = true;
+      if (!watching) {
+        revision = read.revision();
+        watch();
+      }
+    } else {
+      onFailed("endpoints", result);
+      nextEndpointsMs = clock.nowMs() + pause();
+    }
+  }
+
+  private void watch() {
+    watching = true;
+    catalog.watch(
+        revision,
+        WATCH_WAIT_MS,
+        result -> {
+          watching = false;
+          onChanges(result);
+        });
+  }
+
+  private void onChanges(CatalogResult<CatalogChanges> result) {
+    if (result instanceof CatalogResult.Read<CatalogChanges> read) {
+      read.value().table().ifPresent(this::adopt);
+      read.value().endpoints().forEach(directory::apply);
+      revision = Math.max(revision, read.revision());
+      watch();
+      return;
+    }
+    EventLog.event("watch-lost").with("revision", revision).with("result", result).info();
+    boolean atOnce = result instanceof CatalogResult.HistoryLost;
+    nextTableMs = clock.nowMs() + (atOnce ? 0 : random.nextInt(RETRY_PAUSE_MS));
+    nextEndpointsMs = nextTableMs;
+    tick();
+  }
+
+  private void adopt(RoutingTable candidate) {
+    long held = table.map(RoutingTable::version).orElse(-1L);
+    if (candidate.version() <= held) {
+      return;
+    }
+    table = Optional.of(candidate);
+    EventLog.event("configuration-adopted")
+        .with("version", candidate.version())
+        .with("before", held)
+        .with("routes", candidate.routeCount())
+        .info();
+  }
+
+  private void onAnswered() {
+    long now = clock.nowMs();
+    if (now - lastAnswerMs > OUTAGE_MS) {
+      directory.onPlatformBack();
+    }
+    lastAnswerMs = now;
+    if (!reachable) {
+      reachable = true;
+      EventLog.event("platform-regained").info();
+    }
+  }
+
+  private void onFailed(String what, Object result) {
+    if (reachable) {
+      reachable = false;
+      EventLog.event("platform-lost")
+          .with("call", what)
+          .with("result", result)
+          .with("lastAnswerAgeMs", clock.nowMs() - lastAnswerMs)
+          .warn();
+    }
+  }
+
+  private long pause() {
+    return RETRY_PAUSE_MS + random.nextInt(RETRY_PAUSE_MS);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/DecayingValue.java
@@ -0,0 +1,26 @@
+package org.zinniaspan.forwarding;
+
+/** A value that falls to half of itself in a fixed time. */
+final class DecayingValue {
+
+  private final double halfLifeMs;
+  private double value;
+  private long atMs;
+
+  DecayingValue(double halfLifeMs) {
+    this.halfLifeMs = halfLifeMs;
+  }
+
+  double at(long nowMs) {
+    return value * Math.pow(0.5, Math.max(0, nowMs - atMs) / halfLifeMs);
+  }
+
+  void add(double amount, long nowMs) {
+    set(at(nowMs) + amount, nowMs);
+  }
+
+  void set(double newValue, long nowMs) {
+    value = newValue;
+    atMs = nowMs;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -0,0 +1,134 @@
+package org.zinniaspan.forwarding;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * The endpoints that the platform lists, with what this VM knows of each.
+ *
+ * <p>Entries may expire while the platform is out of reach although their endpoints live; such
+ * entries return soon after it is back. So removals that are seen shortly after an outage wait.
+ */
+public final class EndpointDirectory {
+
+  /** How long after an outage an endpoint may be missing from the list, in milliseconds. */
+  private static final long RETURN_GRACE_MS = 2_200;
+
+  private final Clock clock;
+  private final Map<String, TrackedEndpoint> endpoints = new HashMap<>();
+  private final Map<String, Long> removals = new HashMap<>();
+  private long graceEndMs = Long.MIN_VALUE;
+
+  /** Creates an empty directory. */
+  public EndpointDirectory(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Notes that the platform answers again after it did not for a while. */
+  public void onPlatformBack() {
+    graceEndMs = clock.nowMs() + RETURN_GRACE_MS;
+  }
+
+  /** Takes over a complete list. */
+  public void replaceAll(List<ListedEndpoint> list) {
+    Set<String> ids = new HashSet<>();
+    list.forEach(
+        entry -> {
+          ids.add(entry.id());
+          put(entry);
+        });
+    List<String> missing = endpoints.keySet().stream().filter(id -> !ids.contains(id)).toList();
+    missing.forEach(id -> removeAfterGrace(id));
+  }
+
+  /** Takes over one change. */
+  public void apply(EndpointChange change) {
+    if (change instanceof EndpointChange.Listed listed) {
+      put(listed.endpoint());
+    } else {
+      removeAfterGrace(change.id());
+    }
+  }
+
+  /** Removes the endpoints whose time to return is over. */
+  public void tick() {
+    long now = clock.nowMs();
+    Iterator<Map.Entry<String, Long>> due = removals.entrySet().iterator();
+    while (due.hasNext()) {
+      Map.Entry<String, Long> removal = due.next();
+      if (removal.getValue() <= now) {
+        due.remove();
+        remove(removal.getKey());
+      }
+    }
+  }
+
+  /** Returns the endpoints of a service that take requests. */
+  public List<TrackedEndpoint> ready(String service) {
+    List<TrackedEndpoint> result = new ArrayList<>();
+    for (TrackedEndpoint endpoint : endpoints.values()) {
+      ListedEndpoint listed = endpoint.listed();
+      if (!listed.draining() && listed.service().equals(service)) {
+        result.add(endpoint);
+      }
+    }
+    return result;
+  }
+
+  /** Returns the number of endpoints. */
+  public int size() {
+    return endpoints.size();
+  }
+
+  /** Returns whether an endpoint is still listed. */
+  public boolean contains(String id) {
+    return endpoints.containsKey(id);
+  }
+
+  private void put(ListedEndpoint entry) {
+    removals.remove(entry.id());
+    TrackedEndpoint known = endpoints.get(entry.id());
+    if (known == null) {
+      endpoints.put(entry.id(), new TrackedEndpoint(entry));
+      log("endpoint-added", entry);
+    } else if (!known.listed().equals(entry)) {
+      known.update(entry);
+      log(entry.draining() ? "endpoint-draining" : "endpoint-changed", entry);
+    }
+  }
+
+  private void removeAfterGrace(String id) {
+    if (!endpoints.containsKey(id)) {
+      return;
+    }
+    if (clock.nowMs() < graceEndMs) {
+      removals.putIfAbsent(id, graceEndMs);
+    } else {
+      removals.remove(id);
+      remove(id);
+    }
+  }
+
+  private void remove(String id) {
+    TrackedEndpoint removed = endpoints.remove(id);
+    if (removed != null) {
+      log("endpoint-gone", removed.listed());
+    }
+  }
+
+  private static void log(String event, ListedEndpoint entry) {
+    EventLog.event(event)
+        .with("endpoint", entry.id())
+        .with("service", entry.service())
+        .with("address", entry.address())
+        .with("zone", entry.zone())
+        .info();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
@@ -0,0 +1,113 @@
+package org.zinniaspan.forwarding;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.membership.RendezvousHash;
+
+/**
+ * Chooses the endpoint with the least expected time until the first byte.
+ *
+ * <p>It adds up the prompts that wait there, the part of this prompt that has to be read anew, the
+ * delay seen lately, the distance, and a penalty for recent failures. Parts that many requests
+ * share have a home endpoint, which all VMs find by rendezvous hashing, so that an endpoint keeps
+ * what other VMs sent there.
+ */
+public final class ExpectedFirstByte implements EndpointSelector {
+
+  /** Prompt tokens that an engine reads in a millisecond, from the operators' sheet. */
+  private static final double PROMPT_TOKENS_PER_MS = 68.2;
+
+  /** Time that a request of a plain service takes, in milliseconds, from the operators' sheet. */
+  private static final double CALL_MS = 30;
+
+  /** Cost of one recent failure, in milliseconds: more than a normal answer takes. */
+  private static final double FAILURE_COST_MS = 400;
+
+  /** Shared parts from this length on have a home endpoint, in tokens. */
+  private static final long HOME_PART_TOKENS = 1_000;
+
+  /** Random spread that keeps VMs with the same view from one choice, in milliseconds. */
+  private static final double SPREAD_MS = 6;
+
+  private final Clock clock;
+  private final ZoneMap zones;
+  private final Random random;
+
+  /** Creates a selector. */
+  public ExpectedFirstByte(Clock clock, ZoneMap zones, Random random) {
+    this.clock = clock;
+    this.zones = zones;
+    this.random = random;
+  }
+
+  @Override
+  public Optional<Selection> select(
+      List<TrackedEndpoint> candidates, Optional<Prompt> prompt, Set<String> excluded) {
+    Optional<String> home = prompt.flatMap(p -> homeOf(p, candidates));
+    Selection best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (TrackedEndpoint candidate : candidates) {
+      if (excluded.contains(candidate.listed().id())) {
+        continue;
+      }
+      Selection selection = expect(candidate, prompt, home);
+      double cost =
+          selection.expectedMs()
+              + zones.costMs(candidate.listed().zone())
+              + random.nextDouble() * SPREAD_MS;
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = selection;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private Selection expect(
+      TrackedEndpoint candidate, Optional<Prompt> prompt, Optional<String> home) {
+    long now = clock.nowMs();
+    double expectedMs = candidate.delayMs(now) + FAILURE_COST_MS * candidate.failures(now);
+    if (prompt.isEmpty()) {
+      double load = (double) candidate.inFlight() / Math.max(1, candidate.listed().slots());
+      return new Selection(candidate, expectedMs + CALL_MS * load, 0);
+    }
+    boolean isHome = home.equals(Optional.of(candidate.listed().id()));
+    long unread = unreadTokens(candidate, prompt.get(), isHome);
+    double readMs = (candidate.waitingPromptTokens() + unread) / PROMPT_TOKENS_PER_MS;
+    return new Selection(candidate, expectedMs + readMs + candidate.inFlight(), unread);
+  }
+
+  private static long unreadTokens(TrackedEndpoint candidate, Prompt prompt, boolean isHome) {
+    long unread = prompt.tokens();
+    for (PromptPart part : prompt.parts()) {
+      boolean held = candidate.holds(part) || (isHome && part.tokens() >= HOME_PART_TOKENS);
+      if (!held && !(isHome && part.equals(prompt.parts().get(0)))) {
+        break;
+      }
+      unread -= part.tokens();
+    }
+    return Math.max(0, unread);
+  }
+
+  /** Returns the endpoint that all VMs expect to hold the longest shared part. */
+  private static Optional<String> homeOf(Prompt prompt, List<TrackedEndpoint> candidates) {
+    return sharedPart(prompt)
+        .flatMap(
+            part -> {
+              List<String> ids =
+                  candidates.stream().map(candidate -> candidate.listed().id()).toList();
+              return RendezvousHash.ranked(part.id(), ids, 1).stream().findFirst();
+            });
+  }
+
+  private static Optional<PromptPart> sharedPart(Prompt prompt) {
+    return prompt.parts().stream()
+        .limit(Math.max(0, prompt.parts().size() - 1))
+        .filter(part -> part.tokens() >= HOME_PART_TOKENS)
+        .max(Comparator.comparingLong(PromptPart::tokens));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptPart.java
@@ -0,0 +1,9 @@
+package org.zinniaspan.forwarding;
+
+/**
+ * A part of a prompt, which other prompts may share.
+ *
+ * @param id identifies the content
+ * @param tokens its length
+ */
+public record PromptPart(String id, long tokens) {}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -0,0 +1,92 @@
+package org.zinniaspan.forwarding;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the configuration: routes, services, API keys and limits.
+ *
+ * <p>Example: {@code table.route("shop.example", "/v1/chat/x")}.
+ */
+public final class RoutingTable {
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceSpec> services;
+  private final Map<String, Organisation> organisationsByKey;
+  private final boolean keysRequired;
+  private final InboundLimits limits;
+
+  /**
+   * Creates a table.
+   *
+   * @param version version of the configuration; only grows
+   * @param keysRequired whether routes that are not anonymous need an API key
+   */
+  public RoutingTable(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceSpec> services,
+      Map<String, Organisation> organisationsByKey,
+      boolean keysRequired,
+      InboundLimits limits) {
+    this.version = version;
+    this.services = Map.copyOf(services);
+    this.organisationsByKey = Map.copyOf(organisationsByKey);
+    this.keysRequired = keysRequired;
+    this.limits = limits;
+    routes.forEach(
+        route -> routesByHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route));
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+  }
+
+  /** Returns the version of the configuration. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the bounds on what clients send. */
+  public InboundLimits limits() {
+    return limits;
+  }
+
+  /** Returns the number of routes. */
+  public int routeCount() {
+    return routesByHost.values().stream().mapToInt(List::size).sum();
+  }
+
+  /** Returns the route whose prefix is the longest that begins the path. */
+  public Optional<Route> route(String host, String path) {
+    String name = host.toLowerCase(Locale.ROOT).replaceFirst(":[0-9]*$", "");
+    return routesByHost.getOrDefault(name, List.of()).stream()
+        .filter(route -> path.startsWith(route.prefix()))
+        .findFirst();
+  }
+
+  /** Returns a service by its name. */
+  public Optional<ServiceSpec> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns whether requests on the route need an API key. */
+  public boolean needsKey(Route route) {
+    return keysRequired && !route.anonymous();
+  }
+
+  /** Returns whether the configuration names API keys at all. */
+  public boolean hasKeys() {
+    return keysRequired;
+  }
+
+  /** Returns the organisation that holds an API key. */
+  public Optional<Organisation> organisation(String key) {
+    return Optional.ofNullable(organisationsByKey.get(key));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -0,0 +1,120 @@
+package org.zinniaspan.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.zinniaspan.forwarding.EngineModel;
+import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.forwarding.Organisation;
+import org.zinniaspan.forwarding.Route;
+import org.zinniaspan.forwarding.RouteKind;
+import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.ServiceSpec;
+import org.zinniaspan.forwarding.WeightedService;
+
+/** Reads the operator's configuration. */
+final class ConfigurationDecoder {
+
+  private static final int LOWEST_PRIORITY = 9;
+
+  private ConfigurationDecoder() {}
+
+  /**
+   * Returns the routing table that a configuration describes.
+   *
+   * @throws IllegalArgumentException if it has no version
+   */
+  static RoutingTable decode(JsonNode root) {
+    if (!root.path("version").isIntegralNumber()) {
+      throw new IllegalArgumentException("'version' is missing or no whole number");
+    }
+    List<Route> routes = new ArrayList<>();
+    root.path("routes").forEach(node -> routes.add(route(node)));
+    Map<String, ServiceSpec> services = new HashMap<>();
+    root.path("services").forEach(node -> services.put(text(node, "name"), service(node)));
+    Map<String, Organisation> keys = new HashMap<>();
+    for (JsonNode node : root.path("tenants")) {
+      Organisation organisation = new Organisation(text(node, "name"), priority(node));
+      node.path("api_keys").forEach(key -> keys.put(key.asText(), organisation));
+    }
+    return new RoutingTable(
+        root.path("version").asLong(),
+        routes,
+        services,
+        keys,
+        root.path("tenants").isArray() && !root.path("tenants").isEmpty(),
+        limits(root.path("limits")));
+  }
+
+  private static Route route(JsonNode node) {
+    return new Route(
+        text(node, "name"),
+        text(node, "host").toLowerCase(Locale.ROOT),
+        text(node, "prefix"),
+        kind(text(node, "route_kind")),
+        services(node),
+        node.path("timeout_ms").asLong(30_000),
+        node.path("target_latency_ms").asLong(1_000),
+        node.path("priority").asInt(LOWEST_PRIORITY),
+        Math.max(1, node.path("max_attempts").asInt(1)),
+        node.path("anonymous").asBoolean(false),
+        node.path("resumable").asBoolean(false),
+        node.path("gap_target_ms").asLong(0));
+  }
+
+  private static List<WeightedService> services(JsonNode route) {
+    List<WeightedService> services = new ArrayList<>();
+    for (JsonNode share : route.path("traffic_split")) {
+      services.add(new WeightedService(text(share, "service"), share.path("weight").asInt(1)));
+    }
+    if (services.isEmpty()) {
+      services.add(new WeightedService(text(route, "service"), 1));
+    }
+    return services;
+  }
+
+  /** A kind that is not known is treated as non-idempotent, which is always safe. */
+  private static RouteKind kind(String text) {
+    return switch (text) {
+      case "safe" -> RouteKind.SAFE;
+      case "streaming" -> RouteKind.STREAMING;
+      default -> RouteKind.UNSAFE;
+    };
+  }
+
+  private static ServiceSpec service(JsonNode node) {
+    JsonNode engine = node.path("engine");
+    Optional<EngineModel> model =
+        engine.isObject()
+            ? Optional.of(
+                new EngineModel(
+                    engine.path("slots").asInt(1),
+                    engine.path("kv_capacity").asLong(Long.MAX_VALUE)))
+            : Optional.empty();
+    return new ServiceSpec(
+        text(node, "name"), node.path("max_connections").asInt(Integer.MAX_VALUE), model);
+  }
+
+  private static InboundLimits limits(JsonNode node) {
+    InboundLimits standard = InboundLimits.DEFAULT;
+    return new InboundLimits(
+        node.path("max_header_bytes").asInt(standard.maxHeaderBytes()),
+        node.path("max_body_bytes").asInt(standard.maxBodyBytes()),
+        node.path("header_timeout_ms").asLong(standard.headerTimeoutMs()),
+        node.path("idle_timeout_ms").asLong(standard.idleTimeoutMs()));
+  }
+
+  private static Optional<Integer> priority(JsonNode node) {
+    return node.path("priority").isInt()
+        ? Optional.of(node.path("priority").asInt())
+        : Optional.empty();
+  }
+
+  private static String text(JsonNode node, String field) {
+    return node.path(field).asText("");
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -0,0 +1,187 @@
+package org.zinniaspan.platform;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.zinniaspan.forwarding.Prompt;
+import org.zinniaspan.forwarding.PromptPart;
+import org.zinniaspan.forwarding.RequestFacts;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.proxy.Dialect;
+
+/** The platform's HTTP headers. */
+public final class HttpDialect implements Dialect {
+
+  private static final String BEARER = "bearer ";
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  /** Headers that concern only one connection, in lower case. */
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "content-length",
+          "upgrade",
+          "expect");
+
+  /** Headers that only the router may set, in lower case. */
+  private static final Set<String> ROUTER_HEADERS =
+      Set.of(
+          lower(HeaderNames.DEADLINE_MS),
+          lower(HeaderNames.EXPECT_INSTANCE),
+          lower(HeaderNames.TENANT),
+          lower(HeaderNames.REQUEST_PRIORITY),
+          lower(HeaderNames.EXPECT_VERSION),
+          lower(HeaderNames.HOLD),
+          lower(HeaderNames.PIN_MS),
+          lower(HeaderNames.KV_BACKUP),
+          lower(HeaderNames.KV_FROM),
+          lower(HeaderNames.KV_FETCH));
+
+  @Override
+  public RequestFacts requestFacts(HttpRequest head) {
+    String target = head.getPath();
+    int query = target.indexOf('?');
+    return new RequestFacts(
+        value(head, HeaderNames.ATTEMPT_ID),
+        host(head),
+        query < 0 ? target : target.substring(0, query),
+        value(head, HttpHeaders.AUTHORIZATION).flatMap(HttpDialect::bearer),
+        value(head, HeaderNames.DEADLINE_MS).flatMap(HttpDialect::wholeNumber),
+        value(head, HeaderNames.TOKEN_USAGE).flatMap(usage -> prompt(head, usage)));
+  }
+
+  @Override
+  public HttpRequest endpointRequest(HttpRequest clientHead, EndpointCall call) {
+    HttpRequest request = new BasicHttpRequest(clientHead.getMethod(), clientHead.getPath());
+    Set<String> dropped = connectionHeaders(clientHead);
+    for (Header header : clientHead.getHeaders()) {
+      String name = lower(header.getName());
+      boolean credentials = call.dropCredentials() && name.equals("authorization");
+      boolean replaced = call.afterEvent().isPresent() && name.equals("last-event-id");
+      if (!dropped.contains(name)
+          && !ROUTER_HEADERS.contains(name)
+          && !name.equals("host")
+          && !credentials
+          && !replaced) {
+        request.addHeader(header);
+      }
+    }
+    request.setHeader(HttpHeaders.HOST, host(clientHead));
+    request.setHeader(HeaderNames.EXPECT_INSTANCE, call.endpointId());
+    call.organisation().ifPresent(name -> request.setHeader(HeaderNames.TENANT, name));
+    call.deadlineMs().ifPresent(ms -> request.setHeader(HeaderNames.DEADLINE_MS, ms));
+    call.priority().ifPresent(rank -> request.setHeader(HeaderNames.REQUEST_PRIORITY, rank));
+    call.afterEvent().ifPresent(id -> request.setHeader("Last-Event-Id", id));
+    if (call.bodyBytes() > 0 || clientHead.containsHeader(HttpHeaders.CONTENT_LENGTH)) {
+      request.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(call.bodyBytes()));
+    }
+    return request;
+  }
+
+  @Override
+  public AnswerFacts answerFacts(HttpResponse head) {
+    boolean notRun =
+        head.containsHeader(HeaderNames.NOT_EXECUTED)
+            || head.getCode() == HttpStatus.SC_MISDIRECTED_REQUEST;
+    return new AnswerFacts(
+        value(head, HeaderNames.ATTEMPT_ID),
+        head.containsHeader(HeaderNames.SERVER_STAMP),
+        notRun,
+        head.containsHeader(HttpHeaders.CONTENT_ENCODING));
+  }
+
+  @Override
+  public HttpResponse clientAnswer(HttpResponse endpointHead) {
+    HttpResponse answer = new BasicHttpResponse(endpointHead.getCode());
+    Set<String> dropped = connectionHeaders(endpointHead);
+    for (Header header : endpointHead.getHeaders()) {
+      if (!dropped.contains(lower(header.getName()))) {
+        answer.addHeader(header);
+      }
+    }
+    return answer;
+  }
+
+  @Override
+  public HttpResponse ownAnswer(
+      int status, Optional<String> attemptId, Optional<Long> retryAfterMs) {
+    HttpResponse answer = new BasicHttpResponse(status);
+    answer.setHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+    attemptId.ifPresent(id -> answer.setHeader(HeaderNames.ATTEMPT_ID, id));
+    retryAfterMs.ifPresent(
+        ms ->
+            answer.setHeader(
+                HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", ms / MS_PER_SECOND)));
+    return answer;
+  }
+
+  private static Set<String> connectionHeaders(HttpMessage head) {
+    Set<String> names = new HashSet<>(CONNECTION_HEADERS);
+    for (Header header : head.getHeaders(HttpHeaders.CONNECTION)) {
+      for (String name : header.getValue().split(",")) {
+        names.add(lower(name.trim()));
+      }
+    }
+    return names;
+  }
+
+  private static String host(HttpRequest head) {
+    return value(head, HttpHeaders.HOST)
+        .or(() -> Optional.ofNullable(head.getAuthority()).map(Object::toString))
+        .orElse("");
+  }
+
+  private static Optional<String> bearer(String authorization) {
+    return lower(authorization).startsWith(BEARER)
+        ? Optional.of(authorization.substring(BEARER.length()).trim())
+        : Optional.empty();
+  }
+
+  private static Optional<Prompt> prompt(HttpRequest head, String usage) {
+    String[] counts = usage.split(",");
+    Optional<Long> tokens = wholeNumber(counts[0].trim());
+    if (counts.length != 2 || tokens.isEmpty()) {
+      EventLog.event("prompt-unreadable").with("usage", usage).info();
+      return Optional.empty();
+    }
+    long output = wholeNumber(counts[1].trim()).orElse(0L);
+    List<PromptPart> parts = new ArrayList<>();
+    for (String part : value(head, HeaderNames.PREFIX_HASH).orElse("").split(",")) {
+      String[] fields = part.trim().split(":");
+      if (fields.length == 2) {
+        wholeNumber(fields[1]).ifPresent(n -> parts.add(new PromptPart(fields[0], n)));
+      }
+    }
+    return Optional.of(new Prompt(tokens.get(), output, parts));
+  }
+
+  private static Optional<String> value(HttpMessage head, String name) {
+    return Optional.ofNullable(head.getFirstHeader(name)).map(Header::getValue).map(String::trim);
+  }
+
+  private static Optional<Long> wholeNumber(String text) {
+    return text.matches("[0-9]{1,15}") ? Optional.of(Long.parseLong(text)) : Optional.empty();
+  }
+
+  private static String lower(String text) {
+    return text.toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -0,0 +1,179 @@
+package org.zinniaspan.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.zinniaspan.forwarding.Catalog;
+import org.zinniaspan.forwarding.CatalogChanges;
+import org.zinniaspan.forwarding.CatalogResult;
+import org.zinniaspan.forwarding.EndpointChange;
+import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.HttpCaller;
+
+/** The one client of the platform's store. */
+public final class StoreClient implements Catalog {
+
+  private static final String CONFIGURATION_KEY = "op/config";
+  private static final String ENDPOINT_PREFIX = "servers/";
+
+  private final HttpCaller caller;
+  private final String host;
+  private final long timeoutMs;
+  private final ObjectMapper json = new ObjectMapper();
+
+  /**
+   * Creates a client.
+   *
+   * @param address address of the store, for the Host header
+   * @param timeoutMs longest time until an answer, without the wait of a watch, in milliseconds
+   */
+  public StoreClient(HttpCaller caller, InetSocketAddress address, long timeoutMs) {
+    this.caller = caller;
+    this.host = address.getHostString() + ':' + address.getPort();
+    this.timeoutMs = timeoutMs;
+  }
+
+  @Override
+  public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> reply) {
+    get(
+        "/kv-key?key=" + encode(CONFIGURATION_KEY),
+        timeoutMs,
+        result -> reply.accept(decode(result, this::table)));
+  }
+
+  @Override
+  public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> reply) {
+    readPage(new ArrayList<>(), Optional.empty(), Optional.empty(), reply);
+  }
+
+  /** Pages are no snapshot, so that the revision of the first one is where a watch begins. */
+  private void readPage(
+      List<ListedEndpoint> found,
+      Optional<String> afterKey,
+      Optional<Long> firstRevision,
+      Consumer<CatalogResult<List<ListedEndpoint>>> reply) {
+    String after = afterKey.map(key -> "&after=" + encode(key)).orElse("");
+    get(
+        "/kv-range?prefix=" + encode(ENDPOINT_PREFIX) + after,
+        timeoutMs,
+        result -> {
+          CatalogResult<JsonNode> page =
+              decode(result, body -> new CatalogResult.Read<>(body, body.path("at").asLong()));
+          if (!(page instanceof CatalogResult.Read<JsonNode> read)) {
+            reply.accept(new CatalogResult.Failed<>(page.toString()));
+            return;
+          }
+          JsonNode items = read.value().path("items");
+          items.forEach(item -> endpoint(item).ifPresent(found::add));
+          long revision = firstRevision.orElse(read.revision());
+          if (read.value().path("has_more").asBoolean() && !items.isEmpty()) {
+            String last = items.get(items.size() - 1).path("key").asText();
+            readPage(found, Optional.of(last), Optional.of(revision), reply);
+          } else {
+            reply.accept(new CatalogResult.Read<>(found, revision));
+          }
+        });
+  }
+
+  @Override
+  public void watch(
+      long afterRevision, long waitMs, Consumer<CatalogResult<CatalogChanges>> reply) {
+    get(
+        "/kv-watch?prefix=&after=" + afterRevision + "&wait_ms=" + waitMs,
+        waitMs + timeoutMs,
+        result -> reply.accept(decode(result, this::changes)));
+  }
+
+  private void get(String path, long limitMs, Consumer<HttpCaller.Result> reply) {
+    HttpRequest request = new BasicHttpRequest("GET", path);
+    request.setHeader(HttpHeaders.HOST, host);
+    caller.call(request, limitMs, reply);
+  }
+
+  private interface Decoder<T> {
+    CatalogResult<T> decode(JsonNode body) throws IOException;
+  }
+
+  private <T> CatalogResult<T> decode(HttpCaller.Result result, Decoder<T> decoder) {
+    if (!(result instanceof HttpCaller.Result.Answered answered)) {
+      return new CatalogResult.Failed<>(result.toString());
+    }
+    if (answered.status() == HttpStatus.SC_GONE) {
+      return new CatalogResult.HistoryLost<>();
+    }
+    boolean missing = answered.status() == HttpStatus.SC_NOT_FOUND;
+    if (answered.status() != HttpStatus.SC_OK && !missing) {
+      return new CatalogResult.Failed<>("status " + answered.status());
+    }
+    try {
+      return decoder.decode(missing ? json.createObjectNode() : json.readTree(answered.body()));
+    } catch (IOException | IllegalArgumentException e) {
+      return new CatalogResult.Failed<>("unreadable answer: " + e.getMessage());
+    }
+  }
+
+  private CatalogResult<Optional<RoutingTable>> table(JsonNode item) throws IOException {
+    Optional<RoutingTable> table =
+        item.has("value")
+            ? Optional.of(ConfigurationDecoder.decode(value(item)))
+            : Optional.empty();
+    return new CatalogResult.Read<>(table, item.path("at").asLong(item.path("revision").asLong()));
+  }
+
+  private CatalogResult<CatalogChanges> changes(JsonNode body) throws IOException {
+    Optional<RoutingTable> table = Optional.empty();
+    List<EndpointChange> endpoints = new ArrayList<>();
+    for (JsonNode event : body.path("events")) {
+      String key = event.path("key").asText();
+      boolean deleted = event.path("deleted").asBoolean(false);
+      if (key.equals(CONFIGURATION_KEY) && !deleted) {
+        table = Optional.of(ConfigurationDecoder.decode(value(event)));
+      } else if (key.startsWith(ENDPOINT_PREFIX)) {
+        String id = key.substring(ENDPOINT_PREFIX.length());
+        Optional<ListedEndpoint> entry = deleted ? Optional.empty() : endpoint(event);
+        endpoints.add(
+            entry
+                .<EndpointChange>map(EndpointChange.Listed::new)
+                .orElse(new EndpointChange.Gone(id)));
+      }
+    }
+    return new CatalogResult.Read<>(new CatalogChanges(table, endpoints), body.path("at").asLong());
+  }
+
+  private Optional<ListedEndpoint> endpoint(JsonNode item) {
+    String key = item.path("key").asText();
+    String id = key.substring(Math.min(key.length(), ENDPOINT_PREFIX.length()));
+    try {
+      Optional<ListedEndpoint> entry = EndpointDecoder.decode(id, value(item));
+      if (entry.isEmpty()) {
+        EventLog.event("endpoint-entry-unusable").with("key", key).info();
+      }
+      return entry;
+    } catch (IOException | IllegalArgumentException e) {
+      EventLog.event("endpoint-entry-unreadable").with("key", key).with("error", e).info();
+      return Optional.empty();
+    }
+  }
+
+  private JsonNode value(JsonNode item) throws IOException {
+    return json.readTree(Base64.getDecoder().decode(item.path("value").asText()));
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EventSplitter.java
@@ -0,0 +1,57 @@
+package org.zinniaspan.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Splits the bytes of an event stream into whole events. */
+final class EventSplitter {
+
+  private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+  private boolean lineIsEmpty = true;
+
+  /**
+   * One event.
+   *
+   * @param bytes its bytes, with the empty line that ends it
+   * @param id its id, if it has one
+   */
+  record Event(byte[] bytes, Optional<String> id) {}
+
+  /** Adds bytes and returns the events that are complete with them. */
+  List<Event> add(ByteBuffer part) {
+    List<Event> events = new ArrayList<>();
+    while (part.hasRemaining()) {
+      byte next = part.get();
+      partial.write(next);
+      if (next == '\n') {
+        if (lineIsEmpty) {
+          byte[] bytes = partial.toByteArray();
+          partial.reset();
+          events.add(new Event(bytes, id(bytes)));
+        }
+        lineIsEmpty = true;
+      } else if (next != '\r') {
+        lineIsEmpty = false;
+      }
+    }
+    return events;
+  }
+
+  /** Returns the bytes of an event that is not complete. */
+  byte[] rest() {
+    return partial.toByteArray();
+  }
+
+  private static Optional<String> id(byte[] bytes) {
+    for (String line : new String(bytes, StandardCharsets.ISO_8859_1).split("\r?\n")) {
+      if (line.startsWith("id:")) {
+        return Optional.of(line.substring("id:".length()).trim());
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -0,0 +1,65 @@
+package org.zinniaspan.proxy;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointSelector;
+import org.zinniaspan.forwarding.RetryAllowance;
+import org.zinniaspan.forwarding.TableTrust;
+
+/**
+ * What the requests of one VM share.
+ *
+ * @param clock source of time
+ * @param random source of chance
+ * @param dialect translates heads
+ * @param follower the configuration in force
+ * @param trust whether API keys may be accepted
+ * @param directory the endpoints
+ * @param selector chooses endpoints
+ * @param connections connections to endpoints
+ * @param allowances retries by service
+ * @param settings settings
+ */
+record ForwardContext(
+    Clock clock,
+    Random random,
+    Dialect dialect,
+    CatalogFollower follower,
+    TableTrust trust,
+    EndpointDirectory directory,
+    EndpointSelector selector,
+    EndpointConnections connections,
+    Map<String, RetryAllowance> allowances,
+    ForwardSettings settings) {
+
+  ForwardContext(
+      Clock clock,
+      Random random,
+      Dialect dialect,
+      CatalogFollower follower,
+      TableTrust trust,
+      EndpointDirectory directory,
+      EndpointSelector selector,
+      EndpointConnections connections,
+      ForwardSettings settings) {
+    this(
+        clock,
+        random,
+        dialect,
+        follower,
+        trust,
+        directory,
+        selector,
+        connections,
+        new HashMap<>(),
+        settings);
+  }
+
+  RetryAllowance allowance(String service) {
+    return allowances.computeIfAbsent(service, s -> new RetryAllowance(settings.retryRatio()));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -0,0 +1,156 @@
+package org.zinniaspan.proxy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.forwarding.Catalog;
+import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.ExpectedFirstByte;
+import org.zinniaspan.forwarding.TableTrust;
+import org.zinniaspan.forwarding.ZoneMap;
+import org.zinniaspan.lifecycle.Closer;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.HttpCaller;
+import org.zinniaspan.transport.InboundConnection;
+import org.zinniaspan.transport.Reactor;
+
+/** The process of an entry VM that forwards requests to the platform's endpoints. */
+public final class ForwardDaemon implements AutoCloseable {
+
+  /** Time between two ticks, in milliseconds; bounds how late a timeout is noticed. */
+  private static final long TICK_MS = 20;
+
+  private final Closer closer = new Closer();
+  private final Reactor reactor = closer.add(Reactor.start());
+  private final Clock clock = new SystemClock();
+  private final StopPlan stop;
+  private final ForwardContext context;
+  private final HttpCaller platform;
+  private final ForwardServer server;
+  private final CountDownLatch ended = new CountDownLatch(1);
+
+  private ForwardDaemon(Parts parts) {
+    stop = new StopPlan(clock, parts.settings().graceMs());
+    platform = new HttpCaller(reactor, clock, parts.platform());
+    Random random = new Random(parts.seed());
+    TableTrust trust =
+        new TableTrust(clock, System::currentTimeMillis, parts.settings().keyTrustMs());
+    EndpointDirectory directory = new EndpointDirectory(clock);
+    CatalogFollower follower =
+        new CatalogFollower(
+            parts.catalog().apply(platform), clock, trust, directory, random, () -> {});
+    context =
+        new ForwardContext(
+            clock,
+            random,
+            parts.dialect(),
+            follower,
+            trust,
+            directory,
+            new ExpectedFirstByte(clock, parts.zones(), random),
+            new EndpointConnections(reactor, clock),
+            parts.settings());
+    server = new ForwardServer(context, stop);
+  }
+
+  /**
+   * What a daemon is made of.
+   *
+   * @param listen address for clients
+   * @param readyListen address for the balancer's checks
+   * @param platform address of the platform's store
+   * @param catalog makes the reader of the platform's store
+   * @param dialect translates the heads of messages
+   * @param zones where this VM stands
+   * @param settings settings
+   * @param seed seed of all random numbers
+   */
+  public record Parts(
+      InetSocketAddress listen,
+      InetSocketAddress readyListen,
+      InetSocketAddress platform,
+      Function<HttpCaller, Catalog> catalog,
+      Dialect dialect,
+      ZoneMap zones,
+      ForwardSettings settings,
+      long seed) {}
+
+  /**
+   * Starts to listen and to follow the platform.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  public static ForwardDaemon start(Parts parts) throws IOException {
+    ForwardDaemon daemon = new ForwardDaemon(parts);
+    try {
+      daemon.open(parts);
+      return daemon;
+    } catch (IOException e) {
+      daemon.close();
+      throw e;
+    }
+  }
+
+  private void open(Parts parts) throws IOException {
+    reactor.runLocked(context.follower()::tick);
+    ReadinessHandler readiness = new ReadinessHandler(this::isReady);
+    reactor.listen(parts.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
+    reactor.listen(parts.listen(), () -> new InboundConnection(reactor, server, clock));
+    reactor.every(TICK_MS, this::tick);
+    EventLog.event("started")
+        .with("listen", parts.listen())
+        .with("zone", parts.zones().zone())
+        .info();
+  }
+
+  private boolean isReady() {
+    return !stop.isStopping()
+        && context.follower().table().isPresent()
+        && context.follower().isListComplete()
+        && context.trust().isTrusted();
+  }
+
+  private void tick() {
+    platform.tick();
+    context.follower().tick();
+    context.directory().tick();
+    server.tick();
+    long now = clock.nowMs();
+    if (stop.refusesNew(now)) {
+      server.closeIdle();
+    }
+    if (stop.isStopping() && stop.ends(now, server.inFlight())) {
+      ended.countDown();
+    }
+  }
+
+  /** Begins a planned stop. */
+  public void stop() {
+    reactor.runLocked(stop::stop);
+  }
+
+  /** Notes that settings may have changed; those of this daemon hold from start to end. */
+  public void reload() {
+    EventLog.event("reload").with("changed", "nothing: flags hold until the next start").info();
+  }
+
+  /** Waits until a planned stop is over. */
+  public void awaitEnd() {
+    try {
+      ended.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    EventLog.event("stopped").info();
+    closer.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
@@ -0,0 +1,90 @@
+package org.zinniaspan.transport;
+
+import java.nio.channels.ReadableByteChannel;
+import java.util.Optional;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
+import org.apache.hc.core5.http.impl.nio.IdentityDecoder;
+import org.apache.hc.core5.http.impl.nio.LengthDelimitedDecoder;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/** Finds out how the body of a message is delimited, and refuses what is ambiguous. */
+final class BodyFraming {
+
+  private BodyFraming() {}
+
+  /**
+   * Returns the decoder of a request's body; empty if it has none.
+   *
+   * @throws ProtocolException if the length is ambiguous, as two parsers could disagree on it
+   */
+  static Optional<ContentDecoder> ofRequest(
+      HttpMessage head, ReadableByteChannel channel, SessionInputBuffer received)
+      throws ProtocolException {
+    Optional<Long> length = contentLength(head);
+    if (isChunked(head)) {
+      if (length.isPresent()) {
+        throw new ProtocolException("both Transfer-Encoding and Content-Length are given");
+      }
+      return Optional.of(new ChunkDecoder(channel, received, new BasicHttpTransportMetrics()));
+    }
+    return length
+        .filter(bytes -> bytes > 0)
+        .map(bytes -> lengthDelimited(channel, received, bytes));
+  }
+
+  /** Returns the decoder of a response's body; empty if it has none. */
+  static Optional<ContentDecoder> ofResponse(
+      HttpResponse head, ReadableByteChannel channel, SessionInputBuffer received)
+      throws ProtocolException {
+    int status = head.getCode();
+    if (status == HttpStatus.SC_NO_CONTENT || status == HttpStatus.SC_NOT_MODIFIED) {
+      return Optional.empty();
+    }
+    Optional<Long> length = contentLength(head);
+    if (isChunked(head)) {
+      return Optional.of(new ChunkDecoder(channel, received, new BasicHttpTransportMetrics()));
+    }
+    if (length.isEmpty()) {
+      return Optional.of(new IdentityDecoder(channel, received, new BasicHttpTransportMetrics()));
+    }
+    return length
+        .filter(bytes -> bytes > 0)
+        .map(bytes -> lengthDelimited(channel, received, bytes));
+  }
+
+  private static ContentDecoder lengthDelimited(
+      ReadableByteChannel channel, SessionInputBuffer received, long bytes) {
+    return new LengthDelimitedDecoder(channel, received, new BasicHttpTransportMetrics(), bytes);
+  }
+
+  private static boolean isChunked(HttpMessage head) throws ProtocolException {
+    Header[] codings = head.getHeaders(HttpHeaders.TRANSFER_ENCODING);
+    if (codings.length == 0) {
+      return false;
+    }
+    if (codings.length > 1 || !codings[0].getValue().trim().equalsIgnoreCase("chunked")) {
+      throw new ProtocolException("the transfer coding is not just 'chunked'");
+    }
+    return true;
+  }
+
+  private static Optional<Long> contentLength(HttpMessage head) throws ProtocolException {
+    Header[] lengths = head.getHeaders(HttpHeaders.CONTENT_LENGTH);
+    if (lengths.length == 0) {
+      return Optional.empty();
+    }
+    String value = lengths[0].getValue() == null ? "" : lengths[0].getValue().trim();
+    if (lengths.length > 1 || !value.matches("[0-9]{1,18}")) {
+      throw new ProtocolException("Content-Length '" + value + "' is not one whole number");
+    }
+    return Optional.of(Long.parseLong(value));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -0,0 +1,230 @@
+package org.zinniaspan.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.EventMask;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * One TCP connection with its buffers.
+ *
+ * <p>All callbacks and all methods run under the reactor's lock.
+ */
+abstract class Connection implements IOEventHandler {
+
+  /** Most unparsed bytes before reading stops until some are parsed. */
+  private static final int MOST_UNPARSED_BYTES = 64 * 1024;
+
+  private final ReentrantLock lock;
+  protected final ReceiveBuffer received;
+  protected final SendBuffer unsent = new SendBuffer();
+  private IOSession session;
+  private boolean ended;
+  private boolean lost;
+
+  Connection(Reactor reactor, int maxLineBytes) {
+    this.lock = reactor.lock();
+    this.received = new ReceiveBuffer(maxLineBytes);
+  }
+
+  /** Called once, when the connection is open. */
+  protected abstract void onOpen();
+
+  /** Called when bytes have arrived, or the other side has sent all of its own. */
+  protected abstract void onReceived() throws IOException;
+
+  /** Called when all bytes have been written. */
+  protected void onFlushed() {}
+
+  /** Called once when the connection ends; the cause is absent after an orderly end. */
+  protected abstract void onLost(Optional<Exception> cause);
+
+  /** Returns whether the other side has sent all of its bytes. */
+  protected final boolean ended() {
+    return ended;
+  }
+
+  /** Returns whether the connection can still be written to. */
+  public final boolean isOpen() {
+    return session != null && !lost;
+  }
+
+  /** Returns a channel for decoders, which adds nothing to what was received already. */
+  protected final ReadableByteChannel channel() {
+    return new ReadableByteChannel() {
+      @Override
+      public int read(ByteBuffer target) {
+        return ended ? -1 : 0;
+      }
+
+      @Override
+      public boolean isOpen() {
+        return !ended;
+      }
+
+      @Override
+      public void close() {
+        // The connection has its own close.
+      }
+    };
+  }
+
+  @Override
+  public final void connected(IOSession opened) {
+    locked(
+        () -> {
+          session = opened;
+          onOpen();
+        });
+  }
+
+  @Override
+  public final void inputReady(IOSession ready, ByteBuffer source) {
+    locked(
+        () -> {
+          int count = 0;
+          while (!lost && !ended && received.length() < MOST_UNPARSED_BYTES) {
+            count = received.fill(session);
+            if (count <= 0) {
+              break;
+            }
+          }
+          ended = ended || count < 0;
+          if (ended || received.length() >= MOST_UNPARSED_BYTES) {
+            session.clearEvent(EventMask.READ);
+          }
+          onReceived();
+        });
+  }
+
+  /** Resumes reading after a full buffer was parsed. */
+  protected final void resumeReading() {
+    if (isOpen() && !ended && received.length() < MOST_UNPARSED_BYTES) {
+      session.setEvent(EventMask.READ);
+    }
+  }
+
+  @Override
+  public final void outputReady(IOSession ready) {
+    locked(this::flush);
+  }
+
+  /** Writes what can be written now, and the rest when the connection takes more. */
+  protected final void flush() throws IOException {
+    if (!isOpen()) {
+      return;
+    }
+    while (unsent.hasData() && unsent.flush(session) > 0) {
+      // Goes on until the connection takes no more.
+    }
+    boolean waits = (session.getEventMask() & EventMask.WRITE) != 0;
+    if (unsent.hasData() && !waits) {
+      session.setEvent(EventMask.WRITE);
+    } else if (!unsent.hasData()) {
+      if (waits) {
+        session.clearEvent(EventMask.WRITE);
+      }
+      onFlushed();
+    }
+  }
+
+  /** Flushes, and ends the connection if that fails. */
+  protected final void flushOrLose() {
+    try {
+      flush();
+    } catch (IOException e) {
+      lose(Optional.of(e), CloseMode.IMMEDIATE);
+    }
+  }
+
+  /** Closes the connection without a further callback. */
+  public final void close() {
+    if (!lost) {
+      lost = true;
+      if (session != null) {
+        session.close(CloseMode.GRACEFUL);
+      }
+    }
+  }
+
+  /** Resets the connection without a further callback. */
+  public final void reset() {
+    if (!lost) {
+      lost = true;
+      if (session != null) {
+        session.close(CloseMode.IMMEDIATE);
+      }
+    }
+  }
+
+  private void lose(Optional<Exception> cause, CloseMode mode) {
+    if (lost) {
+      return;
+    }
+    lost = true;
+    if (session != null) {
+      session.close(mode);
+    }
+    onLost(cause);
+  }
+
+  /** Ends the connection because it could not be opened. */
+  final void failToOpen(Exception cause) {
+    locked(() -> lose(Optional.of(cause), CloseMode.IMMEDIATE));
+  }
+
+  /** Ends the connection in order, with its callback. */
+  protected final void end() {
+    lose(Optional.empty(), CloseMode.GRACEFUL);
+  }
+
+  /** Ends the connection because of a fault, with its callback. */
+  protected final void fail(Exception cause) {
+    lose(Optional.of(cause), CloseMode.IMMEDIATE);
+  }
+
+  @Override
+  public final void timeout(IOSession idle, Timeout timeout) {
+    // No timeout is set on sessions; requests have their own.
+  }
+
+  @Override
+  public final void exception(IOSession failed, Exception cause) {
+    locked(() -> lose(Optional.of(cause), CloseMode.IMMEDIATE));
+  }
+
+  @Override
+  public final void disconnected(IOSession closed) {
+    locked(() -> lose(Optional.empty(), CloseMode.IMMEDIATE));
+  }
+
+  private interface Step {
+    void run() throws IOException;
+  }
+
+  private void locked(Step step) {
+    lock.lock();
+    try {
+      step.run();
+    } catch (IOException e) {
+      lose(Optional.of(e), CloseMode.IMMEDIATE);
+    } catch (RuntimeException e) {
+      EventLog.event("connection-fault").with("connection", this).with("error", trace(e)).warn();
+      lose(Optional.of(e), CloseMode.IMMEDIATE);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private static String trace(RuntimeException e) {
+    StackTraceElement[] frames = e.getStackTrace();
+    return frames.length == 0 ? e.toString() : e + " at " + frames[0];
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/HttpCaller.java
@@ -0,0 +1,136 @@
+package org.zinniaspan.transport;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+
+/** Makes calls to one address whose answers are short and read whole, over kept connections. */
+public final class HttpCaller implements Ticking {
+
+  private final Reactor reactor;
+  private final Clock clock;
+  private final InetSocketAddress address;
+  private final Deque<OutboundConnection> idle = new ArrayDeque<>();
+  private final Set<Call> calls = new HashSet<>();
+
+  /** Creates a caller without connections. */
+  public HttpCaller(Reactor reactor, Clock clock, InetSocketAddress address) {
+    this.reactor = reactor;
+    this.clock = clock;
+    this.address = address;
+  }
+
+  /** Result of a call. */
+  public sealed interface Result {
+
+    /**
+     * The call was answered.
+     *
+     * @param status HTTP status
+     * @param body the whole body
+     */
+    record Answered(int status, byte[] body) implements Result {}
+
+    /**
+     * No answer came.
+     *
+     * @param reason what happened
+     */
+    record Failed(String reason) implements Result {}
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @param timeoutMs longest time until the answer, in milliseconds
+   * @param reply told the result once
+   */
+  public void call(HttpRequest request, long timeoutMs, Consumer<Result> reply) {
+    OutboundConnection connection = idle.poll();
+    while (connection != null && !connection.isReusable()) {
+      connection = idle.poll();
+    }
+    if (connection == null) {
+      connection = OutboundConnection.open(reactor, address, timeoutMs, idle::remove);
+    }
+    Call call = new Call(connection, clock.nowMs() + timeoutMs, reply);
+    calls.add(call);
+    connection.send(request, new byte[0], call);
+  }
+
+  @Override
+  public void tick() {
+    long now = clock.nowMs();
+    List<Call> late = new ArrayList<>();
+    for (Call call : calls) {
+      if (call.endMs <= now) {
+        late.add(call);
+      }
+    }
+    late.forEach(Call::expire);
+  }
+
+  private final class Call implements AnswerHandler {
+
+    private final OutboundConnection connection;
+    private final long endMs;
+    private final Consumer<Result> reply;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+
+    Call(OutboundConnection connection, long endMs, Consumer<Result> reply) {
+      this.connection = connection;
+      this.endMs = endMs;
+      this.reply = reply;
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      status = head.getCode();
+      return true;
+    }
+
+    @Override
+    public void onBody(ByteBuffer part) {
+      body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+    }
+
+    @Override
+    public void onEnd() {
+      if (connection.isReusable()) {
+        idle.push(connection);
+      } else {
+        connection.close();
+      }
+      finish(new Result.Answered(status, body.toByteArray()));
+    }
+
+    @Override
+    public void onBroken(boolean opened, Optional<Exception> cause) {
+      finish(new Result.Failed(cause.map(Exception::toString).orElse("closed without an answer")));
+    }
+
+    void expire() {
+      connection.reset();
+      finish(new Result.Failed("no answer in time"));
+    }
+
+    private void finish(Result result) {
+      if (calls.remove(this)) {
+        reply.accept(result);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -0,0 +1,310 @@
+package org.zinniaspan.transport;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriter;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.zinniaspan.clock.Clock;
+
+/**
+ * A client's connection: reads one request at a time, whole, and writes its answer.
+ *
+ * <p>Reading goes on while a request is answered, so that a client that leaves is noticed at once.
+ */
+public final class InboundConnection extends Connection {
+
+  private static final int READ_BYTES = 8 * 1024;
+  private static final byte[] CONTINUE =
+      "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  private enum Phase {
+    HEAD,
+    BODY,
+    ANSWER,
+    CLOSING
+  }
+
+  private final InboundHandler handler;
+  private final Clock clock;
+  private final DefaultHttpRequestParser<HttpRequest> parser;
+  private Phase phase = Phase.HEAD;
+  private HttpRequest head;
+  private ContentDecoder decoder;
+  private ByteArrayOutputStream body;
+  private boolean chunked;
+  private boolean closeAfterAnswer;
+  private boolean parsing;
+  private long waitsSinceMs;
+  private boolean requestStarted;
+
+  /** Creates the handler of one connection. */
+  public InboundConnection(Reactor reactor, InboundHandler handler, Clock clock) {
+    super(reactor, handler.limits().maxHeaderBytes());
+    this.handler = handler;
+    this.clock = clock;
+    this.parser =
+        new DefaultHttpRequestParser<>(
+            DefaultHttpRequestFactory.INSTANCE,
+            Http1Config.custom()
+                .setMaxLineLength(handler.limits().maxHeaderBytes())
+                .setMaxHeaderCount(100)
+                .build());
+  }
+
+  @Override
+  protected void onOpen() {
+    waitsSinceMs = clock.nowMs();
+    handler.onOpen(this);
+  }
+
+  /** Returns whether no request is being read or answered. */
+  public boolean isIdle() {
+    return phase == Phase.HEAD && !requestStarted;
+  }
+
+  /** Closes the connection if the client takes too long to send a request or the next one. */
+  public void checkTimeout(long nowMs) {
+    long waitedMs = nowMs - waitsSinceMs;
+    if (isIdle() && waitedMs > handler.limits().idleTimeoutMs()) {
+      end();
+    } else if (phase == Phase.HEAD
+        && requestStarted
+        && waitedMs > handler.limits().headerTimeoutMs()) {
+      refuse(HttpStatus.SC_REQUEST_TIMEOUT, "the request head took too long");
+    } else if (phase == Phase.BODY && waitedMs > handler.limits().idleTimeoutMs()) {
+      refuse(HttpStatus.SC_REQUEST_TIMEOUT, "the request body took too long");
+    }
+  }
+
+  @Override
+  protected void onReceived() throws IOException {
+    if (parsing) {
+      return;
+    }
+    parsing = true;
+    try {
+      while (isOpen() && parseStep()) {
+        // Goes on until more bytes are needed or an answer is due.
+      }
+      if (ended() && isOpen()) {
+        end();
+      }
+    } catch (MessageConstraintException e) {
+      refuse(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, e.getMessage());
+    } catch (HttpException e) {
+      refuse(HttpStatus.SC_BAD_REQUEST, e.getMessage());
+    } finally {
+      parsing = false;
+    }
+  }
+
+  private boolean parseStep() throws IOException, HttpException {
+    if (phase == Phase.HEAD) {
+      return parseHead();
+    }
+    return phase == Phase.BODY && parseBody();
+  }
+
+  private boolean parseHead() throws IOException, HttpException {
+    if (received.hasData() && !requestStarted) {
+      requestStarted = true;
+      waitsSinceMs = clock.nowMs();
+    }
+    head = parser.parse(received, ended());
+    if (head == null) {
+      return false;
+    }
+    parser.reset();
+    if (headBytes(head) > handler.limits().maxHeaderBytes()) {
+      throw new MessageConstraintException("the request head is too long");
+    }
+    Optional<ContentDecoder> framing = BodyFraming.ofRequest(head, channel(), received);
+    closeAfterAnswer = closes(head);
+    body = new ByteArrayOutputStream();
+    waitsSinceMs = clock.nowMs();
+    if (framing.isEmpty()) {
+      deliver();
+      return false;
+    }
+    decoder = framing.get();
+    phase = Phase.BODY;
+    if (head.containsHeader(HttpHeaders.EXPECT) && !received.hasData()) {
+      unsent.write(ByteBuffer.wrap(CONTINUE));
+      flush();
+    }
+    return true;
+  }
+
+  private boolean parseBody() throws IOException {
+    ByteBuffer part = ByteBuffer.allocate(READ_BYTES);
+    int count = decoder.read(part);
+    if (count > 0) {
+      body.write(part.array(), 0, part.position());
+      waitsSinceMs = clock.nowMs();
+      resumeReading();
+    }
+    if (body.size() > handler.limits().maxBodyBytes()) {
+      refuse(HttpStatus.SC_REQUEST_TOO_LONG, "the body is too long");
+      return false;
+    }
+    if (decoder.isCompleted()) {
+      deliver();
+      return false;
+    }
+    return count > 0;
+  }
+
+  private void deliver() {
+    phase = Phase.ANSWER;
+    requestStarted = false;
+    handler.onRequest(this, head, body.toByteArray());
+  }
+
+  private void refuse(int status, String reason) {
+    phase = Phase.ANSWER;
+    closeAfterAnswer = true;
+    handler.onUnreadable(this, status, String.valueOf(reason));
+  }
+
+  private static boolean closes(HttpRequest head) {
+    boolean old = head.getVersion() != null && head.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+    Header connection = head.getFirstHeader(HttpHeaders.CONNECTION);
+    if (connection == null) {
+      return old;
+    }
+    return connection.getValue().toLowerCase().contains("close");
+  }
+
+  private static int headBytes(HttpRequest head) {
+    int bytes = head.getPath() == null ? 0 : head.getPath().length();
+    for (Header header : head.getHeaders()) {
+      int value = header.getValue() == null ? 0 : header.getValue().length();
+      bytes += header.getName().length() + value + 4;
+    }
+    return bytes;
+  }
+
+  /** Makes the answer that follows the last one on this connection. */
+  public void closeAfterAnswer() {
+    closeAfterAnswer = true;
+  }
+
+  /** Answers with a whole body. */
+  public void answer(HttpResponse answer, byte[] content) {
+    answer.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(content.length));
+    writeHead(answer);
+    unsent.write(ByteBuffer.wrap(content));
+    finish();
+  }
+
+  /** Begins an answer whose length is not known. */
+  public void startChunked(HttpResponse answer) {
+    chunked = true;
+    answer.setHeader(HttpHeaders.TRANSFER_ENCODING, "chunked");
+    writeHead(answer);
+  }
+
+  /** Begins an answer of a known length. */
+  public void startDelimited(HttpResponse answer, long length) {
+    chunked = false;
+    answer.setHeader(HttpHeaders.CONTENT_LENGTH, Long.toString(length));
+    writeHead(answer);
+  }
+
+  /** Adds a part to an answer that was begun; {@link #flushAnswer} sends it. */
+  public void part(ByteBuffer content) {
+    if (!content.hasRemaining()) {
+      return;
+    }
+    if (chunked) {
+      String size = Integer.toHexString(content.remaining()) + "\r\n";
+      unsent.write(ByteBuffer.wrap(size.getBytes(StandardCharsets.US_ASCII)));
+    }
+    unsent.write(content);
+    if (chunked) {
+      unsent.write(ByteBuffer.wrap(LINE_END));
+    }
+  }
+
+  /** Sends what was added so far. */
+  public void flushAnswer() {
+    flushOrLose();
+  }
+
+  /** Returns the bytes of answers that the client has not taken yet. */
+  public int unsentBytes() {
+    return unsent.length();
+  }
+
+  /** Ends an answer that was begun. */
+  public void finishAnswer() {
+    if (chunked) {
+      unsent.write(ByteBuffer.wrap(LAST_CHUNK));
+    }
+    finish();
+  }
+
+  private void writeHead(HttpResponse answer) {
+    answer.setVersion(HttpVersion.HTTP_1_1);
+    if (closeAfterAnswer) {
+      answer.setHeader(HttpHeaders.CONNECTION, "close");
+    }
+    try {
+      new DefaultHttpResponseWriter<HttpResponse>().write(answer, unsent);
+    } catch (IOException | HttpException e) {
+      fail(e);
+    }
+  }
+
+  private void finish() {
+    chunked = false;
+    if (closeAfterAnswer || ended()) {
+      phase = Phase.CLOSING;
+      flushOrLose();
+      return;
+    }
+    phase = Phase.HEAD;
+    waitsSinceMs = clock.nowMs();
+    flushOrLose();
+    resumeReading();
+    if (received.hasData()) {
+      continueParsing();
+    }
+  }
+
+  private void continueParsing() {
+    try {
+      onReceived();
+    } catch (IOException e) {
+      fail(e);
+    }
+  }
+
+  @Override
+  protected void onFlushed() {
+    if (phase == Phase.CLOSING) {
+      end();
+    }
+  }
+
+  @Override
+  protected void onLost(Optional<Exception> cause) {
+    handler.onLost(this);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -0,0 +1,219 @@
+package org.zinniaspan.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriter;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.impl.nio.IdentityDecoder;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+
+/**
+ * A connection to an endpoint or to the platform, which carries one request at a time.
+ *
+ * <p>An answer that belongs to another request is skipped, and bytes that arrive without a request
+ * end the connection.
+ */
+public final class OutboundConnection extends Connection {
+
+  private static final int READ_BYTES = 16 * 1024;
+  private static final int MAX_LINE_BYTES = 64 * 1024;
+  private static final int MAX_HEADERS = 100;
+
+  private final Consumer<OutboundConnection> onIdleLoss;
+  private final DefaultHttpResponseParser<HttpResponse> parser =
+      new DefaultHttpResponseParser<>(
+          DefaultHttpResponseFactory.INSTANCE,
+          Http1Config.custom()
+              .setMaxLineLength(MAX_LINE_BYTES)
+              .setMaxHeaderCount(MAX_HEADERS)
+              .build());
+  private AnswerHandler handler;
+  private ContentDecoder decoder;
+  private boolean opened;
+  private boolean skipping;
+  private boolean reusable = true;
+  private Optional<Long> keepAliveMs = Optional.empty();
+
+  private OutboundConnection(Reactor reactor, Consumer<OutboundConnection> onIdleLoss) {
+    super(reactor, MAX_LINE_BYTES);
+    this.onIdleLoss = onIdleLoss;
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param timeoutMs longest time until it is open, in milliseconds
+   * @param onIdleLoss told if the connection ends while it carries no request
+   */
+  public static OutboundConnection open(
+      Reactor reactor,
+      InetSocketAddress address,
+      long timeoutMs,
+      Consumer<OutboundConnection> onIdleLoss) {
+    OutboundConnection connection = new OutboundConnection(reactor, onIdleLoss);
+    reactor.connect(address, timeoutMs, connection);
+    return connection;
+  }
+
+  /** Sends a request; while the connection is opening, the request waits. */
+  public void send(HttpRequest head, byte[] body, AnswerHandler answers) {
+    handler = answers;
+    head.setVersion(HttpVersion.HTTP_1_1);
+    try {
+      new DefaultHttpRequestWriter<HttpRequest>().write(head, unsent);
+    } catch (IOException | HttpException e) {
+      fail(e);
+      return;
+    }
+    unsent.write(ByteBuffer.wrap(body));
+    if (opened) {
+      flushOrLose();
+    }
+  }
+
+  /** Returns whether the next request may use this connection. */
+  public boolean isReusable() {
+    return reusable && opened && isOpen() && handler == null && !received.hasData() && !ended();
+  }
+
+  /** Returns whether the connection was opened, so that bytes may have reached the other side. */
+  public boolean wasOpened() {
+    return opened;
+  }
+
+  /** Returns how long the other side keeps the connection without a request, if it says so. */
+  public Optional<Long> keepAliveMs() {
+    return keepAliveMs;
+  }
+
+  @Override
+  protected void onOpen() {
+    opened = true;
+    flushOrLose();
+  }
+
+  @Override
+  protected void onReceived() throws IOException {
+    try {
+      while (isOpen() && handler != null && parseStep()) {
+        // Goes on until more bytes are needed.
+      }
+    } catch (HttpException e) {
+      fail(e);
+      return;
+    }
+    if (isOpen() && handler == null && (received.hasData() || ended())) {
+      end();
+    } else if (isOpen() && ended()) {
+      end();
+    }
+  }
+
+  private boolean parseStep() throws IOException, HttpException {
+    return decoder == null ? parseHead() : parseBody();
+  }
+
+  private boolean parseHead() throws IOException, HttpException {
+    HttpResponse head = parser.parse(received, ended());
+    if (head == null) {
+      return false;
+    }
+    parser.reset();
+    if (head.getCode() < HttpStatus.SC_OK) {
+      return true;
+    }
+    if (unsent.hasData() || closes(head)) {
+      // The rest of a body that was answered early must not be read as a new request.
+      reusable = false;
+    }
+    Optional<ContentDecoder> framing = BodyFraming.ofResponse(head, channel(), received);
+    keepAliveMs = keepAlive(head);
+    skipping = !handler.onHead(head);
+    if (!isOpen()) {
+      return false;
+    }
+    if (framing.isEmpty()) {
+      finish();
+      return true;
+    }
+    decoder = framing.get();
+    if (decoder instanceof IdentityDecoder) {
+      reusable = false;
+    }
+    return true;
+  }
+
+  private boolean parseBody() throws IOException {
+    ByteBuffer part = ByteBuffer.allocate(READ_BYTES);
+    int count = decoder.read(part);
+    if (count > 0 && !skipping) {
+      handler.onBody(part.flip());
+    }
+    if (!isOpen()) {
+      return false;
+    }
+    resumeReading();
+    if (decoder.isCompleted()) {
+      finish();
+      return true;
+    }
+    return count > 0;
+  }
+
+  private void finish() {
+    decoder = null;
+    if (skipping) {
+      skipping = false;
+      return;
+    }
+    AnswerHandler done = handler;
+    handler = null;
+    done.onEnd();
+  }
+
+  private static boolean closes(HttpResponse head) {
+    Header connection = head.getFirstHeader(HttpHeaders.CONNECTION);
+    boolean old = head.getVersion() != null && head.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+    return old
+        || (connection != null && connection.getValue().toLowerCase(Locale.ROOT).contains("close"));
+  }
+
+  private static Optional<Long> keepAlive(HttpResponse head) {
+    Header header = head.getFirstHeader(HttpHeaders.KEEP_ALIVE);
+    if (header == null || header.getValue() == null) {
+      return Optional.empty();
+    }
+    for (String field : header.getValue().split(",")) {
+      String text = field.trim();
+      if (text.matches("timeout=[0-9]{1,6}")) {
+        return Optional.of(Long.parseLong(text.substring("timeout=".length())) * 1_000);
+      }
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  protected void onLost(Optional<Exception> cause) {
+    reusable = false;
+    if (handler == null) {
+      onIdleLoss.accept(this);
+      return;
+    }
+    AnswerHandler broken = handler;
+    handler = null;
+    broken.onBroken(opened, cause);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -0,0 +1,101 @@
+package org.zinniaspan.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/** Bytes that were received and not yet parsed; grows as needed. */
+final class ReceiveBuffer implements SessionInputBuffer {
+
+  private static final int INITIAL_BYTES = 2 * 1024;
+
+  private final int maxLineBytes;
+  private ByteBuffer bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+
+  /** Creates an empty buffer that refuses lines longer than a number of bytes. */
+  ReceiveBuffer(int maxLineBytes) {
+    this.maxLineBytes = maxLineBytes;
+  }
+
+  @Override
+  public boolean hasData() {
+    return bytes.hasRemaining();
+  }
+
+  @Override
+  public int length() {
+    return bytes.remaining();
+  }
+
+  @Override
+  public int fill(ReadableByteChannel channel) throws IOException {
+    bytes.compact();
+    try {
+      if (!bytes.hasRemaining()) {
+        ByteBuffer larger = ByteBuffer.allocate(bytes.capacity() * 2);
+        bytes.flip();
+        larger.put(bytes);
+        bytes = larger;
+      }
+      return channel.read(bytes);
+    } finally {
+      bytes.flip();
+    }
+  }
+
+  @Override
+  public int read() {
+    return bytes.get() & 0xff;
+  }
+
+  @Override
+  public int read(ByteBuffer target, int maxLength) {
+    int length = Math.min(Math.min(maxLength, target.remaining()), bytes.remaining());
+    target.put(bytes.slice(bytes.position(), length));
+    bytes.position(bytes.position() + length);
+    return length;
+  }
+
+  @Override
+  public int read(ByteBuffer target) {
+    return read(target, target.remaining());
+  }
+
+  @Override
+  public int read(WritableByteChannel target, int maxLength) throws IOException {
+    int length = Math.min(maxLength, bytes.remaining());
+    int written = target.write(bytes.slice(bytes.position(), length));
+    bytes.position(bytes.position() + written);
+    return written;
+  }
+
+  @Override
+  public int read(WritableByteChannel target) throws IOException {
+    return read(target, bytes.remaining());
+  }
+
+  @Override
+  public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+    int end = bytes.position();
+    while (end < bytes.limit() && bytes.get(end) != '\n') {
+      end++;
+    }
+    boolean found = end < bytes.limit();
+    if (end - bytes.position() > maxLineBytes) {
+      throw new MessageConstraintException("a line has more than " + maxLineBytes + " bytes");
+    }
+    if (!found && !(endOfStream && bytes.hasRemaining())) {
+      return false;
+    }
+    int textEnd = end > bytes.position() && bytes.get(end - 1) == '\r' ? end - 1 : end;
+    for (int i = bytes.position(); i < textEnd; i++) {
+      line.append((char) (bytes.get(i) & 0xff));
+    }
+    bytes.position(found ? end + 1 : end);
+    return true;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
@@ -0,0 +1,76 @@
+package org.zinniaspan.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.nio.SessionOutputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/** Bytes that wait to be written to a connection; grows as needed. */
+final class SendBuffer implements SessionOutputBuffer {
+
+  private static final int INITIAL_BYTES = 1024;
+
+  private ByteBuffer bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+
+  @Override
+  public boolean hasData() {
+    return bytes.hasRemaining();
+  }
+
+  @Override
+  public int capacity() {
+    return bytes.capacity();
+  }
+
+  @Override
+  public int length() {
+    return bytes.remaining();
+  }
+
+  @Override
+  public int flush(WritableByteChannel channel) throws IOException {
+    return bytes.hasRemaining() ? channel.write(bytes) : 0;
+  }
+
+  @Override
+  public void write(ByteBuffer source) {
+    reserve(source.remaining());
+    bytes.put(source);
+    bytes.flip();
+  }
+
+  @Override
+  public void write(ReadableByteChannel source) throws IOException {
+    reserve(INITIAL_BYTES);
+    try {
+      source.read(bytes);
+    } finally {
+      bytes.flip();
+    }
+  }
+
+  @Override
+  public void writeLine(CharArrayBuffer line) {
+    int length = line == null ? 0 : line.length();
+    reserve(length + 2);
+    for (int i = 0; i < length; i++) {
+      bytes.put((byte) line.charAt(i));
+    }
+    bytes.put((byte) '\r').put((byte) '\n');
+    bytes.flip();
+  }
+
+  /** Leaves the buffer in the state for writing, with room for a number of bytes. */
+  private void reserve(int length) {
+    bytes.compact();
+    if (bytes.remaining() < length) {
+      int needed = bytes.position() + length;
+      ByteBuffer larger = ByteBuffer.allocate(Math.max(bytes.capacity() * 2, needed));
+      bytes.flip();
+      larger.put(bytes);
+      bytes = larger;
+    }
+  }
+}
