Rank organisations before routes at engines, and divide engines between strict and tolerant streams

Streams with short pause targets were late although their first event was in time: engines read long prompts between the tokens of running streams, and a burst of long prompts was spread over all engines. Ruled out: a stall in the forwarding path (a stream that ran to its deadline had events throughout).

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointSelector.java
@@ -11,11 +11,18 @@
    * Returns the endpoint that is expected to answer first.
    *
    * @param candidates endpoints that take requests
-   * @param prompt the prompt, for a model service
+   * @param demand what the request needs
    * @param excluded ids of endpoints that were tried already
    */
-  Optional<Selection> select(
-      List<TrackedEndpoint> candidates, Optional<Prompt> prompt, Set<String> excluded);
+  Optional<Selection> select(List<TrackedEndpoint> candidates, Demand demand, Set<String> excluded);
+
+  /**
+   * What a request needs.
+   *
+   * @param prompt the prompt, for a model service
+   * @param toleratesPauses whether long pauses between events do not matter
+   */
+  record Demand(Optional<Prompt> prompt, boolean toleratesPauses) {}
 
   /**
    * A chosen endpoint.
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
@@ -1,6 +1,7 @@
 package org.zinniaspan.forwarding;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -33,6 +34,16 @@
   /** Random spread that keeps VMs with the same view from one choice, in milliseconds. */
   private static final double SPREAD_MS = 6;
 
+  /** Share of an engine's time that one token of an answer takes, in milliseconds. */
+  private static final double OUTPUT_TOKEN_MS = 0.1;
+
+  /** Cost of a tolerant stream on an engine for strict ones, which it makes late, in ms. */
+  private static final double TOLERANT_MISPLACED_MS = 400;
+
+  /** Cost of a strict stream on an engine for tolerant ones, where it may be late, in ms. */
+  private static final double STRICT_MISPLACED_MS = 200;
+
+  private final EngineShares shares;
   private final Clock clock;
   private final ZoneMap zones;
   private final Random random;
@@ -40,14 +51,17 @@
   /** Creates a selector. */
   public ExpectedFirstByte(Clock clock, ZoneMap zones, Random random) {
     this.clock = clock;
+    this.shares = new EngineShares(clock);
     this.zones = zones;
     this.random = random;
   }
 
   @Override
   public Optional<Selection> select(
-      List<TrackedEndpoint> candidates, Optional<Prompt> prompt, Set<String> excluded) {
-    Optional<String> home = prompt.flatMap(p -> homeOf(p, candidates));
+      List<TrackedEndpoint> candidates, Demand demand, Set<String> excluded) {
+    Optional<Prompt> prompt = demand.prompt();
+    Set<String> preferred = preferred(candidates, demand);
+    Optional<String> home = prompt.flatMap(p -> homeOf(p, preferred));
     Selection best = null;
     double bestCost = Double.MAX_VALUE;
     for (TrackedEndpoint candidate : candidates) {
@@ -58,6 +72,7 @@
       double cost =
           selection.expectedMs()
               + zones.costMs(candidate.listed().zone())
+              + (preferred.contains(candidate.listed().id()) ? 0 : misplacedMs(demand))
               + random.nextDouble() * SPREAD_MS;
       if (cost < bestCost) {
         bestCost = cost;
@@ -67,6 +82,29 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns the engines that serve this kind of stream first; all endpoints of plain services. */
+  private Set<String> preferred(List<TrackedEndpoint> candidates, Demand demand) {
+    Set<String> ids = new HashSet<>();
+    candidates.forEach(candidate -> ids.add(candidate.listed().id()));
+    if (demand.prompt().isEmpty()) {
+      return ids;
+    }
+    Prompt prompt = demand.prompt().get();
+    double work =
+        prompt.tokens() / PROMPT_TOKENS_PER_MS + prompt.maxOutputTokens() * OUTPUT_TOKEN_MS;
+    shares.onRequest(demand.toleratesPauses(), work);
+    Set<String> tolerant = shares.tolerantEngines(candidates);
+    if (demand.toleratesPauses() || tolerant.size() == ids.size()) {
+      return tolerant;
+    }
+    ids.removeAll(tolerant);
+    return ids;
+  }
+
+  private static double misplacedMs(Demand demand) {
+    return demand.toleratesPauses() ? TOLERANT_MISPLACED_MS : STRICT_MISPLACED_MS;
+  }
+
   private Selection expect(
       TrackedEndpoint candidate, Optional<Prompt> prompt, Optional<String> home) {
     long now = clock.nowMs();
@@ -94,14 +132,9 @@
   }
 
   /** Returns the endpoint that all VMs expect to hold the longest shared part. */
-  private static Optional<String> homeOf(Prompt prompt, List<TrackedEndpoint> candidates) {
+  private static Optional<String> homeOf(Prompt prompt, Set<String> endpoints) {
     return sharedPart(prompt)
-        .flatMap(
-            part -> {
-              List<String> ids =
-                  candidates.stream().map(candidate -> candidate.listed().id()).toList();
-              return RendezvousHash.ranked(part.id(), ids, 1).stream().findFirst();
-            });
+        .flatMap(part -> RendezvousHash.ranked(part.id(), endpoints, 1).stream().findFirst());
   }
 
   private static Optional<PromptPart> sharedPart(Prompt prompt) {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RankScale.java
@@ -0,0 +1,40 @@
+package org.zinniaspan.forwarding;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Maps the ranks of organisations and routes to the ranks of engines.
+ *
+ * <p>An organisation's rank goes before its route's, so that two requests get the same rank only if
+ * neither is more urgent. Example: with organisations ranked 0 and 1 and routes ranked 0 and 2, the
+ * engine's ranks are 0 (0, 0), 1 (0, 2), 2 (1, 0) and 3 (1, 2).
+ */
+public final class RankScale {
+
+  /** Least urgent rank that engines know. */
+  private static final int LOWEST = 9;
+
+  private final List<Integer> organisationRanks;
+  private final List<Integer> routeRanks;
+
+  /** Creates a scale for the ranks that a configuration uses. */
+  public RankScale(List<Integer> organisationRanks, List<Integer> routeRanks) {
+    this.organisationRanks = new ArrayList<>(new TreeSet<>(organisationRanks));
+    this.routeRanks = new ArrayList<>(new TreeSet<>(routeRanks));
+  }
+
+  /** Returns the rank at an engine; an organisation without a rank comes after all others. */
+  public int rank(Optional<Integer> organisationRank, int routeRank) {
+    int outer = organisationRank.map(organisationRanks::indexOf).orElse(organisationRanks.size());
+    int steps = Math.max(1, routeRanks.size());
+    int rank = Math.max(0, outer) * steps + Math.max(0, routeRanks.indexOf(routeRank));
+    int last = (organisationRanks.size() + 1) * steps - 1;
+    if (last <= LOWEST) {
+      return rank;
+    }
+    return (int) ((long) rank * LOWEST / last);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -15,12 +15,17 @@
  */
 public final class RoutingTable {
 
+  /** A stream whose pauses may be this much longer than the strictest one's is tolerant. */
+  private static final long TOLERANT_GAP_RATIO = 2;
+
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceSpec> services;
   private final Map<String, Organisation> organisationsByKey;
   private final boolean keysRequired;
   private final InboundLimits limits;
+  private final RankScale ranks;
+  private final long tolerantGapMs;
 
   /**
    * Creates a table.
@@ -40,6 +45,17 @@
     this.organisationsByKey = Map.copyOf(organisationsByKey);
     this.keysRequired = keysRequired;
     this.limits = limits;
+    this.ranks =
+        new RankScale(
+            organisationsByKey.values().stream().flatMap(o -> o.priority().stream()).toList(),
+            routes.stream().map(Route::priority).toList());
+    this.tolerantGapMs =
+        TOLERANT_GAP_RATIO
+            * routes.stream()
+                .mapToLong(Route::gapTargetMs)
+                .filter(gap -> gap > 0)
+                .min()
+                .orElse(Long.MAX_VALUE / TOLERANT_GAP_RATIO);
     routes.forEach(
         route -> routesByHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route));
     Comparator<Route> longestFirst =
@@ -70,6 +86,16 @@
         .findFirst();
   }
 
+  /** Returns whether a route's streams may pause for much longer than the strictest ones. */
+  public boolean toleratesPauses(Route route) {
+    return route.gapTargetMs() >= tolerantGapMs;
+  }
+
+  /** Returns the rank of a request at an engine; 0 is the most urgent. */
+  public int rank(Optional<Organisation> organisation, Route route) {
+    return ranks.rank(organisation.flatMap(Organisation::priority), route.priority());
+  }
+
   /** Returns a service by its name. */
   public Optional<ServiceSpec> service(String name) {
     return Optional.ofNullable(services.get(name));
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.Organisation;
@@ -42,8 +43,6 @@
   /** Least time left with which another endpoint is tried, in milliseconds. */
   private static final long LEAST_RETRY_MS = 60;
 
-  private static final int LOWEST_RANK = 9;
-
   private final ForwardContext context;
   private final InboundConnection client;
   private final HttpRequest head;
@@ -56,6 +55,8 @@
   private Optional<Organisation> organisation = Optional.empty();
   private String service = "";
   private long version;
+  private int rank;
+  private boolean toleratesPauses;
   private long endMs = Long.MAX_VALUE;
   private int sends;
   private boolean mayHaveRun;
@@ -136,6 +137,8 @@
         return;
       }
     }
+    rank = table.get().rank(organisation, route);
+    toleratesPauses = table.get().toleratesPauses(route);
     service = route.serviceAt(context.random().nextDouble());
     long limitMs = Math.min(facts.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
     endMs = arrivedMs + limitMs;
@@ -150,7 +153,7 @@
 
   private void send() {
     Optional<Selection> selection =
-        context.selector().select(context.directory().ready(service), facts.prompt(), tried);
+        context.selector().select(context.directory().ready(service), demand(), tried);
     if (selection.isEmpty()) {
       giveUp("no-endpoint");
       return;
@@ -181,14 +184,13 @@
         organisation.map(Organisation::name),
         keys,
         Optional.of(leftMs),
-        facts.prompt().map(p -> rank()),
+        facts.prompt().map(p -> rank),
         lastEvent,
         body.length);
   }
 
-  private int rank() {
-    int rank = organisation.flatMap(Organisation::priority).orElse(route.priority());
-    return Math.max(0, Math.min(LOWEST_RANK, rank));
+  private EndpointSelector.Demand demand() {
+    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses);
   }
 
   /** Acts on time that has passed. */
