--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -151,6 +151,7 @@
   @Override
   public void close() {
     EventLog.event("stopped").info();
+    reactor.runLocked(server::closeAll);
     closer.close();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -100,10 +100,17 @@
     }
   }
 
-  /** Returns the number of requests without a final answer. */
+  /** Returns the number of requests whose final answer the client has not been sent whole. */
   int inFlight() {
     exchanges.values().removeIf(Exchange::isDone);
-    return exchanges.size();
+    long unsent = connections.stream().filter(c -> c.isOpen() && c.unsentBytes() > 0).count();
+    return exchanges.size() + (int) unsent;
+  }
+
+  /** Closes all connections in order, so that what was sent is delivered. */
+  void closeAll() {
+    List.copyOf(connections).forEach(InboundConnection::close);
+    connections.clear();
   }
 
   /** Closes the connections that carry no request. */
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -158,9 +158,13 @@
 
   private boolean parseBody() throws IOException {
     ByteBuffer part = ByteBuffer.allocate(READ_BYTES);
-    int count = decoder.read(part);
-    if (count > 0 && !skipping) {
-      handler.onBody(part.flip());
+    try {
+      decoder.read(part);
+    } finally {
+      // A decoder that fails may have read bytes before; they are part of the answer.
+      if (part.flip().hasRemaining() && !skipping) {
+        handler.onBody(part.duplicate());
+      }
     }
     if (!isOpen()) {
       return false;
@@ -170,7 +174,7 @@
       finish();
       return true;
     }
-    return count > 0;
+    return part.hasRemaining();
   }
 
   private void finish() {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
@@ -14,7 +14,6 @@
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.zinniaspan.log.EventLog;
 
@@ -146,16 +145,12 @@
     }
   }
 
+  /** Ends the threads; connections that are still open are reset. */
   @Override
   public void close() {
     timers.shutdownNow();
     reactor.initiateShutdown();
-    try {
-      reactor.awaitShutdown(TimeValue.ofMilliseconds(100));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-    reactor.close(CloseMode.GRACEFUL);
+    reactor.close(CloseMode.IMMEDIATE);
   }
 
   private static Thread daemonThread(Runnable runnable, String name) {
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -0,0 +1,124 @@
+package org.zinniaspan.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CatalogFollowerTest {
+
+  private static final ListedEndpoint ENDPOINT =
+      new ListedEndpoint("a", "service", "10.0.0.1:80", "zone-a", 6, false, 1);
+
+  private long nowMs = 50_000;
+  private final FakeCatalog catalog = new FakeCatalog();
+  private final TableTrust trust = new TableTrust(() -> nowMs, () -> nowMs, 4_600);
+  private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
+  private final CatalogFollower follower =
+      new CatalogFollower(catalog, () -> nowMs, trust, directory, new Random(1), () -> {});
+
+  @BeforeEach
+  void readOnce() {
+    follower.tick();
+    catalog.answerTable(TestTables.table(7));
+    catalog.answerList(40, ENDPOINT);
+  }
+
+  private void pass(long ms) {
+    for (long end = nowMs + ms; nowMs < end; nowMs += 20) {
+      follower.tick();
+    }
+  }
+
+  private long version() {
+    return follower.table().map(RoutingTable::version).orElse(-1L);
+  }
+
+  @Test
+  void watchesFromTheRevisionOfTheList() {
+    assertThat(catalog.watchedAfter).isEqualTo(40);
+    catalog.answerWatch(43, Optional.empty());
+    assertThat(catalog.watchedAfter).isEqualTo(43);
+  }
+
+  @Nested
+  class Versions {
+
+    @Test
+    void riseByTheWatchAtOnce() {
+      catalog.answerWatch(41, Optional.of(TestTables.table(9)));
+      assertThat(version()).isEqualTo(9);
+    }
+
+    @Test
+    void neverGoBack() {
+      catalog.answerWatch(41, Optional.of(TestTables.table(5)));
+      assertThat(version()).isEqualTo(7);
+      pass(1_500);
+      catalog.answerTable(TestTables.table(6));
+      assertThat(version()).isEqualTo(7);
+    }
+  }
+
+  @Nested
+  class Confirmation {
+
+    @Test
+    void comesFromReadsOnly() {
+      pass(1_000);
+      catalog.answerWatch(41, Optional.empty());
+      assertThat(trust.ageMs()).isAtLeast(1_000);
+      pass(600);
+      catalog.answerTable(TestTables.table(7));
+      assertThat(trust.ageMs()).isAtMost(600);
+    }
+
+    @Test
+    void isAskedForOftenEnoughForAConfigurationToBeInForceInTime() {
+      pass(1_500);
+      assertThat(catalog.tables).hasSize(1);
+    }
+
+    @Test
+    void isAskedForAgainSoonAfterAFailure() {
+      pass(1_500);
+      catalog.tables.remove().accept(new CatalogResult.Failed<>("status 503"));
+      pass(300);
+      assertThat(catalog.tables).hasSize(1);
+      assertThat(version()).isEqualTo(7);
+    }
+  }
+
+  @Nested
+  class LostHistory {
+
+    @Test
+    void leadsToACompleteReadAtOnce() {
+      catalog.watches.remove().accept(new CatalogResult.HistoryLost<>());
+      assertThat(catalog.tables).hasSize(1);
+      catalog.answerList(90);
+      assertThat(directory.size()).isEqualTo(0);
+      assertThat(catalog.watchedAfter).isEqualTo(90);
+    }
+  }
+
+  @Nested
+  class Outage {
+
+    @Test
+    void keepsEndpointsThatExpiredMeanwhileUntilTheyHadTimeToReturn() {
+      pass(1_500);
+      catalog.tables.remove().accept(new CatalogResult.Failed<>("no answer in time"));
+      catalog.watches.remove().accept(new CatalogResult.Failed<>("no answer in time"));
+      pass(2_000);
+      catalog.answerList(90);
+      assertThat(directory.size()).isEqualTo(1);
+      nowMs += 2_300;
+      directory.tick();
+      assertThat(directory.size()).isEqualTo(0);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -0,0 +1,73 @@
+package org.zinniaspan.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EndpointDirectoryTest {
+
+  private long nowMs = 10_000;
+  private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
+
+  private static ListedEndpoint endpoint(String id, boolean draining, long bornMs) {
+    return new ListedEndpoint(id, "service", "10.0.0.1:80", "zone-a", 6, draining, bornMs);
+  }
+
+  private List<String> ready() {
+    return directory.ready("service").stream().map(e -> e.listed().id()).sorted().toList();
+  }
+
+  @Test
+  void leavesOutEndpointsThatDrainAtOnce() {
+    directory.replaceAll(List.of(endpoint("a", false, 1), endpoint("b", false, 1)));
+    directory.apply(new EndpointChange.Listed(endpoint("a", true, 1)));
+    assertThat(ready()).containsExactly("b");
+  }
+
+  @Test
+  void forgetsTheCacheOfANewIncarnationUnderTheSameId() {
+    directory.replaceAll(List.of(endpoint("a", false, 1)));
+    PromptPart part = new PromptPart("part", 500);
+    directory.ready("service").get(0).remember(new Prompt(500, 10, List.of(part)));
+    directory.apply(new EndpointChange.Listed(endpoint("a", false, 2)));
+    assertThat(directory.ready("service").get(0).holds(part)).isFalse();
+  }
+
+  @Nested
+  class Removal {
+
+    @Test
+    void actsAtOnceWhileThePlatformAnswers() {
+      directory.replaceAll(List.of(endpoint("a", false, 1), endpoint("b", false, 1)));
+      directory.apply(new EndpointChange.Gone("a"));
+      assertThat(ready()).containsExactly("b");
+    }
+
+    @Test
+    void waitsAfterAnOutageBecauseEntriesMayHaveExpiredMeanwhile() {
+      directory.replaceAll(List.of(endpoint("a", false, 1), endpoint("b", false, 1)));
+      directory.onPlatformBack();
+      directory.replaceAll(List.of(endpoint("b", false, 1)));
+      nowMs += 2_000;
+      directory.tick();
+      assertThat(ready()).containsExactly("a", "b");
+      nowMs += 500;
+      directory.tick();
+      assertThat(ready()).containsExactly("b");
+    }
+
+    @Test
+    void isCalledOffWhenTheEntryReturns() {
+      directory.replaceAll(List.of(endpoint("a", false, 1)));
+      directory.onPlatformBack();
+      directory.replaceAll(List.of());
+      nowMs += 1_500;
+      directory.apply(new EndpointChange.Listed(endpoint("a", false, 1)));
+      nowMs += 5_000;
+      directory.tick();
+      assertThat(ready()).containsExactly("a");
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
@@ -0,0 +1,46 @@
+package org.zinniaspan.forwarding;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** A platform whose replies the test gives. */
+final class FakeCatalog implements Catalog {
+
+  final Deque<Consumer<CatalogResult<Optional<RoutingTable>>>> tables = new ArrayDeque<>();
+  final Deque<Consumer<CatalogResult<List<ListedEndpoint>>>> lists = new ArrayDeque<>();
+  final Deque<Consumer<CatalogResult<CatalogChanges>>> watches = new ArrayDeque<>();
+  long watchedAfter;
+
+  @Override
+  public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> reply) {
+    tables.add(reply);
+  }
+
+  @Override
+  public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> reply) {
+    lists.add(reply);
+  }
+
+  @Override
+  public void watch(
+      long afterRevision, long waitMs, Consumer<CatalogResult<CatalogChanges>> reply) {
+    watchedAfter = afterRevision;
+    watches.add(reply);
+  }
+
+  void answerTable(RoutingTable table) {
+    tables.remove().accept(new CatalogResult.Read<>(Optional.of(table), 1));
+  }
+
+  void answerList(long revision, ListedEndpoint... endpoints) {
+    lists.remove().accept(new CatalogResult.Read<>(List.of(endpoints), revision));
+  }
+
+  void answerWatch(long revision, Optional<RoutingTable> table, EndpointChange... changes) {
+    CatalogChanges value = new CatalogChanges(table, List.of(changes));
+    watches.remove().accept(new CatalogResult.Read<>(value, revision));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/TestTables.java
@@ -0,0 +1,37 @@
+package org.zinniaspan.forwarding;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Routing tables for tests. */
+final class TestTables {
+
+  private TestTables() {}
+
+  static Route route(String prefix, RouteKind kind, long gapTargetMs) {
+    return new Route(
+        "route " + prefix,
+        "shop.example",
+        prefix,
+        kind,
+        List.of(new WeightedService("service", 1)),
+        1_000,
+        100,
+        0,
+        2,
+        false,
+        false,
+        gapTargetMs);
+  }
+
+  static RoutingTable table(long version, Route... routes) {
+    return new RoutingTable(
+        version,
+        List.of(routes),
+        Map.of("service", new ServiceSpec("service", 100, Optional.empty())),
+        Map.of("key-1", new Organisation("organisation-1", Optional.of(1))),
+        true,
+        InboundLimits.DEFAULT);
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/Caller.java
@@ -0,0 +1,52 @@
+package org.zinniaspan.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+
+/** A client that writes and reads raw bytes over one connection. */
+final class Caller implements AutoCloseable {
+
+  private static final int PATIENCE_MS = 10_000;
+
+  private final Socket socket;
+
+  Caller(int port) throws IOException {
+    socket = new Socket("127.0.0.1", port);
+    socket.setSoTimeout(PATIENCE_MS);
+  }
+
+  void send(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  /** Reads until a text has arrived or the connection ends. */
+  String readUntil(String end) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      while (!bytes.toString(StandardCharsets.ISO_8859_1).contains(end)) {
+        int next = socket.getInputStream().read();
+        if (next < 0) {
+          break;
+        }
+        bytes.write(next);
+      }
+    } catch (SocketTimeoutException e) {
+      throw new IOException("only this arrived: " + bytes, e);
+    }
+    return bytes.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Reads all until the connection ends. */
+  String readAll() throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
@@ -0,0 +1,342 @@
+package org.zinniaspan.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.zinniaspan.proxy.RawServer.write;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.zinniaspan.forwarding.ZoneMap;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.lifecycle.Closer;
+import org.zinniaspan.platform.HttpDialect;
+import org.zinniaspan.platform.StoreClient;
+
+/** Plays the whole path against stand-ins of the platform's store and of endpoints. */
+@Timeout(60)
+class ForwardDaemonTest {
+
+  private static final String CONFIGURATION =
+      """
+      {"version":%d,"routes":[
+      {"name":"safe","host":"h.example","prefix":"/safe/","route_kind":"safe","timeout_ms":1500,
+      "target_latency_ms":100,"priority":1,"service":"app","max_attempts":2},
+      {"name":"unsafe","host":"h.example","prefix":"/unsafe/","route_kind":"unsafe",
+      "timeout_ms":1500,"target_latency_ms":100,"priority":1,"service":"app","max_attempts":1},
+      {"name":"chat","host":"h.example","prefix":"/chat/","route_kind":"streaming",
+      "timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"app","max_attempts":2,
+      "resumable":true,"gap_target_ms":200}],
+      "services":[{"name":"app","max_connections":50}],
+      "tenants":[{"name":"org-1","api_keys":["%s"],"priority":1}]}
+      """;
+
+  private static final String STAMP = "X-Zinniaspan-Server-Stamp: s1\r\n";
+
+  private final Closer closer = new Closer();
+  private StoreStandIn store;
+  private RawServer first;
+  private RawServer second;
+  private int port;
+  private int readyPort;
+
+  @BeforeEach
+  void start() throws IOException {
+    store = closer.add(new StoreStandIn());
+    first = closer.add(new RawServer((request, socket) -> false));
+    second = closer.add(new RawServer((request, socket) -> false));
+    publish(3, "key-1");
+    list("i-1", first, "zone-a");
+    list("i-2", second, "zone-b");
+    port = freePort();
+    readyPort = freePort();
+    InetSocketAddress address = Addresses.parse(store.address());
+    closer.add(
+        ForwardDaemon.start(
+            new ForwardDaemon.Parts(
+                Addresses.parse("127.0.0.1:" + port),
+                Addresses.parse("127.0.0.1:" + readyPort),
+                address,
+                caller -> new StoreClient(caller, address, 300),
+                new HttpDialect(),
+                new ZoneMap("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
+                new ForwardSettings(2_000, 0.2, 3_000),
+                1)));
+    awaitReady();
+  }
+
+  @AfterEach
+  void stop() {
+    closer.close();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private void publish(long version, String key) {
+    store.put("op/config", String.format(CONFIGURATION, version, key));
+  }
+
+  private void list(String id, RawServer endpoint, String zone) {
+    store.put(
+        "servers/" + id,
+        "{\"service\":\"app\",\"address\":\""
+            + endpoint.address()
+            + "\",\"zone\":\""
+            + zone
+            + "\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"born\":1}");
+  }
+
+  private void awaitReady() throws IOException {
+    String answer = "";
+    while (!answer.startsWith("HTTP/1.1 200")) {
+      try (Caller caller = new Caller(readyPort)) {
+        caller.send("GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        answer = caller.readAll();
+      }
+    }
+  }
+
+  private static String request(String method, String path, String extra, String body) {
+    return method
+        + ' '
+        + path
+        + " HTTP/1.1\r\nHost: h.example\r\n"
+        + "X-Zinniaspan-Attempt-Id: a1\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n"
+        + extra
+        + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
+        + "\r\n"
+        + body;
+  }
+
+  private String call(String request) throws IOException {
+    try (Caller caller = new Caller(port)) {
+      caller.send(request);
+      return caller.readAll();
+    }
+  }
+
+  private static String ok(String id, String body) {
+    return "HTTP/1.1 200 OK\r\nX-Zinniaspan-Attempt-Id: "
+        + id
+        + "\r\n"
+        + STAMP
+        + "Content-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private static RawServer.Script always(String answer) {
+    return (request, socket) -> {
+      write(socket, answer);
+      return true;
+    };
+  }
+
+  @Nested
+  class Forwarding {
+
+    @Test
+    void passesTheRequestOnForItsOrganisationWithoutTheKey() throws IOException {
+      first.script = always(ok("a1", "done"));
+      String answer =
+          call(
+              request(
+                  "POST",
+                  "/unsafe/x?q=1",
+                  "X-Zinniaspan-Tenant: forged\r\nX-Zinniaspan-Hold: 7\r\nX-Own: kept\r\n"
+                      + "X-Zinniaspan-Deadline-Ms: 900\r\n",
+                  "body"));
+      assertThat(answer).startsWith("HTTP/1.1 200");
+      assertThat(answer).contains(STAMP.trim());
+      assertThat(answer).endsWith("\r\n\r\ndone");
+      RawServer.Request seen = first.requests.get(0);
+      assertThat(seen.line()).isEqualTo("POST /unsafe/x?q=1 HTTP/1.1");
+      assertThat(seen.body()).isEqualTo("body");
+      assertThat(seen.header("X-Zinniaspan-Tenant")).isEqualTo("org-1");
+      assertThat(seen.header("X-Zinniaspan-Expect-Instance")).isEqualTo("i-1");
+      assertThat(seen.header("X-Zinniaspan-Hold")).isEmpty();
+      assertThat(seen.header("Authorization")).isEmpty();
+      assertThat(seen.header("X-Own")).isEqualTo("kept");
+      assertThat(Integer.parseInt(seen.header("X-Zinniaspan-Deadline-Ms"))).isAtMost(900);
+    }
+
+    @Test
+    void refusesUnknownRoutesAndKeys() throws IOException {
+      assertThat(call(request("GET", "/none/", "", ""))).startsWith("HTTP/1.1 404");
+      String other = request("GET", "/safe/", "", "").replace("key-1", "key-2");
+      assertThat(call(other)).startsWith("HTTP/1.1 401");
+    }
+
+    @Test
+    void skipsAnAnswerThatBelongsToAnotherRequest() throws IOException {
+      first.script = always(ok("a0", "not mine") + ok("a1", "mine"));
+      String answer = call(request("POST", "/unsafe/x", "", "b"));
+      assertThat(answer).startsWith("HTTP/1.1 200");
+      assertThat(answer).endsWith("\r\n\r\nmine");
+    }
+
+    @Test
+    void refusesARequestWhoseLengthIsAmbiguous() throws IOException {
+      String answer =
+          call(request("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"));
+      assertThat(answer).startsWith("HTTP/1.1 400");
+      assertThat(first.requests).isEmpty();
+    }
+  }
+
+  @Nested
+  class UnsafeRequests {
+
+    @Test
+    void areNotSentAgainAfterTheConnectionBroke() throws IOException {
+      first.script = (request, socket) -> false;
+      second.script = always(ok("a1", "second"));
+      assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 502");
+      assertThat(second.requests).isEmpty();
+    }
+
+    @Test
+    void areRefusedWithATimeToComeBackIfTheEndpointDidNotRunThem() throws IOException {
+      first.script =
+          always(
+              "HTTP/1.1 503 Service Unavailable\r\nX-Zinniaspan-Attempt-Id: a1\r\n"
+                  + "X-Zinniaspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      String answer = call(request("POST", "/unsafe/x", "", "b"));
+      assertThat(answer).startsWith("HTTP/1.1 503");
+      assertThat(answer).contains("Retry-After: ");
+    }
+
+    @Test
+    void areNotSaidToBeNotRunIfTheEndpointDoesNotStateIt() throws IOException {
+      first.script =
+          always(
+              "HTTP/1.1 503 Service Unavailable\r\nX-Zinniaspan-Attempt-Id: a1\r\n"
+                  + STAMP
+                  + "Content-Length: 0\r\n\r\n");
+      assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void areNotAnsweredWithABodyThatWasCutShort() throws IOException {
+      first.script =
+          (request, socket) -> {
+            write(socket, ok("a1", "whole").replace("Content-Length: 5", "Content-Length: 9"));
+            return false;
+          };
+      assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 502");
+    }
+  }
+
+  @Nested
+  class SafeRequests {
+
+    @Test
+    void areSentToAnotherEndpointAfterAFailure() throws IOException {
+      first.script = (request, socket) -> false;
+      second.script = always(ok("a1", "second"));
+      assertThat(call(request("GET", "/safe/x", "", ""))).endsWith("\r\n\r\nsecond");
+      assertThat(first.requests).hasSize(1);
+    }
+
+    @Test
+    void getAnAnswerAtTheTimeoutOfTheirRoute() throws IOException {
+      first.script = (request, socket) -> true;
+      second.script = (request, socket) -> true;
+      assertThat(call(request("GET", "/safe/x", "", ""))).startsWith("HTTP/1.1 504");
+    }
+  }
+
+  @Nested
+  class Streams {
+
+    private static final String HEAD =
+        "HTTP/1.1 200 OK\r\nX-Zinniaspan-Attempt-Id: a1\r\n"
+            + STAMP
+            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String event(int id) {
+      String text = "id: " + id + "\ndata: t\n\n";
+      return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    @Test
+    void goOnAtAnotherEndpointWithinOneAnswer() throws IOException {
+      first.script =
+          (request, socket) -> {
+            write(socket, HEAD + event(1) + event(2) + "20\r\nid: 3\nda");
+            return false;
+          };
+      second.script = always(HEAD + event(3) + event(4) + "0\r\n\r\n");
+      String answer = call(request("POST", "/chat/x", "", "b"));
+      assertThat(second.requests.get(0).header("Last-Event-Id")).isEqualTo("2");
+      assertThat(answer.split("id: ")).hasLength(5);
+      assertThat(answer).endsWith("0\r\n\r\n");
+    }
+
+    @Test
+    void doNotLookCompleteWhenNoEndpointCanGoOn() throws IOException {
+      first.script =
+          (request, socket) -> {
+            write(socket, HEAD + event(1));
+            return false;
+          };
+      second.script = (request, socket) -> false;
+      String answer = call(request("POST", "/chat/x", "", "b"));
+      assertThat(answer).contains("id: 1");
+      assertThat(answer).doesNotContain("0\r\n\r\n");
+    }
+
+    @Test
+    void endAtTheEndpointWhenTheClientLeaves() throws Exception {
+      first.script =
+          (request, socket) -> {
+            write(socket, HEAD + event(1));
+            return true;
+          };
+      try (Caller caller = new Caller(port)) {
+        caller.send(request("POST", "/chat/x", "", "b"));
+        caller.readUntil("id: 1");
+      }
+      assertThat(first.clientClosed.await(5, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  @Nested
+  class Keys {
+
+    @Test
+    void areNotAcceptedOnceTheConfigurationCannotBeConfirmed() throws IOException {
+      first.script = always(ok("a1", "done"));
+      assertThat(call(request("GET", "/safe/x", "", ""))).startsWith("HTTP/1.1 200");
+      store.fallSilent();
+      String answer = "HTTP/1.1 200";
+      while (answer.startsWith("HTTP/1.1 200")) {
+        answer = call(request("GET", "/safe/x", "", ""));
+      }
+      assertThat(answer).startsWith("HTTP/1.1 503");
+      assertThat(answer).contains("Retry-After: ");
+    }
+
+    @Test
+    void areRefusedAsSoonAsAConfigurationTakesThemAway() throws IOException {
+      first.script = always(ok("a1", "done"));
+      publish(4, "key-9");
+      String answer = "HTTP/1.1 200";
+      while (answer.startsWith("HTTP/1.1 200")) {
+        answer = call(request("GET", "/safe/x", "", ""));
+      }
+      assertThat(answer).startsWith("HTTP/1.1 401");
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/RawServer.java
@@ -0,0 +1,128 @@
+package org.zinniaspan.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A server that answers each HTTP request with bytes that the test chooses. */
+final class RawServer implements AutoCloseable {
+
+  /**
+   * A request as it arrived.
+   *
+   * @param line request line
+   * @param headers headers by their names in lower case
+   * @param body the body
+   */
+  record Request(String line, Map<String, String> headers, String body) {
+
+    String header(String name) {
+      return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+    }
+  }
+
+  /** Answers one request, and says whether the connection stays open. */
+  interface Script {
+    boolean answer(Request request, Socket socket) throws IOException;
+  }
+
+  private final ServerSocket listener;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  final List<Request> requests = new CopyOnWriteArrayList<>();
+  final CountDownLatch clientClosed = new CountDownLatch(1);
+  volatile Script script;
+
+  RawServer(Script script) throws IOException {
+    this.script = script;
+    listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    threads.execute(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        sockets.add(socket);
+        threads.execute(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The test has closed the listener.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = socket.getInputStream();
+      Request request = read(in);
+      while (request != null) {
+        requests.add(request);
+        if (!script.answer(request, socket)) {
+          return;
+        }
+        request = read(in);
+      }
+      clientClosed.countDown();
+    } catch (IOException e) {
+      clientClosed.countDown();
+    }
+  }
+
+  private static Request read(InputStream in) throws IOException {
+    String line = readLine(in);
+    if (line == null) {
+      return null;
+    }
+    Map<String, String> headers = new TreeMap<>();
+    for (String field = readLine(in); field != null && !field.isEmpty(); field = readLine(in)) {
+      int colon = field.indexOf(':');
+      headers.put(
+          field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
+    }
+    int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    return new Request(line, headers, body);
+  }
+
+  private static String readLine(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int next = in.read(); next != '\n'; next = in.read()) {
+      if (next < 0) {
+        return null;
+      }
+      if (next != '\r') {
+        line.append((char) next);
+      }
+    }
+    return line.toString();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+    threads.shutdownNow();
+  }
+}
