--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -134,7 +134,7 @@
     if (headBytes(head) > handler.limits().maxHeaderBytes()) {
       throw new MessageConstraintException("the request head is too long");
     }
-    Optional<ContentDecoder> framing = BodyFraming.ofRequest(head, channel(), received);
+    final Optional<ContentDecoder> framing = BodyFraming.ofRequest(head, channel(), received);
     closeAfterAnswer = closes(head);
     body = new ByteArrayOutputStream();
     waitsSinceMs = clock.nowMs();
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -139,7 +139,7 @@
       // The rest of a body that was answered early must not be read as a new request.
       reusable = false;
     }
-    Optional<ContentDecoder> framing = BodyFraming.ofResponse(head, channel(), received);
+    final Optional<ContentDecoder> framing = BodyFraming.ofResponse(head, channel(), received);
     keepAliveMs = keepAlive(head);
     skipping = !handler.onHead(head);
     if (!isOpen()) {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -77,13 +77,13 @@
     }
 
     @Test
-    void isAskedForOftenEnoughForAConfigurationToBeInForceInTime() {
+    void isAskedForOftenEnoughForOneConfigurationToBeInForceInTime() {
       pass(1_500);
       assertThat(catalog.tables).hasSize(1);
     }
 
     @Test
-    void isAskedForAgainSoonAfterAFailure() {
+    void isAskedForAgainSoonAfterOneFailure() {
       pass(1_500);
       catalog.tables.remove().accept(new CatalogResult.Failed<>("status 503"));
       pass(300);
@@ -96,7 +96,7 @@
   class LostHistory {
 
     @Test
-    void leadsToACompleteReadAtOnce() {
+    void leadsToOneCompleteReadAtOnce() {
       catalog.watches.remove().accept(new CatalogResult.HistoryLost<>());
       assertThat(catalog.tables).hasSize(1);
       catalog.answerList(90);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -27,7 +27,7 @@
   }
 
   @Test
-  void forgetsTheCacheOfANewIncarnationUnderTheSameId() {
+  void forgetsTheCacheOfOneNewIncarnationUnderTheSameId() {
     directory.replaceAll(List.of(endpoint("a", false, 1)));
     PromptPart part = new PromptPart("part", 500);
     directory.ready("service").get(0).remember(new Prompt(500, 10, List.of(part)));
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/ExpectedFirstByteTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/ExpectedFirstByteTest.java
@@ -100,7 +100,7 @@
     }
 
     @Test
-    void sendsASharedPartToTheSameEngineFromAllVms() {
+    void sendsOneSharedPartToTheSameEngineFromAllVms() {
       PromptPart common = new PromptPart("common", 500);
       PromptPart session = new PromptPart("session-7", 4_900);
       Set<String> homes = new HashSet<>();
@@ -111,7 +111,7 @@
     }
 
     @Test
-    void leavesTheHomeOfASharedPartWhenManyPromptsWaitThere() {
+    void leavesTheHomeOfOneSharedPartWhenManyPromptsWaitThere() {
       PromptPart common = new PromptPart("common", 500);
       PromptPart session = new PromptPart("session-7", 4_900);
       EndpointSelector.Demand demand = chat(true, 2_000, common, session);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/RetryAllowanceTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/RetryAllowanceTest.java
@@ -31,7 +31,7 @@
   }
 
   @Test
-  void savesFewRetriesForABurstOfFailures() {
+  void savesFewRetriesForOneBurstOfFailures() {
     for (int i = 0; i < 1_000; i++) {
       allowance.onRequest();
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
@@ -39,12 +39,12 @@
     }
 
     @Test
-    void isNoEndpointIfAFieldIsMissing() throws JsonProcessingException {
+    void isNoEndpointIfOneFieldIsMissing() throws JsonProcessingException {
       assertThat(decode(ENTRY.replace("\"zone\":\"z\",", ""))).isEmpty();
     }
 
     @Test
-    void isNoEndpointIfAFieldHasAnotherType() throws JsonProcessingException {
+    void isNoEndpointIfOneFieldHasAnotherType() throws JsonProcessingException {
       assertThat(decode(ENTRY.replace("64", "\"64\""))).isEmpty();
       assertThat(decode(ENTRY.replace("\"10.128.0.9:8080\"", "9"))).isEmpty();
       assertThat(decode("[]")).isEmpty();
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
@@ -187,7 +187,7 @@
     }
 
     @Test
-    void refusesARequestWhoseLengthIsAmbiguous() throws IOException {
+    void refusesOneRequestWhoseLengthIsAmbiguous() throws IOException {
       String answer =
           call(request("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"));
       assertThat(answer).startsWith("HTTP/1.1 400");
@@ -207,7 +207,7 @@
     }
 
     @Test
-    void areRefusedWithATimeToComeBackIfTheEndpointDidNotRunThem() throws IOException {
+    void areRefusedWithOneTimeToComeBackIfTheEndpointDidNotRunThem() throws IOException {
       first.script =
           always(
               "HTTP/1.1 503 Service Unavailable\r\nX-Zinniaspan-Attempt-Id: a1\r\n"
@@ -228,7 +228,7 @@
     }
 
     @Test
-    void areNotAnsweredWithABodyThatWasCutShort() throws IOException {
+    void areNotAnsweredWithOneBodyThatWasCutShort() throws IOException {
       first.script =
           (request, socket) -> {
             write(socket, ok("a1", "whole").replace("Content-Length: 5", "Content-Length: 9"));
@@ -242,7 +242,7 @@
   class SafeRequests {
 
     @Test
-    void areSentToAnotherEndpointAfterAFailure() throws IOException {
+    void areSentToAnotherEndpointAfterOneFailure() throws IOException {
       first.script = (request, socket) -> false;
       second.script = always(ok("a1", "second"));
       assertThat(call(request("GET", "/safe/x", "", ""))).endsWith("\r\n\r\nsecond");
@@ -329,7 +329,7 @@
     }
 
     @Test
-    void areRefusedAsSoonAsAConfigurationTakesThemAway() throws IOException {
+    void areRefusedAsSoonAsOneConfigurationTakesThemAway() throws IOException {
       first.script = always(ok("a1", "done"));
       publish(4, "key-9");
       String answer = "HTTP/1.1 200";
