Read engines' reports, and refuse at once what would be answered too late

Cause: requests queued up to 102 deep at full engines while others had room, so that nearly all of them were late; an engine that reads prompts without a pause makes a token every 35 ms, so that long streams ran into their deadline. Engines' reports, seldom while idle, now correct the estimate; a request that even the best engine would answer late is refused with a time to come back, and less urgent requests are refused after an urgent one. Streams with a middling pause target may use any engine. Ruled out: a stall in the forwarding path.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -14,6 +14,7 @@
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.inventory.Finding;
 import org.zinniaspan.platform.HttpDialect;
+import org.zinniaspan.platform.ReportClient;
 import org.zinniaspan.platform.StoreClient;
 import org.zinniaspan.proxy.ForwardDaemon;
 import org.zinniaspan.proxy.ForwardSettings;
@@ -33,6 +34,9 @@
   /** Longest time until an answer of the platform, in milliseconds. */
   private static final long PLATFORM_TIMEOUT_MS = 800;
 
+  /** Longest time until an engine's report, in milliseconds. */
+  private static final long REPORT_TIMEOUT_MS = 500;
+
   /** Time by which trust ends before a key that was taken away must not be used, in ms. */
   private static final long TRUST_MARGIN_MS = 400;
 
@@ -104,6 +108,7 @@
         Addresses.parse(readyListen),
         store,
         caller -> new StoreClient(caller, store, PLATFORM_TIMEOUT_MS),
+        callers -> new ReportClient(callers, REPORT_TIMEOUT_MS),
         new HttpDialect(),
         new ZoneMap(zone, regions()),
         new ForwardSettings(trustMs, retryRatio, Math.round(graceS * MS_PER_SECOND)),
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EngineShares.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EngineShares.java
@@ -20,7 +20,7 @@
 final class EngineShares {
 
   /** Time in which the memory of work falls to half, in milliseconds. */
-  private static final double WORK_HALF_LIFE_MS = 6_000;
+  private static final double WORK_HALF_LIFE_MS = 4_000;
 
   /** Fewest engines that are divided. */
   private static final int LEAST_ENGINES = 3;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
@@ -25,6 +25,12 @@
   /** Time that a request of a plain service takes, in milliseconds, from the operators' sheet. */
   private static final double CALL_MS = 30;
 
+  /** Time that a stream holds its slot, in milliseconds. */
+  private static final double STREAM_MS = 2_000;
+
+  /** Time from the end of the prompt to the first event, in ms, from the operators' sheet. */
+  private static final double FIRST_EVENT_MS = 36;
+
   /** Cost of one recent failure, in milliseconds: more than a normal answer takes. */
   private static final double FAILURE_COST_MS = 400;
 
@@ -34,14 +40,20 @@
   /** Random spread that keeps VMs with the same view from one choice, in milliseconds. */
   private static final double SPREAD_MS = 6;
 
+  /** Random spread for the same purpose, as a share of the expected time. */
+  private static final double SPREAD_SHARE = 0.4;
+
   /** Share of an engine's time that one token of an answer takes, in milliseconds. */
   private static final double OUTPUT_TOKEN_MS = 0.1;
 
   /** Cost of a tolerant stream on an engine for strict ones, which it makes late, in ms. */
   private static final double TOLERANT_MISPLACED_MS = 400;
 
-  /** Cost of a strict stream on an engine for tolerant ones, where it may be late, in ms. */
-  private static final double STRICT_MISPLACED_MS = 200;
+  /** Cost of the strictest stream on an engine for tolerant ones, where it may be late, in ms. */
+  private static final double STRICT_MISPLACED_MS = 250;
+
+  /** How fast that cost falls with a longer pause target, as an engine's pauses are bounded. */
+  private static final double STRICTNESS_POWER = 3;
 
   private final EngineShares shares;
   private final Clock clock;
@@ -70,7 +82,7 @@
       }
       Selection selection = expect(candidate, prompt, home);
       double cost =
-          selection.expectedMs()
+          selection.expectedMs() * (1 - SPREAD_SHARE * random.nextDouble())
               + zones.costMs(candidate.listed().zone())
               + (preferred.contains(candidate.listed().id()) ? 0 : misplacedMs(demand))
               + random.nextDouble() * SPREAD_MS;
@@ -102,7 +114,9 @@
   }
 
   private static double misplacedMs(Demand demand) {
-    return demand.toleratesPauses() ? TOLERANT_MISPLACED_MS : STRICT_MISPLACED_MS;
+    return demand.toleratesPauses()
+        ? TOLERANT_MISPLACED_MS
+        : STRICT_MISPLACED_MS * Math.pow(demand.strictness(), STRICTNESS_POWER);
   }
 
   private Selection expect(
@@ -115,8 +129,14 @@
     }
     boolean isHome = home.equals(Optional.of(candidate.listed().id()));
     long unread = unreadTokens(candidate, prompt.get(), isHome);
-    double readMs = (candidate.waitingPromptTokens() + unread) / PROMPT_TOKENS_PER_MS;
-    return new Selection(candidate, expectedMs + readMs + candidate.inFlight(), unread);
+    double readMs =
+        (candidate.waitingTokens(now, PROMPT_TOKENS_PER_MS) + unread) / PROMPT_TOKENS_PER_MS;
+    double slotMs =
+        candidate.waitingForSlot() * STREAM_MS / Math.max(1, candidate.listed().slots());
+    if (candidate.hasReport(now)) {
+      expectedMs -= candidate.delayMs(now);
+    }
+    return new Selection(candidate, expectedMs + readMs + slotMs + FIRST_EVENT_MS, unread);
   }
 
   private static long unreadTokens(TrackedEndpoint candidate, Prompt prompt, boolean isHome) {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ReportPoller.java
@@ -0,0 +1,107 @@
+package org.zinniaspan.forwarding;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * Asks engines for their load: often while they are loaded, seldom while they are idle.
+ *
+ * <p>Reports are priced, and their number grows with VMs times engines. So a VM asks at most at a
+ * fixed rate, and engines of its own availability zone first.
+ */
+public final class ReportPoller implements Ticking {
+
+  /** Time between two reports of a loaded engine, in milliseconds. */
+  private static final long LOADED_INTERVAL_MS = 350;
+
+  /** Time between two reports of an engine that has room, in milliseconds. */
+  private static final long IDLE_INTERVAL_MS = 1_500;
+
+  /** Share of an engine's slots from which it counts as loaded. */
+  private static final double LOADED_SHARE = 0.3;
+
+  /** Most reports that a VM asks for in a second. */
+  private static final double MOST_PER_SECOND = 18;
+
+  private static final double MS_PER_SECOND = 1_000;
+
+  private final EndpointDirectory directory;
+  private final EngineReports reports;
+  private final Clock clock;
+  private final ZoneMap zones;
+  private final Map<String, Long> askedMs = new HashMap<>();
+  private final Set<String> pending = new HashSet<>();
+  private double allowed = 1;
+  private long allowedMs;
+
+  /** Creates a poller that has asked for nothing. */
+  public ReportPoller(
+      EndpointDirectory directory, EngineReports reports, Clock clock, ZoneMap zones) {
+    this.directory = directory;
+    this.reports = reports;
+    this.clock = clock;
+    this.zones = zones;
+    this.allowedMs = clock.nowMs();
+  }
+
+  /** Asks the engines of a service whose reports are due. */
+  public void poll(String service) {
+    long now = clock.nowMs();
+    allowed = Math.min(4, allowed + (now - allowedMs) * MOST_PER_SECOND / MS_PER_SECOND);
+    allowedMs = now;
+    List<TrackedEndpoint> due =
+        directory.ready(service).stream()
+            .filter(engine -> now >= nextMs(engine))
+            .filter(engine -> !pending.contains(engine.listed().id()))
+            .sorted(Comparator.comparingDouble(e -> zones.costMs(e.listed().zone())))
+            .toList();
+    for (TrackedEndpoint engine : due) {
+      if (allowed < 1) {
+        return;
+      }
+      allowed--;
+      ask(engine, now);
+    }
+  }
+
+  private long nextMs(TrackedEndpoint engine) {
+    long last = askedMs.getOrDefault(engine.listed().id(), 0L);
+    boolean loaded = engine.occupancy() >= LOADED_SHARE || engine.reportedQueue() > 0;
+    return last + (loaded ? LOADED_INTERVAL_MS : IDLE_INTERVAL_MS);
+  }
+
+  private void ask(TrackedEndpoint engine, long now) {
+    String id = engine.listed().id();
+    askedMs.put(id, now);
+    pending.add(id);
+    reports.read(
+        engine.listed(),
+        reply -> {
+          pending.remove(id);
+          onReply(engine, reply, now);
+        });
+  }
+
+  private void onReply(TrackedEndpoint engine, Optional<EngineReport> reply, long askedAtMs) {
+    if (reply.isPresent()) {
+      engine.onReport(reply.get(), askedAtMs);
+    } else {
+      engine.onFailure(clock.nowMs());
+      EventLog.event("report-missing").with("endpoint", engine.listed().id()).info();
+    }
+  }
+
+  /** Forgets engines that are gone. */
+  @Override
+  public void tick() {
+    askedMs.keySet().removeIf(id -> !directory.contains(id) && !pending.contains(id));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -25,7 +25,7 @@
   private final boolean keysRequired;
   private final InboundLimits limits;
   private final RankScale ranks;
-  private final long tolerantGapMs;
+  private final long strictestGapMs;
 
   /**
    * Creates a table.
@@ -49,13 +49,8 @@
         new RankScale(
             organisationsByKey.values().stream().flatMap(o -> o.priority().stream()).toList(),
             routes.stream().map(Route::priority).toList());
-    this.tolerantGapMs =
-        TOLERANT_GAP_RATIO
-            * routes.stream()
-                .mapToLong(Route::gapTargetMs)
-                .filter(gap -> gap > 0)
-                .min()
-                .orElse(Long.MAX_VALUE / TOLERANT_GAP_RATIO);
+    this.strictestGapMs =
+        routes.stream().mapToLong(Route::gapTargetMs).filter(gap -> gap > 0).min().orElse(0);
     routes.forEach(
         route -> routesByHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route));
     Comparator<Route> longestFirst =
@@ -88,7 +83,12 @@
 
   /** Returns whether a route's streams may pause for much longer than the strictest ones. */
   public boolean toleratesPauses(Route route) {
-    return route.gapTargetMs() >= tolerantGapMs;
+    return route.gapTargetMs() > 0 && route.gapTargetMs() >= TOLERANT_GAP_RATIO * strictestGapMs;
+  }
+
+  /** Returns the shortest pause target of all routes as a share of a route's own, 0 to 1. */
+  public double strictness(Route route) {
+    return route.gapTargetMs() > 0 ? (double) strictestGapMs / route.gapTargetMs() : 1;
   }
 
   /** Returns the rank of a request at an engine; 0 is the most urgent. */
@@ -101,6 +101,14 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns the names of the services whose endpoints are engines. */
+  public List<String> modelServices() {
+    return services.values().stream()
+        .filter(service -> service.engine().isPresent())
+        .map(ServiceSpec::name)
+        .toList();
+  }
+
   /** Returns whether requests on the route need an API key. */
   public boolean needsKey(Route route) {
     return keysRequired && !route.anonymous();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -18,7 +18,20 @@
   /** Parts of prompts that are remembered for an endpoint. */
   private static final int MOST_PARTS = 2_000;
 
+  /** Share of a new prompt in the mean length of the prompts that are read there. */
+  private static final double READ_WEIGHT = 0.1;
+
+  /** Mean length of a prompt before any was sent, in tokens. */
+  private static final double FIRST_MEAN_TOKENS = 1_500;
+
+  /** Age from which a report says nothing about the present, in milliseconds. */
+  private static final long REPORT_LIFE_MS = 2_000;
+
   private ListedEndpoint listed;
+  private EngineReport report;
+  private long reportMs;
+  private int sentSinceReport;
+  private double meanUnreadTokens = FIRST_MEAN_TOKENS;
   private int inFlight;
   private long waitingPromptTokens;
   private final DecayingValue delayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
@@ -45,6 +58,7 @@
   void update(ListedEndpoint entry) {
     if (entry.bornMs() != listed.bornMs()) {
       parts.clear();
+      report = null;
     }
     listed = entry;
   }
@@ -62,7 +76,9 @@
   /** Counts a request that is sent. */
   public void onSent(long promptTokens) {
     inFlight++;
+    sentSinceReport++;
     waitingPromptTokens += promptTokens;
+    meanUnreadTokens += READ_WEIGHT * (promptTokens - meanUnreadTokens);
   }
 
   /** Counts a prompt that was read, as the first event has come or the request has ended. */
@@ -91,6 +107,46 @@
     failures.set(failures.at(nowMs) / 2, nowMs);
   }
 
+  /** Takes over a report that was asked for at a time. */
+  public void onReport(EngineReport newReport, long askedMs) {
+    report = newReport;
+    reportMs = askedMs;
+    sentSinceReport = 0;
+  }
+
+  /** Returns whether the engine's last report still tells about the present. */
+  public boolean hasReport(long nowMs) {
+    return report != null && nowMs - reportMs <= REPORT_LIFE_MS;
+  }
+
+  /** Returns the requests that wait there by the last report; 0 if there is none. */
+  public int reportedQueue() {
+    return report == null ? 0 : report.queued();
+  }
+
+  /** Returns the share of the slots that are taken or asked for, by the last report. */
+  public double occupancy() {
+    int taken = report == null ? inFlight : report.active() + report.queued() + sentSinceReport;
+    return (double) taken / Math.max(1, listed.slots());
+  }
+
+  /**
+   * Returns the prompt tokens that wait there: by the last report, less what was read since, and
+   * with what this VM sent since.
+   */
+  public double waitingTokens(long nowMs, double tokensPerMs) {
+    if (!hasReport(nowMs)) {
+      return waitingPromptTokens;
+    }
+    double reported = report.queued() * meanUnreadTokens - (nowMs - reportMs) * tokensPerMs;
+    return Math.max(0, reported) + sentSinceReport * meanUnreadTokens;
+  }
+
+  /** Returns the requests that wait for a slot. */
+  public double waitingForSlot() {
+    return Math.max(0, (occupancy() - 1) * listed.slots());
+  }
+
   /** Returns the remembered delay in milliseconds. */
   public double delayMs(long nowMs) {
     return delayMs.at(nowMs);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -8,11 +8,13 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.zinniaspan.forwarding.Admission;
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.Organisation;
 import org.zinniaspan.forwarding.Prompt;
+import org.zinniaspan.forwarding.Refusal;
 import org.zinniaspan.forwarding.RequestFacts;
 import org.zinniaspan.forwarding.RetryAllowance;
 import org.zinniaspan.forwarding.Route;
@@ -57,6 +59,7 @@
   private long version;
   private int rank;
   private boolean toleratesPauses;
+  private double strictness;
   private long endMs = Long.MAX_VALUE;
   private int sends;
   private boolean mayHaveRun;
@@ -139,6 +142,7 @@
     }
     rank = table.get().rank(organisation, route);
     toleratesPauses = table.get().toleratesPauses(route);
+    strictness = table.get().strictness(route);
     service = route.serviceAt(context.random().nextDouble());
     long limitMs = Math.min(facts.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
     endMs = arrivedMs + limitMs;
@@ -158,6 +162,11 @@
       giveUp("no-endpoint");
       return;
     }
+    Optional<Refusal> refusal = admit(selection.get());
+    if (refusal.isPresent()) {
+      refuse(refusal.get().reason(), refusal.get().retryAfterMs());
+      return;
+    }
     ListedEndpoint endpoint = selection.get().endpoint().listed();
     tried.add(endpoint.id());
     sends++;
@@ -167,7 +176,7 @@
         .with("version", version)
         .with("endpoint", endpoint.id())
         .with("expectedMs", Math.round(selection.get().expectedMs()))
-        .with("inFlight", selection.get().endpoint().inFlight())
+        .with("occupancy", String.format("%.2f", selection.get().endpoint().occupancy()))
         .with("send", sends)
         .info();
     long maxIdleMs = route.isIdempotent() ? MOST_IDLE_MS : 0;
@@ -189,8 +198,21 @@
         body.length);
   }
 
+  /** Only the first send is refused: what was begun is brought to its end. */
+  private Optional<Refusal> admit(Selection selection) {
+    if (facts.prompt().isEmpty() || sends > 0 || mayHaveRun) {
+      return Optional.empty();
+    }
+    long leftMs = endMs - context.clock().nowMs();
+    return context
+        .admission()
+        .decide(
+            new Admission.Request(rank, toleratesPauses, route.targetLatencyMs(), leftMs),
+            selection);
+  }
+
   private EndpointSelector.Demand demand() {
-    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses);
+    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses, strictness);
   }
 
   /** Acts on time that has passed. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.Admission;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EndpointSelector;
@@ -20,6 +21,7 @@
  * @param trust whether API keys may be accepted
  * @param directory the endpoints
  * @param selector chooses endpoints
+ * @param admission refuses what would be answered too late
  * @param connections connections to endpoints
  * @param allowances retries by service
  * @param settings settings
@@ -32,6 +34,7 @@
     TableTrust trust,
     EndpointDirectory directory,
     EndpointSelector selector,
+    Admission admission,
     EndpointConnections connections,
     Map<String, RetryAllowance> allowances,
     ForwardSettings settings) {
@@ -44,6 +47,7 @@
       TableTrust trust,
       EndpointDirectory directory,
       EndpointSelector selector,
+      Admission admission,
       EndpointConnections connections,
       ForwardSettings settings) {
     this(
@@ -54,6 +58,7 @@
         trust,
         directory,
         selector,
+        admission,
         connections,
         new HashMap<>(),
         settings);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -7,12 +7,16 @@
 import java.util.function.Function;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.forwarding.Admission;
 import org.zinniaspan.forwarding.Catalog;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EngineReports;
 import org.zinniaspan.forwarding.ExpectedFirstByte;
+import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.TableTrust;
 import org.zinniaspan.forwarding.ZoneMap;
+import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.HttpCaller;
@@ -32,6 +36,8 @@
   private final ForwardContext context;
   private final HttpCaller platform;
   private final ForwardServer server;
+  private final EngineReports reports;
+  private final ReportPoller poller;
   private final CountDownLatch ended = new CountDownLatch(1);
 
   private ForwardDaemon(Parts parts) {
@@ -53,9 +59,13 @@
             trust,
             directory,
             new ExpectedFirstByte(clock, parts.zones(), random),
+            new Admission(clock, random),
             new EndpointConnections(reactor, clock),
             parts.settings());
     server = new ForwardServer(context, stop);
+    reports =
+        parts.reports().apply(address -> new HttpCaller(reactor, clock, Addresses.parse(address)));
+    poller = new ReportPoller(directory, reports, clock, parts.zones());
   }
 
   /**
@@ -65,6 +75,7 @@
    * @param readyListen address for the balancer's checks
    * @param platform address of the platform's store
    * @param catalog makes the reader of the platform's store
+   * @param reports makes the reader of engines' reports
    * @param dialect translates the heads of messages
    * @param zones where this VM stands
    * @param settings settings
@@ -75,6 +86,7 @@
       InetSocketAddress readyListen,
       InetSocketAddress platform,
       Function<HttpCaller, Catalog> catalog,
+      Function<Function<String, HttpCaller>, EngineReports> reports,
       Dialect dialect,
       ZoneMap zones,
       ForwardSettings settings,
@@ -120,6 +132,9 @@
     context.follower().tick();
     context.directory().tick();
     server.tick();
+    reports.tick();
+    poller.tick();
+    context.follower().table().ifPresent(table -> table.modelServices().forEach(poller::poll));
     long now = clock.nowMs();
     if (stop.refusesNew(now)) {
       server.closeIdle();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/ExpectedFirstByteTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/ExpectedFirstByteTest.java
@@ -17,7 +17,7 @@
   private static final ZoneMap ZONES =
       new ZoneMap("zone-a", Map.of("zone-a", "west", "zone-b", "west", "zone-c", "east"));
   private static final EndpointSelector.Demand CALL =
-      new EndpointSelector.Demand(Optional.empty(), false);
+      new EndpointSelector.Demand(Optional.empty(), false, 1);
 
   private long nowMs = 1_000;
 
@@ -39,7 +39,7 @@
     List<PromptPart> parts = new ArrayList<>(List.of(shared));
     parts.add(new PromptPart("own" + own, own));
     long tokens = parts.stream().mapToLong(PromptPart::tokens).sum();
-    return new EndpointSelector.Demand(Optional.of(new Prompt(tokens, 300, parts)), tolerant);
+    return new EndpointSelector.Demand(Optional.of(new Prompt(tokens, 300, parts)), tolerant, 1);
   }
 
   private static String id(Optional<EndpointSelector.Selection> selection) {
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
@@ -17,6 +17,7 @@
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.platform.HttpDialect;
+import org.zinniaspan.platform.ReportClient;
 import org.zinniaspan.platform.StoreClient;
 
 /** Plays the whole path against stand-ins of the platform's store and of endpoints. */
@@ -64,6 +65,7 @@
                 Addresses.parse("127.0.0.1:" + readyPort),
                 address,
                 caller -> new StoreClient(caller, address, 300),
+                callers -> new ReportClient(callers, 300),
                 new HttpDialect(),
                 new ZoneMap("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
                 new ForwardSettings(2_000, 0.2, 3_000),
