Keep strict streams apart, calibrate waits, refuse the least urgent first; metrics, refusal log, trace

Now only the strictest pause targets have engines of their own; expectations are corrected by what was seen, by kind of stream; pauses seen count for strict streams; re-reading counts besides its time; a more urgent request is refused only if no less urgent one was admitted lately. Ruled out: unequal engines alone (late streams on all); the forwarding path (events are passed on).

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.zinniaspan.forwarding.ZoneMap;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.inventory.Finding;
@@ -57,6 +58,11 @@
   @Parameter(names = "--ready-listen", description = "Address for readiness checks, host:port.")
   private String readyListen = "127.0.0.1:8081";
 
+  @Parameter(
+      names = "--metrics-listen",
+      description = "Address for metrics, host:port; empty serves none.")
+  private String metricsListen = "";
+
   @Parameter(names = "--platform", description = "Address of the platform's store, host:port.")
   private String platform = "";
 
@@ -106,6 +112,7 @@
     return new ForwardDaemon.Parts(
         Addresses.parse(listen),
         Addresses.parse(readyListen),
+        metricsListen.isEmpty() ? Optional.empty() : Optional.of(Addresses.parse(metricsListen)),
         store,
         caller -> new StoreClient(caller, store, PLATFORM_TIMEOUT_MS),
         callers -> new ReportClient(callers, REPORT_TIMEOUT_MS),
@@ -120,6 +127,9 @@
     checks.required("--zone", zone);
     checks.address("--listen", listen);
     checks.address("--ready-listen", readyListen);
+    if (!metricsListen.isEmpty()) {
+      checks.address("--metrics-listen", metricsListen);
+    }
     checks.address("--platform", platform);
     checks.atLeast("--revoke-ms", revokeMs, 1);
     checks.atLeast("--grace-s", Math.round(graceS), 1);
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -45,6 +45,7 @@
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("entry", Command.of(entry, () -> entry.help, out -> entry(entry)));
     commands.put("forward", new ForwardCommand());
+    commands.put("trace", new TraceCommand());
     commands.put("check", new CheckCommand());
     commands.put("import", new ImportCommand());
     commands.put("status", new StatusCommand());
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/TraceCommand.java
@@ -0,0 +1,122 @@
+package org.zinniaspan.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.StringJoiner;
+
+/**
+ * Prints what processes logged about one request, in order of time.
+ *
+ * <p>Example: {@code zinniaspan trace --id 9c41d07be2a35f68 vm-1.log vm-2.log}. Without files it
+ * reads standard input. Lines that are no JSON, or have text before it, do no harm.
+ */
+@Parameters(commandDescription = "Print the log lines about one request, in order of time.")
+final class TraceCommand implements Command {
+
+  private static final String LAST_EVENT = "request-ended";
+
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  @Parameter(names = "--help", help = true, description = "Show this help.")
+  private boolean help;
+
+  @Parameter(names = "--id", description = "Id of the client attempt.")
+  private String id = "";
+
+  @Parameter(description = "Log files; standard input if there is none.")
+  private List<String> files = new ArrayList<>();
+
+  private record Line(String time, String event, String fields) {}
+
+  @Override
+  public boolean isHelp() {
+    return help;
+  }
+
+  @Override
+  public int run(PrintStream out) {
+    SettingsChecks checks = new SettingsChecks();
+    checks.required("--id", id);
+    if (!checks.findings().isEmpty()) {
+      checks.findings().forEach(System.err::println);
+      return Main.EXIT_USAGE;
+    }
+    List<Line> found = new ArrayList<>();
+    try {
+      readAll(found);
+    } catch (IOException e) {
+      System.err.println("zinniaspan: cannot read " + e.getMessage());
+      return Main.EXIT_FAILURE;
+    }
+    found.sort(Comparator.comparing(Line::time));
+    found.forEach(line -> out.println(line.time() + "  " + line.event() + "  " + line.fields()));
+    return conclude(found, out);
+  }
+
+  private int conclude(List<Line> found, PrintStream out) {
+    if (found.isEmpty()) {
+      out.println("no line is about '" + id + "'");
+      return Main.EXIT_FINDINGS;
+    }
+    if (found.stream().noneMatch(line -> line.event().equals(LAST_EVENT))) {
+      out.println("its end is missing: the process was killed, its log is not here, or still runs");
+    }
+    return Main.EXIT_OK;
+  }
+
+  private void readAll(List<Line> found) throws IOException {
+    if (files.isEmpty()) {
+      read(new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)), found);
+    }
+    for (String file : files) {
+      try (BufferedReader reader = Files.newBufferedReader(Path.of(file))) {
+        read(reader, found);
+      }
+    }
+  }
+
+  private void read(BufferedReader reader, List<Line> found) throws IOException {
+    for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+      int start = text.indexOf('{');
+      if (start >= 0 && text.contains(id)) {
+        add(text.substring(start), found);
+      }
+    }
+  }
+
+  private void add(String json, List<Line> found) {
+    try {
+      JsonNode line = mapper.readTree(json);
+      JsonNode message = line.path("message");
+      if (!message.path("id").asText().equals(id)) {
+        return;
+      }
+      StringJoiner fields = new StringJoiner(" ");
+      message
+          .fields()
+          .forEachRemaining(
+              field -> {
+                if (!field.getKey().equals("event") && !field.getKey().equals("id")) {
+                  fields.add(field.getKey() + "=" + field.getValue().asText());
+                }
+              });
+      found.add(
+          new Line(line.path("time").asText(), message.path("event").asText(), fields.toString()));
+    } catch (JsonProcessingException e) {
+      System.err.println("zinniaspan: skipped a line that is no JSON: " + e.getOriginalMessage());
+    }
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Admission.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Admission.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.forwarding;
 
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.Random;
 import org.zinniaspan.clock.Clock;
@@ -11,8 +12,8 @@
  * <p>Load pattern: more requests arrive than the engines can serve. If all were sent on, each would
  * wait in an engine's queue behind the others, and none would meet its objective. So a request is
  * refused when even the best engine would answer too late, and the ones that are admitted are in
- * time. Once an urgent request was refused, less urgent ones are refused too, so that engines
- * become free for the urgent ones first.
+ * time. The least urgent routes are refused first: a more urgent request that would be late keeps
+ * them out for a while, and is itself refused only when none of them was admitted lately.
  */
 public final class Admission {
 
@@ -22,15 +23,21 @@
   /** Share of a latency objective that the expected first byte of a tolerant stream may take. */
   private static final double TOLERANT_SHARE = 0.9;
 
-  /** Share of an engine's slots that may be taken when a tolerant stream is added. */
-  private static final double TOLERANT_OCCUPANCY = 0.8;
+  /** Prompts longer than this hold up all streams of an engine, in tokens: two of its chunks. */
+  private static final long LONG_PROMPT_TOKENS = 4_000;
+
+  /** Share of an engine's slots that may be taken when a long prompt is added. */
+  private static final double LONG_PROMPT_OCCUPANCY = 0.75;
 
   /** Share of an engine's slots below which nothing is refused. */
   private static final double LEAST_OCCUPANCY = 0.5;
 
-  /** How long a refusal of an urgent request keeps less urgent ones out, in milliseconds. */
+  /** How long a late urgent request keeps the least urgent ones out, in milliseconds. */
   private static final long URGENT_FIRST_MS = 800;
 
+  /** How long an admitted request keeps more urgent ones from being refused, in milliseconds. */
+  private static final long ADMITTED_LATELY_MS = 1_500;
+
   /** Objective from which a client that comes back can still be in time, in milliseconds. */
   private static final long RETURN_IN_TIME_MS = 1_500;
 
@@ -42,54 +49,81 @@
 
   private final Clock clock;
   private final Random random;
-  private final long[] refusedMs = new long[RANKS];
+  private final long[] lateMs = new long[RANKS];
+  private final long[] admittedMs = new long[RANKS];
 
   /** Creates a policy that has refused nothing. */
   public Admission(Clock clock, Random random) {
     this.clock = clock;
     this.random = random;
-    java.util.Arrays.fill(refusedMs, Long.MIN_VALUE / 2);
+    Arrays.fill(lateMs, Long.MIN_VALUE / 2);
+    Arrays.fill(admittedMs, Long.MIN_VALUE / 2);
   }
 
   /**
    * What is known of a request.
    *
    * @param rank its rank at engines; 0 is the most urgent
+   * @param leastUrgent whether no route of the service is less urgent than its own
    * @param toleratesPauses whether long pauses between events do not matter
    * @param targetMs its latency objective, in milliseconds
    * @param leftMs time until its deadline, in milliseconds
    */
-  public record Request(int rank, boolean toleratesPauses, long targetMs, long leftMs) {}
+  public record Request(
+      int rank, boolean leastUrgent, boolean toleratesPauses, long targetMs, long leftMs) {}
 
   /** Returns why a request is refused; empty if it is sent to the selected engine. */
   public Optional<Refusal> decide(Request request, Selection selection) {
+    Optional<String> reason = reasonToRefuse(request, selection);
+    if (reason.isEmpty()) {
+      admittedMs[index(request)] = clock.nowMs();
+    }
+    return reason.map(text -> new Refusal(text, comeBackMs(request)));
+  }
+
+  private Optional<String> reasonToRefuse(Request request, Selection selection) {
     TrackedEndpoint engine = selection.endpoint();
     if (engine.occupancy() < LEAST_OCCUPANCY && engine.reportedQueue() == 0) {
       return Optional.empty();
     }
-    if (urgentRefusedLately(request.rank())) {
-      return Optional.of(new Refusal("urgent-first", comeBackMs(request)));
-    }
     double share = request.toleratesPauses() ? TOLERANT_SHARE : STRICT_SHARE;
     boolean late = selection.expectedMs() > share * request.targetMs();
-    boolean full = request.toleratesPauses() && engine.occupancy() > TOLERANT_OCCUPANCY;
-    if (!late && !full) {
-      return Optional.empty();
+    if (!request.leastUrgent()) {
+      return late ? refuseUrgent(request) : Optional.empty();
     }
-    refusedMs[Math.min(RANKS - 1, request.rank())] = clock.nowMs();
-    return Optional.of(new Refusal(late ? "too-late" : "engines-full", comeBackMs(request)));
+    if (isAnySince(lateMs, 0, index(request), URGENT_FIRST_MS)) {
+      return Optional.of("urgent-first");
+    }
+    if (late) {
+      return Optional.of("too-late");
+    }
+    boolean full =
+        selection.unreadTokens() > LONG_PROMPT_TOKENS && engine.occupancy() > LONG_PROMPT_OCCUPANCY;
+    return full ? Optional.of("engines-full") : Optional.empty();
+  }
+
+  private Optional<String> refuseUrgent(Request request) {
+    int index = index(request);
+    lateMs[index] = clock.nowMs();
+    return isAnySince(admittedMs, index + 1, RANKS, ADMITTED_LATELY_MS)
+        ? Optional.empty()
+        : Optional.of("too-late");
   }
 
-  private boolean urgentRefusedLately(int rank) {
-    long since = clock.nowMs() - URGENT_FIRST_MS;
-    for (int urgent = 0; urgent < Math.min(rank, RANKS); urgent++) {
-      if (refusedMs[urgent] > since) {
+  private boolean isAnySince(long[] times, int from, int to, long spanMs) {
+    long since = clock.nowMs() - spanMs;
+    for (int rank = from; rank < to; rank++) {
+      if (times[rank] > since) {
         return true;
       }
     }
     return false;
   }
 
+  private static int index(Request request) {
+    return Math.max(0, Math.min(RANKS - 1, request.rank()));
+  }
+
   /** Spreads the clients that come back, before their objective passes where that is possible. */
   private long comeBackMs(Request request) {
     double mostMs = request.leftMs() * MOST_WAIT_SHARE;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointSelector.java
@@ -21,9 +21,8 @@
    *
    * @param prompt the prompt, for a model service
    * @param toleratesPauses whether long pauses between events do not matter
-   * @param strictness shortest pause target of all streams, as a share of this one's; 0 to 1
    */
-  record Demand(Optional<Prompt> prompt, boolean toleratesPauses, double strictness) {}
+  record Demand(Optional<Prompt> prompt, boolean toleratesPauses) {}
 
   /**
    * A chosen endpoint.
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EngineShares.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EngineShares.java
@@ -22,6 +22,9 @@
   /** Time in which the memory of work falls to half, in milliseconds. */
   private static final double WORK_HALF_LIFE_MS = 4_000;
 
+  /** Capacity that strict streams get for their work, so that few prompts follow each other. */
+  private static final double STRICT_HEADROOM = 1.5;
+
   /** Fewest engines that are divided. */
   private static final int LEAST_ENGINES = 3;
 
@@ -47,7 +50,7 @@
   private int tolerantCount(int engines) {
     long now = clock.nowMs();
     double tolerant = tolerantWork.at(now);
-    double total = tolerant + strictWork.at(now);
+    double total = tolerant + STRICT_HEADROOM * strictWork.at(now);
     if (engines < LEAST_ENGINES || total <= 0) {
       return engines;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -16,7 +16,7 @@
 public final class RoutingTable {
 
   /** A stream whose pauses may be this much longer than the strictest one's is tolerant. */
-  private static final long TOLERANT_GAP_RATIO = 2;
+  private static final double TOLERANT_GAP_RATIO = 1.4;
 
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
@@ -26,6 +26,7 @@
   private final InboundLimits limits;
   private final RankScale ranks;
   private final long strictestGapMs;
+  private final int leastUrgentPriority;
 
   /**
    * Creates a table.
@@ -51,6 +52,12 @@
             routes.stream().map(Route::priority).toList());
     this.strictestGapMs =
         routes.stream().mapToLong(Route::gapTargetMs).filter(gap -> gap > 0).min().orElse(0);
+    this.leastUrgentPriority =
+        routes.stream()
+            .filter(route -> route.kind() == RouteKind.STREAMING)
+            .mapToInt(Route::priority)
+            .max()
+            .orElse(0);
     routes.forEach(
         route -> routesByHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route));
     Comparator<Route> longestFirst =
@@ -86,9 +93,9 @@
     return route.gapTargetMs() > 0 && route.gapTargetMs() >= TOLERANT_GAP_RATIO * strictestGapMs;
   }
 
-  /** Returns the shortest pause target of all routes as a share of a route's own, 0 to 1. */
-  public double strictness(Route route) {
-    return route.gapTargetMs() > 0 ? (double) strictestGapMs / route.gapTargetMs() : 1;
+  /** Returns whether no streaming route is less urgent than a route. */
+  public boolean isLeastUrgent(Route route) {
+    return route.priority() >= leastUrgentPriority;
   }
 
   /** Returns the rank of a request at an engine; 0 is the most urgent. */
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -7,12 +7,18 @@
 public final class TrackedEndpoint {
 
   /** Time in which the memory of a delay falls to half, in milliseconds. */
-  private static final double DELAY_HALF_LIFE_MS = 400;
+  private static final double DELAY_HALF_LIFE_MS = 1_500;
 
   /** Time in which the memory of a failure falls to half, in milliseconds. */
   private static final double FAILURE_HALF_LIFE_MS = 2_000;
 
-  /** Share of a new delay in the remembered one. */
+  /** Time in which the memory of a pause falls to half, in milliseconds. */
+  private static final double PAUSE_HALF_LIFE_MS = 3_000;
+
+  /** Share of a new pause in the remembered one. */
+  private static final double PAUSE_WEIGHT = 0.3;
+
+  /** Share of an error of the expectation by which the remembered delay is corrected. */
   private static final double DELAY_WEIGHT = 0.5;
 
   /** Parts of prompts that are remembered for an endpoint. */
@@ -34,7 +40,9 @@
   private double meanUnreadTokens = FIRST_MEAN_TOKENS;
   private int inFlight;
   private long waitingPromptTokens;
-  private final DecayingValue delayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
+  private final DecayingValue strictDelayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
+  private final DecayingValue tolerantDelayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
+  private final DecayingValue pauseMs = new DecayingValue(PAUSE_HALF_LIFE_MS);
   private final DecayingValue failures = new DecayingValue(FAILURE_HALF_LIFE_MS);
   private final Map<String, Boolean> parts =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -91,10 +99,26 @@
     inFlight--;
   }
 
-  /** Remembers by how much an answer was later than its own work explains. */
-  public void onDelay(double excessMs, long nowMs) {
+  /**
+   * Remembers by how much an answer was later than was expected.
+   *
+   * @param tolerant whether the stream tolerates long pauses; engines serve such streams last
+   */
+  public void onDelay(boolean tolerant, double excessMs, long nowMs) {
+    DecayingValue delayMs = tolerant ? tolerantDelayMs : strictDelayMs;
     double old = delayMs.at(nowMs);
-    delayMs.set(old + DELAY_WEIGHT * (Math.max(0, excessMs) - old), nowMs);
+    delayMs.set(Math.max(0, old + DELAY_WEIGHT * excessMs), nowMs);
+  }
+
+  /** Remembers the longest pause between two events of a strict stream, in milliseconds. */
+  public void onPause(long longestMs, long nowMs) {
+    double old = pauseMs.at(nowMs);
+    pauseMs.set(old + PAUSE_WEIGHT * (longestMs - old), nowMs);
+  }
+
+  /** Returns the remembered pause of strict streams, in milliseconds. */
+  public double pauseMs(long nowMs) {
+    return pauseMs.at(nowMs);
   }
 
   /** Remembers a failure. */
@@ -119,6 +143,11 @@
     return report != null && nowMs - reportMs <= REPORT_LIFE_MS;
   }
 
+  /** Returns the age of the last report, from the asking for it, in milliseconds. */
+  public long reportAgeMs(long nowMs) {
+    return nowMs - reportMs;
+  }
+
   /** Returns the requests that wait there by the last report; 0 if there is none. */
   public int reportedQueue() {
     return report == null ? 0 : report.queued();
@@ -131,15 +160,16 @@
   }
 
   /**
-   * Returns the prompt tokens that wait there: by the last report, less what was read since, and
-   * with what this VM sent since.
+   * Returns the prompt tokens that wait there: by the last report, and with what this VM sent
+   * since.
+   *
+   * <p>What was read since the report is taken to be replaced by what other VMs sent.
    */
-  public double waitingTokens(long nowMs, double tokensPerMs) {
+  public double waitingTokens(long nowMs) {
     if (!hasReport(nowMs)) {
       return waitingPromptTokens;
     }
-    double reported = report.queued() * meanUnreadTokens - (nowMs - reportMs) * tokensPerMs;
-    return Math.max(0, reported) + sentSinceReport * meanUnreadTokens;
+    return (report.queued() + sentSinceReport) * meanUnreadTokens;
   }
 
   /** Returns the requests that wait for a slot. */
@@ -147,9 +177,9 @@
     return Math.max(0, (occupancy() - 1) * listed.slots());
   }
 
-  /** Returns the remembered delay in milliseconds. */
-  public double delayMs(long nowMs) {
-    return delayMs.at(nowMs);
+  /** Returns the remembered delay of one kind of stream, in milliseconds. */
+  public double delayMs(boolean tolerant, long nowMs) {
+    return (tolerant ? tolerantDelayMs : strictDelayMs).at(nowMs);
   }
 
   /** Returns the remembered number of recent failures. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -118,7 +118,7 @@
       promptRead = true;
       endpoint.onPromptDone(selection.unreadTokens());
       long now = exchange.context().clock().nowMs();
-      endpoint.onDelay(now - sentMs - selection.expectedMs(), now);
+      endpoint.onDelay(exchange.toleratesPauses(), now - sentMs - selection.expectedMs(), now);
     }
   }
 
@@ -130,6 +130,9 @@
     switch (meaning) {
       case STREAM -> {
         endpoint.onSuccess(now);
+        if (!exchange.toleratesPauses()) {
+          endpoint.onPause(exchange.longestPauseMs(), now);
+        }
         exchange.onStreamEnd(head, splitter.rest());
       }
       case WHOLE -> onWhole(now);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -20,6 +20,7 @@
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.InboundConnection;
 
@@ -59,7 +60,7 @@
   private long version;
   private int rank;
   private boolean toleratesPauses;
-  private double strictness;
+  private boolean leastUrgent;
   private long endMs = Long.MAX_VALUE;
   private int sends;
   private boolean mayHaveRun;
@@ -69,6 +70,9 @@
   private boolean answerBegun;
   private Optional<String> lastEvent = Optional.empty();
   private long firstByteMs = -1;
+  private long lastEventMs;
+  private long longestPauseMs;
+  private String endpointId = "none";
 
   Exchange(ForwardContext context, InboundConnection client, HttpRequest head, byte[] body) {
     this.context = context;
@@ -91,6 +95,15 @@
     return route;
   }
 
+  /** Returns the longest pause between two events so far, in milliseconds. */
+  long longestPauseMs() {
+    return longestPauseMs;
+  }
+
+  boolean toleratesPauses() {
+    return toleratesPauses;
+  }
+
   ForwardContext context() {
     return context;
   }
@@ -141,8 +154,8 @@
       }
     }
     rank = table.get().rank(organisation, route);
+    leastUrgent = table.get().isLeastUrgent(route);
     toleratesPauses = table.get().toleratesPauses(route);
-    strictness = table.get().strictness(route);
     service = route.serviceAt(context.random().nextDouble());
     long limitMs = Math.min(facts.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
     endMs = arrivedMs + limitMs;
@@ -164,21 +177,19 @@
     }
     Optional<Refusal> refusal = admit(selection.get());
     if (refusal.isPresent()) {
+      logChoice("request-refused", selection.get())
+          .with("reason", refusal.get().reason())
+          .with("rank", rank)
+          .with("retryAfterMs", refusal.get().retryAfterMs())
+          .info();
       refuse(refusal.get().reason(), refusal.get().retryAfterMs());
       return;
     }
     ListedEndpoint endpoint = selection.get().endpoint().listed();
-    tried.add(endpoint.id());
+    endpointId = endpoint.id();
+    tried.add(endpointId);
     sends++;
-    EventLog.event("endpoint-chosen")
-        .with("id", id())
-        .with("route", route.name())
-        .with("version", version)
-        .with("endpoint", endpoint.id())
-        .with("expectedMs", Math.round(selection.get().expectedMs()))
-        .with("occupancy", String.format("%.2f", selection.get().endpoint().occupancy()))
-        .with("send", sends)
-        .info();
+    logChoice("endpoint-chosen", selection.get()).with("send", sends).info();
     long maxIdleMs = route.isIdempotent() ? MOST_IDLE_MS : 0;
     attempt =
         new EndpointAttempt(this, selection.get(), context.connections().take(endpoint, maxIdleMs));
@@ -198,6 +209,21 @@
         body.length);
   }
 
+  private EventLog logChoice(String event, Selection selection) {
+    TrackedEndpoint endpoint = selection.endpoint();
+    long now = context.clock().nowMs();
+    return EventLog.event(event)
+        .with("id", id())
+        .with("route", route.name())
+        .with("version", version)
+        .with("endpoint", endpoint.listed().id())
+        .with("expectedMs", Math.round(selection.expectedMs()))
+        .with("targetMs", route.targetLatencyMs())
+        .with("queued", endpoint.reportedQueue())
+        .with("occupancyPercent", Math.round(endpoint.occupancy() * 100))
+        .with("reportAgeMs", endpoint.hasReport(now) ? endpoint.reportAgeMs(now) : -1);
+  }
+
   /** Only the first send is refused: what was begun is brought to its end. */
   private Optional<Refusal> admit(Selection selection) {
     if (facts.prompt().isEmpty() || sends > 0 || mayHaveRun) {
@@ -207,12 +233,13 @@
     return context
         .admission()
         .decide(
-            new Admission.Request(rank, toleratesPauses, route.targetLatencyMs(), leftMs),
+            new Admission.Request(
+                rank, leastUrgent, toleratesPauses, route.targetLatencyMs(), leftMs),
             selection);
   }
 
   private EndpointSelector.Demand demand() {
-    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses, strictness);
+    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses);
   }
 
   /** Acts on time that has passed. */
@@ -320,6 +347,9 @@
   /** Passes on events of a stream; the head goes before the first one. */
   void onEvent(HttpResponse answer, EventSplitter.Event event) {
     beginAnswer(answer);
+    long now = context.clock().nowMs();
+    longestPauseMs = lastEventMs == 0 ? 0 : Math.max(longestPauseMs, now - lastEventMs);
+    lastEventMs = now;
     event.id().ifPresent(id -> lastEvent = Optional.of(id));
     client.part(ByteBuffer.wrap(event.bytes()));
   }
@@ -387,6 +417,12 @@
 
   private void finish(String outcome, int status) {
     done = true;
+    long tookMs = context.clock().nowMs() - arrivedMs;
+    context
+        .metrics()
+        .onEnded(
+            new ForwardMetrics.Ended(
+                Optional.ofNullable(route), outcome, status, sends, firstByteMs, tookMs));
     EventLog.event("request-ended")
         .with("id", id())
         .with("outcome", outcome)
@@ -394,8 +430,11 @@
         .with("route", route == null ? "none" : route.name())
         .with("version", version)
         .with("sends", sends)
+        .with("endpoint", endpointId)
         .with("firstByteMs", firstByteMs)
-        .with("tookMs", context.clock().nowMs() - arrivedMs)
+        .with("longestPauseMs", longestPauseMs)
+        .with("tookMs", tookMs)
+        .with("confirmationAgeMs", context.trust().ageMs())
         .info();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -24,6 +24,7 @@
  * @param admission refuses what would be answered too late
  * @param connections connections to endpoints
  * @param allowances retries by service
+ * @param metrics counters and histograms
  * @param settings settings
  */
 record ForwardContext(
@@ -37,6 +38,7 @@
     Admission admission,
     EndpointConnections connections,
     Map<String, RetryAllowance> allowances,
+    ForwardMetrics metrics,
     ForwardSettings settings) {
 
   ForwardContext(
@@ -61,6 +63,7 @@
         admission,
         connections,
         new HashMap<>(),
+        new ForwardMetrics(),
         settings);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
@@ -14,6 +15,7 @@
 import org.zinniaspan.forwarding.EngineReports;
 import org.zinniaspan.forwarding.ExpectedFirstByte;
 import org.zinniaspan.forwarding.ReportPoller;
+import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.TableTrust;
 import org.zinniaspan.forwarding.ZoneMap;
 import org.zinniaspan.http.Addresses;
@@ -29,6 +31,8 @@
   /** Time between two ticks, in milliseconds; bounds how late a timeout is noticed. */
   private static final long TICK_MS = 20;
 
+  private static final double MS_PER_SECOND = 1_000.0;
+
   private final Closer closer = new Closer();
   private final Reactor reactor = closer.add(Reactor.start());
   private final Clock clock = new SystemClock();
@@ -73,6 +77,7 @@
    *
    * @param listen address for clients
    * @param readyListen address for the balancer's checks
+   * @param metricsListen address for metrics, if they are served
    * @param platform address of the platform's store
    * @param catalog makes the reader of the platform's store
    * @param reports makes the reader of engines' reports
@@ -84,6 +89,7 @@
   public record Parts(
       InetSocketAddress listen,
       InetSocketAddress readyListen,
+      Optional<InetSocketAddress> metricsListen,
       InetSocketAddress platform,
       Function<HttpCaller, Catalog> catalog,
       Function<Function<String, HttpCaller>, EngineReports> reports,
@@ -112,6 +118,12 @@
     reactor.runLocked(context.follower()::tick);
     ReadinessHandler readiness = new ReadinessHandler(this::isReady);
     reactor.listen(parts.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
+    if (parts.metricsListen().isPresent()) {
+      registerGauges();
+      MetricsHandler metrics = new MetricsHandler(context.metrics());
+      reactor.listen(
+          parts.metricsListen().get(), () -> new InboundConnection(reactor, metrics, clock));
+    }
     reactor.listen(parts.listen(), () -> new InboundConnection(reactor, server, clock));
     reactor.every(TICK_MS, this::tick);
     EventLog.event("started")
@@ -120,6 +132,25 @@
         .info();
   }
 
+  private void registerGauges() {
+    ForwardMetrics metrics = context.metrics();
+    metrics.gauge(
+        "zinniaspan_configuration_version",
+        "Version of the configuration in force; -1 if there is none.",
+        () -> context.follower().table().map(RoutingTable::version).orElse(-1L));
+    metrics.gauge(
+        "zinniaspan_configuration_age_seconds",
+        "Age of the last confirmation of the configuration.",
+        () -> context.trust().ageMs() / MS_PER_SECOND);
+    metrics.gauge(
+        "zinniaspan_endpoints", "Endpoints that are listed.", () -> context.directory().size());
+    metrics.gauge(
+        "zinniaspan_requests_in_flight",
+        "Requests without a final answer.",
+        () -> server.inFlight());
+    metrics.gauge("zinniaspan_ready", "1 if this VM takes requests.", () -> isReady() ? 1 : 0);
+  }
+
   private boolean isReady() {
     return !stop.isStopping()
         && context.follower().table().isPresent()
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
@@ -0,0 +1,101 @@
+package org.zinniaspan.proxy;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import org.zinniaspan.forwarding.Route;
+
+/**
+ * Counters and latency histograms of the forwarding path.
+ *
+ * <p>Labels are kinds of routes, outcomes and reasons, whose number is fixed; names of routes are
+ * not, as a configuration may hold any number of them.
+ */
+final class ForwardMetrics {
+
+  private static final double MS_PER_SECOND = 1_000.0;
+  private static final double[] LATENCY_BOUNDS_SECONDS = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 15
+  };
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests =
+      Counter.builder()
+          .name("zinniaspan_forwarded_requests_total")
+          .help("Requests by kind of route, outcome and status.")
+          .labelNames("kind", "outcome", "status")
+          .register(registry);
+  private final Counter sends =
+      Counter.builder()
+          .name("zinniaspan_endpoint_sends_total")
+          .help("Requests sent to endpoints, by kind of route; repeats included.")
+          .labelNames("kind")
+          .register(registry);
+  private final Histogram firstEvent =
+      Histogram.builder()
+          .name("zinniaspan_first_event_seconds")
+          .help("Time from arrival to the first event of a stream.")
+          .classicOnly()
+          .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
+          .register(registry);
+  private final Histogram duration =
+      Histogram.builder()
+          .name("zinniaspan_request_seconds")
+          .help("Time from arrival to the final answer, by kind of route.")
+          .labelNames("kind")
+          .classicOnly()
+          .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
+          .register(registry);
+
+  /**
+   * How a request ended.
+   *
+   * @param route its route, if one was found
+   * @param outcome what ended it
+   * @param status status of the final answer; 0 if there was none
+   * @param sends endpoints to which it was sent
+   * @param firstEventMs time until the first event, in milliseconds; negative if there was none
+   * @param tookMs time until the end, in milliseconds
+   */
+  record Ended(
+      Optional<Route> route,
+      String outcome,
+      int status,
+      int sends,
+      long firstEventMs,
+      long tookMs) {}
+
+  /** Counts a request that ended. */
+  void onEnded(Ended ended) {
+    String kind = ended.route().map(r -> r.kind().name().toLowerCase(Locale.ROOT)).orElse("none");
+    requests.labelValues(kind, ended.outcome(), Integer.toString(ended.status())).inc();
+    sends.labelValues(kind).inc(ended.sends());
+    duration.labelValues(kind).observe(ended.tookMs() / MS_PER_SECOND);
+    if (ended.firstEventMs() >= 0) {
+      firstEvent.observe(ended.firstEventMs() / MS_PER_SECOND);
+    }
+  }
+
+  /** Adds a gauge that is read when the metrics are. */
+  void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /** Returns all metrics in the Prometheus text format. */
+  byte[] exposition() throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/SimplePage.java
@@ -0,0 +1,49 @@
+package org.zinniaspan.proxy;
+
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.transport.InboundConnection;
+import org.zinniaspan.transport.InboundHandler;
+
+/** Answers each request of an address with one page, without state for a connection. */
+abstract class SimplePage implements InboundHandler {
+
+  /**
+   * A page.
+   *
+   * @param head status and headers
+   * @param content the body
+   */
+  record Page(HttpResponse head, byte[] content) {}
+
+  /** Returns the page as of now. */
+  abstract Page page();
+
+  @Override
+  public InboundLimits limits() {
+    return InboundLimits.DEFAULT;
+  }
+
+  @Override
+  public void onOpen(InboundConnection connection) {
+    // Nothing is kept for a connection.
+  }
+
+  @Override
+  public void onRequest(InboundConnection connection, HttpRequest head, byte[] body) {
+    Page page = page();
+    connection.answer(page.head(), page.content());
+  }
+
+  @Override
+  public void onUnreadable(InboundConnection connection, int status, String reason) {
+    connection.answer(new BasicHttpResponse(status), new byte[0]);
+  }
+
+  @Override
+  public void onLost(InboundConnection connection) {
+    // Nothing is kept for a connection.
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/ArchitectureTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/ArchitectureTest.java
@@ -14,6 +14,7 @@
     "org.zinniaspan.clock..",
     "org.zinniaspan.configuration..",
     "org.zinniaspan.dispatch..",
+    "org.zinniaspan.forwarding..",
     "org.zinniaspan.inventory..",
     "org.zinniaspan.membership..",
     "org.zinniaspan.placement..",
@@ -38,6 +39,9 @@
               "org.zinniaspan.http..",
               "org.zinniaspan.gateway..",
               "org.zinniaspan.admin..",
+              "org.zinniaspan.platform..",
+              "org.zinniaspan.proxy..",
+              "org.zinniaspan.transport..",
               "org.zinniaspan.cli..");
 
   @ArchTest
@@ -51,4 +55,28 @@
           .callMethod(System.class, "currentTimeMillis")
           .orShould()
           .callMethod(System.class, "nanoTime");
+
+  @ArchTest
+  static final ArchRule onlyTheCommandLineKnowsThePlatform =
+      noClasses()
+          .that()
+          .resideOutsideOfPackages("org.zinniaspan.platform..", "org.zinniaspan.cli..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.zinniaspan.platform..");
+
+  @ArchTest
+  static final ArchRule thePlatformAdapterDecidesNothing =
+      noClasses()
+          .that()
+          .resideInAPackage("org.zinniaspan.platform..")
+          .should()
+          .dependOnClassesThat()
+          .haveSimpleNameEndingWith("Selector")
+          .orShould()
+          .dependOnClassesThat()
+          .haveSimpleName("Admission")
+          .orShould()
+          .dependOnClassesThat()
+          .haveSimpleName("Clock");
 }
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/ReportPollerTest.java
@@ -0,0 +1,77 @@
+package org.zinniaspan.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class ReportPollerTest {
+
+  private static final long SECONDS = 20;
+
+  private long nowMs = 100_000;
+  private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
+  private final List<String> asked = new ArrayList<>();
+  private EngineReport answer = new EngineReport(0, 0, 1);
+  private final ReportPoller poller =
+      new ReportPoller(
+          directory,
+          new EngineReports() {
+            @Override
+            public void read(ListedEndpoint engine, Consumer<Optional<EngineReport>> reply) {
+              asked.add(engine.id());
+              reply.accept(Optional.ofNullable(answer));
+            }
+
+            @Override
+            public void tick() {
+              // Replies come at once.
+            }
+          },
+          () -> nowMs,
+          new ZoneMap("zone-0", Map.of("zone-0", "west", "zone-1", "east")));
+
+  private void list(int count) {
+    List<ListedEndpoint> engines = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      engines.add(
+          new ListedEndpoint("e" + i, "service", "10.0.0.1:80", "zone-" + i % 2, 64, false, 1));
+    }
+    directory.replaceAll(engines);
+  }
+
+  private int askedPerSecond() {
+    asked.clear();
+    for (long end = nowMs + SECONDS * 1_000; nowMs < end; nowMs += 20) {
+      poller.poll("service");
+    }
+    return Math.round((float) asked.size() / SECONDS);
+  }
+
+  @Test
+  void asksLoadedEnginesMoreOften() {
+    list(4);
+    int idle = askedPerSecond();
+    answer = new EngineReport(5, 50, 1);
+    assertThat(askedPerSecond()).isAtLeast(3 * idle);
+  }
+
+  @Test
+  void boundsItsRateInLargeFleets() {
+    list(78);
+    answer = new EngineReport(5, 50, 1);
+    assertThat(askedPerSecond()).isAtMost(20);
+  }
+
+  @Test
+  void countsSilentEnginesAsFailing() {
+    list(1);
+    answer = null;
+    poller.poll("service");
+    assertThat(directory.ready("service").get(0).failures(nowMs)).isAtLeast(1);
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -46,6 +47,7 @@
   private RawServer second;
   private int port;
   private int readyPort;
+  private int metricsPort;
 
   @BeforeEach
   void start() throws IOException {
@@ -57,12 +59,14 @@
     list("i-2", second, "zone-b");
     port = freePort();
     readyPort = freePort();
+    metricsPort = freePort();
     InetSocketAddress address = Addresses.parse(store.address());
     closer.add(
         ForwardDaemon.start(
             new ForwardDaemon.Parts(
                 Addresses.parse("127.0.0.1:" + port),
                 Addresses.parse("127.0.0.1:" + readyPort),
+                Optional.of(Addresses.parse("127.0.0.1:" + metricsPort)),
                 address,
                 caller -> new StoreClient(caller, address, 300),
                 callers -> new ReportClient(callers, 300),
@@ -197,6 +201,26 @@
     }
   }
 
+  @Nested
+  class Metrics {
+
+    @Test
+    void countRequestsByKindAndOutcome() throws IOException {
+      first.script = always(ok("a1", "done"));
+      call(request("GET", "/safe/x", "", ""));
+      try (Caller caller = new Caller(metricsPort)) {
+        caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        String page = caller.readAll();
+        assertThat(page)
+            .contains(
+                "zinniaspan_forwarded_requests_total{kind=\"safe\",outcome=\"answered\","
+                    + "status=\"200\"} 1.0");
+        assertThat(page).contains("zinniaspan_configuration_version 3.0");
+        assertThat(page).contains("zinniaspan_request_seconds_bucket");
+      }
+    }
+  }
+
   @Nested
   class UnsafeRequests {
 
