--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
@@ -0,0 +1,121 @@
+package org.zinniaspan.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.zinniaspan.forwarding.Prompt;
+import org.zinniaspan.forwarding.PromptPart;
+import org.zinniaspan.forwarding.RequestFacts;
+import org.zinniaspan.proxy.Dialect;
+
+class HttpDialectTest {
+
+  private final HttpDialect dialect = new HttpDialect();
+  private final HttpRequest request = new BasicHttpRequest("POST", "/chat/x?q=1");
+
+  private Dialect.EndpointCall call() {
+    return new Dialect.EndpointCall(
+        "i-1", Optional.of("org-1"), true, Optional.of(700L), Optional.of(3), Optional.of("5"), 4);
+  }
+
+  @Nested
+  class RequestsOfClients {
+
+    @Test
+    void tellTheirPrompt() {
+      request.addHeader("Host", "h.example");
+      request.addHeader("X-Zinniaspan-Token-Usage", "1460,80");
+      request.addHeader("X-Zinniaspan-Prefix-Hash", "5c1e07a2:800, 91bd3f06:410");
+      RequestFacts facts = dialect.requestFacts(request);
+      assertThat(facts.path()).isEqualTo("/chat/x");
+      assertThat(facts.prompt())
+          .hasValue(
+              new Prompt(
+                  1460,
+                  80,
+                  List.of(new PromptPart("5c1e07a2", 800), new PromptPart("91bd3f06", 410))));
+    }
+
+    @Test
+    void haveNoPromptIfItCannotBeRead() {
+      request.addHeader("X-Zinniaspan-Token-Usage", "many");
+      assertThat(dialect.requestFacts(request).prompt()).isEmpty();
+    }
+
+    @Test
+    void tellTheirKeyOnlyInTheBearerScheme() {
+      request.addHeader("Authorization", "bearer  key-1 ");
+      assertThat(dialect.requestFacts(request).apiKey()).hasValue("key-1");
+      request.setHeader("Authorization", "Basic abc");
+      assertThat(dialect.requestFacts(request).apiKey()).isEmpty();
+    }
+
+    @Test
+    void haveNoDeadlineIfItIsNoWholeNumber() {
+      request.addHeader("X-Zinniaspan-Deadline-Ms", "-5");
+      assertThat(dialect.requestFacts(request).deadlineMs()).isEmpty();
+    }
+  }
+
+  @Nested
+  class RequestsToEndpoints {
+
+    @Test
+    void dropWhatConcernsOneConnection() {
+      request.addHeader("Connection", "close, X-Hop");
+      request.addHeader("X-Hop", "1");
+      request.addHeader("Transfer-Encoding", "chunked");
+      HttpRequest sent = dialect.endpointRequest(request, call());
+      assertThat(sent.containsHeader("X-Hop")).isFalse();
+      assertThat(sent.containsHeader("Connection")).isFalse();
+      assertThat(sent.containsHeader("Transfer-Encoding")).isFalse();
+      assertThat(sent.getFirstHeader("Content-Length").getValue()).isEqualTo("4");
+    }
+
+    @Test
+    void replaceWhatOnlyTheRouterMaySet() {
+      request.addHeader("x-zinniaspan-tenant", "forged");
+      request.addHeader("X-Zinniaspan-Request-Priority", "0");
+      request.addHeader("Kv-From", "10.0.0.1:80/1");
+      request.addHeader("Last-Event-Id", "1");
+      HttpRequest sent = dialect.endpointRequest(request, call());
+      assertThat(sent.getHeaders("X-Zinniaspan-Tenant")).hasLength(1);
+      assertThat(sent.getFirstHeader("X-Zinniaspan-Tenant").getValue()).isEqualTo("org-1");
+      assertThat(sent.getFirstHeader("X-Zinniaspan-Request-Priority").getValue()).isEqualTo("3");
+      assertThat(sent.containsHeader("Kv-From")).isFalse();
+      assertThat(sent.getFirstHeader("Last-Event-Id").getValue()).isEqualTo("5");
+    }
+  }
+
+  @Nested
+  class Answers {
+
+    private final HttpResponse answer = new BasicHttpResponse(503);
+
+    @Test
+    void sayThatTheRequestDidNotRunOnlyIfStated() {
+      assertThat(dialect.answerFacts(answer).notRun()).isFalse();
+      answer.addHeader("X-Zinniaspan-Not-Executed", "1");
+      assertThat(dialect.answerFacts(answer).notRun()).isTrue();
+    }
+
+    @Test
+    void sayByTheirStatusThatAnotherEndpointHasTheAddress() {
+      assertThat(dialect.answerFacts(new BasicHttpResponse(421)).notRun()).isTrue();
+    }
+
+    @Test
+    void giveTheTimeToComeBackInSeconds() {
+      HttpResponse own = dialect.ownAnswer(503, Optional.of("a1"), Optional.of(1_250L));
+      assertThat(own.getFirstHeader("Retry-After").getValue()).isEqualTo("1.25");
+      assertThat(own.getFirstHeader("X-Zinniaspan-Attempt-Id").getValue()).isEqualTo("a1");
+    }
+  }
+}
