--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -38,7 +38,6 @@
   private final TableTrust trust;
   private final EndpointDirectory directory;
   private final Random random;
-  private final Runnable onConfirmed;
 
   private Optional<RoutingTable> table = Optional.empty();
   private boolean readingTable;
@@ -51,24 +50,14 @@
   private long nextTableMs;
   private long nextEndpointsMs;
 
-  /**
-   * Creates a follower that has read nothing.
-   *
-   * @param onConfirmed called after each confirmation of the table
-   */
+  /** Creates a follower that has read nothing. */
   public CatalogFollower(
-      Catalog catalog,
-      Clock clock,
-      TableTrust trust,
-      EndpointDirectory directory,
-      Random random,
-      Runnable onConfirmed) {
+      Catalog catalog, Clock clock, TableTrust trust, EndpointDirectory directory, Random random) {
     this.catalog = catalog;
     this.clock = clock;
     this.trust = trust;
     this.directory = directory;
     this.random = random;
-    this.onConfirmed = onConfirmed;
     this.lastAnswerMs = clock.nowMs();
   }
 
@@ -113,7 +102,6 @@
       read.value().ifPresent(this::adopt);
       if (table.isPresent()) {
         trust.confirm(sent);
-        onConfirmed.run();
       } else {
         nextTableMs = clock.nowMs() + pause();
       }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -52,8 +52,7 @@
         new TableTrust(clock, System::currentTimeMillis, parts.settings().keyTrustMs());
     EndpointDirectory directory = new EndpointDirectory(clock);
     CatalogFollower follower =
-        new CatalogFollower(
-            parts.catalog().apply(platform), clock, trust, directory, random, () -> {});
+        new CatalogFollower(parts.catalog().apply(platform), clock, trust, directory, random);
     context =
         new ForwardContext(
             clock,
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -18,7 +18,7 @@
   private final TableTrust trust = new TableTrust(() -> nowMs, () -> nowMs, 4_600);
   private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
   private final CatalogFollower follower =
-      new CatalogFollower(catalog, () -> nowMs, trust, directory, new Random(1), () -> {});
+      new CatalogFollower(catalog, () -> nowMs, trust, directory, new Random(1));
 
   @BeforeEach
   void readOnce() {
