Close a connection that opens after its request was given up

Cause: a request that was cancelled while its connection was opening left the connection open once the endpoint accepted it; nothing was sent, but it counted against the endpoint's limit. Found by reading the change. The test failed first (the session was not closed).

--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -81,7 +81,12 @@
     locked(
         () -> {
           session = opened;
-          onOpen();
+          if (lost) {
+            // Given up while it was opening: nothing may be sent any more.
+            opened.close(CloseMode.IMMEDIATE);
+          } else {
+            onOpen();
+          }
         });
   }
 
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
@@ -0,0 +1,41 @@
+package org.zinniaspan.transport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.hc.core5.reactor.IOSession;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class OutboundConnectionTest {
+
+  private final Reactor reactor = Reactor.start();
+  private final List<String> calls = new ArrayList<>();
+
+  private final IOSession session =
+      (IOSession)
+          Proxy.newProxyInstance(
+              IOSession.class.getClassLoader(),
+              new Class<?>[] {IOSession.class},
+              (proxy, method, args) -> {
+                calls.add(method.getName());
+                return method.getReturnType() == int.class ? 0 : null;
+              });
+
+  @AfterEach
+  void stop() {
+    reactor.close();
+  }
+
+  @Test
+  void closesWithoutSendingIfItWasGivenUpBeforeItOpened() {
+    OutboundConnection connection =
+        OutboundConnection.open(reactor, new InetSocketAddress("127.0.0.1", 9), 50, lost -> {});
+    connection.reset();
+    connection.connected(session);
+    assertThat(calls).containsExactly("close");
+  }
+}
