Cut a stream whose continuation is answered with a failure

Cause: when a stream went on at another endpoint and that one answered with a failure, its head and body were written into the answer that had been begun, so that the client got bytes that are no answer. The test failed first.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -340,6 +340,11 @@
   /** Passes on a whole answer. */
   void onWholeAnswer(HttpResponse answer, byte[] content) {
     attempt = null;
+    if (answerBegun) {
+      // Another head can't follow within an answer that was begun.
+      giveUp("resume-failed");
+      return;
+    }
     finish("answered", answer.getCode());
     client.answer(context.dialect().clientAnswer(answer), content);
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
@@ -323,6 +323,20 @@
       assertThat(answer).doesNotContain("0\r\n\r\n");
     }
 
+    @Test
+    void areCutIfTheEndpointThatGoesOnAnswersWithFailure() throws IOException {
+      first.script =
+          (request, socket) -> {
+            write(socket, HEAD + event(1));
+            return false;
+          };
+      second.script = always(ok("a1", "failed").replace("200 OK", "500 Failed"));
+      String answer = call(request("POST", "/chat/x", "", "b"));
+      assertThat(answer).contains("id: 1");
+      assertThat(answer).doesNotContain("HTTP/1.1 500");
+      assertThat(answer).doesNotContain("0\r\n\r\n");
+    }
+
     @Test
     void endAtTheEndpointWhenTheClientLeaves() throws Exception {
       first.script =
