Start daemons from an archive of the classes of the whole forwarding path

Cause: the archive was trained on the 'entry' command, so that a forward daemon loaded 246 classes from jars after its start, on the main, timer and I/O threads.

Now the archive is written by a daemon that serves every kind of request, with failures, against stand-ins (zinniaspan-standins archive-classes); 4 classes are left. The stand-ins of the store and of raw servers moved from the tests to zinniaspan-standins, where the archive and tests share them.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -11,6 +11,7 @@
 import org.zinniaspan.standins.load.ExperimentCommand;
 import org.zinniaspan.standins.load.LoadCommand;
 import org.zinniaspan.standins.simulation.SimulateSlotsCommand;
+import org.zinniaspan.standins.site.ArchiveClassesCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -30,6 +31,7 @@
     commands.put("platform", new PlatformCommand());
     commands.put("engine", new EngineCommand());
     commands.put("service", new ServiceCommand());
+    commands.put("archive-classes", new ArchiveClassesCommand());
     commands.put("demo", new DemoCommand());
     commands.put("load", new LoadCommand());
     commands.put("cost", new CostCommand());
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
@@ -20,15 +20,20 @@
     this.process = process;
   }
 
-  /** Starts a Java process with this process's class path; its output goes to a log file. */
-  static FleetProcess start(
-      String name, Path logs, List<String> jvmFlags, String mainClass, List<String> args)
+  /** Starts a Java process; its output goes to a log file. */
+  public static FleetProcess start(
+      String name,
+      Path logs,
+      List<String> jvmFlags,
+      String classPath,
+      String mainClass,
+      List<String> args)
       throws IOException {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(jvmFlags);
     command.add("-cp");
-    command.add(System.getProperty("java.class.path"));
+    command.add(classPath);
     command.add(mainClass);
     command.addAll(args);
     File log = logs.resolve(name + ".log").toFile();
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FreePorts.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FreePorts.java
@@ -13,7 +13,7 @@
  * <p>The ports lie below those that the system gives to outgoing connections, and none is handed
  * out twice by one process, so that nothing takes a port before its listener binds it.
  */
-final class FreePorts {
+public final class FreePorts {
 
   private static final int FIRST = 10_000;
   private static final int COUNT = 20_000;
@@ -24,7 +24,7 @@
   private FreePorts() {}
 
   /** Returns an address of the given host whose port is free. */
-  static InetSocketAddress next(String host) throws IOException {
+  public static InetSocketAddress next(String host) throws IOException {
     InetAddress address = InetAddress.getByName(host);
     for (int tries = 0; tries < COUNT; tries++) {
       int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
@@ -22,6 +22,7 @@
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.zinniaspan.http.Addresses;
 import org.zinniaspan.http.HttpExchange;
 import org.zinniaspan.lifecycle.Closer;
 
@@ -53,7 +54,11 @@
   private static final List<String> STANDIN_JVM_FLAGS =
       List.of("-XX:+UseSerialGC", "-Xmx256m", "-Xss256k", "-XX:TieredStopAtLevel=1");
   private static final String STANDINS_MAIN = "org.zinniaspan.standins.StandinsMain";
-  private static final String ENTRY_MAIN = "org.zinniaspan.cli.Main";
+
+  /** Class of the router's command line. */
+  public static final String ENTRY_MAIN = "org.zinniaspan.cli.Main";
+
+  private static final String CLASS_PATH = System.getProperty("java.class.path");
 
   /** Not 127.0.0.1, whose ports outgoing connections take at any moment. */
   private static final String LOOPBACK = "127.0.0.2";
@@ -159,7 +164,7 @@
       args.addAll(spec.entryFlags);
       long startedMs = System.currentTimeMillis();
       FleetProcess process =
-          closer.add(FleetProcess.start(name, logs, ENTRY_JVM_FLAGS, ENTRY_MAIN, args));
+          closer.add(FleetProcess.start(name, logs, ENTRY_JVM_FLAGS, CLASS_PATH, ENTRY_MAIN, args));
       Entry entry = new Entry(name, zone, process, startedMs, callers, peers, admin);
       entries.put(name, entry);
       return entry;
@@ -179,7 +184,8 @@
       throws IOException {
     List<String> args = new ArrayList<>(List.of(command, "--listen", text(address)));
     args.addAll(flags);
-    return closer.add(FleetProcess.start(name, logs, STANDIN_JVM_FLAGS, STANDINS_MAIN, args));
+    return closer.add(
+        FleetProcess.start(name, logs, STANDIN_JVM_FLAGS, CLASS_PATH, STANDINS_MAIN, args));
   }
 
   /** Waits until every entry VM that runs says that it is ready. */
@@ -328,7 +334,7 @@
   }
 
   private static String text(InetSocketAddress address) {
-    return address.getHostString() + ":" + address.getPort();
+    return Addresses.format(address);
   }
 
   private static InetSocketAddress freeAddress() throws IOException {
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -0,0 +1,102 @@
+package org.zinniaspan.standins.site;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.zinniaspan.standins.StandinCommand;
+
+/**
+ * Writes the archive of classes from which a daemon starts.
+ *
+ * <p>The daemon serves requests of each kind, with and without failures, so that the archive holds
+ * the classes of the whole path. A daemon that starts from it reads no class from a file.
+ */
+@Parameters(commandDescription = "Write the archive of classes from which a daemon starts.")
+public final class ArchiveClassesCommand implements StandinCommand {
+
+  /** Time between two events, in milliseconds: no load, only the order of things. */
+  private static final long DELAY_MS = 1;
+
+  private static final long STOP_TIMEOUT_S = 10;
+  private static final String KEY = "key-1";
+
+  /** Prompt of a request to a model, so that decisions about engines are loaded too. */
+  private static final String PROMPT =
+      "X-Zinniaspan-Token-Usage: 6000,80\r\n"
+          + "X-Zinniaspan-Prefix-Hash: 5c1e:800,91bd:4200,e440:1000\r\n";
+
+  @Parameter(names = "--output", description = "File of the archive.", required = true)
+  private String output;
+
+  @Parameter(names = "--logs", description = "Directory of the daemon's log.", required = true)
+  private String logs;
+
+  @Parameter(names = "--class-path", description = "Class path of the daemon.", required = true)
+  private String classPath;
+
+  @Override
+  public int run() throws Exception {
+    Path archive = Path.of(output);
+    Files.deleteIfExists(archive);
+    try (LocalSite site = new LocalSite(Path.of(logs))) {
+      site.addEndpoint("i-1", "zone-a", DELAY_MS);
+      site.addEndpoint("i-2", "zone-b", DELAY_MS);
+      site.publish(List.of(KEY));
+      LocalSite.Daemon daemon =
+          site.startDaemon(
+              "archive",
+              "zone-a",
+              new LocalSite.Launch(
+                  List.of("-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive), classPath));
+      LocalSite.awaitReady(daemon);
+      callAll(site, daemon);
+      daemon.process().terminate();
+      daemon.process().awaitExit(STOP_TIMEOUT_S);
+    }
+    if (!Files.exists(archive)) {
+      System.err.println("no archive was written; see the log in " + logs);
+      return 1;
+    }
+    return 0;
+  }
+
+  private static void callAll(LocalSite site, LocalSite.Daemon daemon) throws IOException {
+    for (EndpointStandIn.Trouble trouble : EndpointStandIn.Trouble.values()) {
+      site.endpoints().values().forEach(endpoint -> endpoint.set(trouble));
+      call(daemon, "GET", "/safe/x", "");
+      call(daemon, "POST", "/unsafe/x", "X-Zinniaspan-Deadline-Ms: 300\r\n");
+      call(daemon, "POST", "/chat/x", PROMPT + "X-Zinniaspan-Deadline-Ms: 300\r\n");
+    }
+    site.endpoints().values().forEach(e -> e.set(EndpointStandIn.Trouble.NONE));
+    call(daemon, "GET", "/none/x", "");
+    call(daemon, "GET", "/safe/x", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n");
+    leave(daemon);
+    try (RawCaller metrics = new RawCaller(daemon.metrics())) {
+      metrics.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+      metrics.readAll();
+    }
+    site.list("i-2", "draining");
+    site.store().delete("servers/i-2");
+    site.publish(List.of("key-2"));
+    site.store().set(StoreStandIn.Mode.FORGETFUL);
+    site.store().set(StoreStandIn.Mode.BUSY);
+    call(daemon, "GET", "/safe/x", "");
+  }
+
+  private static void call(LocalSite.Daemon daemon, String method, String path, String fields)
+      throws IOException {
+    new SiteCaller("archive", KEY).call(daemon.callers(), method, path, fields);
+  }
+
+  /** Leaves before the answer is complete. */
+  private static void leave(LocalSite.Daemon daemon) throws IOException {
+    SiteCaller requests = new SiteCaller("archive", KEY);
+    try (RawCaller caller = new RawCaller(daemon.callers())) {
+      caller.send(requests.request(requests.nextId(), "POST", "/chat/x", PROMPT));
+      caller.readUntil("id: 1");
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -0,0 +1,210 @@
+package org.zinniaspan.standins.site;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * A stand-in of a server of the platform, which remembers what it ran.
+ *
+ * <p>Paths below {@code /chat/} are answered with a stream of {@value #EVENTS} events, all others
+ * with a text that names the request. Example: {@code endpoint.set(Trouble.REJECT);}
+ */
+public final class EndpointStandIn implements AutoCloseable {
+
+  /** Events of a stream. */
+  static final int EVENTS = 6;
+
+  /** What goes wrong with a request. */
+  public enum Trouble {
+    /** Nothing. */
+    NONE,
+    /** It is rejected before it runs. */
+    REJECT,
+    /** It runs, and its answer is a failure. */
+    ERROR,
+    /** It runs, and its connection ends in the middle of the answer. */
+    CUT,
+    /** It runs, and nothing is answered. */
+    HANG,
+    /** It runs, and a second answer follows the first one. */
+    EXTRA,
+    /** It runs, and the answer ends with its connection. */
+    UNFRAMED
+  }
+
+  /**
+   * A run of a request.
+   *
+   * @param endpoint id of the endpoint that ran it
+   * @param attemptId id of the client attempt
+   * @param afterEvent number of the last event that the client has; 0 for a run from the start
+   * @param organisation organisation for which it ran
+   * @param line request line
+   */
+  public record Run(
+      String endpoint, String attemptId, int afterEvent, String organisation, String line) {}
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private final String id;
+  private final RawServer server = new RawServer(this::answer);
+  private final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
+  private final AtomicInteger active = new AtomicInteger();
+  private final long delayMs;
+  private volatile Trouble trouble = Trouble.NONE;
+
+  /**
+   * Starts an endpoint at a free port.
+   *
+   * @param id its id
+   * @param delayMs time to an answer, and between two events of a stream, in milliseconds
+   */
+  public EndpointStandIn(String id, long delayMs) throws IOException {
+    this.id = id;
+    this.delayMs = delayMs;
+  }
+
+  /** Returns the address, host:port. */
+  public String address() {
+    return server.address();
+  }
+
+  /** Returns the id. */
+  public String id() {
+    return id;
+  }
+
+  /** Sets what goes wrong from now on. */
+  public void set(Trouble value) {
+    trouble = value;
+  }
+
+  /** Returns all runs, by client attempt. */
+  public List<Run> runs() {
+    return runs.values().stream().flatMap(Collection::stream).toList();
+  }
+
+  private boolean answer(RawServer.Request request, Socket socket) throws IOException {
+    String[] words = request.line().split(" ");
+    if (words[1].equals("/report")) {
+      String body = "{\"queued\":0,\"active\":" + active.get() + ",\"born\":1}";
+      RawServer.write(socket, RawServer.answer("200 OK", body));
+      return true;
+    }
+    String attempt = request.header("X-Zinniaspan-Attempt-Id");
+    String expected = request.header("X-Zinniaspan-Expect-Instance");
+    if (!expected.isEmpty() && !expected.equals(id)) {
+      RawServer.write(socket, head("421 Misdirected Request", attempt, "Content-Length: 0"));
+      return true;
+    }
+    Trouble now = trouble;
+    if (now == Trouble.REJECT) {
+      RawServer.write(
+          socket,
+          head(
+              "503 Service Unavailable",
+              attempt,
+              "X-Zinniaspan-Not-Executed: 1\r\nContent-Length: 0"));
+      return true;
+    }
+    active.incrementAndGet();
+    try {
+      return run(request, attempt, now, socket);
+    } finally {
+      active.decrementAndGet();
+    }
+  }
+
+  private boolean run(RawServer.Request request, String attempt, Trouble now, Socket socket)
+      throws IOException {
+    String after = request.header("Last-Event-Id");
+    int afterEvent = after.isEmpty() ? 0 : Integer.parseInt(after);
+    runs.computeIfAbsent(attempt, key -> new CopyOnWriteArrayList<>())
+        .add(
+            new Run(
+                id, attempt, afterEvent, request.header("X-Zinniaspan-Tenant"), request.line()));
+    pause();
+    if (now == Trouble.HANG) {
+      return true;
+    }
+    if (now == Trouble.ERROR) {
+      RawServer.write(socket, head("500 Internal Server Error", attempt, "Content-Length: 0"));
+      return true;
+    }
+    return request.line().contains(" /chat/")
+        ? stream(attempt, afterEvent, now, socket)
+        : plain(attempt, now, socket);
+  }
+
+  private boolean plain(String attempt, Trouble now, Socket socket) throws IOException {
+    String body = text(attempt);
+    String whole = head("200 OK", attempt, "Content-Length: " + body.length()) + body;
+    switch (now) {
+      case CUT -> RawServer.write(socket, whole.substring(0, whole.length() - 1));
+      case UNFRAMED -> RawServer.write(socket, head("200 OK", attempt, "Connection: close") + body);
+      case EXTRA -> RawServer.write(socket, whole + whole);
+      default -> RawServer.write(socket, whole);
+    }
+    return now == Trouble.NONE || now == Trouble.EXTRA;
+  }
+
+  private boolean stream(String attempt, int afterEvent, Trouble now, Socket socket)
+      throws IOException {
+    RawServer.write(
+        socket,
+        head("200 OK", attempt, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+    List<String> events = new ArrayList<>();
+    for (int number = afterEvent + 1; number <= EVENTS; number++) {
+      events.add(event(attempt, number));
+    }
+    int cutAfter = now == Trouble.CUT ? events.size() / 2 : events.size();
+    for (String event : events.subList(0, cutAfter)) {
+      pause();
+      RawServer.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+    }
+    if (now == Trouble.CUT) {
+      return false;
+    }
+    RawServer.write(socket, "0\r\n\r\n");
+    return true;
+  }
+
+  /** Returns the text that answers a request. */
+  static String text(String attempt) {
+    return "answer to " + attempt;
+  }
+
+  /** Returns an event of the stream that answers a request. */
+  static String event(String attempt, int number) {
+    return "id: " + number + "\ndata: " + attempt + "-" + number + "\n\n";
+  }
+
+  private static String head(String status, String attempt, String fields) {
+    return "HTTP/1.1 "
+        + status
+        + "\r\nX-Zinniaspan-Attempt-Id: "
+        + attempt
+        + "\r\nX-Zinniaspan-Server-Stamp: stamp-"
+        + attempt
+        + "\r\n"
+        + fields
+        + "\r\n\r\n";
+  }
+
+  private void pause() {
+    LockSupport.parkNanos(delayMs * NANOS_PER_MS);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -0,0 +1,198 @@
+package org.zinniaspan.standins.site;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.lifecycle.Closer;
+import org.zinniaspan.standins.fleet.FleetProcess;
+import org.zinniaspan.standins.fleet.FreePorts;
+import org.zinniaspan.standins.fleet.LocalFleet;
+
+/**
+ * A store and endpoints in this process, and daemons in processes of their own.
+ *
+ * <p>Example:
+ *
+ * <pre>
+ * try (LocalSite site = new LocalSite(logs)) {
+ *   site.addEndpoint("i-1", "zone-a", 5);
+ *   site.publish(List.of("key-1"));
+ *   LocalSite.Daemon daemon = site.startDaemon("vm-1", "zone-a", launch);
+ *   site.awaitReady(daemon);
+ * }
+ * </pre>
+ */
+public final class LocalSite implements AutoCloseable {
+
+  /** Host name of all routes. */
+  public static final String HOST = "site.example";
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final String SERVICE = "app";
+  private static final int SLOTS = 32;
+  private static final int MEMORY_TOKENS = 400_000;
+  private static final int MOST_CONNECTIONS = 200;
+
+  private static final String ROUTES =
+      """
+      [{"name":"safe","host":"site.example","prefix":"/safe/","route_kind":"safe",
+      "timeout_ms":1500,"target_latency_ms":200,"priority":1,"service":"app","max_attempts":2},
+      {"name":"unsafe","host":"site.example","prefix":"/unsafe/","route_kind":"unsafe",
+      "timeout_ms":1500,"target_latency_ms":200,"priority":2,"service":"app","max_attempts":1},
+      {"name":"chat","host":"site.example","prefix":"/chat/","route_kind":"streaming",
+      "timeout_ms":4000,"target_latency_ms":500,"priority":0,"service":"app","max_attempts":2,
+      "resumable":true,"gap_target_ms":200,"sticky":true},
+      {"name":"open","host":"site.example","prefix":"/open/","route_kind":"safe","anonymous":true,
+      "timeout_ms":1500,"target_latency_ms":200,"priority":1,"service":"app","max_attempts":2}]
+      """;
+
+  /**
+   * How a daemon's process is started.
+   *
+   * @param javaFlags flags of the Java VM
+   * @param classPath its class path
+   */
+  public record Launch(List<String> javaFlags, String classPath) {
+
+    /** Returns a launch with the flags of a small VM and this process's class path. */
+    public static Launch small() {
+      return new Launch(LocalFleet.ENTRY_JVM_FLAGS, System.getProperty("java.class.path"));
+    }
+  }
+
+  /** A daemon's process, its addresses and its log. */
+  public record Daemon(
+      String name,
+      FleetProcess process,
+      InetSocketAddress callers,
+      InetSocketAddress ready,
+      InetSocketAddress metrics,
+      Path log) {}
+
+  private final Closer closer = new Closer();
+  private final ObjectMapper json = new ObjectMapper();
+  private final Path logs;
+  private final StoreStandIn store = closer.add(new StoreStandIn());
+  private final Map<String, EndpointStandIn> endpoints = new LinkedHashMap<>();
+  private final Map<String, String> zones = new LinkedHashMap<>();
+  private int version;
+
+  /** Starts the store; logs of daemons go to a directory. */
+  public LocalSite(Path logs) throws IOException {
+    this.logs = Files.createDirectories(logs);
+  }
+
+  /** Returns the store. */
+  public StoreStandIn store() {
+    return store;
+  }
+
+  /** Returns the endpoints by id. */
+  public Map<String, EndpointStandIn> endpoints() {
+    return endpoints;
+  }
+
+  /** Starts an endpoint and lists it. */
+  public EndpointStandIn addEndpoint(String id, String zone, long delayMs) throws IOException {
+    EndpointStandIn endpoint = closer.add(new EndpointStandIn(id, delayMs));
+    endpoints.put(id, endpoint);
+    zones.put(id, zone);
+    list(id, "ready");
+    return endpoint;
+  }
+
+  /** Writes an endpoint's entry with a state. */
+  public void list(String id, String state) {
+    store.put(
+        "servers/" + id,
+        json.createObjectNode()
+            .put("service", SERVICE)
+            .put("address", endpoints.get(id).address())
+            .put("zone", zones.get(id))
+            .put("version", "v1")
+            .put("slots", SLOTS)
+            .put("state", state)
+            .put("born", 1)
+            .toString());
+  }
+
+  /** Publishes a configuration in which an organisation holds some keys; returns its version. */
+  public int publish(List<String> keys) throws IOException {
+    version++;
+    Map<String, Object> organisation = Map.of("name", "org-1", "api_keys", keys, "priority", 1);
+    store.put(
+        "op/config",
+        json.createObjectNode()
+            .put("version", version)
+            .putPOJO("tenants", List.of(organisation))
+            .putPOJO("services", List.of(service()))
+            .<ObjectNode>set("routes", json.readTree(ROUTES))
+            .toString());
+    return version;
+  }
+
+  private static Map<String, Object> service() {
+    return Map.of(
+        "name",
+        SERVICE,
+        "max_connections",
+        MOST_CONNECTIONS,
+        "engine",
+        Map.of("slots", SLOTS, "kv_capacity", MEMORY_TOKENS));
+  }
+
+  /** Starts a daemon. */
+  public Daemon startDaemon(String name, String zone, Launch launch) throws IOException {
+    return startDaemon(name, zone, store.address(), launch);
+  }
+
+  /** Starts a daemon that reaches the store at an address of its own. */
+  public Daemon startDaemon(String name, String zone, String storeAddress, Launch launch)
+      throws IOException {
+    InetSocketAddress callers = FreePorts.next(LOOPBACK);
+    InetSocketAddress ready = FreePorts.next(LOOPBACK);
+    InetSocketAddress metrics = FreePorts.next(LOOPBACK);
+    List<String> args =
+        new ArrayList<>(
+            List.of(
+                "forward",
+                "--zone",
+                zone,
+                "--zones",
+                "{\"zone-a\":\"west\",\"zone-b\":\"east\"}",
+                "--listen",
+                Addresses.format(callers),
+                "--ready-listen",
+                Addresses.format(ready),
+                "--metrics-listen",
+                Addresses.format(metrics),
+                "--platform",
+                storeAddress,
+                "--grace-s",
+                "3"));
+    FleetProcess process =
+        closer.add(
+            FleetProcess.start(
+                name, logs, launch.javaFlags(), launch.classPath(), LocalFleet.ENTRY_MAIN, args));
+    return new Daemon(name, process, callers, ready, metrics, logs.resolve(name + ".log"));
+  }
+
+  /** Waits until a daemon says that it is ready. */
+  public static void awaitReady(Daemon daemon) {
+    LocalFleet.await(
+        daemon.name(), () -> LocalFleet.get(daemon.ready(), "/readyz").status() == 200);
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/Caller.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/RawCaller.java
@@ -1,30 +1,38 @@
-package org.zinniaspan.proxy;
+package org.zinniaspan.standins.site;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 
 /** A client that writes and reads raw bytes over one connection. */
-final class Caller implements AutoCloseable {
+public final class RawCaller implements AutoCloseable {
 
   private static final int PATIENCE_MS = 10_000;
 
   private final Socket socket;
 
-  Caller(int port) throws IOException {
-    socket = new Socket("127.0.0.1", port);
+  /** Connects to a port of the loopback interface. */
+  public RawCaller(int port) throws IOException {
+    this(new InetSocketAddress("127.0.0.1", port));
+  }
+
+  /** Connects to an address. */
+  public RawCaller(InetSocketAddress address) throws IOException {
+    socket = new Socket(address.getHostString(), address.getPort());
     socket.setSoTimeout(PATIENCE_MS);
   }
 
-  void send(String text) throws IOException {
+  /** Sends text as it is. */
+  public void send(String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
   }
 
   /** Reads until a text has arrived or the connection ends. */
-  String readUntil(String end) throws IOException {
+  public String readUntil(String end) throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try {
       while (!bytes.toString(StandardCharsets.ISO_8859_1).contains(end)) {
@@ -41,7 +49,7 @@
   }
 
   /** Reads all until the connection ends. */
-  String readAll() throws IOException {
+  public String readAll() throws IOException {
     return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
   }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/RawServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/RawServer.java
@@ -1,4 +1,4 @@
-package org.zinniaspan.proxy;
+package org.zinniaspan.standins.site;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -6,6 +6,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -15,8 +17,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
-/** A server that answers each HTTP request with bytes that the test chooses. */
-final class RawServer implements AutoCloseable {
+/** A server that answers each HTTP request with bytes that its script chooses. */
+public final class RawServer implements AutoCloseable {
 
   /**
    * A request as it arrived.
@@ -25,36 +27,66 @@
    * @param headers headers by their names in lower case
    * @param body the body
    */
-  record Request(String line, Map<String, String> headers, String body) {
+  public record Request(String line, Map<String, String> headers, String body) {
 
-    String header(String name) {
+    /** Returns the value of a header; empty if there is none. */
+    public String header(String name) {
       return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
     }
   }
 
   /** Answers one request, and says whether the connection stays open. */
-  interface Script {
+  public interface Script {
+    /** Writes the answer to a socket; returns whether the connection stays open. */
     boolean answer(Request request, Socket socket) throws IOException;
   }
 
   private final ServerSocket listener;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
-  final List<Request> requests = new CopyOnWriteArrayList<>();
-  final CountDownLatch clientClosed = new CountDownLatch(1);
-  volatile Script script;
+  private final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
+  private final CountDownLatch clientClosed = new CountDownLatch(1);
+  private volatile Script script;
 
-  RawServer(Script script) throws IOException {
+  /** Starts a server at a free port. */
+  public RawServer(Script script) throws IOException {
     this.script = script;
     listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     threads.execute(this::accept);
   }
 
-  String address() {
+  /** Returns the address, host:port. */
+  public String address() {
     return "127.0.0.1:" + listener.getLocalPort();
   }
 
-  static void write(Socket socket, String text) throws IOException {
+  /** Sets how requests are answered from now on. */
+  public void setScript(Script value) {
+    script = value;
+  }
+
+  /** Returns the requests that arrived, oldest first. */
+  public List<Request> requests() {
+    return requests;
+  }
+
+  /** Returns a latch that opens when a client has closed its connection. */
+  public CountDownLatch clientClosed() {
+    return clientClosed;
+  }
+
+  /** Returns an answer with a JSON body. */
+  static String answer(String status, String body) {
+    return "HTTP/1.1 "
+        + status
+        + "\r\nContent-Type: application/json\r\nContent-Length: "
+        + body.getBytes(StandardCharsets.UTF_8).length
+        + "\r\n\r\n"
+        + body;
+  }
+
+  /** Writes text as it is. */
+  public static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
   }
@@ -67,7 +99,7 @@
         threads.execute(() -> serve(socket));
       }
     } catch (IOException e) {
-      // The test has closed the listener.
+      // The listener was closed.
     }
   }
 
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/SiteCaller.java
@@ -0,0 +1,73 @@
+package org.zinniaspan.standins.site;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Calls a daemon as an organisation's client does, with a new attempt id for each call.
+ *
+ * <p>Example: {@code new SiteCaller("run-1", "key-1").call(daemon, "POST", "/unsafe/x", "")}
+ */
+public final class SiteCaller {
+
+  private final String prefix;
+  private final String key;
+  private final AtomicLong count = new AtomicLong();
+
+  /** Creates a caller whose attempt ids begin with a prefix. */
+  public SiteCaller(String prefix, String key) {
+    this.prefix = prefix;
+    this.key = key;
+  }
+
+  /** A call and all that was answered before the connection ended. */
+  public record Reply(String attemptId, String text) {
+
+    /** Returns the status of the answer; 0 if there was none. */
+    public int status() {
+      return text.startsWith("HTTP/1.1 ") ? Integer.parseInt(text.substring(9, 12)) : 0;
+    }
+
+    /** Returns whether the answer is a success that names this call and is complete. */
+    public boolean isWhole() {
+      return status() == 200
+          && (text.endsWith("\r\n\r\n" + EndpointStandIn.text(attemptId))
+              || text.endsWith("\r\n0\r\n\r\n"));
+    }
+  }
+
+  /** Returns the next attempt id. */
+  public String nextId() {
+    return prefix + '-' + count.incrementAndGet();
+  }
+
+  /** Returns the bytes of a request. */
+  public String request(String attemptId, String method, String path, String fields) {
+    String body = method.equals("POST") ? "Content-Length: 4\r\n" : "";
+    return method
+        + ' '
+        + path
+        + " HTTP/1.1\r\nHost: "
+        + LocalSite.HOST
+        + "\r\nX-Zinniaspan-Attempt-Id: "
+        + attemptId
+        + "\r\nAuthorization: Bearer "
+        + key
+        + "\r\n"
+        + fields
+        + body
+        + "\r\n"
+        + (body.isEmpty() ? "" : "body");
+  }
+
+  /** Sends a request on a new connection and reads to its end. */
+  public Reply call(InetSocketAddress daemon, String method, String path, String fields)
+      throws IOException {
+    String id = nextId();
+    try (RawCaller caller = new RawCaller(daemon)) {
+      caller.send(request(id, method, path, "Connection: close\r\n" + fields));
+      return new Reply(id, caller.readAll());
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
@@ -0,0 +1,168 @@
+package org.zinniaspan.standins.site;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * A stand-in of the platform's store.
+ *
+ * <p>Example: {@code store.put("op/config", configuration); store.set(Mode.SILENT);}
+ */
+public final class StoreStandIn implements AutoCloseable {
+
+  /** How the store treats calls. */
+  public enum Mode {
+    /** Every call is answered. */
+    UP,
+    /** Calls are read and never answered. */
+    SILENT,
+    /** Every call is answered 503. */
+    BUSY,
+    /** Connections are closed in place of an answer. */
+    CLOSING,
+    /** Watches are told that the history is lost; other calls are answered. */
+    FORGETFUL
+  }
+
+  /** What a key holds; absent after its deletion. */
+  private record Item(Optional<String> value, long revision) {}
+
+  private static final long FIRST_REVISION = 100;
+
+  /** Longest wait of a watch that names none, in milliseconds. */
+  private static final long MOST_WAIT_MS = 30_000;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final Map<String, Item> items = new TreeMap<>();
+  private final RawServer server = new RawServer(this::answer);
+  private long revision = FIRST_REVISION;
+  private volatile Mode mode = Mode.UP;
+
+  /** Starts the stand-in at a free port. */
+  public StoreStandIn() throws IOException {}
+
+  /** Returns the address, host:port. */
+  public String address() {
+    return server.address();
+  }
+
+  /** Writes a key. */
+  public void put(String key, String value) {
+    change(key, Optional.of(value));
+  }
+
+  /** Deletes a key. */
+  public void delete(String key) {
+    change(key, Optional.empty());
+  }
+
+  private synchronized void change(String key, Optional<String> value) {
+    revision++;
+    items.put(key, new Item(value, revision));
+    notifyAll();
+  }
+
+  /** Sets how calls are treated from now on; watches that wait are treated so too. */
+  public synchronized void set(Mode value) {
+    mode = value;
+    notifyAll();
+  }
+
+  private boolean answer(RawServer.Request request, Socket socket) throws IOException {
+    String path = request.line().split(" ")[1];
+    Map<String, String> query = query(path);
+    boolean watches = path.startsWith("/kv-watch");
+    if (watches && mode == Mode.UP) {
+      awaitChange(
+          Long.parseLong(query.get("after")),
+          Long.parseLong(query.getOrDefault("wait_ms", "" + MOST_WAIT_MS)));
+    }
+    switch (mode) {
+      case SILENT -> {
+        return true;
+      }
+      case CLOSING -> {
+        return false;
+      }
+      case BUSY -> RawServer.write(socket, RawServer.answer("503 Service Unavailable", "{}"));
+      case FORGETFUL ->
+          RawServer.write(socket, watches ? RawServer.answer("410 Gone", "{}") : read(path, query));
+      default -> RawServer.write(socket, read(path, query));
+    }
+    return true;
+  }
+
+  private synchronized void awaitChange(long after, long waitMs) {
+    long endMs = System.nanoTime() / 1_000_000 + waitMs;
+    try {
+      while (revision <= after && mode == Mode.UP) {
+        long leftMs = endMs - System.nanoTime() / 1_000_000;
+        if (leftMs <= 0) {
+          return;
+        }
+        wait(leftMs);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized String read(String path, Map<String, String> query) {
+    if (path.startsWith("/kv-key")) {
+      String key = query.get("key");
+      Item item = items.get(key);
+      return item == null || item.value().isEmpty()
+          ? RawServer.answer("404 Not Found", "{}")
+          : RawServer.answer("200 OK", node(key, item).put("at", revision).toString());
+    }
+    boolean watches = path.startsWith("/kv-watch");
+    long after = watches ? Long.parseLong(query.get("after")) : 0;
+    ObjectNode body = json.createObjectNode();
+    ArrayNode found = body.putArray(watches ? "events" : "items");
+    items.forEach(
+        (key, item) -> {
+          boolean shown = watches ? item.revision() > after : item.value().isPresent();
+          if (shown && key.startsWith(query.getOrDefault("prefix", ""))) {
+            found.add(node(key, item));
+          }
+        });
+    body.put("has_more", false).put("at", revision);
+    return RawServer.answer("200 OK", body.toString());
+  }
+
+  private ObjectNode node(String key, Item item) {
+    ObjectNode node = json.createObjectNode().put("key", key).put("revision", item.revision());
+    if (item.value().isEmpty()) {
+      return node.put("deleted", true);
+    }
+    byte[] value = item.value().get().getBytes(StandardCharsets.UTF_8);
+    return node.put("value", Base64.getEncoder().encodeToString(value))
+        .put("created", 1)
+        .put("lease", 0);
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> fields = new HashMap<>();
+    for (String field : path.replaceFirst("^[^?]*\\??", "").split("&")) {
+      String[] parts = field.split("=", 2);
+      fields.put(
+          parts[0], parts.length < 2 ? "" : URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
+    }
+    return fields;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -1,7 +1,7 @@
-package org.zinniaspan.proxy;
+package org.zinniaspan.standins.site;
 
 import static com.google.common.truth.Truth.assertThat;
-import static org.zinniaspan.proxy.RawServer.write;
+import static org.zinniaspan.standins.site.RawServer.write;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,6 +20,8 @@
 import org.zinniaspan.platform.HttpDialect;
 import org.zinniaspan.platform.ReportClient;
 import org.zinniaspan.platform.StoreClient;
+import org.zinniaspan.proxy.ForwardDaemon;
+import org.zinniaspan.proxy.ForwardSettings;
 
 /** Plays the whole path against stand-ins of the platform's store and of endpoints. */
 @Timeout(60)
@@ -105,7 +107,7 @@
   private void awaitReady() throws IOException {
     String answer = "";
     while (!answer.startsWith("HTTP/1.1 200")) {
-      try (Caller caller = new Caller(readyPort)) {
+      try (RawCaller caller = new RawCaller(readyPort)) {
         caller.send("GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
         answer = caller.readAll();
       }
@@ -125,7 +127,7 @@
   }
 
   private String call(String request) throws IOException {
-    try (Caller caller = new Caller(port)) {
+    try (RawCaller caller = new RawCaller(port)) {
       caller.send(request);
       return caller.readAll();
     }
@@ -154,7 +156,7 @@
 
     @Test
     void passesTheRequestOnForItsOrganisationWithoutTheKey() throws IOException {
-      first.script = always(ok("a1", "done"));
+      first.setScript(always(ok("a1", "done")));
       String answer =
           call(
               request(
@@ -166,7 +168,7 @@
       assertThat(answer).startsWith("HTTP/1.1 200");
       assertThat(answer).contains(STAMP.trim());
       assertThat(answer).endsWith("\r\n\r\ndone");
-      RawServer.Request seen = first.requests.get(0);
+      RawServer.Request seen = first.requests().get(0);
       assertThat(seen.line()).isEqualTo("POST /unsafe/x?q=1 HTTP/1.1");
       assertThat(seen.body()).isEqualTo("body");
       assertThat(seen.header("X-Zinniaspan-Tenant")).isEqualTo("org-1");
@@ -186,7 +188,7 @@
 
     @Test
     void skipsAnAnswerThatBelongsToAnotherRequest() throws IOException {
-      first.script = always(ok("a0", "not mine") + ok("a1", "mine"));
+      first.setScript(always(ok("a0", "not mine") + ok("a1", "mine")));
       String answer = call(request("POST", "/unsafe/x", "", "b"));
       assertThat(answer).startsWith("HTTP/1.1 200");
       assertThat(answer).endsWith("\r\n\r\nmine");
@@ -197,7 +199,7 @@
       String answer =
           call(request("POST", "/unsafe/x", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"));
       assertThat(answer).startsWith("HTTP/1.1 400");
-      assertThat(first.requests).isEmpty();
+      assertThat(first.requests()).isEmpty();
     }
   }
 
@@ -206,9 +208,9 @@
 
     @Test
     void countRequestsByKindAndOutcome() throws IOException {
-      first.script = always(ok("a1", "done"));
+      first.setScript(always(ok("a1", "done")));
       call(request("GET", "/safe/x", "", ""));
-      try (Caller caller = new Caller(metricsPort)) {
+      try (RawCaller caller = new RawCaller(metricsPort)) {
         caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
         String page = caller.readAll();
         assertThat(page)
@@ -226,18 +228,18 @@
 
     @Test
     void areNotSentAgainAfterTheConnectionBroke() throws IOException {
-      first.script = (request, socket) -> false;
-      second.script = always(ok("a1", "second"));
+      first.setScript((request, socket) -> false);
+      second.setScript(always(ok("a1", "second")));
       assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 502");
-      assertThat(second.requests).isEmpty();
+      assertThat(second.requests()).isEmpty();
     }
 
     @Test
     void areRefusedWithOneTimeToComeBackIfTheEndpointDidNotRunThem() throws IOException {
-      first.script =
+      first.setScript(
           always(
               "HTTP/1.1 503 Service Unavailable\r\nX-Zinniaspan-Attempt-Id: a1\r\n"
-                  + "X-Zinniaspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                  + "X-Zinniaspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
       String answer = call(request("POST", "/unsafe/x", "", "b"));
       assertThat(answer).startsWith("HTTP/1.1 503");
       assertThat(answer).contains("Retry-After: ");
@@ -245,21 +247,21 @@
 
     @Test
     void areNotSaidToBeNotRunIfTheEndpointDoesNotStateIt() throws IOException {
-      first.script =
+      first.setScript(
           always(
               "HTTP/1.1 503 Service Unavailable\r\nX-Zinniaspan-Attempt-Id: a1\r\n"
                   + STAMP
-                  + "Content-Length: 0\r\n\r\n");
+                  + "Content-Length: 0\r\n\r\n"));
       assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 502");
     }
 
     @Test
     void areNotAnsweredWithOneBodyThatWasCutShort() throws IOException {
-      first.script =
+      first.setScript(
           (request, socket) -> {
             write(socket, ok("a1", "whole").replace("Content-Length: 5", "Content-Length: 9"));
             return false;
-          };
+          });
       assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 502");
     }
   }
@@ -269,16 +271,16 @@
 
     @Test
     void areSentToAnotherEndpointAfterOneFailure() throws IOException {
-      first.script = (request, socket) -> false;
-      second.script = always(ok("a1", "second"));
+      first.setScript((request, socket) -> false);
+      second.setScript(always(ok("a1", "second")));
       assertThat(call(request("GET", "/safe/x", "", ""))).endsWith("\r\n\r\nsecond");
-      assertThat(first.requests).hasSize(1);
+      assertThat(first.requests()).hasSize(1);
     }
 
     @Test
     void getAnAnswerAtTheTimeoutOfTheirRoute() throws IOException {
-      first.script = (request, socket) -> true;
-      second.script = (request, socket) -> true;
+      first.setScript((request, socket) -> true);
+      second.setScript((request, socket) -> true);
       assertThat(call(request("GET", "/safe/x", "", ""))).startsWith("HTTP/1.1 504");
     }
   }
@@ -298,26 +300,26 @@
 
     @Test
     void goOnAtAnotherEndpointWithinOneAnswer() throws IOException {
-      first.script =
+      first.setScript(
           (request, socket) -> {
             write(socket, HEAD + event(1) + event(2) + "20\r\nid: 3\nda");
             return false;
-          };
-      second.script = always(HEAD + event(3) + event(4) + "0\r\n\r\n");
+          });
+      second.setScript(always(HEAD + event(3) + event(4) + "0\r\n\r\n"));
       String answer = call(request("POST", "/chat/x", "", "b"));
-      assertThat(second.requests.get(0).header("Last-Event-Id")).isEqualTo("2");
+      assertThat(second.requests().get(0).header("Last-Event-Id")).isEqualTo("2");
       assertThat(answer.split("id: ")).hasLength(5);
       assertThat(answer).endsWith("0\r\n\r\n");
     }
 
     @Test
     void doNotLookCompleteWhenNoEndpointCanGoOn() throws IOException {
-      first.script =
+      first.setScript(
           (request, socket) -> {
             write(socket, HEAD + event(1));
             return false;
-          };
-      second.script = (request, socket) -> false;
+          });
+      second.setScript((request, socket) -> false);
       String answer = call(request("POST", "/chat/x", "", "b"));
       assertThat(answer).contains("id: 1");
       assertThat(answer).doesNotContain("0\r\n\r\n");
@@ -325,12 +327,12 @@
 
     @Test
     void areCutIfTheEndpointThatGoesOnAnswersWithFailure() throws IOException {
-      first.script =
+      first.setScript(
           (request, socket) -> {
             write(socket, HEAD + event(1));
             return false;
-          };
-      second.script = always(ok("a1", "failed").replace("200 OK", "500 Failed"));
+          });
+      second.setScript(always(ok("a1", "failed").replace("200 OK", "500 Failed")));
       String answer = call(request("POST", "/chat/x", "", "b"));
       assertThat(answer).contains("id: 1");
       assertThat(answer).doesNotContain("HTTP/1.1 500");
@@ -339,16 +341,16 @@
 
     @Test
     void endAtTheEndpointWhenTheClientLeaves() throws Exception {
-      first.script =
+      first.setScript(
           (request, socket) -> {
             write(socket, HEAD + event(1));
             return true;
-          };
-      try (Caller caller = new Caller(port)) {
+          });
+      try (RawCaller caller = new RawCaller(port)) {
         caller.send(request("POST", "/chat/x", "", "b"));
         caller.readUntil("id: 1");
       }
-      assertThat(first.clientClosed.await(5, TimeUnit.SECONDS)).isTrue();
+      assertThat(first.clientClosed().await(5, TimeUnit.SECONDS)).isTrue();
     }
   }
 
@@ -357,9 +359,9 @@
 
     @Test
     void areNotAcceptedOnceTheConfigurationCannotBeConfirmed() throws IOException {
-      first.script = always(ok("a1", "done"));
+      first.setScript(always(ok("a1", "done")));
       assertThat(call(request("GET", "/safe/x", "", ""))).startsWith("HTTP/1.1 200");
-      store.fallSilent();
+      store.set(StoreStandIn.Mode.SILENT);
       String answer = "HTTP/1.1 200";
       while (answer.startsWith("HTTP/1.1 200")) {
         answer = call(request("GET", "/safe/x", "", ""));
@@ -370,7 +372,7 @@
 
     @Test
     void areRefusedAsSoonAsOneConfigurationTakesThemAway() throws IOException {
-      first.script = always(ok("a1", "done"));
+      first.setScript(always(ok("a1", "done")));
       publish(4, "key-9");
       String answer = "HTTP/1.1 200";
       while (answer.startsWith("HTTP/1.1 200")) {
--- a/zinniaspan/src/main/java/org/zinniaspan/http/Addresses.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/Addresses.java
@@ -20,4 +20,9 @@
     String host = text.substring(0, colon).replace("[", "").replace("]", "");
     return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
   }
+
+  /** Returns the text of an address, host:port. */
+  public static String format(InetSocketAddress address) {
+    return address.getHostString() + ':' + address.getPort();
+  }
 }
