Write logs on a thread of their own, bounded, dropping routine lines first

Cause: the console appender wrote each line on the thread that decided, so that a reader of the log that stops held up all requests. Lines are gathered for 100 ms, at most 2,000 wait; what is dropped is counted in a metric and in a line. Failures are now logged at WARN.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/FleetProcess.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.standins.fleet;
 
-import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,10 +19,10 @@
     this.process = process;
   }
 
-  /** Starts a Java process; its output goes to a log file. */
+  /** Starts a Java process whose output goes where it is told. */
   public static FleetProcess start(
       String name,
-      Path logs,
+      ProcessBuilder.Redirect output,
       List<String> jvmFlags,
       String classPath,
       String mainClass,
@@ -36,15 +35,16 @@
     command.add(classPath);
     command.add(mainClass);
     command.addAll(args);
-    File log = logs.resolve(name + ".log").toFile();
     Process process =
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-            .start();
+        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start();
     return new FleetProcess(name, process);
   }
 
+  /** Returns the output that appends to a process's file in a directory. */
+  public static ProcessBuilder.Redirect logIn(Path logs, String name) {
+    return ProcessBuilder.Redirect.appendTo(logs.resolve(name + ".log").toFile());
+  }
+
   /** Returns the name. */
   public String name() {
     return name;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/fleet/LocalFleet.java
@@ -164,7 +164,14 @@
       args.addAll(spec.entryFlags);
       long startedMs = System.currentTimeMillis();
       FleetProcess process =
-          closer.add(FleetProcess.start(name, logs, ENTRY_JVM_FLAGS, CLASS_PATH, ENTRY_MAIN, args));
+          closer.add(
+              FleetProcess.start(
+                  name,
+                  FleetProcess.logIn(logs, name),
+                  ENTRY_JVM_FLAGS,
+                  CLASS_PATH,
+                  ENTRY_MAIN,
+                  args));
       Entry entry = new Entry(name, zone, process, startedMs, callers, peers, admin);
       entries.put(name, entry);
       return entry;
@@ -185,7 +192,13 @@
     List<String> args = new ArrayList<>(List.of(command, "--listen", text(address)));
     args.addAll(flags);
     return closer.add(
-        FleetProcess.start(name, logs, STANDIN_JVM_FLAGS, CLASS_PATH, STANDINS_MAIN, args));
+        FleetProcess.start(
+            name,
+            FleetProcess.logIn(logs, name),
+            STANDIN_JVM_FLAGS,
+            CLASS_PATH,
+            STANDINS_MAIN,
+            args));
   }
 
   /** Waits until every entry VM that runs says that it is ready. */
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.zinniaspan.standins.StandinCommand;
 
 /**
@@ -50,7 +51,9 @@
               "archive",
               "zone-a",
               new LocalSite.Launch(
-                  List.of("-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive), classPath));
+                  List.of("-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive),
+                  classPath,
+                  Optional.empty()));
       LocalSite.awaitReady(daemon);
       callAll(site, daemon);
       daemon.process().terminate();
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.standins.fleet.FleetProcess;
@@ -59,12 +60,15 @@
    *
    * @param javaFlags flags of the Java VM
    * @param classPath its class path
+   * @param output where its output goes; absent for a file in the directory of logs
    */
-  public record Launch(List<String> javaFlags, String classPath) {
+  public record Launch(
+      List<String> javaFlags, String classPath, Optional<ProcessBuilder.Redirect> output) {
 
     /** Returns a launch with the flags of a small VM and this process's class path. */
     public static Launch small() {
-      return new Launch(LocalFleet.ENTRY_JVM_FLAGS, System.getProperty("java.class.path"));
+      return new Launch(
+          LocalFleet.ENTRY_JVM_FLAGS, System.getProperty("java.class.path"), Optional.empty());
     }
   }
 
@@ -181,7 +185,12 @@
     FleetProcess process =
         closer.add(
             FleetProcess.start(
-                name, logs, launch.javaFlags(), launch.classPath(), LocalFleet.ENTRY_MAIN, args));
+                name,
+                launch.output().orElse(FleetProcess.logIn(logs, name)),
+                launch.javaFlags(),
+                launch.classPath(),
+                LocalFleet.ENTRY_MAIN,
+                args));
     return new Daemon(name, process, callers, ready, metrics, logs.resolve(name + ".log"));
   }
 
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ArchiveClassesTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ArchiveClassesTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,7 +32,8 @@
     site.addEndpoint("i-1", "zone-a", 1);
     site.publish(List.of("key-1"));
     LocalSite.Daemon daemon =
-        site.startDaemon("vm-1", "zone-a", new LocalSite.Launch(flags, CLASS_PATH));
+        site.startDaemon(
+            "vm-1", "zone-a", new LocalSite.Launch(flags, CLASS_PATH, Optional.empty()));
     LocalSite.awaitReady(daemon);
     SiteCaller caller = new SiteCaller("a", "key-1");
     for (String path : List.of("/unsafe/x", "/chat/x")) {
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.zinniaspan.inventory.Finding;
+import org.zinniaspan.log.EventLog;
 import sun.misc.Signal;
 
 /**
@@ -30,11 +31,18 @@
   /** Exit code of a command that failed at run time. */
   public static final int EXIT_FAILURE = 3;
 
+  /** Longest time at the end in which waiting log lines are written, in milliseconds. */
+  private static final long LOG_FLUSH_MS = 300;
+
   private Main() {}
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] args) {
     int code = run(args, System.getenv());
+    if (!EventLog.flush(LOG_FLUSH_MS)) {
+      // Nobody reads the log, so that stopping Log4j would wait as well.
+      Runtime.getRuntime().halt(code);
+    }
     LogManager.shutdown();
     System.exit(code);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/log/EventLog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/EventLog.java
@@ -1,18 +1,18 @@
 package org.zinniaspan.log;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
  * Writes one JSON line for each event.
  *
- * <p>Example: {@code EventLog.event("route").with("endpoint", "engine-1").info();}
+ * <p>Example: {@code EventLog.event("route").with("endpoint", "engine-1").info();}. No call waits
+ * for the line to be written: lines that wait are bounded, and routine lines are dropped before
+ * failures.
  */
 public final class EventLog {
 
-  private static final Logger LOGGER = LogManager.getLogger("zinniaspan");
-
+  private static final LogWriter WRITER = new LogWriter();
   private static final int RECENT_LINES = 1_000;
   private static final RecentEvents RECENT = new RecentEvents(RECENT_LINES);
 
@@ -32,21 +32,34 @@
     return RECENT;
   }
 
+  /** Returns the number of lines that were dropped since the start. */
+  public static long dropped() {
+    return WRITER.dropped();
+  }
+
+  /** Waits until all lines are written; returns false if they are not in time. */
+  public static boolean flush(long timeoutMs) {
+    return WRITER.flush(timeoutMs);
+  }
+
   /** Adds a field. */
   public EventLog with(String field, Object value) {
     message.with(field, String.valueOf(value));
     return this;
   }
 
-  /** Writes the line at level INFO. */
+  /** Writes a routine line, at level INFO. */
   public void info() {
-    RECENT.add(message.getData());
-    LOGGER.info(message);
+    write(Level.INFO);
   }
 
-  /** Writes the line at level WARN. */
+  /** Writes a line about a failure, at level WARN. */
   public void warn() {
+    write(Level.WARN);
+  }
+
+  private void write(Level level) {
     RECENT.add(message.getData());
-    LOGGER.warn(message);
+    WRITER.write(level, message);
   }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/LineBuffer.java
@@ -0,0 +1,100 @@
+package org.zinniaspan.log;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * A bounded buffer of log lines that drops routine lines before failures.
+ *
+ * <p>Example: {@code buffer.add(line, false); List<T> batch = buffer.drain();}. When the buffer is
+ * full, the oldest routine line makes room; if it holds failures only, a new routine line is
+ * dropped, and a new failure takes the place of the oldest one. State is guarded by this object's
+ * lock.
+ */
+final class LineBuffer<T> {
+
+  /** Lines that were dropped since the last question. */
+  record Dropped(long routine, long failures) {}
+
+  private record Entry<T>(long number, T line) {}
+
+  private final int capacity;
+  private final Deque<Entry<T>> routine = new ArrayDeque<>();
+  private final Deque<Entry<T>> failures = new ArrayDeque<>();
+  private long nextNumber;
+  private long routineDropped;
+  private long failuresDropped;
+  private long allDropped;
+
+  /** Creates an empty buffer for a number of lines. */
+  LineBuffer(int capacity) {
+    this.capacity = capacity;
+  }
+
+  /** Adds a line; returns whether the buffer was empty before. */
+  synchronized boolean add(T line, boolean isFailure) {
+    boolean wasEmpty = size() == 0;
+    if (size() == capacity && !makeRoom(isFailure)) {
+      return wasEmpty;
+    }
+    (isFailure ? failures : routine).addLast(new Entry<>(nextNumber++, line));
+    return wasEmpty;
+  }
+
+  private boolean makeRoom(boolean forFailure) {
+    allDropped++;
+    if (routine.pollFirst() != null) {
+      routineDropped++;
+      return true;
+    }
+    if (forFailure) {
+      failures.removeFirst();
+      failuresDropped++;
+      return true;
+    }
+    routineDropped++;
+    return false;
+  }
+
+  private int size() {
+    return routine.size() + failures.size();
+  }
+
+  /** Returns whether no line waits. */
+  synchronized boolean isEmpty() {
+    return size() == 0;
+  }
+
+  /** Removes and returns all lines, oldest first. */
+  synchronized List<T> drain() {
+    List<T> lines = new ArrayList<>(size());
+    while (size() > 0) {
+      lines.add(older().removeFirst().line());
+    }
+    return lines;
+  }
+
+  private Deque<Entry<T>> older() {
+    if (routine.isEmpty()) {
+      return failures;
+    }
+    boolean routineFirst =
+        failures.isEmpty() || routine.getFirst().number() < failures.getFirst().number();
+    return routineFirst ? routine : failures;
+  }
+
+  /** Returns the number of all lines that were ever dropped. */
+  synchronized long allDropped() {
+    return allDropped;
+  }
+
+  /** Returns and forgets the numbers of dropped lines. */
+  synchronized Dropped takeDropped() {
+    Dropped dropped = new Dropped(routineDropped, failuresDropped);
+    routineDropped = 0;
+    failuresDropped = 0;
+    return dropped;
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
@@ -0,0 +1,135 @@
+package org.zinniaspan.log;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.config.LoggerConfig;
+import org.apache.logging.log4j.core.impl.Log4jLogEvent;
+import org.apache.logging.log4j.message.Message;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Writes log lines on a thread of its own, so that a reader of the log that stops holds up nothing
+ * else.
+ *
+ * <p>Lines that come within {@value #GATHER_MS} ms are written together; lines beyond {@value
+ * #MOST_LINES} that wait are dropped and counted.
+ */
+final class LogWriter {
+
+  /** Name of the logger, as in the configuration of Log4j. */
+  static final String LOGGER = "zinniaspan";
+
+  /** Lines that may wait: about 3 MB, or some seconds of a busy VM. */
+  private static final int MOST_LINES = 2_000;
+
+  /** Time in which lines are gathered, in milliseconds, which saves system calls. */
+  private static final long GATHER_MS = 100;
+
+  /** Time between two looks at whether all is written, in milliseconds. */
+  private static final long FLUSH_POLL_MS = 5;
+
+  private final LineBuffer<Log4jLogEvent> buffer = new LineBuffer<>(MOST_LINES);
+  private volatile boolean writing;
+  private volatile boolean hurry;
+
+  /** Creates a writer and starts its thread. */
+  LogWriter() {
+    Thread thread = new Thread(this::run, "log");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Takes a line; never waits. */
+  void write(Level level, Message message) {
+    Log4jLogEvent event =
+        Log4jLogEvent.newBuilder()
+            .setLoggerName(LOGGER)
+            .setLevel(level)
+            .setMessage(message)
+            .setThreadName(Thread.currentThread().getName())
+            .setTimeMillis(System.currentTimeMillis())
+            .build();
+    if (buffer.add(event, level.isMoreSpecificThan(Level.WARN))) {
+      synchronized (this) {
+        notifyAll();
+      }
+    }
+  }
+
+  /** Returns the number of lines that were dropped since the start. */
+  long dropped() {
+    return buffer.allDropped();
+  }
+
+  /** Waits until all lines are written; returns false if they are not in time. */
+  boolean flush(long timeoutMs) {
+    hurry = true;
+    synchronized (this) {
+      notifyAll();
+    }
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    try {
+      while (!buffer.isEmpty() || writing) {
+        if (System.nanoTime() > end) {
+          return false;
+        }
+        Thread.sleep(FLUSH_POLL_MS);
+      }
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    } finally {
+      hurry = false;
+    }
+  }
+
+  private void run() {
+    try {
+      while (true) {
+        gather();
+        writing = true;
+        writeAll(buffer.drain());
+        writing = false;
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized void gather() throws InterruptedException {
+    while (buffer.isEmpty()) {
+      wait();
+    }
+    if (!hurry) {
+      wait(GATHER_MS);
+    }
+  }
+
+  private void writeAll(List<Log4jLogEvent> events) {
+    LineBuffer.Dropped lost = buffer.takeDropped();
+    if (lost.routine() + lost.failures() > 0) {
+      writeLost(lost);
+    }
+    LoggerConfig config =
+        LoggerContext.getContext(false).getConfiguration().getLoggerConfig(LOGGER);
+    int left = events.size();
+    for (Log4jLogEvent event : events) {
+      left--;
+      event.setEndOfBatch(left == 0);
+      config.log(event);
+    }
+  }
+
+  private void writeLost(LineBuffer.Dropped lost) {
+    LogManager.getLogger(LOGGER)
+        .warn(
+            new StringMapMessage()
+                .with("event", "log-lines-dropped")
+                .with("routine", String.valueOf(lost.routine()))
+                .with("failures", String.valueOf(lost.failures())));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -146,7 +146,7 @@
             .with("id", exchange.id())
             .with("endpoint", endpoint.listed().id())
             .with("status", head.getCode())
-            .info();
+            .warn();
         exchange.onBroken(Optional.empty());
       }
     }
@@ -175,7 +175,7 @@
         .with("opened", opened)
         .with("cause", cause.map(Exception::toString).orElse("closed"))
         .with("afterMs", exchange.context().clock().nowMs() - sentMs)
-        .info();
+        .warn();
     if (opened) {
       exchange.onBroken(cause);
     } else {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -46,6 +46,9 @@
   /** Least time left with which another endpoint is tried, in milliseconds. */
   private static final long LEAST_RETRY_MS = 60;
 
+  /** Outcome of a request whose client has gone. */
+  private static final String LEFT = "client-left";
+
   private final ForwardContext context;
   private final InboundConnection client;
   private final HttpRequest head;
@@ -263,7 +266,7 @@
   /** Called when the client has left. */
   void onClientLeft() {
     if (!done) {
-      finish("client-left", 0);
+      finish(LEFT, 0);
       cancelAttempt();
     }
   }
@@ -311,7 +314,7 @@
         .with("reason", reason)
         .with("leftMs", leftMs)
         .with("again", allowed)
-        .info();
+        .warn();
     if (allowed) {
       send();
     } else {
@@ -428,18 +431,25 @@
         .onEnded(
             new ForwardMetrics.Ended(
                 Optional.ofNullable(route), outcome, status, sends, firstByteMs, tookMs));
-    EventLog.event("request-ended")
-        .with("id", id())
-        .with("outcome", outcome)
-        .with("status", status)
-        .with("route", route == null ? "none" : route.name())
-        .with("version", version)
-        .with("sends", sends)
-        .with("endpoint", endpointId)
-        .with("firstByteMs", firstByteMs)
-        .with("longestPauseMs", longestPauseMs)
-        .with("tookMs", tookMs)
-        .with("confirmationAgeMs", context.trust().ageMs())
-        .info();
+    boolean failed =
+        status >= HttpStatus.SC_INTERNAL_SERVER_ERROR || (status == 0 && !outcome.equals(LEFT));
+    EventLog line =
+        EventLog.event("request-ended")
+            .with("id", id())
+            .with("outcome", outcome)
+            .with("status", status)
+            .with("route", route == null ? "none" : route.name())
+            .with("version", version)
+            .with("sends", sends)
+            .with("endpoint", endpointId)
+            .with("firstByteMs", firstByteMs)
+            .with("longestPauseMs", longestPauseMs)
+            .with("tookMs", tookMs)
+            .with("confirmationAgeMs", context.trust().ageMs());
+    if (failed) {
+      line.warn();
+    } else {
+      line.info();
+    }
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -147,6 +147,10 @@
         "zinniaspan_requests_in_flight",
         "Requests without a final answer.",
         () -> server.inFlight());
+    metrics.gauge(
+        "zinniaspan_log_lines_dropped",
+        "Log lines that were dropped since the start because nobody read them in time.",
+        EventLog::dropped);
     metrics.gauge("zinniaspan_ready", "1 if this VM takes requests.", () -> isReady() ? 1 : 0);
   }
 
