Write the log lines of requests that failed, were late or are sampled

Now a request's lines are kept and written at its end, with their own times, if it failed, was late, met a failure, or is one of 16. RecentEvents is kept only where it is asked for.

--- a/zinniaspan/src/main/java/org/zinniaspan/admin/AdminHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/admin/AdminHandler.java
@@ -17,6 +17,7 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.zinniaspan.lifecycle.Drain;
 import org.zinniaspan.log.EventLog;
+import org.zinniaspan.log.RecentEvents;
 
 /**
  * The operators' side: health, readiness, metrics, status and the drain of this VM.
@@ -37,6 +38,7 @@
   private final RouterMetrics metrics;
   private final Supplier<Map<String, Object>> status;
   private final Drain drain;
+  private final RecentEvents recent;
   private final ObjectMapper mapper = new ObjectMapper();
 
   /**
@@ -59,6 +61,7 @@
     this.metrics = metrics;
     this.status = status;
     this.drain = drain;
+    this.recent = EventLog.keepRecent();
   }
 
   @Override
@@ -82,7 +85,7 @@
       return;
     }
     if (call.startsWith(EXPLAIN)) {
-      json(response, EventLog.recent().about(call.substring(EXPLAIN.length())));
+      json(response, recent.about(call.substring(EXPLAIN.length())));
       return;
     }
     switch (call) {
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.apache.logging.log4j.LogManager;
 import org.zinniaspan.inventory.Finding;
 import org.zinniaspan.log.EventLog;
 import sun.misc.Signal;
@@ -40,10 +39,9 @@
   public static void main(String[] args) {
     int code = run(args, System.getenv());
     if (!EventLog.flush(LOG_FLUSH_MS)) {
-      // Nobody reads the log, so that stopping Log4j would wait as well.
+      // Nobody reads the log, so that the end of its thread would never come.
       Runtime.getRuntime().halt(code);
     }
-    LogManager.shutdown();
     System.exit(code);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/log/EventLog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/EventLog.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.log;
 
+import java.util.Optional;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.message.StringMapMessage;
 
@@ -14,9 +15,11 @@
 
   private static final LogWriter WRITER = new LogWriter();
   private static final int RECENT_LINES = 1_000;
-  private static final RecentEvents RECENT = new RecentEvents(RECENT_LINES);
+  private static volatile Optional<RecentEvents> recent = Optional.empty();
 
   private final StringMapMessage message = new StringMapMessage();
+  private final long timeMs = System.currentTimeMillis();
+  private Level level = Level.INFO;
 
   private EventLog(String event) {
     message.with("event", event);
@@ -27,9 +30,11 @@
     return new EventLog(event);
   }
 
-  /** Returns the newest lines of this process. */
-  public static RecentEvents recent() {
-    return RECENT;
+  /** Returns the newest lines of this process, which are kept from the first call on. */
+  public static synchronized RecentEvents keepRecent() {
+    RecentEvents events = recent.orElseGet(() -> new RecentEvents(RECENT_LINES));
+    recent = Optional.of(events);
+    return events;
   }
 
   /** Returns the number of lines that were dropped since the start. */
@@ -48,18 +53,25 @@
     return this;
   }
 
+  /** Marks the line as one about a failure, which is dropped last. */
+  public EventLog asFailure() {
+    level = Level.WARN;
+    return this;
+  }
+
   /** Writes a routine line, at level INFO. */
   public void info() {
-    write(Level.INFO);
+    write();
   }
 
   /** Writes a line about a failure, at level WARN. */
   public void warn() {
-    write(Level.WARN);
+    asFailure().write();
   }
 
-  private void write(Level level) {
-    RECENT.add(message.getData());
-    WRITER.write(level, message);
+  /** Writes the line with the time at which it was started. */
+  public void write() {
+    recent.ifPresent(events -> events.add(message.getData()));
+    WRITER.write(level, message, timeMs);
   }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/JsonLinesLayout.java
@@ -0,0 +1,61 @@
+package org.zinniaspan.log;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.layout.AbstractStringLayout;
+import org.apache.logging.log4j.message.Message;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Formats an event as one line of JSON with its time, level, thread and message.
+ *
+ * <p>It writes the fields directly: a template that is interpreted for each line takes several
+ * times as long, and most of a small VM's start.
+ */
+final class JsonLinesLayout extends AbstractStringLayout {
+
+  private final JsonFactory json = new JsonFactory();
+
+  JsonLinesLayout() {
+    super(StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public String toSerializable(LogEvent event) {
+    StringWriter line = new StringWriter();
+    try (JsonGenerator out = json.createGenerator(line)) {
+      out.writeStartObject();
+      out.writeStringField("time", Instant.ofEpochMilli(event.getTimeMillis()).toString());
+      out.writeStringField("level", event.getLevel().name());
+      out.writeStringField("thread", event.getThreadName());
+      writeMessage(out, event.getMessage());
+      out.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return line.append('\n').toString();
+  }
+
+  private static void writeMessage(JsonGenerator out, Message message) throws IOException {
+    if (!(message instanceof StringMapMessage map)) {
+      out.writeStringField("message", message.getFormattedMessage());
+      return;
+    }
+    out.writeObjectFieldStart("message");
+    map.forEach(
+        (name, value) -> {
+          try {
+            out.writeStringField(name, String.valueOf(value));
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+    out.writeEndObject();
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
@@ -3,9 +3,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.Level;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.LoggerContext;
-import org.apache.logging.log4j.core.config.LoggerConfig;
+import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.impl.Log4jLogEvent;
 import org.apache.logging.log4j.message.Message;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -19,8 +17,7 @@
  */
 final class LogWriter {
 
-  /** Name of the logger, as in the configuration of Log4j. */
-  static final String LOGGER = "zinniaspan";
+  private static final String LOGGER = "zinniaspan";
 
   /** Lines that may wait: about 3 MB, or some seconds of a busy VM. */
   private static final int MOST_LINES = 2_000;
@@ -32,26 +29,27 @@
   private static final long FLUSH_POLL_MS = 5;
 
   private final LineBuffer<Log4jLogEvent> buffer = new LineBuffer<>(MOST_LINES);
+  private final ConsoleAppender appender =
+      ConsoleAppender.newBuilder()
+          .setName("console")
+          .setDirect(true)
+          .setImmediateFlush(false)
+          .setLayout(new JsonLinesLayout())
+          .build();
   private volatile boolean writing;
   private volatile boolean hurry;
 
   /** Creates a writer and starts its thread. */
   LogWriter() {
+    appender.start();
     Thread thread = new Thread(this::run, "log");
     thread.setDaemon(true);
     thread.start();
   }
 
   /** Takes a line; never waits. */
-  void write(Level level, Message message) {
-    Log4jLogEvent event =
-        Log4jLogEvent.newBuilder()
-            .setLoggerName(LOGGER)
-            .setLevel(level)
-            .setMessage(message)
-            .setThreadName(Thread.currentThread().getName())
-            .setTimeMillis(System.currentTimeMillis())
-            .build();
+  void write(Level level, Message message, long timeMs) {
+    Log4jLogEvent event = event(level, message, timeMs);
     if (buffer.add(event, level.isMoreSpecificThan(Level.WARN))) {
       synchronized (this) {
         notifyAll();
@@ -112,24 +110,30 @@
   private void writeAll(List<Log4jLogEvent> events) {
     LineBuffer.Dropped lost = buffer.takeDropped();
     if (lost.routine() + lost.failures() > 0) {
-      writeLost(lost);
+      appender.append(event(Level.WARN, message(lost), System.currentTimeMillis()));
     }
-    LoggerConfig config =
-        LoggerContext.getContext(false).getConfiguration().getLoggerConfig(LOGGER);
     int left = events.size();
     for (Log4jLogEvent event : events) {
       left--;
       event.setEndOfBatch(left == 0);
-      config.log(event);
+      appender.append(event);
     }
   }
 
-  private void writeLost(LineBuffer.Dropped lost) {
-    LogManager.getLogger(LOGGER)
-        .warn(
-            new StringMapMessage()
-                .with("event", "log-lines-dropped")
-                .with("routine", String.valueOf(lost.routine()))
-                .with("failures", String.valueOf(lost.failures())));
+  private static Message message(LineBuffer.Dropped lost) {
+    return new StringMapMessage()
+        .with("event", "log-lines-dropped")
+        .with("routine", String.valueOf(lost.routine()))
+        .with("failures", String.valueOf(lost.failures()));
+  }
+
+  private static Log4jLogEvent event(Level level, Message message, long timeMs) {
+    return Log4jLogEvent.newBuilder()
+        .setLoggerName(LOGGER)
+        .setLevel(level)
+        .setMessage(message)
+        .setThreadName(Thread.currentThread().getName())
+        .setTimeMillis(timeMs)
+        .build();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -65,7 +65,12 @@
   @Override
   public boolean onHead(HttpResponse answer) {
     if (!exchange.isFor(answer)) {
-      EventLog.event("foreign-answer-skipped").with("id", exchange.id()).info();
+      exchange
+          .log()
+          .addFailure(
+              EventLog.event("foreign-answer-skipped")
+                  .with("id", exchange.id())
+                  .with("endpoint", endpoint.listed().id()));
       return false;
     }
     head = answer;
@@ -142,11 +147,13 @@
       }
       default -> {
         endpoint.onFailure(now);
-        EventLog.event("answer-unusable")
-            .with("id", exchange.id())
-            .with("endpoint", endpoint.listed().id())
-            .with("status", head.getCode())
-            .warn();
+        exchange
+            .log()
+            .addFailure(
+                EventLog.event("answer-unusable")
+                    .with("id", exchange.id())
+                    .with("endpoint", endpoint.listed().id())
+                    .with("status", head.getCode()));
         exchange.onBroken(Optional.empty());
       }
     }
@@ -169,13 +176,15 @@
   public void onBroken(boolean opened, Optional<Exception> cause) {
     end();
     endpoint.onFailure(exchange.context().clock().nowMs());
-    EventLog.event("endpoint-connection-lost")
-        .with("id", exchange.id())
-        .with("endpoint", endpoint.listed().id())
-        .with("opened", opened)
-        .with("cause", cause.map(Exception::toString).orElse("closed"))
-        .with("afterMs", exchange.context().clock().nowMs() - sentMs)
-        .warn();
+    exchange
+        .log()
+        .addFailure(
+            EventLog.event("endpoint-connection-lost")
+                .with("id", exchange.id())
+                .with("endpoint", endpoint.listed().id())
+                .with("opened", opened)
+                .with("cause", cause.map(Exception::toString).orElse("closed"))
+                .with("afterMs", exchange.context().clock().nowMs() - sentMs));
     if (opened) {
       exchange.onBroken(cause);
     } else {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -54,6 +54,7 @@
   private final HttpRequest head;
   private final byte[] body;
   private final RequestFacts facts;
+  private final RequestLog log = new RequestLog();
   private final long arrivedMs;
   private final Set<String> tried = new HashSet<>();
 
@@ -111,6 +112,11 @@
     return context;
   }
 
+  /** Returns the log lines of this request. */
+  RequestLog log() {
+    return log;
+  }
+
   /** Returns the id of the client attempt, for logs. */
   String id() {
     return facts.attemptId().orElse("none");
@@ -180,11 +186,11 @@
     }
     Optional<Refusal> refusal = admit(selection.get());
     if (refusal.isPresent()) {
-      logChoice("request-refused", selection.get())
-          .with("reason", refusal.get().reason())
-          .with("rank", rank)
-          .with("retryAfterMs", refusal.get().retryAfterMs())
-          .info();
+      log.addFailure(
+          choice("request-refused", selection.get())
+              .with("reason", refusal.get().reason())
+              .with("rank", rank)
+              .with("retryAfterMs", refusal.get().retryAfterMs()));
       refuse(refusal.get().reason(), refusal.get().retryAfterMs());
       return;
     }
@@ -192,7 +198,7 @@
     endpointId = endpoint.id();
     tried.add(endpointId);
     sends++;
-    logChoice("endpoint-chosen", selection.get()).with("send", sends).info();
+    log.add(choice("endpoint-chosen", selection.get()).with("send", sends));
     long maxIdleMs = route.isIdempotent() ? MOST_IDLE_MS : 0;
     attempt =
         new EndpointAttempt(this, selection.get(), context.connections().take(endpoint, maxIdleMs));
@@ -212,7 +218,7 @@
         body.length);
   }
 
-  private EventLog logChoice(String event, Selection selection) {
+  private EventLog choice(String event, Selection selection) {
     TrackedEndpoint endpoint = selection.endpoint();
     long now = context.clock().nowMs();
     return EventLog.event(event)
@@ -309,12 +315,12 @@
         sends < route.maxAttempts()
             && leftMs >= LEAST_RETRY_MS
             && (!drawsOnBudget || allowance.tryTake());
-    EventLog.event("endpoint-failed")
-        .with("id", id())
-        .with("reason", reason)
-        .with("leftMs", leftMs)
-        .with("again", allowed)
-        .warn();
+    log.addFailure(
+        EventLog.event("endpoint-failed")
+            .with("id", id())
+            .with("reason", reason)
+            .with("leftMs", leftMs)
+            .with("again", allowed));
     if (allowed) {
       send();
     } else {
@@ -447,9 +453,19 @@
             .with("tookMs", tookMs)
             .with("confirmationAgeMs", context.trust().ageMs());
     if (failed) {
-      line.warn();
+      log.addFailure(line);
     } else {
-      line.info();
+      log.add(line);
+    }
+    log.end(id(), !failed && isInTime(tookMs));
+  }
+
+  private boolean isInTime(long tookMs) {
+    if (route == null) {
+      return true;
     }
+    long firstMs = firstByteMs >= 0 ? firstByteMs : tookMs;
+    boolean pausesAreShort = route.gapTargetMs() == 0 || longestPauseMs <= route.gapTargetMs();
+    return firstMs <= route.targetLatencyMs() && pausesAreShort;
   }
 }
