--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/WholePathTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/WholePathTest.java
@@ -32,7 +32,7 @@
         LocalFleet.start(
             new FleetSpec()
                 .zone(ZONE, 2)
-                .models("counter-3b")
+                .models("counter-3b", "other-3b")
                 .engine("engine-1", ZONE)
                 .engine("engine-2", ZONE)
                 .service("app-1", ZONE, "app")
@@ -66,6 +66,12 @@
       assertThat(whole.text()).contains(streamed.text());
     }
 
+    /** A common client library sets only a base URL and a key. */
+    @Test
+    void chatWithoutClassOfOneModelWithoutRuleGetsTheDefaultClass() {
+      assertThat(chat(1, "other-3b", false).isAnswered()).isTrue();
+    }
+
     @Test
     void modelsAreListed() {
       CallerResult result = CALLER.raw(entry(1), "GET", "/v1/models", "");
@@ -91,7 +97,7 @@
     void unknownModelNamesTheValidOnes() {
       CallerResult result = chat(1, "no-such-model", false);
       assertThat(result.status()).isEqualTo(404);
-      assertThat(result.text()).contains("valid are: counter-3b");
+      assertThat(result.text()).contains("valid are: counter-3b, other-3b");
     }
 
     @Test
@@ -102,6 +108,16 @@
       assertThat(chat(1, "counter-3b", false).isAnswered()).isTrue();
     }
 
+    @Test
+    void streamThatIsNoTruthValueIsRefused() {
+      String body =
+          "{\"model\":\"counter-3b\",\"stream\":\"yes please\","
+              + "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+      CallerResult result = CALLER.raw(entry(1), "POST", "/v1/chat/completions", body);
+      assertThat(result.status()).isEqualTo(400);
+      assertThat(result.text()).contains("'stream' is \\\"yes please\\\"; valid are: true, false");
+    }
+
     @Test
     void unknownOrganisationIsRefused() {
       CallerResult result = new CallerClient("wrong").raw(entry(1), "GET", "/v1/models", "");
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationStore.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/ConfigurationStore.java
@@ -28,7 +28,7 @@
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
   private final DocumentParser parser = new DocumentParser();
   private Inventory inventory = new Inventory(null, null, null);
-  private Rules rules = new Rules(null, null);
+  private Rules rules = new Rules(null, null, null);
   private List<Organisation> organisations = List.of();
   private VmList vms = new VmList(0, null);
   private volatile Configuration current = snapshot();
--- a/zinniaspan/src/main/java/org/zinniaspan/configuration/DocumentValidator.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/configuration/DocumentValidator.java
@@ -105,6 +105,9 @@
             "is " + serviceClass.firstTokenTargetMs() + "; at least 1 ms is needed");
       }
     }
+    if (!rules.defaultChatClass().isEmpty()) {
+      report.choice("defaultChatClass", rules.defaultChatClass(), classes);
+    }
     for (int i = 0; i < rules.assign().size(); i++) {
       ClassRule rule = rules.assign().get(i);
       report.choice("assign[" + i + "].serviceClass", rule.serviceClass(), classes);
--- a/zinniaspan/src/main/java/org/zinniaspan/gateway/ChatHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/gateway/ChatHandler.java
@@ -94,6 +94,11 @@
     if (!json.path("messages").isArray() || json.path("messages").isEmpty()) {
       return new Parsed.Bad(NotRunReason.BAD_REQUEST, "'messages' is not a filled array");
     }
+    JsonNode stream = json.path("stream");
+    if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+      return new Parsed.Bad(
+          NotRunReason.BAD_REQUEST, "'stream' is " + stream + "; valid are: true, false");
+    }
     String model = json.path("model").asText("");
     Configuration now = configuration.get();
     if (!now.inventory().hasModel(model)) {
@@ -113,7 +118,7 @@
     ServiceClass serviceClass = ((Classes.Choice.Chosen) choice).serviceClass();
     return new Parsed.Good(
         call(requestId, organisation, serviceClass, (ObjectNode) json, arrivedMs),
-        json.path("stream").asBoolean(false));
+        stream.asBoolean(false));
   }
 
   private static ChatCall call(
--- a/zinniaspan/src/main/java/org/zinniaspan/inventory/Rules.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/inventory/Rules.java
@@ -8,13 +8,15 @@
  *
  * @param classes service classes
  * @param assign rules in order of precedence; the first match decides
+ * @param defaultChatClass name of the class of chats that no rule matches; empty if there is none
  */
-public record Rules(List<ServiceClass> classes, List<ClassRule> assign) {
+public record Rules(List<ServiceClass> classes, List<ClassRule> assign, String defaultChatClass) {
 
-  /** Fills the defaults of absent lists. */
+  /** Fills the defaults of absent fields. */
   public Rules {
     classes = classes == null ? List.of() : List.copyOf(classes);
     assign = assign == null ? List.of() : List.copyOf(assign);
+    defaultChatClass = defaultChatClass == null ? "" : defaultChatClass;
   }
 
   /** Returns the class of that name. */
@@ -27,7 +29,9 @@
     return assign.stream()
         .filter(rule -> rule.matchesChat(model, organisation))
         .findFirst()
-        .flatMap(rule -> serviceClass(rule.serviceClass()));
+        .map(ClassRule::serviceClass)
+        .or(() -> Optional.of(defaultChatClass))
+        .flatMap(this::serviceClass);
   }
 
   /** Returns the class of a call to a plain service that names none. */
--- a/zinniaspan/src/test/java/org/zinniaspan/configuration/TestConfigurations.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/configuration/TestConfigurations.java
@@ -13,6 +13,7 @@
 
   /** Returns a configuration with the given inventory and list of VMs, and nothing else. */
   public static Configuration of(Inventory inventory, VmList vms) {
-    return new Configuration(inventory, new Rules(List.of(), List.of()), List.of(), vms, Map.of());
+    return new Configuration(
+        inventory, new Rules(List.of(), List.of(), ""), List.of(), vms, Map.of());
   }
 }
