Send clients to another VM at once while the platform turns this one away

Now such a VM answers at once that it has not run, names 10 ms and closes the connection; it waits only if the platform answered its last call. Test failed first.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -364,6 +364,26 @@
       assertThat(answer).contains("Retry-After: ");
     }
 
+    @Test
+    void areSentToAnotherVmAtOnceWhileThePlatformFails() throws IOException {
+      first.setScript(always(ok("a1", "done")));
+      store.set(StoreStandIn.Mode.BUSY);
+      String keptOpen = request("GET", "/safe/x", "", "").replace("Connection: close\r\n", "");
+      String answer = "HTTP/1.1 200";
+      long startMs = 0;
+      while (answer.startsWith("HTTP/1.1 200")) {
+        startMs = System.nanoTime() / 1_000_000;
+        try (RawCaller caller = new RawCaller(listen)) {
+          caller.send(keptOpen);
+          answer = caller.readUntil("\r\n\r\n");
+        }
+      }
+      assertThat(answer).startsWith("HTTP/1.1 503");
+      assertThat(answer).contains("Retry-After: 0.01");
+      assertThat(answer).contains("Connection: close");
+      assertThat(System.nanoTime() / 1_000_000 - startMs).isLessThan(400);
+    }
+
     @Test
     void areRefusedAsSoonAsOneConfigurationTakesThemAway() throws IOException {
       first.setScript(always(ok("a1", "done")));
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -71,6 +71,11 @@
     return listComplete;
   }
 
+  /** Returns whether the last call of the platform was answered. */
+  public boolean isReachable() {
+    return reachable;
+  }
+
   @Override
   public void tick() {
     long now = clock.nowMs();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Exchange.java
@@ -34,11 +34,11 @@
   /** Longest wait for a confirmation of the configuration, in milliseconds. */
   private static final long MOST_TRUST_WAIT_MS = 600;
 
-  /** When to come back after a refusal for want of a configuration or an endpoint, in ms. */
+  /** When to come back after a refusal for want of an endpoint, in milliseconds. */
   private static final long RETRY_AFTER_MS = 400;
 
-  /** When to come back after a refusal by a VM that stops: another one takes it, in ms. */
-  private static final long STOP_RETRY_AFTER_MS = 10;
+  /** When to come back after a refusal that concerns this VM only: another takes it, in ms. */
+  private static final long ELSEWHERE_RETRY_AFTER_MS = 10;
 
   /** Longest idle time of a kept connection that an idempotent request may use, in ms. */
   private static final long MOST_IDLE_MS = 3_000;
@@ -46,6 +46,9 @@
   /** Least time left with which another endpoint is tried, in milliseconds. */
   private static final long LEAST_RETRY_MS = 60;
 
+  /** Reason for which a request with a key is refused while keys may be out of date. */
+  private static final String NOT_CONFIRMED = "configuration-not-confirmed";
+
   /** Outcome of a request whose client has gone. */
   private static final String LEFT = "client-left";
 
@@ -135,7 +138,7 @@
   void start() {
     Optional<RoutingTable> table = context.follower().table();
     if (table.isEmpty()) {
-      refuse("no-configuration", RETRY_AFTER_MS);
+      sendAway("no-configuration");
       return;
     }
     if (facts.attemptId().isEmpty()) {
@@ -145,7 +148,7 @@
     Optional<Route> found = table.get().route(facts.host(), facts.path());
     boolean open = found.map(r -> !table.get().needsKey(r)).orElse(false);
     if (!open && table.get().hasKeys() && !context.trust().isTrusted()) {
-      waitsForTrust = true;
+      waitForTrust();
       return;
     }
     waitsForTrust = false;
@@ -174,7 +177,21 @@
 
   /** Refuses the request because the process is about to end. */
   void refuseForStop() {
-    refuse("stopping", STOP_RETRY_AFTER_MS);
+    sendAway("stopping");
+  }
+
+  /** Waits for a confirmation that is under way; other VMs serve sooner if the platform fails. */
+  private void waitForTrust() {
+    waitsForTrust = context.follower().isReachable();
+    if (!waitsForTrust) {
+      sendAway(NOT_CONFIRMED);
+    }
+  }
+
+  /** Refuses the request so that the client's next attempt reaches another VM. */
+  private void sendAway(String reason) {
+    client.closeAfterAnswer();
+    refuse(reason, ELSEWHERE_RETRY_AFTER_MS);
   }
 
   private void send() {
@@ -259,8 +276,8 @@
     if (waitsForTrust) {
       if (context.trust().isTrusted()) {
         start();
-      } else if (nowMs - arrivedMs >= MOST_TRUST_WAIT_MS) {
-        refuse("configuration-not-confirmed", RETRY_AFTER_MS);
+      } else if (nowMs - arrivedMs >= MOST_TRUST_WAIT_MS || !context.follower().isReachable()) {
+        sendAway(NOT_CONFIRMED);
       }
       return;
     }
