Add a soak: daemons as processes under random faults, with checks of their promises

It checks what callers and endpoints saw: at most once, truth of 'not run', whole and right answers and streams, keys and organisations, versions, recovery.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -12,6 +12,7 @@
 import org.zinniaspan.standins.load.LoadCommand;
 import org.zinniaspan.standins.simulation.SimulateSlotsCommand;
 import org.zinniaspan.standins.site.ArchiveClassesCommand;
+import org.zinniaspan.standins.soak.SoakCommand;
 
 /** The command line of the stand-ins: {@code zinniaspan-standins COMMAND [FLAGS]}. */
 public final class StandinsMain {
@@ -32,6 +33,7 @@
     commands.put("engine", new EngineCommand());
     commands.put("service", new ServiceCommand());
     commands.put("archive-classes", new ArchiveClassesCommand());
+    commands.put("soak", new SoakCommand());
     commands.put("demo", new DemoCommand());
     commands.put("load", new LoadCommand());
     commands.put("cost", new CostCommand());
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -140,11 +140,11 @@
       return true;
     }
     return request.line().contains(" /chat/")
-        ? stream(attempt, afterEvent, now, socket)
-        : plain(attempt, now, socket);
+        ? answerStream(attempt, afterEvent, now, socket)
+        : answerPlain(attempt, now, socket);
   }
 
-  private boolean plain(String attempt, Trouble now, Socket socket) throws IOException {
+  private boolean answerPlain(String attempt, Trouble now, Socket socket) throws IOException {
     String body = text(attempt);
     String whole = head("200 OK", attempt, "Content-Length: " + body.length()) + body;
     switch (now) {
@@ -156,7 +156,7 @@
     return now == Trouble.NONE || now == Trouble.EXTRA;
   }
 
-  private boolean stream(String attempt, int afterEvent, Trouble now, Socket socket)
+  private boolean answerStream(String attempt, int afterEvent, Trouble now, Socket socket)
       throws IOException {
     RawServer.write(
         socket,
@@ -178,10 +178,19 @@
   }
 
   /** Returns the text that answers a request. */
-  static String text(String attempt) {
+  public static String text(String attempt) {
     return "answer to " + attempt;
   }
 
+  /** Returns the whole stream that answers a request. */
+  public static String stream(String attempt) {
+    StringBuilder events = new StringBuilder();
+    for (int number = 1; number <= EVENTS; number++) {
+      events.append(event(attempt, number));
+    }
+    return events.toString();
+  }
+
   /** Returns an event of the stream that answers a request. */
   static String event(String attempt, int number) {
     return "id: " + number + "\ndata: " + attempt + "-" + number + "\n\n";
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -83,12 +83,14 @@
       InetSocketAddress metrics,
       Path log) {}
 
+  private record Place(String address, String zone) {}
+
   private final Closer closer = new Closer();
   private final ObjectMapper json = new ObjectMapper();
   private final Path logs;
   private final StoreStandIn store = closer.add(new StoreStandIn());
   private final Map<String, EndpointStandIn> endpoints = new LinkedHashMap<>();
-  private final Map<String, String> zones = new LinkedHashMap<>();
+  private final Map<String, Place> places = new LinkedHashMap<>();
   private int version;
 
   /** Starts the store; logs of daemons go to a directory. */
@@ -110,19 +112,25 @@
   public EndpointStandIn addEndpoint(String id, String zone, long delayMs) throws IOException {
     EndpointStandIn endpoint = closer.add(new EndpointStandIn(id, delayMs));
     endpoints.put(id, endpoint);
-    zones.put(id, zone);
+    places.put(id, new Place(endpoint.address(), zone));
     list(id, "ready");
     return endpoint;
   }
 
+  /** Lists an endpoint at another address, such as that of a proxy before it. */
+  public void moveEndpoint(String id, String address) {
+    places.put(id, new Place(address, places.get(id).zone()));
+    list(id, "ready");
+  }
+
   /** Writes an endpoint's entry with a state. */
   public void list(String id, String state) {
     store.put(
         "servers/" + id,
         json.createObjectNode()
             .put("service", SERVICE)
-            .put("address", endpoints.get(id).address())
-            .put("zone", zones.get(id))
+            .put("address", places.get(id).address())
+            .put("zone", places.get(id).zone())
             .put("version", "v1")
             .put("slots", SLOTS)
             .put("state", state)
@@ -130,19 +138,22 @@
             .toString());
   }
 
-  /** Publishes a configuration in which an organisation holds some keys; returns its version. */
-  public int publish(List<String> keys) throws IOException {
+  /** Publishes a configuration with an organisation {@code org-KEY} for each key. */
+  public void publish(List<String> keys) throws IOException {
     version++;
-    Map<String, Object> organisation = Map.of("name", "org-1", "api_keys", keys, "priority", 1);
+    List<Map<String, Object>> organisations = new ArrayList<>();
+    keys.forEach(
+        key ->
+            organisations.add(
+                Map.of("name", "org-" + key, "api_keys", List.of(key), "priority", 1)));
     store.put(
         "op/config",
         json.createObjectNode()
             .put("version", version)
-            .putPOJO("tenants", List.of(organisation))
+            .putPOJO("tenants", organisations)
             .putPOJO("services", List.of(service()))
             .<ObjectNode>set("routes", json.readTree(ROUTES))
             .toString());
-    return version;
   }
 
   private static Map<String, Object> service() {
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultyLink.java
@@ -0,0 +1,139 @@
+package org.zinniaspan.standins.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * A TCP proxy on the loopback interface that harms the connections through it.
+ *
+ * <p>A connection that lost bytes stays silent for good, as the rest would be another message.
+ * Example: {@code link.set(Mode.SILENT); ... link.set(Mode.PASS);}
+ */
+final class FaultyLink implements AutoCloseable {
+
+  /** What happens to bytes. */
+  enum Mode {
+    /** They pass. */
+    PASS,
+    /** Each piece is {@value #DELAY_MS} ms late. */
+    DELAY,
+    /** Connections are reset. */
+    RESET,
+    /** They are swallowed, both ways. */
+    SILENT,
+    /** They are swallowed on the way back. */
+    ONE_WAY
+  }
+
+  private static final long DELAY_MS = 120;
+  private static final long NANOS_PER_MS = 1_000_000;
+  private static final int BUFFER_BYTES = 8 * 1024;
+  private static final int BACKLOG = 200;
+
+  private final InetSocketAddress target;
+  private final ServerSocket listener;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private volatile Mode mode = Mode.PASS;
+
+  /** Starts a link to an address at a free port. */
+  FaultyLink(InetSocketAddress target) throws IOException {
+    this.target = target;
+    this.listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+    threads.execute(this::accept);
+  }
+
+  /** Returns the address of this end, host:port. */
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  /** Sets what happens to bytes from now on. */
+  void set(Mode value) {
+    mode = value;
+    if (value == Mode.RESET) {
+      sockets.forEach(FaultyLink::reset);
+    }
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket near = listener.accept();
+        threads.execute(() -> join(near));
+      }
+    } catch (IOException e) {
+      // The link was closed.
+    }
+  }
+
+  private void join(Socket near) {
+    if (mode == Mode.RESET) {
+      reset(near);
+      return;
+    }
+    try {
+      Socket far = new Socket(target.getHostString(), target.getPort());
+      sockets.add(near);
+      sockets.add(far);
+      threads.execute(() -> pump(far, near, true));
+      pump(near, far, false);
+    } catch (IOException e) {
+      reset(near);
+    }
+  }
+
+  private void pump(Socket from, Socket to, boolean back) {
+    boolean lost = false;
+    byte[] bytes = new byte[BUFFER_BYTES];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+        Mode now = mode;
+        lost |= now == Mode.SILENT || (back && now == Mode.ONE_WAY);
+        if (now == Mode.DELAY) {
+          LockSupport.parkNanos(DELAY_MS * NANOS_PER_MS);
+        }
+        if (!lost) {
+          out.write(bytes, 0, count);
+          out.flush();
+        }
+      }
+      if (!lost) {
+        to.shutdownOutput();
+      }
+    } catch (IOException e) {
+      // One side has ended the connection, and so the other side's ends too.
+      reset(to);
+    } finally {
+      sockets.remove(from);
+    }
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // It is closed already.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    sockets.forEach(FaultyLink::reset);
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakCaller.java
@@ -0,0 +1,122 @@
+package org.zinniaspan.standins.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.apache.hc.core5.net.URIAuthority;
+import org.zinniaspan.http.HttpExchange;
+import org.zinniaspan.standins.site.LocalSite;
+
+/** One client that calls daemons in turn and keeps connections until they fail. */
+final class SoakCaller implements Runnable {
+
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  /** Longer than the longest route's timeout, so that the router's own answer is seen. */
+  private static final int READ_TIMEOUT_MS = 6_000;
+
+  /** Calls on one connection until a new one is opened. */
+  private static final int MOST_CALLS = 8;
+
+  private static final List<String> PATHS = List.of("/unsafe/x", "/safe/x", "/chat/x");
+
+  private final String name;
+  private final Random random;
+  private final Supplier<List<InetSocketAddress>> daemons;
+  private final Consumer<Call> seen;
+  private volatile boolean stopped;
+  private int count;
+
+  /**
+   * Creates a client.
+   *
+   * @param name prefix of its attempt ids
+   * @param random source of its choices
+   * @param daemons addresses of the daemons that exist now
+   * @param seen takes what it saw
+   */
+  SoakCaller(
+      String name, Random random, Supplier<List<InetSocketAddress>> daemons, Consumer<Call> seen) {
+    this.name = name;
+    this.random = random;
+    this.daemons = daemons;
+    this.seen = seen;
+  }
+
+  /** Lets the client end after its call. */
+  void stop() {
+    stopped = true;
+  }
+
+  @Override
+  public void run() {
+    while (!stopped) {
+      List<InetSocketAddress> all = daemons.get();
+      callSome(all.get(random.nextInt(all.size())), 1 + random.nextInt(MOST_CALLS));
+    }
+  }
+
+  /** Makes calls on one connection until one of them fails. */
+  void callSome(InetSocketAddress daemon, int calls) {
+    try (HttpExchange connection =
+        HttpExchange.connect(daemon, CONNECT_TIMEOUT_MS, READ_TIMEOUT_MS)) {
+      boolean open = true;
+      for (int i = 0; i < calls && open && !stopped; i++) {
+        open = call(connection, daemon);
+      }
+    } catch (IOException e) {
+      // Nothing was sent: the daemon is down or paused, and another one takes the next call.
+      Thread.onSpinWait();
+    }
+  }
+
+  private boolean call(HttpExchange connection, InetSocketAddress daemon) {
+    count++;
+    String id = name + '-' + count;
+    String path = PATHS.get(random.nextInt(PATHS.size()));
+    int organisation = 1 + random.nextInt(SoakRun.ORGANISATIONS);
+    ClassicRequestBuilder request =
+        (path.startsWith("/safe/") ? ClassicRequestBuilder.get(path) : post(path))
+            .setHttpHost(new HttpHost(daemon.getHostString(), daemon.getPort()))
+            .setHeader("X-Zinniaspan-Attempt-Id", id)
+            .setHeader("Authorization", "Bearer key-" + organisation);
+    long sentMs = System.currentTimeMillis();
+    int status = 0;
+    Optional<String> body = Optional.empty();
+    boolean open = false;
+    try {
+      ClassicHttpResponse answer = connection.execute(withHost(request));
+      status = answer.getCode();
+      body = Optional.of(EntityUtils.toString(answer.getEntity()));
+      open = !answer.containsHeader("Connection");
+    } catch (IOException | HttpException e) {
+      // The answer is missing or incomplete, which promises nothing.
+      open = false;
+    }
+    seen.accept(new Call(id, path, "org-key-" + organisation, sentMs, status, body));
+    return open;
+  }
+
+  private static ClassicRequestBuilder post(String path) {
+    return ClassicRequestBuilder.post(path)
+        .setEntity(new StringEntity("body", ContentType.TEXT_PLAIN));
+  }
+
+  private static ClassicHttpRequest withHost(ClassicRequestBuilder builder) {
+    ClassicHttpRequest request = builder.build();
+    request.setAuthority(new URIAuthority(LocalSite.HOST));
+    return request;
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakCommand.java
@@ -0,0 +1,73 @@
+package org.zinniaspan.standins.soak;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.zinniaspan.standins.StandinCommand;
+
+/**
+ * Runs soaks with the given seeds and prints the promises that were broken.
+ *
+ * <p>Example: {@code bin/soak --seed 1 --count 50 --minutes 0.5}
+ */
+@Parameters(commandDescription = "Run daemons under random faults and check their promises.")
+public final class SoakCommand implements StandinCommand {
+
+  private static final double SECONDS_PER_MINUTE = 60;
+
+  /** Lines of a request's trace that are printed. */
+  private static final int MOST_LINES = 20;
+
+  @Parameter(names = "--seed", description = "Seed of the first soak.")
+  private long seed = 1;
+
+  @Parameter(names = "--count", description = "Number of soaks; each has the next seed.")
+  private int count = 1;
+
+  @Parameter(names = "--minutes", description = "How long faults are injected in each, in min.")
+  private double minutes = 0.5;
+
+  @Parameter(names = "--daemons", description = "Number of daemons.")
+  private int daemons = 3;
+
+  @Parameter(names = "--logs", description = "Directory of the logs.")
+  private String logs = "target/soak";
+
+  @Override
+  public int run() throws Exception {
+    int failed = 0;
+    for (long next = seed; next < seed + count; next++) {
+      Path directory = Path.of(logs, "seed-" + next);
+      SoakRun soak =
+          new SoakRun(next, Math.round(minutes * SECONDS_PER_MINUTE), daemons, directory);
+      List<String> broken = soak.run();
+      System.out.printf("seed %d: %d calls, %d broken%n", next, soak.callCount(), broken.size());
+      if (!broken.isEmpty()) {
+        failed++;
+        System.out.printf(
+            "again: bin/soak --seed %d --minutes %s --daemons %d%n", next, minutes, daemons);
+        for (String line : broken) {
+          System.out.println("  " + line);
+          printTrace(directory, line.split(" ")[0]);
+        }
+      }
+    }
+    return failed == 0 ? 0 : 1;
+  }
+
+  private static void printTrace(Path directory, String id) throws IOException {
+    try (Stream<Path> files = Files.list(directory)) {
+      for (Path file : files.sorted().toList()) {
+        Files.readAllLines(file, StandardCharsets.UTF_8).stream()
+            .filter(line -> line.contains('"' + id + '"'))
+            .limit(MOST_LINES)
+            .forEach(line -> System.out.println("    " + file.getFileName() + " " + line));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakDaemon.java
@@ -0,0 +1,105 @@
+package org.zinniaspan.standins.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.zinniaspan.http.Addresses;
+import org.zinniaspan.standins.fleet.LocalFleet;
+import org.zinniaspan.standins.site.LocalSite;
+
+/** A daemon that may be stopped in any way and is started again, with its link to the store. */
+final class SoakDaemon implements AutoCloseable {
+
+  private static final long STOP_TIMEOUT_S = 6;
+  private static final Pattern VERSION =
+      Pattern.compile("zinniaspan_configuration_version ([0-9]+)");
+
+  private final LocalSite site;
+  private final String name;
+  private final String zone;
+  private final FaultyLink storeLink;
+  private final List<String> brokenVersions = new ArrayList<>();
+  private final List<Long> versions = new ArrayList<>();
+  private volatile LocalSite.Daemon daemon;
+  private int starts;
+
+  /** Starts a daemon. */
+  SoakDaemon(LocalSite site, String name, String zone) throws IOException {
+    this.site = site;
+    this.name = name;
+    this.zone = zone;
+    this.storeLink = new FaultyLink(Addresses.parse(site.store().address()));
+    start();
+  }
+
+  private synchronized void start() throws IOException {
+    starts++;
+    versions.clear();
+    daemon =
+        site.startDaemon(name + '-' + starts, zone, storeLink.address(), LocalSite.Launch.small());
+  }
+
+  FaultyLink storeLink() {
+    return storeLink;
+  }
+
+  InetSocketAddress callers() {
+    return daemon.callers();
+  }
+
+  /** Kills the process. */
+  void kill() {
+    daemon.process().kill();
+  }
+
+  /** Begins a planned stop. */
+  void terminate() {
+    daemon.process().terminate();
+  }
+
+  /** Stops the process until {@link #resume}. */
+  void pause() throws IOException {
+    daemon.process().pause();
+  }
+
+  /** Lets the process go on. */
+  void resume() throws IOException {
+    daemon.process().resume();
+  }
+
+  /** Starts a new process once the old one has ended, which is killed if it does not end. */
+  void restart() throws IOException {
+    if (!daemon.process().awaitExit(STOP_TIMEOUT_S)) {
+      daemon.process().kill();
+    }
+    start();
+  }
+
+  void awaitReady() {
+    LocalSite.awaitReady(daemon);
+  }
+
+  /** Reads the version of the configuration in force from the metrics. */
+  synchronized void sampleVersion() {
+    Matcher found = VERSION.matcher(LocalFleet.get(daemon.metrics(), "/metrics").body());
+    if (found.find()) {
+      versions.add(Long.parseLong(found.group(1)));
+      brokenVersions.addAll(
+          SoakChecks.versions(
+              daemon.name(), versions.subList(Math.max(0, versions.size() - 2), versions.size())));
+    }
+  }
+
+  /** Returns a line for each version that went back within one process. */
+  synchronized List<String> brokenVersions() {
+    return List.copyOf(brokenVersions);
+  }
+
+  @Override
+  public void close() throws IOException {
+    storeLink.close();
+  }
+}
--- /dev/null
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/SoakTest.java
@@ -0,0 +1,25 @@
+package org.zinniaspan.standins.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@Timeout(120)
+class SoakTest {
+
+  private static final long SECONDS = 8;
+  private static final int DAEMONS = 2;
+
+  @TempDir Path logs;
+
+  /** Seeds: the short run of CI, and each that ever failed, with its cause. */
+  @ParameterizedTest
+  @ValueSource(longs = {1})
+  void breaksNoPromise(long seed) throws Exception {
+    assertThat(new SoakRun(seed, SECONDS, DAEMONS, logs).run()).isEmpty();
+  }
+}
