--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakFaults.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakFaults.java
@@ -18,11 +18,17 @@
 /** Draws faults from a seed and ends each after its time; several may overlap. */
 final class SoakFaults {
 
-  /** Shortest and longest time of a fault, in milliseconds. */
+  /** Shortest time of a fault, in milliseconds. */
   private static final int LEAST_MS = 300;
 
+  /** Longest time of most faults, in milliseconds. */
   private static final int MOST_MS = 4_000;
 
+  /** Longest time of one in {@value #LONG_ONES}, in ms: past the end of trust in keys. */
+  private static final int LONG_MS = 10_000;
+
+  private static final int LONG_ONES = 4;
+
   /** Longest time between the beginnings of two faults, in milliseconds. */
   private static final int MOST_PAUSE_MS = 700;
 
@@ -151,7 +157,8 @@
   }
 
   private void until(long nowMs, String target, Step step) {
-    long lastsMs = LEAST_MS + random.nextInt(MOST_MS - LEAST_MS);
+    int mostMs = random.nextInt(LONG_ONES) == 0 ? LONG_MS : MOST_MS;
+    long lastsMs = LEAST_MS + random.nextInt(mostMs - LEAST_MS);
     EventLog.event("soak-fault").with("target", target).with("lastsMs", lastsMs).info();
     ends.add(new End(nowMs + lastsMs, target, step));
   }
