Wait for log lines in the test that reads them

The same delay could hide an attempt at the leaving engine from the check before it. Lines are written in order, so that the test waits for the lines of its own requests and then checks the same counts.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/StreamResumeProcessTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/StreamResumeProcessTest.java
@@ -93,6 +93,7 @@
     assertThat(unbroken.isAnswered()).isTrue();
     assertThat(resumed.isAnswered()).isTrue();
     assertThat(resumed.text()).isEqualTo(unbroken.text());
+    LocalFleet.await("the log", () -> logged("attempt-failed", "BROKEN", serving) > 0);
     assertThat(logged("attempt-failed", "BROKEN", serving)).isEqualTo(1);
   }
 
@@ -118,15 +119,18 @@
     fleet.control(engine("engine-1"), "leaving=true");
     LocalFleet.await("the mark", () -> logged("\"leaving\"", "engine-1") > 0);
     assertThat(System.currentTimeMillis() - saidMs).isLessThan(LEAVING_BOUND_MS);
+    // Lines are written in order, soon after their events: all before the mark are there.
     final long before = logged("\"attempt\"", "engine-1");
+    final long all = logged("\"attempt\"");
     for (int i = 0; i < 6; i++) {
       assertThat(chat("question " + i + " #tokens=2").isAnswered()).isTrue();
     }
+    LocalFleet.await("the log", () -> logged("\"attempt\"") >= all + 6);
     assertThat(logged("\"attempt\"", "engine-1")).isEqualTo(before);
     fleet.control(engine("engine-1"), "leaving=false");
     LocalFleet.await("its return", () -> logged("\"stays\"", "engine-1") > 0);
     fleet.endpoints().get("engine-2").process().kill();
     assertThat(chat("back again #tokens=2").isAnswered()).isTrue();
-    assertThat(logged("\"attempt\"", "engine-1")).isGreaterThan(before);
+    LocalFleet.await("its next attempt", () -> logged("\"attempt\"", "engine-1") > before);
   }
 }
