--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakCaller.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakCaller.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -27,6 +28,9 @@
   /** Longer than the longest route's timeout, so that the router's own answer is seen. */
   private static final int READ_TIMEOUT_MS = 6_000;
 
+  /** Time until the next call after a daemon could not be reached, in nanoseconds: 10 ms. */
+  private static final long PAUSE_NANOS = 10_000_000;
+
   /** Calls on one connection until a new one is opened. */
   private static final int MOST_CALLS = 8;
 
@@ -78,7 +82,7 @@
       }
     } catch (IOException e) {
       // Nothing was sent: the daemon is down or paused, and another one takes the next call.
-      Thread.onSpinWait();
+      LockSupport.parkNanos(PAUSE_NANOS);
     }
   }
 
