--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ExpectedFirstByte.java
@@ -40,9 +40,7 @@
    */
   private static final double READ_AGAIN_MS = 0.3;
 
-  /**
-   * Shared parts from this length on have a home endpoint, in tokens: shorter ones cost nothing.
-   */
+  /** Shared parts from this length on have a home endpoint, in tokens: shorter ones cost little. */
   private static final long HOME_PART_TOKENS = 100;
 
   /** Random spread that keeps VMs with the same view from one choice, in milliseconds. */
--- a/zinniaspan/src/main/java/org/zinniaspan/log/JsonLinesLayout.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/JsonLinesLayout.java
@@ -15,8 +15,8 @@
 /**
  * Formats an event as one line of JSON with its time, level, thread and message.
  *
- * <p>It writes the fields directly: a template that is interpreted for each line takes several
- * times as long, and most of a small VM's start.
+ * <p>It writes the fields directly: a template that is read and interpreted makes the start and
+ * each of the first lines slower.
  */
 final class JsonLinesLayout extends AbstractStringLayout {
 
--- a/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
@@ -19,7 +19,7 @@
 
   private static final String LOGGER = "zinniaspan";
 
-  /** Lines that may wait: about 3 MB, or some seconds of a busy VM. */
+  /** Lines that may wait; a limit on memory, chosen without a measurement. */
   private static final int MOST_LINES = 2_000;
 
   /** Time in which lines are gathered, in milliseconds, which saves system calls. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestLog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestLog.java
@@ -8,8 +8,8 @@
  * The log lines of one request, which are written at its end if they are worth it.
  *
  * <p>All lines of a request that failed, was late or met a failure on the way are written, with the
- * times at which they arose. Of the others, one in {@value #SAMPLE} is, as writing all would take a
- * third of the process's time; the choice follows from the request's id, so that it is the same on
+ * times at which they arose. Of the others, one in {@value #SAMPLE} is, as writing all takes too
+ * much of the process's time; the choice follows from the request's id, so that it is the same on
  * all VMs.
  */
 final class RequestLog {
