Derive the forward path's times from the platform's bounds, and count retries by window

Change: PlatformBounds reads and checks the bounds (findings at start, defaults used) and derives each time in one place. A VM's retries in a window stay within the ratio of its own requests and at most one retry of the slack.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ZoneCosts;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
@@ -20,7 +21,6 @@
 import org.zinniaspan.platform.ReportClient;
 import org.zinniaspan.platform.StoreClient;
 import org.zinniaspan.proxy.ForwardDaemon;
-import org.zinniaspan.proxy.ForwardSettings;
 import org.zinniaspan.standins.fleet.FreePorts;
 
 /**
@@ -77,7 +77,7 @@
                 callers -> new ReportClient(callers, 300),
                 new HttpDialect(),
                 new ZoneCosts("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
-                new ForwardSettings(2_000, 0.2, 3_000),
+                new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
                 1)));
     awaitReady();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -11,14 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ZoneCosts;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.inventory.Finding;
+import org.zinniaspan.log.EventLog;
 import org.zinniaspan.platform.HttpDialect;
 import org.zinniaspan.platform.ReportClient;
 import org.zinniaspan.platform.StoreClient;
 import org.zinniaspan.proxy.ForwardDaemon;
-import org.zinniaspan.proxy.ForwardSettings;
 import sun.misc.Signal;
 
 /**
@@ -30,20 +31,9 @@
 @Parameters(commandDescription = "Run the daemon that forwards requests to a platform's endpoints.")
 final class ForwardCommand implements Command {
 
-  private static final long MS_PER_SECOND = 1_000;
-
-  /** Timeout of requests to the platform, in milliseconds. */
-  private static final long PLATFORM_TIMEOUT_MS = 800;
-
   /** Timeout of load report requests to engines, in milliseconds. */
   private static final long REPORT_TIMEOUT_MS = 500;
 
-  /**
-   * Margin between the last use of an unconfirmed API key and its revocation deadline, in
-   * milliseconds.
-   */
-  private static final long KEY_REVOCATION_MARGIN_MS = 400;
-
   @Parameter(names = "--help", help = true, description = "Show this help.")
   private boolean help;
 
@@ -71,20 +61,46 @@
   @Parameter(names = "--platform", description = "Address of the platform's store, host:port.")
   private String platform = "";
 
+  @Parameter(
+      names = "--config-ms",
+      description = "Time within which a new configuration must be in force, in milliseconds.")
+  private String configMs = "2500";
+
   @Parameter(
       names = "--revoke-ms",
       description = "Time within which a revoked API key must be refused, in milliseconds.")
-  private long revokeMs = 5_000;
+  private String revokeMs = "5000";
+
+  @Parameter(
+      names = "--drain-ms",
+      description =
+          "Time within which a draining endpoint must receive no more requests, in milliseconds.")
+  private String drainMs = "2500";
+
+  @Parameter(
+      names = "--heartbeat-ms",
+      description = "Interval at which endpoints renew their entries, in milliseconds.")
+  private String heartbeatMs = "1200";
 
   @Parameter(
       names = "--grace-s",
       description = "Maximum duration of a graceful shutdown, in seconds.")
-  private double graceS = 8;
+  private String graceS = "8";
 
   @Parameter(
       names = "--retry-ratio",
       description = "Maximum ratio of retries to requests, over all VMs.")
-  private double retryRatio = 0.2;
+  private String retryRatio = "0.2";
+
+  @Parameter(
+      names = "--retry-slack",
+      description = "Retries of all VMs together that are allowed in a window besides the ratio.")
+  private String retrySlack = "54";
+
+  @Parameter(
+      names = "--retry-window-s",
+      description = "Length of the window over which retries are counted, in seconds.")
+  private String retryWindowS = "10";
 
   @Parameter(names = "--seed", description = "Seed of the random number generators; 0 picks one.")
   private long seed = 0;
@@ -115,20 +131,41 @@
 
   private ForwardDaemon.Options options() {
     InetSocketAddress store = Addresses.parse(platform);
-    long maxConfirmationAgeMs = Math.max(revokeMs / 2, revokeMs - KEY_REVOCATION_MARGIN_MS);
+    PlatformBounds.Parsed parsed = PlatformBounds.parse(boundSettings());
+    parsed.findings().forEach(ForwardCommand::logFinding);
     return new ForwardDaemon.Options(
         Addresses.parse(listen),
         Addresses.parse(readyListen),
         metricsListen.isEmpty() ? Optional.empty() : Optional.of(Addresses.parse(metricsListen)),
         store,
-        caller -> new StoreClient(caller, store, PLATFORM_TIMEOUT_MS),
+        caller -> new StoreClient(caller, store, PlatformBounds.PLATFORM_TIMEOUT_MS),
         callers -> new ReportClient(callers, REPORT_TIMEOUT_MS),
         new HttpDialect(),
         new ZoneCosts(zone, regions()),
-        new ForwardSettings(maxConfirmationAgeMs, retryRatio, Math.round(graceS * MS_PER_SECOND)),
+        parsed.bounds(),
         seed == 0 ? System.nanoTime() : seed);
   }
 
+  private Map<String, String> boundSettings() {
+    return Map.of(
+        "--config-ms", configMs,
+        "--revoke-ms", revokeMs,
+        "--drain-ms", drainMs,
+        "--heartbeat-ms", heartbeatMs,
+        "--grace-s", graceS,
+        "--retry-ratio", retryRatio,
+        "--retry-slack", retrySlack,
+        "--retry-window-s", retryWindowS);
+  }
+
+  /** Logs a bound that is missing or invalid; the daemon runs with its default. */
+  private static void logFinding(Finding finding) {
+    EventLog.event("setting-replaced")
+        .with("setting", finding.path())
+        .with("reason", finding.message())
+        .warn();
+  }
+
   private List<Finding> findings() {
     SettingsChecks checks = new SettingsChecks();
     checks.required("--zone", zone);
@@ -138,11 +175,6 @@
       checks.address("--metrics-listen", metricsListen);
     }
     checks.address("--platform", platform);
-    checks.atLeast("--revoke-ms", revokeMs, 1);
-    checks.atLeast("--grace-s", Math.round(graceS), 1);
-    if (retryRatio < 0 || retryRatio > 1) {
-      checks.add("--retry-ratio", "is " + retryRatio + "; valid are numbers from 0 to 1");
-    }
     try {
       regions();
     } catch (IllegalArgumentException e) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -17,19 +17,10 @@
  */
 public final class CatalogFollower implements Ticking {
 
-  /**
-   * Interval between two confirming reads, in milliseconds. A new configuration has to be in force
-   * within 2,500 ms; the interval leaves time for one failed read.
-   */
-  private static final long CONFIRM_INTERVAL_MS = 1_400;
-
   /**
    * Interval between two complete reads of the endpoints while the watch works, in milliseconds.
    */
-  private static final long ENDPOINT_READ_INTERVAL_MS = 10_000;
-
-  /** Longest wait of a watch, in milliseconds; bounds how long a broken watch goes unnoticed. */
-  private static final long WATCH_WAIT_MS = 1_200;
+  private static final long ENDPOINT_READ_INTERVAL_MS = 30_000;
 
   /**
    * Shortest delay after a failed call, in milliseconds; a random part of up to the same length is
@@ -37,16 +28,11 @@
    */
   private static final int RETRY_DELAY_MS = 120;
 
-  /**
-   * Time without an answered read after which the platform counts as having been unavailable, in
-   * milliseconds.
-   */
-  private static final long OUTAGE_THRESHOLD_MS = 1_800;
-
   private final Catalog catalog;
   private final Clock clock;
   private final TableFreshness freshness;
   private final EndpointDirectory directory;
+  private final PlatformBounds bounds;
   private final Random random;
 
   private Optional<RoutingTable> table = Optional.empty();
@@ -66,11 +52,13 @@
       Clock clock,
       TableFreshness freshness,
       EndpointDirectory directory,
+      PlatformBounds bounds,
       Random random) {
     this.catalog = catalog;
     this.clock = clock;
     this.freshness = freshness;
     this.directory = directory;
+    this.bounds = bounds;
     this.random = random;
     this.lastAnswerMs = clock.nowMs();
   }
@@ -118,7 +106,7 @@
       CatalogResult<Optional<RoutingTable>> result, TableFreshness.ReadStart readStart) {
     if (result instanceof CatalogResult.Read<Optional<RoutingTable>> read) {
       onAnswered();
-      nextTableReadMs = clock.nowMs() + CONFIRM_INTERVAL_MS;
+      nextTableReadMs = clock.nowMs() + bounds.confirmIntervalMs();
       read.value().ifPresent(this::adopt);
       if (table.isPresent()) {
         freshness.confirm(readStart);
@@ -160,7 +148,7 @@
     watching = true;
     catalog.watch(
         revision,
-        WATCH_WAIT_MS,
+        bounds.watchWaitMs(),
         result -> {
           watching = false;
           onChanges(result);
@@ -197,7 +185,7 @@
 
   private void onAnswered() {
     long now = clock.nowMs();
-    if (now - lastAnswerMs > OUTAGE_THRESHOLD_MS) {
+    if (now - lastAnswerMs > bounds.outageThresholdMs()) {
       directory.onPlatformRecovered();
     }
     lastAnswerMs = now;
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -8,6 +8,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EndpointSelector;
+import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
 import org.zinniaspan.forwarding.TableFreshness;
 
@@ -25,7 +26,7 @@
  * @param connections connection pool for endpoints
  * @param retryBudgets retry budget of each service, by the service's name
  * @param metrics counters and histograms
- * @param settings settings of the forwarding path
+ * @param bounds time bounds and budgets of the platform
  */
 record ForwardContext(
     Clock clock,
@@ -39,7 +40,7 @@
     EndpointConnectionPool connections,
     Map<String, ServiceRetryBudget> retryBudgets,
     ForwardMetrics metrics,
-    ForwardSettings settings) {
+    PlatformBounds bounds) {
 
   ForwardContext(
       Clock clock,
@@ -51,7 +52,7 @@
       EndpointSelector selector,
       AdmissionControl admission,
       EndpointConnectionPool connections,
-      ForwardSettings settings) {
+      PlatformBounds bounds) {
     this(
         clock,
         random,
@@ -64,12 +65,12 @@
         connections,
         new HashMap<>(),
         new ForwardMetrics(),
-        settings);
+        bounds);
   }
 
   /** Returns the retry budget of a service; creates it on first use. */
   ServiceRetryBudget retryBudget(String service) {
     return retryBudgets.computeIfAbsent(
-        service, s -> new ServiceRetryBudget(settings.retryRatio()));
+        service, s -> new ServiceRetryBudget(clock, bounds, () -> 1));
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -13,6 +13,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReportSource;
+import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.TableFreshness;
@@ -45,12 +46,12 @@
   private final CountDownLatch shutdownDone = new CountDownLatch(1);
 
   private ForwardDaemon(Options options) {
-    shutdown = new ShutdownSequence(clock, options.settings().graceMs());
+    shutdown = new ShutdownSequence(clock, options.bounds().graceMs());
     platformClient = new BufferingHttpClient(reactor, clock, options.platformAddress());
     Random random = new Random(options.seed());
     TableFreshness tableFreshness =
         new TableFreshness(
-            clock, System::currentTimeMillis, options.settings().maxConfirmationAgeMs());
+            clock, System::currentTimeMillis, options.bounds().maxConfirmationAgeMs());
     EndpointDirectory directory = new EndpointDirectory(clock);
     CatalogFollower follower =
         new CatalogFollower(
@@ -58,6 +59,7 @@
             clock,
             tableFreshness,
             directory,
+            options.bounds(),
             random);
     context =
         new ForwardContext(
@@ -70,7 +72,7 @@
             new TimeToFirstByteSelector(clock, options.zoneCosts(), random),
             new AdmissionControl(clock, random),
             new EndpointConnectionPool(reactor, clock),
-            options.settings());
+            options.bounds());
     server = new ForwardServer(context, shutdown);
     reportSource =
         options
@@ -91,7 +93,7 @@
    *     clients by address
    * @param dialect translates the heads of messages
    * @param zoneCosts availability zone of this VM and the costs to the others
-   * @param settings settings of the forwarding path
+   * @param bounds time bounds and budgets of the platform
    * @param seed seed of the daemon's random numbers
    */
   public record Options(
@@ -103,7 +105,7 @@
       Function<Function<String, BufferingHttpClient>, EngineReportSource> reportSourceFactory,
       Dialect dialect,
       ZoneCosts zoneCosts,
-      ForwardSettings settings,
+      PlatformBounds bounds,
       long seed) {}
 
   /**
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -18,7 +18,8 @@
   private final TableFreshness freshness = new TableFreshness(() -> nowMs, () -> nowMs, 4_600);
   private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
   private final CatalogFollower follower =
-      new CatalogFollower(catalog, () -> nowMs, freshness, directory, new Random(1));
+      new CatalogFollower(
+          catalog, () -> nowMs, freshness, directory, PlatformBounds.DEFAULT, new Random(1));
 
   @BeforeEach
   void readOnce() {
