Measure the speed of engines, and hash prompts by their last shared part

Change: EngineSpeed is measured for each service (decaying regression of the time to the first event on uncached tokens, moving averages, priors and bounds); the home is that of the last shared part; a part whose presence at home is not known counts half as cached in the expected time.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -1,11 +1,11 @@
 package org.zinniaspan.forwarding;
 
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.membership.RendezvousHash;
 
@@ -20,18 +20,6 @@
  */
 public final class TimeToFirstByteSelector implements EndpointSelector {
 
-  /** Prefill speed of an engine, in prompt tokens per millisecond. */
-  private static final double PREFILL_TOKENS_PER_MS = 68.2;
-
-  /** Duration of a request to a plain service, in milliseconds. */
-  private static final double PLAIN_CALL_MS = 30;
-
-  /** Time for which a stream occupies its slot, in milliseconds. */
-  private static final double STREAM_SLOT_MS = 2_000;
-
-  /** Time from the end of the prefill to the first event, in milliseconds. */
-  private static final double FIRST_EVENT_MS = 36;
-
   /** Cost of one recent failure, in milliseconds: more than a normal response takes. */
   private static final double FAILURE_COST_MS = 400;
 
@@ -59,8 +47,11 @@
    */
   private static final double JITTER_SHARE = 0.4;
 
-  /** Engine time that one output token takes, in milliseconds. */
-  private static final double OUTPUT_TOKEN_MS = 0.15;
+  /**
+   * Share of a shared part's tokens that are expected to be cached at its home endpoint, where it
+   * is not known what is cached there.
+   */
+  private static final double CACHED_AT_HOME_SHARE = 0.5;
 
   /**
    * Cost of a tolerant stream on an engine for strict ones, in milliseconds for a prompt of 1,000
@@ -78,10 +69,17 @@
   private final Clock clock;
   private final ZoneCosts zoneCosts;
   private final Random random;
+  private final Function<String, EngineSpeed> speeds;
 
-  /** Creates a selector. */
-  public TimeToFirstByteSelector(Clock clock, ZoneCosts zoneCosts, Random random) {
+  /**
+   * Creates a selector.
+   *
+   * @param speeds returns the speed of a service's endpoints, by the service's name
+   */
+  public TimeToFirstByteSelector(
+      Clock clock, ZoneCosts zoneCosts, Function<String, EngineSpeed> speeds, Random random) {
     this.clock = clock;
+    this.speeds = speeds;
     this.partition = new EnginePartition(clock);
     this.zoneCosts = zoneCosts;
     this.random = random;
@@ -103,7 +101,7 @@
       double cost =
           selection.expectedMs() * (1 - JITTER_SHARE * random.nextDouble())
               + zoneCosts.costMs(candidate.listed().zone())
-              + REPEATED_PREFILL_COST_MS * (selection.uncachedTokens() - unsharedTokens(prompt))
+              + REPEATED_PREFILL_COST_MS * repeatedTokens(candidate, prompt, home)
               + (demand.toleratesPauses() ? 0 : candidate.pauseMs(clock.nowMs()))
               + (preferred.contains(candidate.listed().id()) ? 0 : misplacementCostMs(demand))
               + random.nextDouble() * JITTER_MS;
@@ -121,12 +119,13 @@
   private Set<String> preferred(List<TrackedEndpoint> candidates, Demand demand) {
     Set<String> ids = new HashSet<>();
     candidates.forEach(candidate -> ids.add(candidate.listed().id()));
-    if (demand.prompt().isEmpty()) {
+    if (demand.prompt().isEmpty() || candidates.isEmpty()) {
       return ids;
     }
     Prompt prompt = demand.prompt().get();
+    EngineSpeed speed = speeds.apply(candidates.get(0).listed().service());
     double work =
-        prompt.tokens() / PREFILL_TOKENS_PER_MS + prompt.maxOutputTokens() * OUTPUT_TOKEN_MS;
+        speed.prefillMs(prompt.tokens()) + prompt.maxOutputTokens() * speed.outputTokenMs();
     partition.onRequest(demand.toleratesPauses(), work);
     Set<String> tolerant = partition.tolerantEngines(candidates);
     if (demand.toleratesPauses() || tolerant.size() == ids.size()) {
@@ -147,55 +146,73 @@
   private Selection estimate(TrackedEndpoint candidate, Demand demand, Optional<String> home) {
     long now = clock.nowMs();
     Optional<Prompt> prompt = demand.prompt();
+    EngineSpeed speed = speeds.apply(candidate.listed().service());
     double expectedMs =
         candidate.delayMs(demand.toleratesPauses(), now)
             + FAILURE_COST_MS * candidate.failures(now);
     if (prompt.isEmpty()) {
       double load = (double) candidate.inFlight() / Math.max(1, candidate.listed().slots());
-      return new Selection(candidate, expectedMs + PLAIN_CALL_MS * load, 0);
+      return new Selection(candidate, expectedMs + speed.plainCallMs() * load, 0);
     }
     boolean isHome = home.equals(Optional.of(candidate.listed().id()));
     long uncached = uncachedTokens(candidate, prompt.get(), isHome);
-    double prefillMs = (candidate.estimatedWaitingTokens(now) + uncached) / PREFILL_TOKENS_PER_MS;
+    double prefillMs = speed.prefillMs(candidate.estimatedWaitingTokens(now) + uncached);
     double slotMs =
-        candidate.slotQueueLength() * STREAM_SLOT_MS / Math.max(1, candidate.listed().slots());
-    return new Selection(candidate, expectedMs + prefillMs + slotMs + FIRST_EVENT_MS, uncached);
+        candidate.slotQueueLength()
+            * speed.streamSlotMs()
+            / Math.max(1, candidate.listed().slots());
+    return new Selection(
+        candidate, expectedMs + prefillMs + slotMs + speed.firstEventMs(), uncached);
   }
 
   /**
-   * Returns the tokens of the prompt's last part, which no other prompt shares; 0 if it has no
-   * parts.
+   * Returns the prompt tokens that the endpoint is expected to prefill.
+   *
+   * <p>Parts are cached only if all parts before them are. Where this VM does not know what other
+   * VMs sent, a part of the shared ones is expected to be cached at their home.
    */
-  private static long unsharedTokens(Optional<Prompt> prompt) {
-    return prompt
-        .filter(p -> !p.parts().isEmpty())
-        .map(p -> p.parts().get(p.parts().size() - 1).tokens())
-        .orElse(0L);
-  }
-
   private static long uncachedTokens(TrackedEndpoint candidate, Prompt prompt, boolean isHome) {
-    long uncached = prompt.tokens();
-    for (PromptPart part : prompt.parts()) {
-      boolean cached =
-          candidate.hasCached(part) || (isHome && part.tokens() >= MIN_HOME_PART_TOKENS);
-      if (!cached && !(isHome && part.equals(prompt.parts().get(0)))) {
-        break;
-      }
-      uncached -= part.tokens();
+    long cached = candidate.cachedTokens(prompt);
+    if (!isHome || candidate.isCacheKnown()) {
+      return Math.max(0, prompt.tokens() - cached);
     }
-    return Math.max(0, uncached);
+    long shared = Math.max(cached, sharedTokens(prompt));
+    return Math.max(
+        0, prompt.tokens() - cached - Math.round(CACHED_AT_HOME_SHARE * (shared - cached)));
   }
 
-  /** Returns the home endpoint of the longest shared part. */
-  private static Optional<String> homeEndpoint(Prompt prompt, Set<String> endpoints) {
-    return longestSharedPart(prompt)
-        .flatMap(part -> RendezvousHash.ranked(part.id(), endpoints, 1).stream().findFirst());
+  /**
+   * Returns the shared tokens of a prompt that this endpoint would prefill although another one has
+   * them cached, or will have them as their home.
+   */
+  private static long repeatedTokens(
+      TrackedEndpoint candidate, Optional<Prompt> prompt, Optional<String> home) {
+    if (prompt.isEmpty() || home.equals(Optional.of(candidate.listed().id()))) {
+      return 0;
+    }
+    return Math.max(0, sharedTokens(prompt.get()) - candidate.cachedTokens(prompt.get()));
   }
 
-  private static Optional<PromptPart> longestSharedPart(Prompt prompt) {
+  /** Returns the tokens of all parts but the last, which no other prompt shares. */
+  private static long sharedTokens(Prompt prompt) {
     return prompt.parts().stream()
         .limit(Math.max(0, prompt.parts().size() - 1))
-        .filter(part -> part.tokens() >= MIN_HOME_PART_TOKENS)
-        .max(Comparator.comparingLong(PromptPart::tokens));
+        .mapToLong(PromptPart::tokens)
+        .sum();
+  }
+
+  /**
+   * Returns the home endpoint of a prompt: that of its last shared part, since the prompts that
+   * have this part in common share all parts before it. A part that is too short to have a home
+   * leaves the choice to the one before it.
+   */
+  private static Optional<String> homeEndpoint(Prompt prompt, Set<String> endpoints) {
+    for (int i = prompt.parts().size() - 2; i >= 0; i--) {
+      PromptPart part = prompt.parts().get(i);
+      if (part.tokens() >= MIN_HOME_PART_TOKENS) {
+        return RendezvousHash.ranked(part.id(), endpoints, 1).stream().findFirst();
+      }
+    }
+    return Optional.empty();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -1,5 +1,7 @@
 package org.zinniaspan.forwarding;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -36,13 +38,23 @@
   /** Average assumed before the first prompt, in tokens. */
   private static final double INITIAL_MEAN_TOKENS = 1_500;
 
+  /** How old the figures of a report are when it is requested, in milliseconds. */
+  private static final long REPORT_LAG_MS = 100;
+
+  /** Number of own requests whose send times are kept. */
+  private static final int MAX_SEND_TIMES = 500;
+
+  /** Share of an engine's slots below which a prompt hardly waits for running streams. */
+  private static final double UNLOADED_OCCUPANCY = 0.25;
+
   /** Age beyond which a report is stale, in milliseconds. */
   private static final long MAX_REPORT_AGE_MS = 2_000;
 
   private ListedEndpoint listed;
   private EngineReport report;
   private long reportMs;
-  private int sentSinceReport;
+  private boolean cacheKnown;
+  private final Deque<Long> sendTimesMs = new ArrayDeque<>();
   private double meanPromptTokens = INITIAL_MEAN_TOKENS;
   private int inFlight;
   private long ownWaitingTokens;
@@ -75,6 +87,7 @@
   void update(ListedEndpoint entry) {
     if (entry.startedAtMs() != listed.startedAtMs()) {
       cachedParts.clear();
+      cacheKnown = false;
       report = null;
     }
     listed = entry;
@@ -95,9 +108,12 @@
    *
    * @param promptTokens prompt tokens that the endpoint is expected to prefill for it
    */
-  public void onSent(long promptTokens) {
+  public void onSent(long promptTokens, long nowMs) {
     inFlight++;
-    sentSinceReport++;
+    sendTimesMs.addLast(nowMs);
+    if (sendTimesMs.size() > MAX_SEND_TIMES) {
+      sendTimesMs.pollFirst();
+    }
     ownWaitingTokens += promptTokens;
     meanPromptTokens += PROMPT_MEAN_WEIGHT * (promptTokens - meanPromptTokens);
   }
@@ -146,14 +162,23 @@
   }
 
   /**
-   * Records a load report.
+   * Records a load report; one that is older than the last is ignored.
    *
    * @param requestedMs time at which the report was requested, in milliseconds
    */
   public void onReport(EngineReport newReport, long requestedMs) {
+    if (requestedMs < reportMs) {
+      return;
+    }
     report = newReport;
     reportMs = requestedMs;
-    sentSinceReport = 0;
+    while (!sendTimesMs.isEmpty() && sendTimesMs.peekFirst() < requestedMs - REPORT_LAG_MS) {
+      sendTimesMs.pollFirst();
+    }
+  }
+
+  private int sentSinceReport() {
+    return sendTimesMs.size();
   }
 
   /** Returns whether there is a report that is not stale. */
@@ -176,7 +201,7 @@
    * sent since; above 1 if requests are queued. Without a report, only this VM's requests count.
    */
   public double occupancy() {
-    int taken = report == null ? inFlight : report.active() + report.queued() + sentSinceReport;
+    int taken = report == null ? inFlight : report.active() + report.queued() + sentSinceReport();
     return (double) taken / Math.max(1, listed.slots());
   }
 
@@ -191,7 +216,18 @@
     if (!hasReport(nowMs)) {
       return ownWaitingTokens;
     }
-    return (report.queued() + sentSinceReport) * meanPromptTokens;
+    return (report.queued() + sentSinceReport()) * meanPromptTokens;
+  }
+
+  /**
+   * Returns whether a prompt is prefilled there at once: a recent report shows that few streams run
+   * and none waits.
+   */
+  public boolean isUnloaded(long nowMs) {
+    return hasReport(nowMs)
+        && report.queued() == 0
+        && ownWaitingTokens == 0
+        && occupancy() < UNLOADED_OCCUPANCY;
   }
 
   /** Returns the estimated number of requests that wait for a slot. */
@@ -216,8 +252,33 @@
     prompt.parts().forEach(part -> cachedParts.put(part.id(), Boolean.TRUE));
   }
 
-  /** Returns whether this VM has sent a prompt part to the endpoint. */
-  public boolean hasCached(PromptPart part) {
-    return cachedParts.containsKey(part.id());
+  /**
+   * Returns the prompt tokens that are expected to be cached there: those of the first parts that
+   * this VM sent or knows to be cached.
+   */
+  public long cachedTokens(Prompt prompt) {
+    long tokens = 0;
+    for (PromptPart part : prompt.parts()) {
+      if (!cachedParts.containsKey(part.id())) {
+        break;
+      }
+      tokens += part.tokens();
+    }
+    return tokens;
+  }
+
+  /** Returns whether the parts that other VMs sent are known too. */
+  public boolean isCacheKnown() {
+    return cacheKnown;
+  }
+
+  /** Records that a part was cached or evicted, as the engine reports. */
+  public void onCacheChange(String partId, boolean cached) {
+    cacheKnown = true;
+    if (cached) {
+      cachedParts.put(partId, Boolean.TRUE);
+    } else {
+      cachedParts.remove(partId);
+    }
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -7,6 +7,8 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
+import org.zinniaspan.forwarding.MeasuredEngineSpeed;
+import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
@@ -40,6 +42,8 @@
   private final SseSplitter splitter = new SseSplitter();
   private HttpResponse head;
   private Verdict verdict = Verdict.UNUSABLE;
+  private boolean unloaded;
+  private long firstEventMs;
   private boolean promptDone;
   private boolean ended;
 
@@ -53,7 +57,9 @@
   }
 
   void send(HttpRequest request, byte[] body) {
-    endpoint.onSent(selection.uncachedTokens());
+    long now = proxiedRequest.context().clock().nowMs();
+    unloaded = endpoint.isUnloaded(now);
+    endpoint.onSent(selection.uncachedTokens(), now);
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
     connection.send(request, body, this);
   }
@@ -141,6 +147,10 @@
       promptDone = true;
       endpoint.onPromptDone(selection.uncachedTokens());
       long now = proxiedRequest.context().clock().nowMs();
+      firstEventMs = now;
+      if (unloaded) {
+        speed().onFirstEvent(selection.uncachedTokens(), now - sentMs);
+      }
       endpoint.onDelay(
           proxiedRequest.toleratesPauses(), now - sentMs - selection.expectedMs(), now);
     }
@@ -154,6 +164,7 @@
     switch (verdict) {
       case STREAM -> {
         endpoint.onSuccess(now);
+        recordStream(now);
         if (!proxiedRequest.toleratesPauses()) {
           endpoint.onPause(proxiedRequest.longestPauseMs(), now);
         }
@@ -178,6 +189,17 @@
     }
   }
 
+  private MeasuredEngineSpeed speed() {
+    return proxiedRequest.context().speeds().of(endpoint.listed().service());
+  }
+
+  private void recordStream(long now) {
+    long outputTokens = proxiedRequest.prompt().map(Prompt::maxOutputTokens).orElse(0L);
+    if (promptDone) {
+      speed().onStream(now - sentMs, now - firstEventMs, outputTokens, endpoint.listed().slots());
+    }
+  }
+
   private void onWholeResponse(long now) {
     int status = head.getCode();
     if (status >= HttpStatus.SC_INTERNAL_SERVER_ERROR) {
@@ -187,6 +209,7 @@
       }
     } else {
       endpoint.onSuccess(now);
+      speed().onPlainCall(now - sentMs);
     }
     proxiedRequest.onWholeResponse(head, content.toByteArray());
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -8,6 +8,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EndpointSelector;
+import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
 import org.zinniaspan.forwarding.TableFreshness;
@@ -21,6 +22,7 @@
  * @param follower holds the routing table in force
  * @param tableFreshness decides whether API keys may be accepted
  * @param directory the listed endpoints
+ * @param speeds measured speed of the endpoints of each service
  * @param selector selects an endpoint for each send
  * @param admission refuses requests whose response would come too late
  * @param connections connection pool for endpoints
@@ -35,6 +37,7 @@
     CatalogFollower follower,
     TableFreshness tableFreshness,
     EndpointDirectory directory,
+    EngineSpeeds speeds,
     EndpointSelector selector,
     AdmissionControl admission,
     EndpointConnectionPool connections,
@@ -49,6 +52,7 @@
       CatalogFollower follower,
       TableFreshness tableFreshness,
       EndpointDirectory directory,
+      EngineSpeeds speeds,
       EndpointSelector selector,
       AdmissionControl admission,
       EndpointConnectionPool connections,
@@ -60,6 +64,7 @@
         follower,
         tableFreshness,
         directory,
+        speeds,
         selector,
         admission,
         connections,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -13,6 +13,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReportSource;
+import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
@@ -61,6 +62,7 @@
             directory,
             options.bounds(),
             random);
+    EngineSpeeds speeds = new EngineSpeeds();
     context =
         new ForwardContext(
             clock,
@@ -69,7 +71,8 @@
             follower,
             tableFreshness,
             directory,
-            new TimeToFirstByteSelector(clock, options.zoneCosts(), random),
+            speeds,
+            new TimeToFirstByteSelector(clock, options.zoneCosts(), speeds::of, random),
             new AdmissionControl(clock, random),
             new EndpointConnectionPool(reactor, clock),
             options.bounds());
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -29,10 +29,11 @@
   @Test
   void clearsCachedPartsOfNewIncarnationUnderTheSameId() {
     directory.replaceAll(List.of(endpoint("a", false, 1)));
-    PromptPart part = new PromptPart("part", 500);
-    directory.ready("service").get(0).recordPrompt(new Prompt(500, 10, List.of(part)));
+    Prompt prompt = new Prompt(500, 10, List.of(new PromptPart("part", 500)));
+    directory.ready("service").get(0).recordPrompt(prompt);
+    assertThat(directory.ready("service").get(0).cachedTokens(prompt)).isEqualTo(500);
     directory.apply(new EndpointChange.Listed(endpoint("a", false, 2)));
-    assertThat(directory.ready("service").get(0).hasCached(part)).isFalse();
+    assertThat(directory.ready("service").get(0).cachedTokens(prompt)).isEqualTo(0);
   }
 
   @Nested
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/TimeToFirstByteSelectorTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/TimeToFirstByteSelectorTest.java
@@ -22,7 +22,8 @@
   private long nowMs = 1_000;
 
   private TimeToFirstByteSelector selector(long seed) {
-    return new TimeToFirstByteSelector(() -> nowMs, ZONES, new Random(seed));
+    return new TimeToFirstByteSelector(
+        () -> nowMs, ZONES, new EngineSpeeds()::of, new Random(seed));
   }
 
   private static List<TrackedEndpoint> endpoints(String... zones) {
@@ -126,7 +127,7 @@
       PromptPart session = new PromptPart("session-7", 4_900);
       EndpointSelector.Demand demand = chat(true, 2_000, session);
       EndpointSelector.Selection home = selector(1).select(engines, demand, Set.of()).orElseThrow();
-      home.endpoint().onSent(50_000);
+      home.endpoint().onSent(50_000, nowMs);
       assertThat(id(selector(1).select(engines, demand, Set.of())))
           .isEqualTo(home.endpoint().listed().id());
     }
@@ -137,7 +138,7 @@
       PromptPart session = new PromptPart("session-7", 4_900);
       EndpointSelector.Demand demand = chat(true, 2_000, common, session);
       EndpointSelector.Selection home = selector(1).select(engines, demand, Set.of()).orElseThrow();
-      home.endpoint().onSent(300_000);
+      home.endpoint().onSent(300_000, nowMs);
       assertThat(id(selector(1).select(engines, demand, Set.of())))
           .isNotEqualTo(home.endpoint().listed().id());
     }
