--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/StandinsMain.java
@@ -50,6 +50,10 @@
             .defaultProvider(new EnvironmentDefaults(environment));
     commands.forEach(builder::addCommand);
     JCommander commander = builder.build();
+    if (args.length > 0 && args[0].equals("--help")) {
+      commander.usage();
+      return 0;
+    }
     try {
       commander.parse(args);
     } catch (ParameterException e) {
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/SimulatedRequest.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/choice/SimulatedRequest.java
@@ -35,6 +35,7 @@
   private int attempts;
   private int retries;
   private int deliveredTokens;
+  private double firstTokenMs;
   private boolean ended;
 
   SimulatedRequest(ChoiceSimulation simulation, RequestGenerator.RequestSpec spec, String id) {
@@ -141,7 +142,8 @@
   void onToken(SimulatedAttempt attempt) {
     if (deliveredTokens == 0) {
       simulation.firstTokenLatencies().add(className(), nowMs() - arrivedMs);
-      simulation.result().recordFirstToken(spec.serviceClass(), nowMs() - arrivedMs);
+      firstTokenMs = nowMs() - arrivedMs;
+      simulation.result().recordFirstToken(spec.serviceClass(), firstTokenMs);
       List.copyOf(running).stream()
           .filter(other -> other != attempt)
           .forEach(this::cancelDuplicate);
@@ -185,7 +187,7 @@
   private void end(boolean answered) {
     if (!ended) {
       ended = true;
-      simulation.result().recordEnd(spec.serviceClass(), answered, deliveredTokens);
+      simulation.result().recordEnd(spec.serviceClass(), answered, firstTokenMs);
     }
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/EntryDaemon.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.zinniaspan.admin.AdminHandler;
 import org.zinniaspan.admin.RouterMetrics;
 import org.zinniaspan.clock.Clock;
@@ -140,13 +141,21 @@
             new ServiceCallHandler(this::configuration, calls, metrics, limits, clock));
     startConfigurationFeed(transport);
     startPlacement(table);
-    closer.add(HttpListener.start(Addresses.parse(settings.listen), gateway));
-    closer.add(
-        HttpListener.start(Addresses.parse(settings.adminListen), createAdminHandler(transport)));
+    closer.add(listen("--listen", settings.listen, gateway));
+    closer.add(listen("--admin-listen", settings.adminListen, createAdminHandler(transport)));
     startTicking();
     EventLog.event("started").with("vm", settings.vmName).with("zone", settings.zone).info();
   }
 
+  private static HttpListener listen(String flag, String address, HttpRequestHandler handler)
+      throws IOException {
+    try {
+      return HttpListener.start(Addresses.parse(address), handler);
+    } catch (IOException e) {
+      throw new IOException(flag + ": " + e.getMessage(), e);
+    }
+  }
+
   private SlotService createSlotService(EndpointTable table, PeerLink link) {
     ExecutorService pollThreads = closeOnShutdown(Executors.newFixedThreadPool(LOAD_POLL_THREADS));
     long periodMs = settings.routing.loadPeriodMs;
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/TraceCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/TraceCommand.java
@@ -18,7 +18,8 @@
 import java.util.StringJoiner;
 
 /**
- * Prints the log lines of one request from several processes, ordered by time.
+ * Prints the log lines of one request from several processes, ordered by time, each with the name
+ * of its file.
  *
  * <p>Example: {@code zinniaspan trace --id 9c41d07be2a35f68 vm-1.log vm-2.log}. Without files it
  * reads standard input. Text before the JSON object of a line is ignored; lines that are not JSON
@@ -40,7 +41,7 @@
   @Parameter(description = "Log files; standard input if none is given.")
   private List<String> files = new ArrayList<>();
 
-  private record LogLine(String time, String event, String fields) {}
+  private record LogLine(String time, String source, String event, String fields) {}
 
   @Override
   public boolean isHelp() {
@@ -63,7 +64,10 @@
       return Main.EXIT_FAILURE;
     }
     found.sort(Comparator.comparing(LogLine::time));
-    found.forEach(line -> out.println(line.time() + "  " + line.event() + "  " + line.fields()));
+    found.forEach(
+        line ->
+            out.println(
+                String.join("  ", line.time(), line.source(), line.event(), line.fields())));
     return printSummary(found, out);
   }
 
@@ -81,25 +85,28 @@
 
   private void readAll(List<LogLine> found) throws IOException {
     if (files.isEmpty()) {
-      read(new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)), found);
+      read(
+          new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)),
+          "stdin",
+          found);
     }
     for (String file : files) {
       try (BufferedReader reader = Files.newBufferedReader(Path.of(file))) {
-        read(reader, found);
+        read(reader, Path.of(file).getFileName().toString(), found);
       }
     }
   }
 
-  private void read(BufferedReader reader, List<LogLine> found) throws IOException {
+  private void read(BufferedReader reader, String source, List<LogLine> found) throws IOException {
     for (String text = reader.readLine(); text != null; text = reader.readLine()) {
       int start = text.indexOf('{');
       if (start >= 0 && text.contains(id)) {
-        addIfMatching(text.substring(start), found);
+        addIfMatching(text.substring(start), source, found);
       }
     }
   }
 
-  private void addIfMatching(String json, List<LogLine> found) {
+  private void addIfMatching(String json, String source, List<LogLine> found) {
     try {
       JsonNode line = mapper.readTree(json);
       JsonNode message = line.path("message");
@@ -117,7 +124,10 @@
               });
       found.add(
           new LogLine(
-              line.path("time").asText(), message.path("event").asText(), fields.toString()));
+              line.path("time").asText(),
+              source,
+              message.path("event").asText(),
+              fields.toString()));
     } catch (JsonProcessingException e) {
       System.err.println("zinniaspan: skipped a line that is not JSON: " + e.getOriginalMessage());
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
@@ -76,13 +76,26 @@
                 SocketConfig.custom()
                     .setSoTimeout(Timeout.ofMilliseconds(READ_TIMEOUT_MS))
                     .setTcpNoDelay(true)
+                    .setSoReuseAddress(true)
                     .setBacklogSize(MAX_PENDING_CONNECTIONS)
                     .build())
             .setConnectionFactory(connectionFactory)
             .setExceptionListener(new UnexpectedErrorLogger())
             .setRequestRouter((request, context) -> handler)
             .create();
-    server.start();
+    try {
+      server.start();
+    } catch (IOException e) {
+      server.close(CloseMode.IMMEDIATE);
+      throw new IOException(
+          "cannot listen on "
+              + address.getHostString()
+              + ':'
+              + address.getPort()
+              + ": "
+              + e.getMessage(),
+          e);
+    }
     return new HttpListener(server, openConnections);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/NettyPeerTransport.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/NettyPeerTransport.java
@@ -72,6 +72,7 @@
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new PipelineInitializer())
             .bind(bindAddress)
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/CallAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/CallAttempt.java
@@ -28,6 +28,8 @@
 final class CallAttempt {
 
   private enum State {
+    /** Has not claimed the key yet. */
+    NEW,
     /** Requests votes for the key; no slot has been requested in this round. */
     CLAIMING,
     /** Waits for a random delay before it claims the key again. */
@@ -56,7 +58,7 @@
   private final CompletableFuture<CallResult> result = new CompletableFuture<>();
   private final Map<String, String> followers = new HashMap<>();
   private final Set<String> excluded = new HashSet<>();
-  private State state = State.CLAIMING;
+  private State state = State.NEW;
   private ClaimRound round;
   private int rounds;
   private int endpointAttempts;
--- a/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimVoter.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/runner/ClaimVoter.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.runner;
 
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.zinniaspan.clock.Clock;
@@ -178,15 +177,4 @@
     sync.onReply(message.getFromVm(), message.getFromIncarnation(), reply, clock.nowMs());
     refresh();
   }
-
-  /** Returns why this voter abstains, empty if it votes. */
-  public synchronized Optional<String> abstentionReason() {
-    refresh();
-    return eligibility.mayVote()
-        ? Optional.empty()
-        : Optional.of(
-            "at list revision "
-                + list.get().revision()
-                + " not listed, not up to date or not caught up");
-  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -231,13 +231,6 @@
     writeHead(response);
   }
 
-  /** Starts a response with a body of a known length in bytes. */
-  public void startFixedLength(HttpResponse response, long length) {
-    chunked = false;
-    response.setHeader(HttpHeaders.CONTENT_LENGTH, Long.toString(length));
-    writeHead(response);
-  }
-
   /** Buffers a part of the body of a started response; {@link #flushResponse} sends it. */
   public void writeBody(ByteBuffer content) {
     if (!content.hasRemaining()) {
