--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -12,9 +12,9 @@
 /**
  * Writes the class data sharing (CDS) archive from which a daemon starts.
  *
- * <p>Starts a daemon and sends it requests of each kind, with and without faults, so that the
- * archive holds the classes of the whole request path. A daemon that starts from the archive loads
- * these classes without reading a class file.
+ * <p>Starts a daemon with two others and sends it requests of each kind, with and without faults,
+ * so that the archive holds the classes of the whole request path. A daemon that starts from the
+ * archive loads these classes without reading a class file.
  */
 @Parameters(commandDescription = "Write the class data sharing archive from which a daemon starts.")
 public final class ArchiveClassesCommand implements StandinCommand {
@@ -50,6 +50,10 @@
       site.addEndpoint("i-1", "zone-a", ENDPOINT_DELAY_MS);
       site.addEndpoint("i-2", "zone-b", ENDPOINT_DELAY_MS);
       site.publishConfiguration(List.of(ORGANISATION_KEY));
+      LocalSite.LaunchOptions plain =
+          new LocalSite.LaunchOptions(List.of("-XX:+UseSerialGC"), classPath, Optional.empty());
+      LocalSite.awaitReady(site.startDaemon("peer-1", "zone-a", plain));
+      LocalSite.awaitReady(site.startDaemon("peer-2", "zone-b", plain));
       LocalSite.DaemonProcess daemon =
           site.startDaemon(
               "archive",
@@ -87,6 +91,16 @@
       metrics.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
       metrics.readAll();
     }
+    for (String path : List.of("members", "catalog", "engines")) {
+      try (RawClient peer = new RawClient(daemon.peerAddress())) {
+        peer.send(
+            "POST /fleet/"
+                + path
+                + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                + "Content-Length: 0\r\n\r\n");
+        peer.readAll();
+      }
+    }
     site.putEndpointEntry("i-2", "draining");
     site.store().delete("servers/i-2");
     site.publishConfiguration(List.of("key-2"));
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -82,6 +82,7 @@
       InetSocketAddress callerAddress,
       InetSocketAddress readyAddress,
       InetSocketAddress metricsAddress,
+      InetSocketAddress peerAddress,
       Path logFile) {}
 
   private record EndpointLocation(String address, String zone) {}
@@ -92,6 +93,7 @@
   private final StoreStandIn store = closer.add(new StoreStandIn());
   private final Map<String, EndpointStandIn> endpoints = new LinkedHashMap<>();
   private final Map<String, EndpointLocation> locations = new LinkedHashMap<>();
+  private final List<String> peerAddresses = new ArrayList<>();
   private int configurationVersion;
 
   /** Starts the store; daemons write their logs to the given directory. */
@@ -179,6 +181,7 @@
     InetSocketAddress callerAddress = FreePorts.nextAddress(LISTEN_HOST);
     InetSocketAddress readyAddress = FreePorts.nextAddress(LISTEN_HOST);
     InetSocketAddress metricsAddress = FreePorts.nextAddress(LISTEN_HOST);
+    InetSocketAddress peerAddress = FreePorts.nextAddress(LISTEN_HOST);
     List<String> args =
         new ArrayList<>(
             List.of(
@@ -193,10 +196,15 @@
                 Addresses.format(readyAddress),
                 "--metrics-listen",
                 Addresses.format(metricsAddress),
+                "--peer-listen",
+                Addresses.format(peerAddress),
+                "--seeds",
+                String.join(",", peerAddresses),
                 "--platform",
                 storeAddress,
                 "--grace-s",
                 "3"));
+    peerAddresses.add(Addresses.format(peerAddress));
     FleetProcess process =
         closer.add(
             FleetProcess.start(
@@ -212,6 +220,7 @@
         callerAddress,
         readyAddress,
         metricsAddress,
+        peerAddress,
         logDirectory.resolve(name + ".log"));
   }
 
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +73,8 @@
                 listen,
                 readyListen,
                 Optional.of(metricsListen),
+                Optional.empty(),
+                List.of(),
                 address,
                 caller -> new StoreClient(caller, address, 300),
                 callers -> new ReportClient(callers, 300),
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,6 +59,16 @@
       description = "Address to listen on for metrics scrapes, host:port; empty disables them.")
   private String metricsListen = "";
 
+  @Parameter(
+      names = "--peer-listen",
+      description = "Address to listen on for other VMs, host:port; empty if there are none.")
+  private String peerListen = "";
+
+  @Parameter(
+      names = "--seeds",
+      description = "Peer addresses of a few VMs, host:port, separated by commas.")
+  private String seeds = "";
+
   @Parameter(names = "--platform", description = "Address of the platform's store, host:port.")
   private String platform = "";
 
@@ -137,6 +148,8 @@
         Addresses.parse(listen),
         Addresses.parse(readyListen),
         metricsListen.isEmpty() ? Optional.empty() : Optional.of(Addresses.parse(metricsListen)),
+        peerListen.isEmpty() ? Optional.empty() : Optional.of(Addresses.parse(peerListen)),
+        seedAddresses(),
         store,
         caller -> new StoreClient(caller, store, PlatformBounds.PLATFORM_TIMEOUT_MS),
         callers -> new ReportClient(callers, REPORT_TIMEOUT_MS),
@@ -174,6 +187,10 @@
     if (!metricsListen.isEmpty()) {
       checks.address("--metrics-listen", metricsListen);
     }
+    if (!peerListen.isEmpty()) {
+      checks.address("--peer-listen", peerListen);
+    }
+    seedAddresses().forEach(seed -> checks.address("--seeds", seed));
     checks.address("--platform", platform);
     try {
       regions();
@@ -184,6 +201,10 @@
     return checks.findings();
   }
 
+  private List<String> seedAddresses() {
+    return Arrays.stream(seeds.split(",")).map(String::trim).filter(s -> !s.isEmpty()).toList();
+  }
+
   private Map<String, String> regions() {
     try {
       return new ObjectMapper().readValue(zones, new TypeReference<Map<String, String>>() {});
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -0,0 +1,172 @@
+package org.zinniaspan.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EngineReport;
+import org.zinniaspan.forwarding.TrackedEndpoint;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.peer.proto.EngineLoad;
+import org.zinniaspan.peer.proto.EngineQuery;
+import org.zinniaspan.peer.proto.EngineState;
+
+/**
+ * Gets the load reports of engines from the VMs that observe them.
+ *
+ * <p>One VM of each availability zone, the observer, represents its zone: it polls the engines of
+ * its zone and asks the observers of the other zones for theirs; all other VMs of the zone ask it
+ * for all. Not thread-safe.
+ */
+public final class EngineSharing implements Ticking {
+
+  /** Time for which an observer may hold a query, in milliseconds. */
+  private static final long WAIT_MS = 1_000;
+
+  /** Time beyond the wait until a query has failed, in milliseconds. */
+  private static final long TIMEOUT_MS = 300;
+
+  /** Shortest time between two queries to the own zone's observer, in milliseconds. */
+  private static final long MIN_INTERVAL_MS = 150;
+
+  /** Shortest time between two queries to another zone's observer, in milliseconds. */
+  private static final long MIN_FAR_INTERVAL_MS = 300;
+
+  /** Rank of a VM that is not an observer for the engines of other zones. */
+  private static final int FAR_RANK = 3;
+
+  /** What this VM has got from the observer of one zone. */
+  private static final class Source {
+    private long epoch;
+    private long sequence;
+    private boolean querying;
+    private long nextQueryMs;
+  }
+
+  private final EndpointDirectory directory;
+  private final EngineBoard board;
+  private final FleetMembership members;
+  private final RoleHolders holders;
+  private final PeerClient peers;
+  private final Clock clock;
+  private final Map<String, Source> sourcesByZone = new HashMap<>();
+  private boolean observing;
+
+  /** Creates a sharing that has not found an observer yet. */
+  public EngineSharing(
+      EndpointDirectory directory,
+      EngineBoard board,
+      FleetMembership members,
+      PeerClient peers,
+      Clock clock) {
+    this.directory = directory;
+    this.board = board;
+    this.members = members;
+    this.holders = new RoleHolders(FleetMembership.REPRESENTATIVE_ROLE, members, clock);
+    this.peers = peers;
+    this.clock = clock;
+  }
+
+  /** Returns whether this VM polls the engines of its zone for the other VMs. */
+  public boolean isObserver() {
+    return holders.isSelf();
+  }
+
+  /**
+   * Returns the rank of this VM among those that poll the engines of a zone: 0 for the observer, 1
+   * and more for those that take its place one after the other. In another zone's engines, the
+   * observer of this VM's zone comes first.
+   */
+  public int observerRank(String zone) {
+    if (zone.equals(members.zone())) {
+      return isObserver() ? 0 : Math.max(1, holders.ownRank());
+    }
+    return isObserver() ? 1 : FAR_RANK;
+  }
+
+  @Override
+  public void tick() {
+    boolean observes = holders.isSelf();
+    if (observing != observes) {
+      observing = observes;
+      EventLog.event("engine-observer")
+          .with("observes", observes)
+          .with("observer", holders.holder(members.zone()).orElse("none"))
+          .info();
+    }
+    if (!observes) {
+      query(members.zone(), "");
+      return;
+    }
+    board.work().useFleetWork(board.work().fleetWork());
+    for (String zone : members.zones()) {
+      if (!zone.equals(members.zone())) {
+        query(zone, zone);
+      }
+    }
+  }
+
+  /** Asks the observer of a zone for the engines of a zone, or for all if that is empty. */
+  private void query(String observerZone, String engineZone) {
+    Source source = sourcesByZone.computeIfAbsent(observerZone, zone -> new Source());
+    Optional<String> observer = holders.holder(observerZone);
+    if (source.querying || observer.isEmpty() || clock.nowMs() < source.nextQueryMs) {
+      return;
+    }
+    source.querying = true;
+    long sentMs = clock.nowMs();
+    source.nextQueryMs = sentMs + (engineZone.isEmpty() ? MIN_INTERVAL_MS : MIN_FAR_INTERVAL_MS);
+    EngineQuery.Builder query =
+        EngineQuery.newBuilder()
+            .setEpoch(source.epoch)
+            .setSequence(source.sequence)
+            .setWaitMs(WAIT_MS)
+            .setZone(engineZone)
+            .setSender(members.self());
+    if (engineZone.isEmpty()) {
+      query.addAllWork(board.work().ownWork());
+    }
+    peers.queryEngines(
+        observer.get(),
+        query.build(),
+        WAIT_MS + TIMEOUT_MS,
+        reply -> {
+          source.querying = false;
+          onReply(observer.get(), source, reply);
+          if (engineZone.isEmpty()) {
+            reply.ifPresent(state -> board.work().useFleetWork(state.getFleetWorkList()));
+          } else {
+            reply.ifPresent(state -> board.work().onZone(engineZone, state.getZoneWorkList()));
+          }
+        });
+  }
+
+  private void onReply(String observer, Source source, Optional<EngineState> reply) {
+    if (reply.isEmpty()) {
+      holders.suspect(observer, RoleHolders.NO_REPLY_MS);
+      EventLog.event("engine-observer-passed-over").with("observer", observer).info();
+      return;
+    }
+    source.epoch = reply.get().getEpoch();
+    source.sequence = reply.get().getSequence();
+    reply.get().getLoadsList().forEach(this::adopt);
+  }
+
+  private void adopt(EngineLoad load) {
+    Optional<TrackedEndpoint> engine =
+        directory
+            .endpoint(load.getEndpoint())
+            .filter(e -> e.listed().startedAtMs() == load.getStartedAtMs());
+    if (engine.isEmpty()) {
+      return;
+    }
+    long requestedMs = clock.nowMs() - load.getAgeMs();
+    EngineReport report =
+        new EngineReport(load.getQueued(), load.getActive(), load.getStartedAtMs());
+    if (board.record(engine.get().listed(), report, requestedMs)) {
+      engine.get().onReport(report, requestedMs);
+    }
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/PeerClient.java
@@ -0,0 +1,36 @@
+package org.zinniaspan.fleet;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.zinniaspan.peer.proto.CatalogQuery;
+import org.zinniaspan.peer.proto.CatalogState;
+import org.zinniaspan.peer.proto.EngineQuery;
+import org.zinniaspan.peer.proto.EngineState;
+import org.zinniaspan.peer.proto.FleetMembers;
+
+/**
+ * Sends requests to other VMs, by their peer address as host:port.
+ *
+ * <p>Each callback is invoked exactly once: with the reply, or with an empty value if there was
+ * none within the timeout, in milliseconds.
+ */
+public interface PeerClient {
+
+  /** Tells a VM which VMs this one knows, and receives those that the other knows. */
+  void exchangeMembers(
+      String address,
+      FleetMembers members,
+      long timeoutMs,
+      Consumer<Optional<FleetMembers>> callback);
+
+  /** Asks for the configuration version and endpoints; the reply may be held until a change. */
+  void queryCatalog(
+      String address,
+      CatalogQuery query,
+      long timeoutMs,
+      Consumer<Optional<CatalogState>> callback);
+
+  /** Asks for observations of engines; the reply may be held until there are new ones. */
+  void queryEngines(
+      String address, EngineQuery query, long timeoutMs, Consumer<Optional<EngineState>> callback);
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -14,6 +14,9 @@
  * changes, the table is also read at an interval, and at once if the clocks have drifted apart;
  * only such a read confirms the table. A table is adopted only if its version is higher than the
  * version in force.
+ *
+ * <p>While another VM reads the platform for this one, the follower is passive: it reads only what
+ * this VM still lacks, and is told the rest.
  */
 public final class CatalogFollower implements Ticking {
 
@@ -24,10 +27,16 @@
 
   /**
    * Shortest delay after a failed call, in milliseconds; a random part of up to the same length is
-   * added.
+   * added. It doubles with each failure in a row.
    */
   private static final int RETRY_DELAY_MS = 120;
 
+  /** Longest delay after a failed call without its random part, in milliseconds. */
+  private static final int MAX_RETRY_DELAY_MS = 480;
+
+  /** Time after which an unanswered read counts as a failure of the platform, in milliseconds. */
+  private static final long SLOW_READ_MS = 400;
+
   private final Catalog catalog;
   private final Clock clock;
   private final TableFreshness freshness;
@@ -36,6 +45,10 @@
   private final Random random;
 
   private Optional<RoutingTable> table = Optional.empty();
+  private boolean passive;
+  private boolean tableReadRequested;
+  private int failuresInRow;
+  private long tableReadStartMs;
   private boolean readingTable;
   private boolean readingEndpoints;
   private boolean watching;
@@ -78,22 +91,83 @@
     return reachable;
   }
 
+  /** Returns whether reads from the platform are answered, and none has been waiting for long. */
+  public boolean isAnswering() {
+    return reachable && !(readingTable && clock.nowMs() - tableReadStartMs > SLOW_READ_MS);
+  }
+
+  /** Returns the revision of the platform's store up to which the endpoints are known. */
+  public long revision() {
+    return revision;
+  }
+
+  /**
+   * Sets whether another VM reads the platform for this one; when it no longer does, everything is
+   * read at once.
+   */
+  public void setPassive(boolean value) {
+    if (passive && !value) {
+      nextTableReadMs = Math.min(nextTableReadMs, clock.nowMs());
+      nextEndpointReadMs = Math.min(nextEndpointReadMs, clock.nowMs());
+    }
+    passive = value;
+  }
+
+  /** Requests one read of the table although the follower is passive. */
+  public void requestTableRead() {
+    if (!tableReadRequested) {
+      tableReadRequested = true;
+      nextTableReadMs = Math.min(nextTableReadMs, clock.nowMs());
+    }
+  }
+
+  /**
+   * Records that another VM confirmed the table in force.
+   *
+   * @param version version that it confirmed; another version than that in force confirms nothing
+   * @param readStart start of the read that confirmed it, or an earlier time
+   */
+  public void onConfirmed(long version, TableFreshness.ReadStart readStart) {
+    if (table.isPresent() && table.get().version() == version) {
+      freshness.confirm(readStart);
+      lastAnswerMs = Math.max(lastAnswerMs, readStart.steadyMs());
+    }
+  }
+
+  /**
+   * Adopts the complete list of another VM.
+   *
+   * @param listRevision revision up to which that VM knows the endpoints; a list that is older than
+   *     this VM's own is ignored
+   */
+  public void onList(List<ListedEndpoint> endpoints, long listRevision) {
+    if (listRevision >= revision) {
+      revision = listRevision;
+      listComplete = true;
+      directory.replaceAll(endpoints);
+    }
+  }
+
   @Override
   public void tick() {
     long now = clock.nowMs();
     if (freshness.clocksDisagree()) {
-      nextTableReadMs = Math.min(nextTableReadMs, now);
+      requestTableRead();
     }
-    if (!readingTable && now >= nextTableReadMs) {
+    boolean tableNeeded = !passive || tableReadRequested || table.isEmpty();
+    if (tableNeeded && !readingTable && now >= nextTableReadMs) {
       readTable();
     }
-    if (!readingEndpoints && now >= nextEndpointReadMs) {
+    // While the platform fails, only one kind of read tries it again.
+    boolean listNeeded = (!passive || !listComplete) && (reachable || table.isEmpty());
+    if (listNeeded && !readingEndpoints && now >= nextEndpointReadMs) {
       readEndpoints();
     }
   }
 
   private void readTable() {
     readingTable = true;
+    tableReadStartMs = clock.nowMs();
     TableFreshness.ReadStart readStart = freshness.readStart();
     catalog.readTable(
         result -> {
@@ -106,6 +180,7 @@
       CatalogResult<Optional<RoutingTable>> result, TableFreshness.ReadStart readStart) {
     if (result instanceof CatalogResult.Read<Optional<RoutingTable>> read) {
       onAnswered();
+      tableReadRequested = false;
       nextTableReadMs = clock.nowMs() + bounds.confirmIntervalMs();
       read.value().ifPresent(this::adopt);
       if (table.isPresent()) {
@@ -136,7 +211,7 @@
       listComplete = true;
       if (!watching) {
         revision = read.revision();
-        watch();
+        watchUnlessPassive();
       }
     } else {
       onFailed("endpoints", result);
@@ -144,7 +219,10 @@
     }
   }
 
-  private void watch() {
+  private void watchUnlessPassive() {
+    if (passive) {
+      return;
+    }
     watching = true;
     catalog.watch(
         revision,
@@ -160,7 +238,10 @@
       read.value().table().ifPresent(this::adopt);
       read.value().endpoints().forEach(directory::apply);
       revision = Math.max(revision, read.revision());
-      watch();
+      watchUnlessPassive();
+      return;
+    }
+    if (passive) {
       return;
     }
     EventLog.event("watch-lost").with("revision", revision).with("result", result).info();
@@ -185,6 +266,7 @@
 
   private void onAnswered() {
     long now = clock.nowMs();
+    failuresInRow = 0;
     if (now - lastAnswerMs > bounds.outageThresholdMs()) {
       directory.onPlatformRecovered();
     }
@@ -196,6 +278,7 @@
   }
 
   private void onFailed(String call, Object result) {
+    failuresInRow++;
     if (reachable) {
       reachable = false;
       EventLog.event("platform-lost")
@@ -207,6 +290,8 @@
   }
 
   private long retryDelayMs() {
-    return RETRY_DELAY_MS + random.nextInt(RETRY_DELAY_MS);
+    int doublings = Math.min(8, Math.max(0, failuresInRow - 1));
+    int delayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS << doublings);
+    return delayMs + random.nextInt(RETRY_DELAY_MS);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.log.EventLog;
@@ -29,6 +30,7 @@
   private final Map<String, TrackedEndpoint> endpoints = new HashMap<>();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
   private long graceEndMs = Long.MIN_VALUE;
+  private long changeCount;
 
   /** Creates an empty directory. */
   public EndpointDirectory(Clock clock) {
@@ -91,6 +93,21 @@
     return result;
   }
 
+  /** Returns the entries of all endpoints, draining ones included. */
+  public List<ListedEndpoint> entries() {
+    return endpoints.values().stream().map(TrackedEndpoint::listed).toList();
+  }
+
+  /** Returns an endpoint by its id. */
+  public Optional<TrackedEndpoint> endpoint(String id) {
+    return Optional.ofNullable(endpoints.get(id));
+  }
+
+  /** Returns the number of changes to the entries so far. */
+  public long changeCount() {
+    return changeCount;
+  }
+
   /** Returns the number of endpoints. */
   public int size() {
     return endpoints.size();
@@ -106,10 +123,10 @@
     TrackedEndpoint known = endpoints.get(entry.id());
     if (known == null) {
       endpoints.put(entry.id(), new TrackedEndpoint(entry));
-      log("endpoint-added", entry);
+      onChange("endpoint-added", entry);
     } else if (!known.listed().equals(entry)) {
       known.update(entry);
-      log(entry.draining() ? "endpoint-draining" : "endpoint-changed", entry);
+      onChange(entry.draining() ? "endpoint-draining" : "endpoint-changed", entry);
     }
   }
 
@@ -128,11 +145,12 @@
   private void remove(String id) {
     TrackedEndpoint removed = endpoints.remove(id);
     if (removed != null) {
-      log("endpoint-gone", removed.listed());
+      onChange("endpoint-gone", removed.listed());
     }
   }
 
-  private static void log(String event, ListedEndpoint entry) {
+  private void onChange(String event, ListedEndpoint entry) {
+    changeCount++;
     EventLog.event(event)
         .with("endpoint", entry.id())
         .with("service", entry.service())
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EnginePartition.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EnginePartition.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import org.zinniaspan.clock.Clock;
 import org.zinniaspan.membership.RendezvousHash;
 
 /**
@@ -20,9 +19,6 @@
  */
 final class EnginePartition {
 
-  /** Half-life of the measured work, in milliseconds. */
-  private static final double WORK_HALF_LIFE_MS = 4_000;
-
   /**
    * Factor on the work of strict streams. It gives them spare capacity, so that prompts seldom
    * follow each other directly on an engine.
@@ -32,32 +28,27 @@
   /** Smallest number of engines that is partitioned. */
   private static final int MIN_PARTITIONED_ENGINES = 3;
 
-  private final Clock clock;
-  private final DecayingValue tolerantWork = new DecayingValue(WORK_HALF_LIFE_MS);
-  private final DecayingValue strictWork = new DecayingValue(WORK_HALF_LIFE_MS);
-
-  EnginePartition(Clock clock) {
-    this.clock = clock;
-  }
+  private final StreamWork work;
 
-  /** Adds the work of a request. Any unit will do, but all requests must use the same. */
-  void onRequest(boolean tolerant, double work) {
-    (tolerant ? tolerantWork : strictWork).add(work, clock.nowMs());
+  EnginePartition(StreamWork work) {
+    this.work = work;
   }
 
   /**
    * Returns the ids of the engines that serve tolerant streams; all ids if the engines are not
    * partitioned.
+   *
+   * @param engines engines of one service; at least one
    */
   Set<String> tolerantEngines(List<TrackedEndpoint> engines) {
     List<String> ranked = ranked(engines);
-    return new HashSet<>(ranked.subList(0, tolerantCount(ranked.size())));
+    StreamWork.Shares shares = work.of(engines.get(0).listed().service());
+    return new HashSet<>(ranked.subList(0, tolerantCount(shares, ranked.size())));
   }
 
-  private int tolerantCount(int engines) {
-    long now = clock.nowMs();
-    double tolerant = tolerantWork.at(now);
-    double total = tolerant + STRICT_WORK_FACTOR * strictWork.at(now);
+  private static int tolerantCount(StreamWork.Shares shares, int engines) {
+    double tolerant = shares.tolerant();
+    double total = tolerant + STRICT_WORK_FACTOR * shares.strict();
     if (engines < MIN_PARTITIONED_ENGINES || total <= 0) {
       return engines;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ReportPoller.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ReportPoller.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.log.EventLog;
@@ -14,9 +15,10 @@
 /**
  * Polls engines for their load: often while they are loaded, seldom while they are idle.
  *
- * <p>Reports are charged for, and their number grows with the product of VMs and engines. So a rate
- * limit (token bucket) bounds the polls of each VM, and engines that are cheap to reach, such as
- * those of its own availability zone, are polled first.
+ * <p>Reports are charged for, and their number grows with the product of VMs and engines. So one VM
+ * polls an engine for the others, and a VM that gets its reports from another one polls an engine
+ * only when they stay away. A rate limit (token bucket) bounds the polls of each VM, and engines
+ * that are cheap to reach, such as those of its own availability zone, are polled first.
  */
 public final class ReportPoller implements Ticking {
 
@@ -29,6 +31,15 @@
   /** Share of an engine's slots from which it counts as loaded; so does an engine with a queue. */
   private static final double LOADED_OCCUPANCY = 0.3;
 
+  /** Time for which the VM of rank 1 waits for the reports of the observer, in milliseconds. */
+  private static final long FIRST_DEPUTY_DELAY_MS = 700;
+
+  /** Addition to that time for each further rank, in milliseconds. */
+  private static final long NEXT_DEPUTY_DELAY_MS = 300;
+
+  /** Rank from which all VMs wait for the same time; its polls come before a report is stale. */
+  private static final int LAST_DEPUTY_RANK = 3;
+
   /** Rate limit of a VM, in reports per second. */
   private static final double MAX_REPORTS_PER_SECOND = 18;
 
@@ -38,17 +49,40 @@
   private final EngineReportSource reportSource;
   private final Clock clock;
   private final ZoneCosts zoneCosts;
+  private final ToIntFunction<String> observerRank;
+  private final ReportListener listener;
   private final Map<String, Long> lastPollMs = new HashMap<>();
   private final Set<String> pendingPolls = new HashSet<>();
   private double rateTokens = 1;
   private long refilledMs;
 
-  /** Creates a poller without past reports. */
+  /** Receives each report that this VM polled. */
+  public interface ReportListener {
+
+    /**
+     * Called with a new report.
+     *
+     * @param requestedMs time at which the report was requested, in milliseconds
+     */
+    void onReport(ListedEndpoint engine, EngineReport report, long requestedMs);
+  }
+
+  /**
+   * Creates a poller without past reports.
+   *
+   * @param observerRank rank of this VM among those that may poll the engines of an availability
+   *     zone; 0 polls them for the others
+   * @param listener receives the reports
+   */
   public ReportPoller(
       EndpointDirectory directory,
       EngineReportSource reportSource,
       Clock clock,
-      ZoneCosts zoneCosts) {
+      ZoneCosts zoneCosts,
+      ToIntFunction<String> observerRank,
+      ReportListener listener) {
+    this.observerRank = observerRank;
+    this.listener = listener;
     this.directory = directory;
     this.reportSource = reportSource;
     this.clock = clock;
@@ -78,9 +112,11 @@
   }
 
   private long nextPollMs(TrackedEndpoint engine) {
-    long last = lastPollMs.getOrDefault(engine.listed().id(), 0L);
+    long last = Math.max(lastPollMs.getOrDefault(engine.listed().id(), 0L), engine.lastReportMs());
+    int rank = Math.min(LAST_DEPUTY_RANK, observerRank.applyAsInt(engine.listed().zone()));
+    long delayMs = rank == 0 ? 0 : FIRST_DEPUTY_DELAY_MS + (rank - 1) * NEXT_DEPUTY_DELAY_MS;
     boolean loaded = engine.occupancy() >= LOADED_OCCUPANCY || engine.reportedQueue() > 0;
-    return last + (loaded ? LOADED_INTERVAL_MS : IDLE_INTERVAL_MS);
+    return last + delayMs + (loaded ? LOADED_INTERVAL_MS : IDLE_INTERVAL_MS);
   }
 
   private void requestReport(TrackedEndpoint engine, long now) {
@@ -98,6 +134,7 @@
   private void onReply(TrackedEndpoint engine, Optional<EngineReport> reply, long requestedMs) {
     if (reply.isPresent()) {
       engine.onReport(reply.get(), requestedMs);
+      listener.onReport(engine.listed(), reply.get(), requestedMs);
     } else {
       engine.onFailure(clock.nowMs());
       EventLog.event("report-missing").with("endpoint", engine.listed().id()).info();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -65,6 +65,7 @@
    */
   private static final double STRICT_MISPLACEMENT_COST_MS = 250;
 
+  private final StreamWork work;
   private final EnginePartition partition;
   private final Clock clock;
   private final ZoneCosts zoneCosts;
@@ -74,13 +75,19 @@
   /**
    * Creates a selector.
    *
+   * @param work work of the streams at the engines
    * @param speeds returns the speed of a service's endpoints, by the service's name
    */
   public TimeToFirstByteSelector(
-      Clock clock, ZoneCosts zoneCosts, Function<String, EngineSpeed> speeds, Random random) {
+      Clock clock,
+      ZoneCosts zoneCosts,
+      StreamWork work,
+      Function<String, EngineSpeed> speeds,
+      Random random) {
     this.clock = clock;
     this.speeds = speeds;
-    this.partition = new EnginePartition(clock);
+    this.work = work;
+    this.partition = new EnginePartition(work);
     this.zoneCosts = zoneCosts;
     this.random = random;
   }
@@ -123,10 +130,11 @@
       return ids;
     }
     Prompt prompt = demand.prompt().get();
-    EngineSpeed speed = speeds.apply(candidates.get(0).listed().service());
-    double work =
+    String service = candidates.get(0).listed().service();
+    EngineSpeed speed = speeds.apply(service);
+    double engineMs =
         speed.prefillMs(prompt.tokens()) + prompt.maxOutputTokens() * speed.outputTokenMs();
-    partition.onRequest(demand.toleratesPauses(), work);
+    work.add(service, demand.toleratesPauses(), engineMs);
     Set<String> tolerant = partition.tolerantEngines(candidates);
     if (demand.toleratesPauses() || tolerant.size() == ids.size()) {
       return tolerant;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -186,6 +186,11 @@
     return report != null && nowMs - reportMs <= MAX_REPORT_AGE_MS;
   }
 
+  /** Returns when the last report was requested, in milliseconds; 0 if there was none. */
+  public long lastReportMs() {
+    return reportMs;
+  }
+
   /** Returns the time since the last report was requested, in milliseconds. */
   public long reportAgeMs(long nowMs) {
     return nowMs - reportMs;
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -0,0 +1,110 @@
+package org.zinniaspan.proxy;
+
+import java.util.List;
+import java.util.Random;
+import java.util.function.Function;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.fleet.CatalogService;
+import org.zinniaspan.fleet.CatalogSharing;
+import org.zinniaspan.fleet.EngineBoard;
+import org.zinniaspan.fleet.EngineSharing;
+import org.zinniaspan.fleet.FleetMembership;
+import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.StreamWork;
+import org.zinniaspan.forwarding.TableFreshness;
+import org.zinniaspan.transport.BufferingHttpClient;
+
+/** The components through which a daemon and the other VMs tell each other what they know. */
+final class FleetComponents implements Ticking {
+
+  private final HttpPeerClient peers;
+  private final FleetMembership members;
+  private final CatalogSharing catalogSharing;
+  private final CatalogService catalogService;
+  private final EngineSharing engineSharing;
+  private final EngineBoard engineBoard;
+
+  /**
+   * Creates the components of a VM that knows no other VM.
+   *
+   * @param address peer address of this VM, as host:port
+   * @param zone its availability zone
+   * @param seeds peer addresses of a few VMs
+   * @param httpClientFactory creates the HTTP client for an address
+   */
+  FleetComponents(
+      String address,
+      String zone,
+      List<String> seeds,
+      Function<String, BufferingHttpClient> httpClientFactory,
+      CatalogFollower follower,
+      TableFreshness freshness,
+      EndpointDirectory directory,
+      StreamWork work,
+      PlatformBounds bounds,
+      Clock clock,
+      Random random) {
+    long epoch = random.nextLong();
+    peers = new HttpPeerClient(httpClientFactory);
+    members = new FleetMembership(address, zone, seeds, peers, clock, random);
+    catalogService = new CatalogService(follower, freshness, directory, clock, epoch);
+    catalogSharing = new CatalogSharing(follower, freshness, bounds, members, peers, clock);
+    engineBoard = new EngineBoard(directory, work, clock, epoch);
+    engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
+  }
+
+  FleetServer server() {
+    return new FleetServer(members, catalogService, engineBoard);
+  }
+
+  FleetMembership members() {
+    return members;
+  }
+
+  EngineBoard engineBoard() {
+    return engineBoard;
+  }
+
+  /** Returns the rank of this VM among those that poll the engines of a zone. */
+  int observerRank(String zone) {
+    return engineSharing.observerRank(zone);
+  }
+
+  /** Registers gauges of the number of VMs, the roles of this VM and the bytes that it sent. */
+  void registerGauges(ForwardMetrics metrics) {
+    metrics.registerGauge(
+        "zinniaspan_fleet_vms", "Live VMs that are known, this one included.", members::liveCount);
+    metrics.registerGauge(
+        "zinniaspan_platform_reader",
+        "1 if this VM reads the platform itself.",
+        () -> catalogSharing.isReading() ? 1 : 0);
+    metrics.registerGauge(
+        "zinniaspan_engine_observer",
+        "1 if this VM polls engines for others.",
+        () -> engineSharing.isObserver() ? 1 : 0);
+    metrics.registerGauge(
+        "zinniaspan_fleet_sent_bytes",
+        "Bytes of the queries sent to other VMs since the start.",
+        peers::sentBytes);
+  }
+
+  /** Gives up the roles of this VM, as it is stopping. */
+  void leave() {
+    members.leave();
+    catalogService.stop();
+    engineBoard.stop();
+  }
+
+  @Override
+  public void tick() {
+    peers.tick();
+    members.tick();
+    catalogSharing.tick();
+    catalogService.tick();
+    engineSharing.tick();
+    engineBoard.tick();
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
@@ -0,0 +1,90 @@
+package org.zinniaspan.proxy;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.zinniaspan.fleet.CatalogService;
+import org.zinniaspan.fleet.EngineBoard;
+import org.zinniaspan.fleet.FleetMembership;
+import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.peer.proto.CatalogQuery;
+import org.zinniaspan.peer.proto.EngineQuery;
+import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.transport.InboundConnection;
+import org.zinniaspan.transport.InboundHandler;
+
+/** Answers the requests of other VMs: members, catalog and engines, each with protobuf bodies. */
+final class FleetServer implements InboundHandler {
+
+  /** Path of the exchange of members. */
+  static final String MEMBERS_PATH = "/fleet/members";
+
+  /** Path of catalog queries. */
+  static final String CATALOG_PATH = "/fleet/catalog";
+
+  /** Path of queries for the load of engines. */
+  static final String ENGINES_PATH = "/fleet/engines";
+
+  private final FleetMembership members;
+  private final CatalogService catalog;
+  private final EngineBoard engines;
+
+  FleetServer(FleetMembership members, CatalogService catalog, EngineBoard engines) {
+    this.members = members;
+    this.catalog = catalog;
+    this.engines = engines;
+  }
+
+  @Override
+  public InboundLimits limits() {
+    return InboundLimits.DEFAULT;
+  }
+
+  @Override
+  public void onOpen(InboundConnection connection) {
+    // No state is kept for a connection.
+  }
+
+  @Override
+  public void onRequest(InboundConnection connection, HttpRequest head, byte[] body) {
+    try {
+      switch (String.valueOf(head.getPath())) {
+        case MEMBERS_PATH -> respond(connection, members.onExchange(FleetMembers.parseFrom(body)));
+        case CATALOG_PATH ->
+            catalog.onQuery(CatalogQuery.parseFrom(body), state -> respond(connection, state));
+        case ENGINES_PATH ->
+            engines.onQuery(EngineQuery.parseFrom(body), state -> respond(connection, state));
+        default -> respond(connection, HttpStatus.SC_NOT_FOUND, new byte[0]);
+      }
+    } catch (InvalidProtocolBufferException e) {
+      EventLog.event("peer-request-unreadable")
+          .with("path", head.getPath())
+          .with("error", e)
+          .info();
+      respond(connection, HttpStatus.SC_BAD_REQUEST, new byte[0]);
+    }
+  }
+
+  private static void respond(InboundConnection connection, MessageLite message) {
+    respond(connection, HttpStatus.SC_OK, message.toByteArray());
+  }
+
+  private static void respond(InboundConnection connection, int status, byte[] content) {
+    if (connection.isOpen()) {
+      connection.sendResponse(new BasicHttpResponse(status), content);
+    }
+  }
+
+  @Override
+  public void onUnreadable(InboundConnection connection, int status, String reason) {
+    respond(connection, status, new byte[0]);
+  }
+
+  @Override
+  public void onDisconnect(InboundConnection connection) {
+    // A held query is answered later, and its answer is dropped.
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -17,6 +18,7 @@
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TimeToFirstByteSelector;
 import org.zinniaspan.forwarding.ZoneCosts;
@@ -33,6 +35,9 @@
   /** Time between two ticks, in milliseconds; a timeout takes effect at most this much late. */
   private static final long TICK_MS = 20;
 
+  /** Address of a VM without a peer address, which no other VM asks. */
+  private static final String LONE_VM = "none";
+
   private static final double MS_PER_SECOND = 1_000.0;
 
   private final Closer closer = new Closer();
@@ -44,6 +49,7 @@
   private final ForwardServer server;
   private final EngineReportSource reportSource;
   private final ReportPoller reportPoller;
+  private final FleetComponents fleet;
   private final CountDownLatch shutdownDone = new CountDownLatch(1);
 
   private ForwardDaemon(Options options) {
@@ -63,6 +69,7 @@
             options.bounds(),
             random);
     EngineSpeeds speeds = new EngineSpeeds();
+    StreamWork work = new StreamWork(clock);
     context =
         new ForwardContext(
             clock,
@@ -72,7 +79,7 @@
             tableFreshness,
             directory,
             speeds,
-            new TimeToFirstByteSelector(clock, options.zoneCosts(), speeds::of, random),
+            new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
             new EndpointConnectionPool(reactor, clock),
             options.bounds());
@@ -81,7 +88,27 @@
         options
             .reportSourceFactory()
             .apply(address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)));
-    reportPoller = new ReportPoller(directory, reportSource, clock, options.zoneCosts());
+    fleet =
+        new FleetComponents(
+            options.peerListen().map(Addresses::format).orElse(LONE_VM),
+            options.zoneCosts().zone(),
+            options.seeds(),
+            address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)),
+            follower,
+            tableFreshness,
+            directory,
+            work,
+            options.bounds(),
+            clock,
+            random);
+    reportPoller =
+        new ReportPoller(
+            directory,
+            reportSource,
+            clock,
+            options.zoneCosts(),
+            fleet::observerRank,
+            fleet.engineBoard()::record);
   }
 
   /**
@@ -90,6 +117,8 @@
    * @param listen address for clients
    * @param readyListen address for the load balancer's readiness checks
    * @param metricsListen address for metrics; empty serves none
+   * @param peerListen address for other VMs; empty if this VM is on its own
+   * @param seeds peer addresses of a few VMs, through which the others are found
    * @param platformAddress address of the platform's store
    * @param catalogFactory creates the client of the platform's store
    * @param reportSourceFactory creates the client for engines' reports, from a factory of HTTP
@@ -103,6 +132,8 @@
       InetSocketAddress listen,
       InetSocketAddress readyListen,
       Optional<InetSocketAddress> metricsListen,
+      Optional<InetSocketAddress> peerListen,
+      List<String> seeds,
       InetSocketAddress platformAddress,
       Function<BufferingHttpClient, Catalog> catalogFactory,
       Function<Function<String, BufferingHttpClient>, EngineReportSource> reportSourceFactory,
@@ -128,7 +159,7 @@
   }
 
   private void startServing(Options options) throws IOException {
-    reactor.runLocked(context.follower()::tick);
+    reactor.runLocked(fleet::tick);
     ReadinessHandler readiness = new ReadinessHandler(this::isReady);
     reactor.listen(options.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
     if (options.metricsListen().isPresent()) {
@@ -137,6 +168,11 @@
       reactor.listen(
           options.metricsListen().get(), () -> new InboundConnection(reactor, metrics, clock));
     }
+    if (options.peerListen().isPresent()) {
+      FleetServer fleetServer = fleet.server();
+      reactor.listen(
+          options.peerListen().get(), () -> new InboundConnection(reactor, fleetServer, clock));
+    }
     reactor.listen(options.listen(), () -> new InboundConnection(reactor, server, clock));
     reactor.scheduleEvery(TICK_MS, this::tick);
     EventLog.event("started")
@@ -147,6 +183,7 @@
 
   private void registerGauges() {
     ForwardMetrics metrics = context.metrics();
+    fleet.registerGauges(metrics);
     metrics.registerGauge(
         "zinniaspan_configuration_version",
         "Version of the configuration in force; -1 if there is none.",
@@ -178,7 +215,7 @@
 
   private void tick() {
     platformClient.tick();
-    context.follower().tick();
+    fleet.tick();
     context.directory().tick();
     server.tick();
     reportSource.tick();
@@ -198,7 +235,11 @@
 
   /** Starts a graceful shutdown. */
   public void shutdown() {
-    reactor.runLocked(shutdown::start);
+    reactor.runLocked(
+        () -> {
+          shutdown.start();
+          fleet.leave();
+        });
   }
 
   /** Logs that a reload was requested; the daemon reads its flags only at the start. */
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
@@ -0,0 +1,108 @@
+package org.zinniaspan.proxy;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import com.google.protobuf.Parser;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.fleet.PeerClient;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.peer.proto.CatalogQuery;
+import org.zinniaspan.peer.proto.CatalogState;
+import org.zinniaspan.peer.proto.EngineQuery;
+import org.zinniaspan.peer.proto.EngineState;
+import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.transport.BufferingHttpClient;
+
+/** Sends requests to other VMs as HTTP requests with protobuf bodies. */
+final class HttpPeerClient implements PeerClient, Ticking {
+
+  private final Function<String, BufferingHttpClient> httpClientFactory;
+  private final Map<String, BufferingHttpClient> clientsByAddress = new HashMap<>();
+  private long sentBytes;
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param httpClientFactory creates the HTTP client for an address
+   */
+  HttpPeerClient(Function<String, BufferingHttpClient> httpClientFactory) {
+    this.httpClientFactory = httpClientFactory;
+  }
+
+  /** Returns the bytes of the messages sent so far, without their heads. */
+  long sentBytes() {
+    return sentBytes;
+  }
+
+  @Override
+  public void exchangeMembers(
+      String address,
+      FleetMembers members,
+      long timeoutMs,
+      Consumer<Optional<FleetMembers>> callback) {
+    HttpRequest request = new BasicHttpRequest("POST", FleetServer.MEMBERS_PATH);
+    // Partners are random, so connections to them are not kept.
+    request.setHeader(HttpHeaders.CONNECTION, "close");
+    call(address, request, members, FleetMembers.parser(), timeoutMs, callback);
+  }
+
+  @Override
+  public void queryCatalog(
+      String address,
+      CatalogQuery query,
+      long timeoutMs,
+      Consumer<Optional<CatalogState>> callback) {
+    HttpRequest request = new BasicHttpRequest("POST", FleetServer.CATALOG_PATH);
+    call(address, request, query, CatalogState.parser(), timeoutMs, callback);
+  }
+
+  @Override
+  public void queryEngines(
+      String address, EngineQuery query, long timeoutMs, Consumer<Optional<EngineState>> callback) {
+    HttpRequest request = new BasicHttpRequest("POST", FleetServer.ENGINES_PATH);
+    call(address, request, query, EngineState.parser(), timeoutMs, callback);
+  }
+
+  @Override
+  public void tick() {
+    clientsByAddress.values().forEach(BufferingHttpClient::tick);
+  }
+
+  private <T> void call(
+      String address,
+      HttpRequest request,
+      MessageLite message,
+      Parser<T> replyParser,
+      long timeoutMs,
+      Consumer<Optional<T>> callback) {
+    byte[] body = message.toByteArray();
+    sentBytes += body.length;
+    request.setHeader(HttpHeaders.HOST, address);
+    request.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
+    clientsByAddress
+        .computeIfAbsent(address, httpClientFactory)
+        .call(request, body, timeoutMs, result -> callback.accept(parse(result, replyParser)));
+  }
+
+  private static <T> Optional<T> parse(BufferingHttpClient.Result result, Parser<T> parser) {
+    if (!(result instanceof BufferingHttpClient.Result.Answered answered)
+        || answered.status() != HttpStatus.SC_OK) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(parser.parseFrom(answered.body()));
+    } catch (InvalidProtocolBufferException e) {
+      EventLog.event("peer-reply-unreadable").with("error", e).info();
+      return Optional.empty();
+    }
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.proxy;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Optional;
@@ -67,6 +66,7 @@
   private final byte[] body;
   private final RequestFacts facts;
   private final RequestLog log = new RequestLog();
+  private final StreamDelivery delivery;
   private final long arrivalMs;
   private final Set<String> triedEndpoints = new HashSet<>();
 
@@ -83,11 +83,6 @@
   private boolean finished;
   private boolean awaitingConfirmation;
   private EndpointAttempt attempt;
-  private boolean responseStarted;
-  private Optional<String> lastEventId = Optional.empty();
-  private long firstByteMs = -1;
-  private long lastEventMs;
-  private long longestPauseMs;
   private String endpointId = "none";
 
   ProxiedRequest(ForwardContext context, InboundConnection client, HttpRequest head, byte[] body) {
@@ -97,6 +92,7 @@
     this.body = body;
     this.facts = context.dialect().requestFacts(head);
     this.arrivalMs = context.clock().nowMs();
+    this.delivery = new StreamDelivery(client, context.dialect(), context.clock());
   }
 
   boolean isFinished() {
@@ -113,7 +109,7 @@
 
   /** Returns the longest pause between two events of the stream so far, in milliseconds. */
   long longestPauseMs() {
-    return longestPauseMs;
+    return delivery.longestPauseMs();
   }
 
   boolean toleratesPauses() {
@@ -252,7 +248,7 @@
         dropCredentials,
         Optional.of(leftMs),
         facts.prompt().map(p -> rank),
-        lastEventId,
+        delivery.lastEventId(),
         body.length);
   }
 
@@ -404,7 +400,7 @@
   /** Passes a complete response on to the client. */
   void onWholeResponse(HttpResponse response, byte[] content) {
     attempt = null;
-    if (responseStarted) {
+    if (delivery.isStarted()) {
       // The head of a response was sent already, and a second one cannot follow.
       fail("resume-failed");
       return;
@@ -415,37 +411,12 @@
 
   /** Passes an event of a stream on to the client; the head is sent before the first event. */
   void onEvent(HttpResponse response, SseSplitter.Event event) {
-    startResponse(response);
-    long now = context.clock().nowMs();
-    longestPauseMs = lastEventMs == 0 ? 0 : Math.max(longestPauseMs, now - lastEventMs);
-    lastEventMs = now;
-    event.id().ifPresent(id -> lastEventId = Optional.of(id));
-    client.writeBody(ByteBuffer.wrap(event.bytes()));
+    delivery.add(response, event);
   }
 
-  /**
-   * Returns whether an event was sent to the client before, by comparing numeric event ids; an
-   * endpoint may repeat events when a stream resumes.
-   */
+  /** Returns whether an event was sent to the client before. */
   boolean wasDelivered(SseSplitter.Event event) {
-    if (lastEventId.isEmpty() || event.id().isEmpty()) {
-      return false;
-    }
-    Optional<Long> last = parseEventId(lastEventId.get());
-    Optional<Long> next = parseEventId(event.id().get());
-    return last.isPresent() && next.isPresent() && next.get() <= last.get();
-  }
-
-  private static Optional<Long> parseEventId(String text) {
-    return text.matches("[0-9]{1,18}") ? Optional.of(Long.parseLong(text)) : Optional.empty();
-  }
-
-  private void startResponse(HttpResponse response) {
-    if (!responseStarted) {
-      responseStarted = true;
-      firstByteMs = context.clock().nowMs() - arrivalMs;
-      client.startChunked(context.dialect().clientResponse(response));
-    }
+    return delivery.wasDelivered(event);
   }
 
   void flush() {
@@ -455,14 +426,13 @@
   /** Passes the rest of a stream on and ends the response. */
   void onStreamEnd(HttpResponse response, byte[] incompleteEvent) {
     attempt = null;
-    startResponse(response);
+    delivery.start(response);
     finish("streamed", response.getCode());
-    client.writeBody(ByteBuffer.wrap(incompleteEvent));
-    client.finishResponse();
+    delivery.end(incompleteEvent);
   }
 
   private void fail(String reason) {
-    if (responseStarted) {
+    if (delivery.isStarted()) {
       finish("cut-" + reason, 0);
       cancelAttempt();
       client.close();
@@ -495,7 +465,7 @@
         .metrics()
         .recordRequest(
             new ForwardMetrics.CompletedRequest(
-                Optional.ofNullable(route), outcome, status, sendCount, firstByteMs, durationMs));
+                Optional.ofNullable(route), outcome, status, sendCount, firstByteMs(), durationMs));
     boolean failed =
         status >= HttpStatus.SC_INTERNAL_SERVER_ERROR
             || (status == 0 && !outcome.equals(CLIENT_LEFT));
@@ -508,8 +478,8 @@
             .with("version", version)
             .with("sends", sendCount)
             .with("endpoint", endpointId)
-            .with("firstByteMs", firstByteMs)
-            .with("longestPauseMs", longestPauseMs)
+            .with("firstByteMs", firstByteMs())
+            .with("longestPauseMs", delivery.longestPauseMs())
             .with("tookMs", durationMs)
             .with("confirmationAgeMs", context.tableFreshness().ageMs());
     if (failed) {
@@ -520,12 +490,18 @@
     log.complete(attemptId(), !failed && meetsTargets(durationMs));
   }
 
+  /** Returns the time from arrival to the first event, in milliseconds; -1 if there was none. */
+  private long firstByteMs() {
+    return delivery.isStarted() ? delivery.startedAtMs() - arrivalMs : -1;
+  }
+
   private boolean meetsTargets(long durationMs) {
     if (route == null) {
       return true;
     }
-    long firstMs = firstByteMs >= 0 ? firstByteMs : durationMs;
-    boolean pausesAreShort = route.pauseTargetMs() == 0 || longestPauseMs <= route.pauseTargetMs();
+    long firstMs = delivery.isStarted() ? firstByteMs() : durationMs;
+    boolean pausesAreShort =
+        route.pauseTargetMs() == 0 || delivery.longestPauseMs() <= route.pauseTargetMs();
     return firstMs <= route.targetLatencyMs() && pausesAreShort;
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
@@ -62,6 +62,16 @@
    * @param callback receives the result, exactly once
    */
   public void call(HttpRequest request, long timeoutMs, Consumer<Result> callback) {
+    call(request, new byte[0], timeoutMs, callback);
+  }
+
+  /**
+   * Sends a request with a body, whose length the head must state.
+   *
+   * @param timeoutMs longest time until the response is complete, in milliseconds
+   * @param callback receives the result, exactly once
+   */
+  public void call(HttpRequest request, byte[] body, long timeoutMs, Consumer<Result> callback) {
     OutboundConnection connection = idle.poll();
     while (connection != null && !connection.isReusable()) {
       connection = idle.poll();
@@ -71,7 +81,7 @@
     }
     Call call = new Call(connection, clock.nowMs() + timeoutMs, callback);
     calls.add(call);
-    connection.send(request, new byte[0], call);
+    connection.send(request, body, call);
   }
 
   @Override
--- a/zinniaspan/src/test/java/org/zinniaspan/ArchitectureTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/ArchitectureTest.java
@@ -14,6 +14,7 @@
     "org.zinniaspan.clock..",
     "org.zinniaspan.configuration..",
     "org.zinniaspan.dispatch..",
+    "org.zinniaspan.fleet..",
     "org.zinniaspan.forwarding..",
     "org.zinniaspan.inventory..",
     "org.zinniaspan.membership..",
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -0,0 +1,479 @@
+package org.zinniaspan.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.zinniaspan.forwarding.Catalog;
+import org.zinniaspan.forwarding.CatalogChanges;
+import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.CatalogResult;
+import org.zinniaspan.forwarding.EndpointChange;
+import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EngineReport;
+import org.zinniaspan.forwarding.EngineReportSource;
+import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.ReportPoller;
+import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.StreamWork;
+import org.zinniaspan.forwarding.TableFreshness;
+import org.zinniaspan.forwarding.TrackedEndpoint;
+import org.zinniaspan.forwarding.ZoneCosts;
+import org.zinniaspan.peer.proto.CatalogQuery;
+import org.zinniaspan.peer.proto.CatalogState;
+import org.zinniaspan.peer.proto.EngineQuery;
+import org.zinniaspan.peer.proto.EngineState;
+import org.zinniaspan.peer.proto.FleetMembers;
+
+/**
+ * VMs that share the catalog and the load of engines, on virtual time, with a store and a network
+ * that can fail.
+ *
+ * <p>VMs can be killed, frozen (nothing runs, the clocks go on) and suspended (the steady clock
+ * stops too), their time of day can be stepped, links between VMs and to the store can be cut, and
+ * messages can be lost or arrive late.
+ */
+final class FleetSimulation {
+
+  static final long START_MS = 1_000_000;
+  private static final long TICK_MS = 20;
+
+  /** Delay of a message on a link that is cut, after which it arrives or is lost. */
+  private static final long HELD_UP_MS = 3_000;
+
+  final PlatformBounds bounds;
+  final Random random;
+  final Map<String, Vm> vms = new TreeMap<>();
+  final Store store = new Store();
+  long nowMs = START_MS;
+  double lossRate;
+  private final Set<String> cutLinks = new HashSet<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+  private long eventCount;
+
+  private record Event(long atMs, long number, Runnable action) {}
+
+  FleetSimulation(long seed, PlatformBounds bounds) {
+    this.random = new Random(seed);
+    this.bounds = bounds;
+  }
+
+  private void at(long delayMs, Runnable action) {
+    events.add(new Event(nowMs + delayMs, eventCount++, action));
+  }
+
+  /** Advances the time; {@code check} runs after each tick of the VMs. */
+  void advance(long ms, Runnable check) {
+    long endMs = nowMs + ms;
+    while (nowMs < endMs) {
+      nowMs += TICK_MS;
+      while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+        events.poll().action().run();
+      }
+      List.copyOf(vms.values()).forEach(Vm::tick);
+      check.run();
+    }
+  }
+
+  void advance(long ms) {
+    advance(ms, () -> {});
+  }
+
+  Vm start(String address, String zone, List<String> seeds) {
+    Vm vm = new Vm(address, zone, seeds);
+    vms.put(address, vm);
+    return vm;
+  }
+
+  void kill(String address) {
+    vms.remove(address);
+  }
+
+  /** Cuts the link between two VMs, or a VM and the {@code store}. */
+  void cut(String a, String b) {
+    cutLinks.add(link(a, b));
+  }
+
+  void healLinks() {
+    cutLinks.clear();
+  }
+
+  private static String link(String a, String b) {
+    return a.compareTo(b) < 0 ? a + '|' + b : b + '|' + a;
+  }
+
+  private boolean isCut(String a, String b) {
+    return cutLinks.contains(link(a, b));
+  }
+
+  /** Delivers a message to a VM's process, unless it has ended by then. */
+  private void deliver(String from, Vm to, Runnable action) {
+    if (random.nextDouble() < lossRate) {
+      return;
+    }
+    long delayMs = 1 + random.nextInt(4) + (random.nextInt(50) == 0 ? random.nextInt(900) : 0);
+    if (isCut(from, to.address)) {
+      if (random.nextBoolean()) {
+        return;
+      }
+      delayMs += HELD_UP_MS;
+    }
+    at(delayMs, () -> to.run(action));
+  }
+
+  /** The platform's store: one configuration version and a list of endpoints. */
+  final class Store {
+    static final String NAME = "store";
+    private final Map<String, ListedEndpoint> endpoints = new TreeMap<>();
+    private final List<Long> versionStartsMs = new ArrayList<>(List.of(START_MS));
+    private final Map<Long, EndpointChange> history = new TreeMap<>();
+    private final Map<Long, Long> versionRevisions = new TreeMap<>();
+    final Set<String> refused = new HashSet<>();
+    boolean down;
+    long calls;
+    private long revision = 100;
+
+    long version() {
+      return versionStartsMs.size();
+    }
+
+    void publish() {
+      versionStartsMs.add(nowMs);
+      versionRevisions.put(++revision, version());
+    }
+
+    /** Returns the time until which a version was the newest one. */
+    long supersededMs(long version) {
+      return version >= version() ? Long.MAX_VALUE : versionStartsMs.get((int) version);
+    }
+
+    void put(ListedEndpoint entry) {
+      endpoints.put(entry.id(), entry);
+      history.put(++revision, new EndpointChange.Listed(entry));
+    }
+
+    void remove(String id) {
+      endpoints.remove(id);
+      history.put(++revision, new EndpointChange.Removed(id));
+    }
+
+    private RoutingTable table() {
+      return new RoutingTable(
+          version(), List.of(), Map.of(), Map.of(), true, InboundLimits.DEFAULT);
+    }
+  }
+
+  /** One VM of the fleet. */
+  final class Vm implements Catalog, PeerClient {
+    final String address;
+    final String zone;
+    final TableFreshness freshness;
+    final EndpointDirectory directory;
+    final CatalogFollower follower;
+    final FleetMembership members;
+    final CatalogSharing sharing;
+    final CatalogService service;
+    final StreamWork work;
+    final EngineBoard board;
+    final EngineSharing engines;
+    final ReportPoller poller;
+    long polls;
+    long stepMs;
+    private long suspendedMs;
+    private long pausedSinceMs = -1;
+    private boolean suspending;
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private final List<PendingCall> pendingCalls = new ArrayList<>();
+
+    private record PendingCall(long dueMs, Runnable onTimeout) {}
+
+    Vm(String address, String zone, List<String> seeds) {
+      this.address = address;
+      this.zone = zone;
+      Random own = new Random(random.nextLong());
+      freshness =
+          new TableFreshness(this::steadyMs, this::timeOfDayMs, bounds.maxConfirmationAgeMs());
+      directory = new EndpointDirectory(this::steadyMs);
+      follower = new CatalogFollower(this, this::steadyMs, freshness, directory, bounds, own);
+      members = new FleetMembership(address, zone, seeds, this, this::steadyMs, own);
+      sharing = new CatalogSharing(follower, freshness, bounds, members, this, this::steadyMs);
+      long epoch = own.nextLong();
+      work = new StreamWork(this::steadyMs);
+      service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
+      board = new EngineBoard(directory, work, this::steadyMs, epoch);
+      engines = new EngineSharing(directory, board, members, this, this::steadyMs);
+      poller =
+          new ReportPoller(
+              directory,
+              new Reports(),
+              this::steadyMs,
+              new ZoneCosts(zone, Map.of(zone, "region")),
+              engines::observerRank,
+              board::record);
+    }
+
+    private final class Reports implements EngineReportSource {
+      @Override
+      public void read(ListedEndpoint engine, Consumer<Optional<EngineReport>> callback) {
+        polls++;
+        at(
+            2,
+            () ->
+                Vm.this.run(
+                    () ->
+                        callback.accept(
+                            Optional.of(new EngineReport(1, 10, engine.startedAtMs())))));
+      }
+
+      @Override
+      public void tick() {
+        // Replies arrive by themselves.
+      }
+    }
+
+    long steadyMs() {
+      return nowMs - suspendedMs - (suspending ? nowMs - pausedSinceMs : 0);
+    }
+
+    private long timeOfDayMs() {
+      return nowMs + stepMs;
+    }
+
+    boolean isPaused() {
+      return pausedSinceMs >= 0;
+    }
+
+    /** Stops the process for a time; while it is suspended, its steady clock stops too. */
+    void pause(long ms, boolean suspend) {
+      if (isPaused()) {
+        return;
+      }
+      pausedSinceMs = nowMs;
+      suspending = suspend;
+      at(
+          ms,
+          () -> {
+            suspendedMs += suspending ? nowMs - pausedSinceMs : 0;
+            suspending = false;
+            pausedSinceMs = -1;
+            while (!deferred.isEmpty()) {
+              deferred.poll().run();
+            }
+          });
+    }
+
+    /** Runs an action now, or after the pause; drops it if the process has ended. */
+    private void run(Runnable action) {
+      if (vms.get(address) != this) {
+        return;
+      }
+      if (isPaused()) {
+        deferred.add(action);
+      } else {
+        action.run();
+      }
+    }
+
+    private void tick() {
+      if (isPaused()) {
+        return;
+      }
+      List<PendingCall> expired =
+          pendingCalls.stream().filter(call -> call.dueMs() <= steadyMs()).toList();
+      pendingCalls.removeAll(expired);
+      expired.forEach(call -> call.onTimeout().run());
+      members.tick();
+      sharing.tick();
+      service.tick();
+      engines.tick();
+      board.tick();
+      directory.tick();
+      poller.poll("service");
+    }
+
+    /** Calls the callback once: with the reply, or with the failure after the timeout. */
+    private <T> Consumer<T> once(long timeoutMs, Consumer<T> callback, T failure) {
+      boolean[] done = {false};
+      Consumer<T> guarded =
+          result -> {
+            if (!done[0]) {
+              done[0] = true;
+              callback.accept(result);
+            }
+          };
+      pendingCalls.add(new PendingCall(steadyMs() + timeoutMs, () -> guarded.accept(failure)));
+      return guarded;
+    }
+
+    private <T> void callStore(
+        long waitMs,
+        Consumer<CatalogResult<T>> callback,
+        java.util.function.Supplier<Optional<CatalogResult<T>>> answer) {
+      store.calls++;
+      Consumer<CatalogResult<T>> guarded =
+          once(
+              PlatformBounds.PLATFORM_TIMEOUT_MS + waitMs,
+              callback,
+              new CatalogResult.Failed<>("timeout"));
+      long endMs = nowMs + waitMs;
+      at(2, () -> awaitAnswer(endMs, guarded, answer));
+    }
+
+    private <T> void awaitAnswer(
+        long endMs,
+        Consumer<CatalogResult<T>> callback,
+        java.util.function.Supplier<Optional<CatalogResult<T>>> answer) {
+      if (store.down || isCut(address, Store.NAME)) {
+        return;
+      }
+      if (store.refused.contains(address)) {
+        deliver(Store.NAME, this, () -> callback.accept(new CatalogResult.Failed<>("status 503")));
+        return;
+      }
+      Optional<CatalogResult<T>> result = answer.get();
+      if (result.isPresent()) {
+        deliver(Store.NAME, this, () -> callback.accept(result.get()));
+      } else if (nowMs < endMs) {
+        at(5, () -> awaitAnswer(endMs, callback, answer));
+      }
+    }
+
+    @Override
+    public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
+      callStore(
+          0,
+          callback,
+          () -> Optional.of(new CatalogResult.Read<>(Optional.of(store.table()), store.revision)));
+    }
+
+    @Override
+    public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
+      callStore(
+          0,
+          callback,
+          () ->
+              Optional.of(
+                  new CatalogResult.Read<>(List.copyOf(store.endpoints.values()), store.revision)));
+    }
+
+    @Override
+    public void watch(
+        long afterRevision, long waitMs, Consumer<CatalogResult<CatalogChanges>> callback) {
+      long endMs = nowMs + waitMs;
+      callStore(
+          waitMs,
+          callback,
+          () -> {
+            List<EndpointChange> changes = new ArrayList<>();
+            store.history.forEach(
+                (revision, change) -> {
+                  if (revision > afterRevision) {
+                    changes.add(change);
+                  }
+                });
+            boolean newTable =
+                store.versionRevisions.keySet().stream().anyMatch(r -> r > afterRevision);
+            if (changes.isEmpty() && !newTable && nowMs < endMs - 10) {
+              return Optional.empty();
+            }
+            Optional<RoutingTable> table = newTable ? Optional.of(store.table()) : Optional.empty();
+            return Optional.of(
+                new CatalogResult.Read<>(new CatalogChanges(table, changes), store.revision));
+          });
+    }
+
+    private <T> void callPeer(
+        String peer,
+        long timeoutMs,
+        Consumer<Optional<T>> callback,
+        java.util.function.BiConsumer<Vm, Consumer<T>> handler) {
+      Consumer<Optional<T>> guarded = once(timeoutMs, callback, Optional.empty());
+      Vm target = vms.get(peer);
+      if (target == null) {
+        at(1, () -> run(() -> guarded.accept(Optional.empty())));
+        return;
+      }
+      deliver(
+          address,
+          target,
+          () ->
+              handler.accept(
+                  target, reply -> deliver(peer, this, () -> guarded.accept(Optional.of(reply)))));
+    }
+
+    @Override
+    public void exchangeMembers(
+        String peer,
+        FleetMembers message,
+        long timeoutMs,
+        Consumer<Optional<FleetMembers>> callback) {
+      callPeer(
+          peer,
+          timeoutMs,
+          callback,
+          (target, reply) -> reply.accept(target.members.onExchange(message)));
+    }
+
+    @Override
+    public void queryCatalog(
+        String peer,
+        CatalogQuery query,
+        long timeoutMs,
+        Consumer<Optional<CatalogState>> callback) {
+      callPeer(peer, timeoutMs, callback, (target, reply) -> target.service.onQuery(query, reply));
+    }
+
+    @Override
+    public void queryEngines(
+        String peer, EngineQuery query, long timeoutMs, Consumer<Optional<EngineState>> callback) {
+      callPeer(peer, timeoutMs, callback, (target, reply) -> target.board.onQuery(query, reply));
+    }
+
+    long version() {
+      return follower.table().map(RoutingTable::version).orElse(-1L);
+    }
+
+    /** Returns the age of the newest report of an engine at this VM. */
+    long reportAgeMs(String engine) {
+      return directory
+          .endpoint(engine)
+          .map(TrackedEndpoint::lastReportMs)
+          .map(ms -> steadyMs() - ms)
+          .orElse(Long.MAX_VALUE);
+    }
+  }
+
+  /** Starts a fleet of VMs, spread over zones, with three seeds in the first zones. */
+  static FleetSimulation fleet(long seed, PlatformBounds bounds, int vms, int zones) {
+    FleetSimulation simulation = new FleetSimulation(seed, bounds);
+    List<String> seeds = List.of("vm-000", "vm-001", "vm-002");
+    for (int i = 0; i < vms; i++) {
+      simulation.start(String.format("vm-%03d", i), "zone-" + i % zones, seeds);
+    }
+    return simulation;
+  }
+
+  static ListedEndpoint endpoint(String id, String zone, boolean draining) {
+    return new ListedEndpoint(id, "service", "10.0.0.1:80", zone, 16, draining, 1);
+  }
+
+  /** Returns the VMs of each zone. */
+  Map<String, List<Vm>> vmsByZone() {
+    Map<String, List<Vm>> byZone = new HashMap<>();
+    vms.values().forEach(vm -> byZone.computeIfAbsent(vm.zone, z -> new ArrayList<>()).add(vm));
+    return byZone;
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
@@ -106,15 +107,99 @@
     }
   }
 
+  @Nested
+  class WhileAnotherVmReads {
+
+    private final TableFreshness.ReadStart earlier = new TableFreshness.ReadStart(49_000, 0);
+
+    @BeforeEach
+    void becomePassive() {
+      follower.setPassive(true);
+    }
+
+    @Test
+    void nothingIsReadOrWatched() {
+      catalog.completeWatch(41, Optional.empty());
+      advance(30_000);
+      assertThat(catalog.tables).isEmpty();
+      assertThat(catalog.lists).isEmpty();
+      assertThat(catalog.watches).isEmpty();
+    }
+
+    @Test
+    void theTableInForceIsConfirmedWithTheAgeOfThatRead() {
+      TableFreshness.ReadStart later = new TableFreshness.ReadStart(50_500, 0);
+      nowMs = 51_000;
+      follower.onConfirmed(7, later);
+      assertThat(freshness.ageMs()).isEqualTo(500);
+      follower.onConfirmed(7, earlier);
+      assertThat(freshness.ageMs()).isEqualTo(500);
+    }
+
+    @Test
+    void anotherVersionConfirmsNothing() {
+      nowMs = 52_000;
+      follower.onConfirmed(8, new TableFreshness.ReadStart(51_900, 0));
+      assertThat(freshness.ageMs()).isEqualTo(2_000);
+    }
+
+    @Test
+    void aNewVersionIsReadOnRequest() {
+      follower.requestTableRead();
+      follower.tick();
+      catalog.completeTableRead(TestTables.table(8));
+      advance(5_000);
+      assertThat(version()).isEqualTo(8);
+      assertThat(catalog.tables).isEmpty();
+    }
+
+    @Test
+    void anOlderListIsIgnored() {
+      follower.onList(List.of(), 39);
+      assertThat(directory.size()).isEqualTo(1);
+      follower.onList(List.of(), 41);
+      assertThat(directory.size()).isEqualTo(0);
+    }
+
+    @Test
+    void everythingIsReadAtOnceWhenItReadsNoLonger() {
+      catalog.completeWatch(41, Optional.empty());
+      advance(2_000);
+      follower.setPassive(false);
+      follower.tick();
+      assertThat(catalog.tables).hasSize(1);
+      assertThat(catalog.lists).hasSize(1);
+      catalog.completeListRead(60, ENDPOINT);
+      assertThat(catalog.watchedAfter).isEqualTo(60);
+    }
+  }
+
   @Nested
   class Outage {
 
+    @Test
+    void isMetWithIncreasingDelays() {
+      int failures = 0;
+      for (long end = nowMs + 10_000; nowMs < end; nowMs += 20) {
+        follower.tick();
+        if (!catalog.tables.isEmpty()) {
+          catalog.tables.remove().accept(new CatalogResult.Failed<>("status 503"));
+          failures++;
+        }
+      }
+      assertThat(failures).isAtMost(25);
+      assertThat(failures).isAtLeast(10);
+    }
+
     @Test
     void keepsExpiredEndpointsForTheGracePeriod() {
       advance(1_500);
       catalog.tables.remove().accept(new CatalogResult.Failed<>("no response in time"));
       catalog.watches.remove().accept(new CatalogResult.Failed<>("no response in time"));
       advance(2_000);
+      assertThat(catalog.lists).isEmpty();
+      catalog.completeTableRead(TestTables.table(7));
+      follower.tick();
       catalog.completeListRead(90);
       assertThat(directory.size()).isEqualTo(1);
       nowMs += 2_300;
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EngineSpeedTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EngineSpeedTest.java
@@ -88,6 +88,7 @@
           new TimeToFirstByteSelector(
               () -> (long) nowMs[0],
               new ZoneCosts("zone-a", Map.of("zone-a", "west")),
+              new StreamWork(() -> (long) nowMs[0]),
               speeds,
               new Random(3));
       List<TrackedEndpoint> engines = engines();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/ReportPollerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/ReportPollerTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class ReportPollerTest {
@@ -15,6 +16,8 @@
 
   private long nowMs = 100_000;
   private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
+  private boolean observer = true;
+  private final List<String> listened = new ArrayList<>();
   private final List<String> polled = new ArrayList<>();
   private EngineReport report = new EngineReport(0, 0, 1);
   private final ReportPoller poller =
@@ -33,7 +36,9 @@
             }
           },
           () -> nowMs,
-          new ZoneCosts("zone-0", Map.of("zone-0", "west", "zone-1", "east")));
+          new ZoneCosts("zone-0", Map.of("zone-0", "west", "zone-1", "east")),
+          zone -> observer ? 0 : 1,
+          (engine, polledReport, requestedMs) -> listened.add(engine.id()));
 
   private void list(int count) {
     List<ListedEndpoint> engines = new ArrayList<>();
@@ -67,6 +72,38 @@
     assertThat(pollsPerSecond()).isAtMost(20);
   }
 
+  @Test
+  void passesItsReportsOn() {
+    list(1);
+    poller.poll("service");
+    assertThat(listened).containsExactly("e0");
+  }
+
+  @Nested
+  class EnginesThatAnotherVmObserves {
+
+    @Test
+    void areNotPolledWhileReportsArrive() {
+      observer = false;
+      list(4);
+      for (long end = nowMs + SECONDS * 1_000; nowMs < end; nowMs += 20) {
+        if (nowMs % 400 == 0) {
+          directory.ready("service").forEach(engine -> engine.onReport(report, nowMs));
+        }
+        poller.poll("service");
+      }
+      assertThat(polled).isEmpty();
+    }
+
+    @Test
+    void arePolledWhenReportsStayAway() {
+      observer = false;
+      list(4);
+      directory.ready("service").forEach(engine -> engine.onReport(report, nowMs));
+      assertThat(pollsPerSecond()).isAtLeast(1);
+    }
+  }
+
   @Test
   void countsMissingReportsAsFailures() {
     list(1);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/TimeToFirstByteSelectorTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/TimeToFirstByteSelectorTest.java
@@ -23,7 +23,7 @@
 
   private TimeToFirstByteSelector selector(long seed) {
     return new TimeToFirstByteSelector(
-        () -> nowMs, ZONES, new EngineSpeeds()::of, new Random(seed));
+        () -> nowMs, ZONES, new StreamWork(() -> nowMs), new EngineSpeeds()::of, new Random(seed));
   }
 
   private static List<TrackedEndpoint> endpoints(String... zones) {
