Send routing tables to the other VMs of a zone

Cause: a change of the configuration was read from the store by each VM, 95 calls on the large deployment, and a VM that the store turned away could not learn of it. Change: the reader's answer carries a newer table of up to 64 KB; a larger one is still read from the store, as it would fill the reader's link. Seeds are asked twice a second at the start, so that fewer VMs read for themselves until they know each other.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.fleet;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -25,6 +26,9 @@
   /** Longest time for which a query is held, in milliseconds. */
   private static final long MAX_WAIT_MS = 5_000;
 
+  /** Largest routing table that is sent to other VMs, in bytes. */
+  private static final int MAX_TABLE_BYTES = 64 * 1024;
+
   private record HeldQuery(CatalogQuery query, long arrivedMs, Consumer<CatalogState> responder) {}
 
   private final CatalogFollower follower;
@@ -107,6 +111,12 @@
             .setConfirmationAgeMs(freshness.ageMs());
     // The clocks are compared after the ages were taken: a suspension before that shows.
     state.setConfirmed(canConfirm());
+    follower
+        .table()
+        .filter(table -> table.version() > entry.query().getVersion())
+        .map(RoutingTable::document)
+        .filter(document -> document.length <= MAX_TABLE_BYTES)
+        .ifPresent(document -> state.setTable(ByteString.copyFrom(document)));
     if (follower.isListComplete()) {
       state
           .setRevision(follower.revision())
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -22,7 +22,8 @@
  * began. The age is counted from the sending of the query, plus the time for which the reader says
  * that it held it; so delays of messages make a confirmation look older, never younger. A reader
  * that does not answer, or cannot confirm, is passed over, and the next VM in rank takes its place.
- * A new version is read from the platform itself. Not thread-safe.
+ * A new version comes with the answer; a large one is read from the platform itself, so that the
+ * reader's link stays free. Not thread-safe.
  */
 public final class CatalogSharing implements Ticking {
 
@@ -151,6 +152,9 @@
     }
     listEpoch = state.getListEpoch();
     listSequence = state.getListSequence();
+    if (!state.getTable().isEmpty()) {
+      follower.onTable(state.getTable().toByteArray());
+    }
     if (state.getVersion() > version()) {
       follower.requestTableRead();
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
@@ -36,7 +36,7 @@
   private static final long FAR_INTERVAL_MS = 4_000;
 
   /** Interval between two exchanges with a seed while few VMs are known, in milliseconds. */
-  private static final long SEED_INTERVAL_MS = 1_000;
+  private static final long SEED_INTERVAL_MS = 500;
 
   /** Delay until another seed is asked when one did not reply, in milliseconds. */
   private static final long SEED_RETRY_MS = 300;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
@@ -13,6 +13,13 @@
   /** Reads the current routing table; the value is empty if none was published. */
   void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback);
 
+  /**
+   * Decodes a routing table from the document that it was published as; empty if it is invalid.
+   *
+   * @param document bytes of {@link RoutingTable#document}
+   */
+  Optional<RoutingTable> decodeTable(byte[] document);
+
   /** Reads the complete list of endpoints; it is at least as new as the returned revision. */
   void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback);
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -134,6 +134,11 @@
     }
   }
 
+  /** Adopts the table that another VM has in force, if its version is higher. */
+  public void onTable(byte[] document) {
+    catalog.decodeTable(document).ifPresent(this::adopt);
+  }
+
   /**
    * Adopts the complete list of another VM.
    *
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -30,12 +30,14 @@
   private final EngineRankMapper rankMapper;
   private final long strictestPauseTargetMs;
   private final int leastUrgentPriority;
+  private final byte[] document;
 
   /**
    * Creates a table.
    *
    * @param version version of the configuration; a newer configuration has a higher one
    * @param keysRequired whether routes that are not anonymous need an API key
+   * @param document bytes that the table was decoded from, for other VMs
    */
   public RoutingTable(
       long version,
@@ -43,7 +45,9 @@
       Map<String, ServiceSpec> services,
       Map<String, OrganisationSpec> organisationsByKey,
       boolean keysRequired,
-      InboundLimits limits) {
+      InboundLimits limits,
+      byte[] document) {
+    this.document = document.clone();
     this.version = version;
     this.services = Map.copyOf(services);
     this.organisationsByKey = Map.copyOf(organisationsByKey);
@@ -77,6 +81,11 @@
     return version;
   }
 
+  /** Returns the bytes that the table was decoded from. */
+  public byte[] document() {
+    return document.clone();
+  }
+
   /** Returns the limits on the requests of clients. */
   public InboundLimits limits() {
     return limits;
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
@@ -33,6 +33,7 @@
   }
   private CatalogState() {
     endpoints_ = java.util.Collections.emptyList();
+    table_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -206,6 +207,22 @@
     return endpoints_.get(index);
   }
 
+  public static final int TABLE_FIELD_NUMBER = 10;
+  private com.google.protobuf.ByteString table_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The configuration as the platform published it, if it is newer than the query's version and
+   * not too large to send.
+   * </pre>
+   *
+   * <code>bytes table = 10;</code>
+   * @return The table.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getTable() {
+    return table_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -247,6 +264,9 @@
     for (int i = 0; i < endpoints_.size(); i++) {
       output.writeMessage(9, endpoints_.get(i));
     }
+    if (!table_.isEmpty()) {
+      output.writeBytes(10, table_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -292,6 +312,10 @@
           }
           size += 1 * count;
         }
+    if (!table_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(10, table_);
+    }
     return size;
   }
   @java.lang.Override
@@ -334,6 +358,8 @@
         != other.getListIncluded()) return false;
     if (!getEndpointsList()
         .equals(other.getEndpointsList())) return false;
+    if (!getTable()
+        .equals(other.getTable())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -373,6 +399,8 @@
       hash = (37 * hash) + ENDPOINTS_FIELD_NUMBER;
       hash = (53 * hash) + getEndpointsList().hashCode();
     }
+    hash = (37 * hash) + TABLE_FIELD_NUMBER;
+    hash = (53 * hash) + getTable().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -523,6 +551,7 @@
         endpointsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      table_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -593,6 +622,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.listIncluded_ = listIncluded_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.table_ = table_;
+      }
     }
 
     @java.lang.Override
@@ -657,6 +689,9 @@
           }
         }
       }
+      if (!other.getTable().isEmpty()) {
+        setTable(other.getTable());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -734,6 +769,11 @@
               }
               break;
             } // case 74
+            case 82: {
+              table_ = input.readBytes();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1313,6 +1353,53 @@
       return endpointsBuilder_;
     }
 
+    private com.google.protobuf.ByteString table_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The configuration as the platform published it, if it is newer than the query's version and
+     * not too large to send.
+     * </pre>
+     *
+     * <code>bytes table = 10;</code>
+     * @return The table.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getTable() {
+      return table_;
+    }
+    /**
+     * <pre>
+     * The configuration as the platform published it, if it is newer than the query's version and
+     * not too large to send.
+     * </pre>
+     *
+     * <code>bytes table = 10;</code>
+     * @param value The table to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTable(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      table_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration as the platform published it, if it is newer than the query's version and
+     * not too large to send.
+     * </pre>
+     *
+     * <code>bytes table = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTable() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      table_ = getDefaultInstance().getTable();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogState)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
@@ -105,4 +105,15 @@
    */
   org.zinniaspan.peer.proto.CatalogEndpointOrBuilder getEndpointsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The configuration as the platform published it, if it is newer than the query's version and
+   * not too large to send.
+   * </pre>
+   *
+   * <code>bytes table = 10;</code>
+   * @return The table.
+   */
+  com.google.protobuf.ByteString getTable();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -87,30 +87,30 @@
       "mbers\030\002 \003(\0132\034.zinniaspan.peer.FleetMembe" +
       "r\"[\n\014CatalogQuery\022\017\n\007version\030\001 \001(\003\022\022\n\nli" +
       "st_epoch\030\002 \001(\003\022\025\n\rlist_sequence\030\003 \001(\003\022\017\n" +
-      "\007wait_ms\030\004 \001(\003\"\351\001\n\014CatalogState\022\017\n\007versi" +
+      "\007wait_ms\030\004 \001(\003\"\370\001\n\014CatalogState\022\017\n\007versi" +
       "on\030\001 \001(\003\022\021\n\tconfirmed\030\002 \001(\010\022\033\n\023confirmat" +
       "ion_age_ms\030\003 \001(\003\022\017\n\007held_ms\030\004 \001(\003\022\020\n\010rev" +
       "ision\030\005 \001(\003\022\022\n\nlist_epoch\030\006 \001(\003\022\025\n\rlist_" +
       "sequence\030\007 \001(\003\022\025\n\rlist_included\030\010 \001(\010\0223\n" +
       "\tendpoints\030\t \003(\0132 .zinniaspan.peer.Catal" +
-      "ogEndpoint\"\205\001\n\017CatalogEndpoint\022\n\n\002id\030\001 \001" +
-      "(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n\004" +
-      "zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draining\030\006 " +
-      "\001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\"\211\001\n\013EngineQue" +
-      "ry\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007w" +
-      "ait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001" +
-      "(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.Servi" +
-      "ceWork\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022\020" +
-      "\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\303\001\n\013Eng" +
-      "ineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(" +
-      "\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.Engin" +
-      "eLoad\022/\n\tzone_work\030\005 \003(\0132\034.zinniaspan.pe" +
-      "er.ServiceWork\0220\n\nfleet_work\030\006 \003(\0132\034.zin" +
-      "niaspan.peer.ServiceWorkJ\004\010\004\020\005\"e\n\nEngine" +
-      "Load\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030" +
-      "\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n" +
-      "\006active\030\005 \001(\005B\035\n\031org.zinniaspan.peer.pro" +
-      "toP\001b\006proto3"
+      "ogEndpoint\022\r\n\005table\030\n \001(\014\"\205\001\n\017CatalogEnd" +
+      "point\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007ad" +
+      "dress\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005" +
+      "\022\020\n\010draining\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001(" +
+      "\003\"\211\001\n\013EngineQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequ" +
+      "ence\030\002 \001(\003\022\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(" +
+      "\t\022\016\n\006sender\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinnia" +
+      "span.peer.ServiceWork\"@\n\013ServiceWork\022\017\n\007" +
+      "service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006stric" +
+      "t\030\003 \001(\001\"\303\001\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020" +
+      "\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinnia" +
+      "span.peer.EngineLoad\022/\n\tzone_work\030\005 \003(\0132" +
+      "\034.zinniaspan.peer.ServiceWork\0220\n\nfleet_w" +
+      "ork\030\006 \003(\0132\034.zinniaspan.peer.ServiceWorkJ" +
+      "\004\010\004\020\005\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n" +
+      "\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006" +
+      "queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005B\035\n\031org.zinn" +
+      "iaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -139,7 +139,7 @@
     internal_static_zinniaspan_peer_CatalogState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogState_descriptor,
-        new java.lang.String[] { "Version", "Confirmed", "ConfirmationAgeMs", "HeldMs", "Revision", "ListEpoch", "ListSequence", "ListIncluded", "Endpoints", });
+        new java.lang.String[] { "Version", "Confirmed", "ConfirmationAgeMs", "HeldMs", "Revision", "ListEpoch", "ListSequence", "ListIncluded", "Endpoints", "Table", });
     internal_static_zinniaspan_peer_CatalogEndpoint_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -27,9 +27,10 @@
    * Returns the routing table that a configuration describes. Missing fields other than the version
    * get defaults.
    *
+   * @param document bytes of the configuration
    * @throws IllegalArgumentException if the version is missing or not an integer
    */
-  static RoutingTable decode(JsonNode root) {
+  static RoutingTable decode(JsonNode root, byte[] document) {
     if (!root.path("version").isIntegralNumber()) {
       throw new IllegalArgumentException(
           "configuration field 'version' is missing or not an integer");
@@ -49,7 +50,8 @@
         services,
         organisationsByKey,
         root.path("tenants").isArray() && !root.path("tenants").isEmpty(),
-        limits(root.path("limits")));
+        limits(root.path("limits")),
+        document);
   }
 
   private static Route route(JsonNode node) {
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -135,9 +135,7 @@
 
   private CatalogResult<Optional<RoutingTable>> table(JsonNode item) throws IOException {
     Optional<RoutingTable> table =
-        item.has("value")
-            ? Optional.of(ConfigurationDecoder.decode(value(item)))
-            : Optional.empty();
+        item.has("value") ? Optional.of(decodeDocument(valueBytes(item))) : Optional.empty();
     return new CatalogResult.Read<>(table, item.path("at").asLong(item.path("revision").asLong()));
   }
 
@@ -148,7 +146,7 @@
       String key = event.path("key").asText();
       boolean deleted = event.path("deleted").asBoolean(false);
       if (key.equals(CONFIGURATION_KEY) && !deleted) {
-        table = Optional.of(ConfigurationDecoder.decode(value(event)));
+        table = Optional.of(decodeDocument(valueBytes(event)));
       } else if (key.startsWith(ENDPOINT_PREFIX)) {
         String id = key.substring(ENDPOINT_PREFIX.length());
         Optional<ListedEndpoint> entry = deleted ? Optional.empty() : endpoint(event);
@@ -176,8 +174,26 @@
     }
   }
 
+  @Override
+  public Optional<RoutingTable> decodeTable(byte[] document) {
+    try {
+      return Optional.of(decodeDocument(document));
+    } catch (IOException | IllegalArgumentException e) {
+      EventLog.event("configuration-unreadable").with("error", e).info();
+      return Optional.empty();
+    }
+  }
+
+  private RoutingTable decodeDocument(byte[] document) throws IOException {
+    return ConfigurationDecoder.decode(json.readTree(document), document);
+  }
+
   private JsonNode value(JsonNode item) throws IOException {
-    return json.readTree(Base64.getDecoder().decode(item.path("value").asText()));
+    return json.readTree(valueBytes(item));
+  }
+
+  private static byte[] valueBytes(JsonNode item) {
+    return Base64.getDecoder().decode(item.path("value").asText());
   }
 
   private static String encode(String text) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogSharingTest.java
@@ -50,9 +50,11 @@
     @Test
     void putsANewVersionInForceEverywhere() {
       FleetSimulation fleet = settledFleet(LARGE, 95, 6);
+      long before = fleet.store.calls;
       fleet.store.publish();
       fleet.advance(LARGE.configMs());
       fleet.vms.values().forEach(vm -> assertThat(vm.version()).isEqualTo(2));
+      assertThat(fleet.store.calls - before).isAtMost(4 * (3 * 6 + 5));
     }
 
     @Test
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.fleet;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -172,7 +173,13 @@
 
     private RoutingTable table() {
       return new RoutingTable(
-          version(), List.of(), Map.of(), Map.of(), true, InboundLimits.DEFAULT);
+          version(),
+          List.of(),
+          Map.of(),
+          Map.of(),
+          true,
+          InboundLimits.DEFAULT,
+          Long.toString(version()).getBytes(StandardCharsets.US_ASCII));
     }
   }
 
@@ -359,6 +366,14 @@
           () -> Optional.of(new CatalogResult.Read<>(Optional.of(store.table()), store.revision)));
     }
 
+    @Override
+    public Optional<RoutingTable> decodeTable(byte[] document) {
+      long version = Long.parseLong(new String(document, StandardCharsets.US_ASCII));
+      return Optional.of(
+          new RoutingTable(
+              version, List.of(), Map.of(), Map.of(), true, InboundLimits.DEFAULT, document));
+    }
+
     @Override
     public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
       callStore(
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -143,6 +143,14 @@
       assertThat(freshness.ageMs()).isEqualTo(2_000);
     }
 
+    @Test
+    void aNewVersionOfAnotherVmIsAdopted() {
+      follower.onTable(new byte[] {9});
+      assertThat(version()).isEqualTo(9);
+      follower.onTable(new byte[] {8});
+      assertThat(version()).isEqualTo(9);
+    }
+
     @Test
     void aNewVersionIsReadOnRequest() {
       follower.requestTableRead();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
@@ -19,6 +19,11 @@
     tables.add(callback);
   }
 
+  @Override
+  public Optional<RoutingTable> decodeTable(byte[] document) {
+    return Optional.of(TestTables.table(document[0]));
+  }
+
   @Override
   public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
     lists.add(callback);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/TestTables.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/TestTables.java
@@ -32,6 +32,7 @@
         Map.of("service", new ServiceSpec("service", 100, Optional.empty())),
         Map.of("key-1", new OrganisationSpec("organisation-1", Optional.of(1))),
         true,
-        InboundLimits.DEFAULT);
+        InboundLimits.DEFAULT,
+        new byte[] {(byte) version});
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
@@ -15,7 +15,7 @@
 class ConfigurationDecoderTest {
 
   private static RoutingTable decode(String json) throws JsonProcessingException {
-    return ConfigurationDecoder.decode(new ObjectMapper().readTree(json));
+    return ConfigurationDecoder.decode(new ObjectMapper().readTree(json), new byte[0]);
   }
 
   @Test
