Refuse requests near a VM's limits of sockets and memory

The VM answers 503 with vm-limits and closes the connection, so that the client reaches another VM. The limits come from the platform's settings.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.VmLimits;
 import org.zinniaspan.forwarding.ZoneCosts;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
@@ -81,6 +82,7 @@
                 new HttpDialect(),
                 new ZoneCosts("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
                 new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
+                VmLimits.of(4_096, 330),
                 1)));
     awaitReady();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.VmLimits;
 import org.zinniaspan.forwarding.ZoneCosts;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.inventory.Finding;
@@ -113,6 +114,16 @@
       description = "Length of the window over which retries are counted, in seconds.")
   private String retryWindowS = "10";
 
+  @Parameter(
+      names = "--max-file-descriptors",
+      description = "File descriptors of the process; near the limit, requests are refused.")
+  private int maxFileDescriptors = 4_096;
+
+  @Parameter(
+      names = "--memory-mb",
+      description = "Memory of the process in MiB; a tenth of it may hold request bodies.")
+  private int memoryMb = 330;
+
   @Parameter(names = "--seed", description = "Seed of the random number generators; 0 picks one.")
   private long seed = 0;
 
@@ -156,6 +167,7 @@
         new HttpDialect(),
         new ZoneCosts(zone, regions()),
         parsed.bounds(),
+        VmLimits.of(maxFileDescriptors, memoryMb),
         seed == 0 ? System.nanoTime() : seed);
   }
 
@@ -190,6 +202,8 @@
     if (!peerListen.isEmpty()) {
       checks.address("--peer-listen", peerListen);
     }
+    checks.atLeast("--max-file-descriptors", maxFileDescriptors, 256);
+    checks.atLeast("--memory-mb", memoryMb, 64);
     seedAddresses().forEach(seed -> checks.address("--seeds", seed));
     checks.address("--platform", platform);
     try {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -12,6 +12,7 @@
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
 import org.zinniaspan.forwarding.TableFreshness;
+import org.zinniaspan.forwarding.VmLimits;
 
 /**
  * The collaborators and settings that all requests of one VM share.
@@ -29,6 +30,7 @@
  * @param retryBudgets retry budget of each service, by the service's name
  * @param metrics counters and histograms
  * @param bounds time bounds and budgets of the platform
+ * @param vmLimits what this VM can take on
  */
 record ForwardContext(
     Clock clock,
@@ -43,7 +45,8 @@
     EndpointConnectionPool connections,
     Map<String, ServiceRetryBudget> retryBudgets,
     ForwardMetrics metrics,
-    PlatformBounds bounds) {
+    PlatformBounds bounds,
+    VmLimits vmLimits) {
 
   ForwardContext(
       Clock clock,
@@ -56,7 +59,8 @@
       EndpointSelector selector,
       AdmissionControl admission,
       EndpointConnectionPool connections,
-      PlatformBounds bounds) {
+      PlatformBounds bounds,
+      VmLimits vmLimits) {
     this(
         clock,
         random,
@@ -70,7 +74,8 @@
         connections,
         new HashMap<>(),
         new ForwardMetrics(),
-        bounds);
+        bounds,
+        vmLimits);
   }
 
   /** Returns the retry budget of a service; creates it on first use. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -21,6 +21,7 @@
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TimeToFirstByteSelector;
+import org.zinniaspan.forwarding.VmLimits;
 import org.zinniaspan.forwarding.ZoneCosts;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
@@ -82,7 +83,8 @@
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
             new EndpointConnectionPool(reactor, clock),
-            options.bounds());
+            options.bounds(),
+            options.vmLimits());
     server = new ForwardServer(context, shutdown);
     reportSource =
         options
@@ -126,6 +128,7 @@
    * @param dialect translates the heads of messages
    * @param zoneCosts availability zone of this VM and the costs to the others
    * @param bounds time bounds and budgets of the platform
+   * @param vmLimits what this VM can take on
    * @param seed seed of the daemon's random numbers
    */
   public record Options(
@@ -140,6 +143,7 @@
       Dialect dialect,
       ZoneCosts zoneCosts,
       PlatformBounds bounds,
+      VmLimits vmLimits,
       long seed) {}
 
   /**
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -55,12 +55,23 @@
     requests.put(connection, request);
     if (shutdown.refusesNewRequests(clock.nowMs())) {
       request.refuseForShutdown();
+    } else if (context.vmLimits().isExhausted(openSockets(), bodyBytes())) {
+      request.refuseForLackOfResources();
     } else {
       request.start();
     }
     removeIfFinished(connection, request);
   }
 
+  /** Returns about how many sockets are open: those of clients, and one for each request. */
+  private int openSockets() {
+    return connections.size() + requests.size();
+  }
+
+  private long bodyBytes() {
+    return requests.values().stream().mapToLong(ProxiedRequest::bodyBytes).sum();
+  }
+
   private void removeIfFinished(InboundConnection connection, ProxiedRequest request) {
     if (request.isFinished()) {
       requests.remove(connection, request);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -188,6 +188,16 @@
     refuseAndClose("stopping");
   }
 
+  /** Refuses the request because this VM is near one of its limits; another one may serve it. */
+  void refuseForLackOfResources() {
+    refuseAndClose("vm-limits");
+  }
+
+  /** Returns the size of the request's body in bytes. */
+  int bodyBytes() {
+    return body.length;
+  }
+
   /**
    * Waits for the confirmation of the configuration that is in progress.
    *
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/VmLimitsTest.java
@@ -0,0 +1,23 @@
+package org.zinniaspan.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class VmLimitsTest {
+
+  private final VmLimits limits = VmLimits.of(4_100, 330);
+
+  @Test
+  void leaveRoomForConnectionsThatComeAnyway() {
+    assertThat(limits.isExhausted(3_400, 0)).isFalse();
+    assertThat(limits.isExhausted(3_600, 0)).isTrue();
+    assertThat(limits.maxSockets()).isLessThan(4_100 - 200);
+  }
+
+  @Test
+  void boundTheMemoryOfRequestBodies() {
+    assertThat(limits.isExhausted(10, 20_000_000)).isFalse();
+    assertThat(limits.isExhausted(10, 35_000_000)).isTrue();
+  }
+}
