Adopt from other VMs only what they can confirm

Change: the table and the list of an answer are adopted only if it confirms them. Tests: CatalogSharingTest.NewProcess failed before.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -145,30 +145,35 @@
       return;
     }
     CatalogState state = reply.get();
+    long confirmedMs = sent.steadyMs() + state.getHeldMs() - state.getConfirmationAgeMs();
+    boolean tooOld = clock.nowMs() - confirmedMs > maxAgeMs();
+    if (!state.getConfirmed() || tooOld) {
+      // What it knows may be outdated, and must not be the first that a new process adopts.
+      passOver(
+          reader,
+          state.getConfirmed() ? "confirmation too old" : "not confirmed",
+          RoleHolders.UNFIT_MS);
+      return;
+    }
+    adopt(state);
+    follower.onPeerConfirmed(
+        state.getVersion(), new TableFreshness.ReadStart(confirmedMs, sent.driftMs()));
+  }
+
+  private void adopt(CatalogState state) {
     if (state.getListIncluded()) {
       List<ListedEndpoint> list =
           state.getEndpointsList().stream().map(CatalogSharing::decode).toList();
-      follower.onList(list, state.getRevision());
+      follower.onPeerList(list, state.getRevision());
     }
     listEpoch = state.getListEpoch();
     listSequence = state.getListSequence();
     if (!state.getTable().isEmpty()) {
-      follower.onTable(state.getTable().toByteArray());
+      follower.onPeerTable(state.getTable().toByteArray());
     }
     if (state.getVersion() > version()) {
       follower.requestTableRead();
     }
-    long confirmedMs = sent.steadyMs() + state.getHeldMs() - state.getConfirmationAgeMs();
-    boolean tooOld = clock.nowMs() - confirmedMs > maxAgeMs();
-    if (!state.getConfirmed() || tooOld) {
-      passOver(
-          reader,
-          state.getConfirmed() ? "confirmation too old" : "not confirmed",
-          RoleHolders.UNFIT_MS);
-      return;
-    }
-    follower.onConfirmed(
-        state.getVersion(), new TableFreshness.ReadStart(confirmedMs, sent.driftMs()));
   }
 
   /** Returns the largest age of a reader's confirmation: its interval, and a read that failed. */
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -127,7 +127,7 @@
    * @param version version that it confirmed; another version than that in force confirms nothing
    * @param readStart start of the read that confirmed it, or an earlier time
    */
-  public void onConfirmed(long version, TableFreshness.ReadStart readStart) {
+  public void onPeerConfirmed(long version, TableFreshness.ReadStart readStart) {
     if (table.isPresent() && table.get().version() == version) {
       freshness.confirm(readStart);
       lastAnswerMs = Math.max(lastAnswerMs, readStart.steadyMs());
@@ -135,7 +135,7 @@
   }
 
   /** Adopts the table that another VM has in force, if its version is higher. */
-  public void onTable(byte[] document) {
+  public void onPeerTable(byte[] document) {
     catalog.decodeTable(document).ifPresent(this::adopt);
   }
 
@@ -145,7 +145,7 @@
    * @param listRevision revision up to which that VM knows the endpoints; a list that is older than
    *     this VM's own is ignored
    */
-  public void onList(List<ListedEndpoint> endpoints, long listRevision) {
+  public void onPeerList(List<ListedEndpoint> endpoints, long listRevision) {
     if (listRevision >= revision) {
       revision = listRevision;
       listComplete = true;
