--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
@@ -118,7 +118,7 @@
     return loads_.get(index);
   }
 
-  public static final int ZONE_WORK_FIELD_NUMBER = 5;
+  public static final int ZONE_WORK_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
   private java.util.List<org.zinniaspan.peer.proto.ServiceWork> zoneWork_;
   /**
@@ -126,7 +126,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   @java.lang.Override
   public java.util.List<org.zinniaspan.peer.proto.ServiceWork> getZoneWorkList() {
@@ -137,7 +137,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   @java.lang.Override
   public java.util.List<? extends org.zinniaspan.peer.proto.ServiceWorkOrBuilder> 
@@ -149,7 +149,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   @java.lang.Override
   public int getZoneWorkCount() {
@@ -160,7 +160,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   @java.lang.Override
   public org.zinniaspan.peer.proto.ServiceWork getZoneWork(int index) {
@@ -171,7 +171,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   @java.lang.Override
   public org.zinniaspan.peer.proto.ServiceWorkOrBuilder getZoneWorkOrBuilder(
@@ -179,18 +179,18 @@
     return zoneWork_.get(index);
   }
 
-  public static final int FLEET_WORK_FIELD_NUMBER = 6;
+  public static final int FLEET_WORK_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
   private java.util.List<org.zinniaspan.peer.proto.ServiceWork> fleetWork_;
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   @java.lang.Override
   public java.util.List<org.zinniaspan.peer.proto.ServiceWork> getFleetWorkList() {
     return fleetWork_;
   }
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   @java.lang.Override
   public java.util.List<? extends org.zinniaspan.peer.proto.ServiceWorkOrBuilder> 
@@ -198,21 +198,21 @@
     return fleetWork_;
   }
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   @java.lang.Override
   public int getFleetWorkCount() {
     return fleetWork_.size();
   }
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   @java.lang.Override
   public org.zinniaspan.peer.proto.ServiceWork getFleetWork(int index) {
     return fleetWork_.get(index);
   }
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   @java.lang.Override
   public org.zinniaspan.peer.proto.ServiceWorkOrBuilder getFleetWorkOrBuilder(
@@ -244,10 +244,10 @@
       output.writeMessage(3, loads_.get(i));
     }
     for (int i = 0; i < zoneWork_.size(); i++) {
-      output.writeMessage(5, zoneWork_.get(i));
+      output.writeMessage(4, zoneWork_.get(i));
     }
     for (int i = 0; i < fleetWork_.size(); i++) {
-      output.writeMessage(6, fleetWork_.get(i));
+      output.writeMessage(5, fleetWork_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -724,7 +724,7 @@
               }
               break;
             } // case 26
-            case 42: {
+            case 34: {
               org.zinniaspan.peer.proto.ServiceWork m =
                   input.readMessage(
                       org.zinniaspan.peer.proto.ServiceWork.parser(),
@@ -736,8 +736,8 @@
                 zoneWorkBuilder_.addMessage(m);
               }
               break;
-            } // case 42
-            case 50: {
+            } // case 34
+            case 42: {
               org.zinniaspan.peer.proto.ServiceWork m =
                   input.readMessage(
                       org.zinniaspan.peer.proto.ServiceWork.parser(),
@@ -749,7 +749,7 @@
                 fleetWorkBuilder_.addMessage(m);
               }
               break;
-            } // case 50
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1082,7 +1082,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.ServiceWork> getZoneWorkList() {
       if (zoneWorkBuilder_ == null) {
@@ -1096,7 +1096,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public int getZoneWorkCount() {
       if (zoneWorkBuilder_ == null) {
@@ -1110,7 +1110,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork getZoneWork(int index) {
       if (zoneWorkBuilder_ == null) {
@@ -1124,7 +1124,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder setZoneWork(
         int index, org.zinniaspan.peer.proto.ServiceWork value) {
@@ -1143,7 +1143,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder setZoneWork(
         int index, org.zinniaspan.peer.proto.ServiceWork.Builder builderForValue) {
@@ -1161,7 +1161,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder addZoneWork(org.zinniaspan.peer.proto.ServiceWork value) {
       if (zoneWorkBuilder_ == null) {
@@ -1179,7 +1179,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder addZoneWork(
         int index, org.zinniaspan.peer.proto.ServiceWork value) {
@@ -1198,7 +1198,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder addZoneWork(
         org.zinniaspan.peer.proto.ServiceWork.Builder builderForValue) {
@@ -1216,7 +1216,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder addZoneWork(
         int index, org.zinniaspan.peer.proto.ServiceWork.Builder builderForValue) {
@@ -1234,7 +1234,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder addAllZoneWork(
         java.lang.Iterable<? extends org.zinniaspan.peer.proto.ServiceWork> values) {
@@ -1253,7 +1253,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder clearZoneWork() {
       if (zoneWorkBuilder_ == null) {
@@ -1270,7 +1270,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public Builder removeZoneWork(int index) {
       if (zoneWorkBuilder_ == null) {
@@ -1287,7 +1287,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork.Builder getZoneWorkBuilder(
         int index) {
@@ -1298,7 +1298,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWorkOrBuilder getZoneWorkOrBuilder(
         int index) {
@@ -1312,7 +1312,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public java.util.List<? extends org.zinniaspan.peer.proto.ServiceWorkOrBuilder> 
          getZoneWorkOrBuilderList() {
@@ -1327,7 +1327,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork.Builder addZoneWorkBuilder() {
       return internalGetZoneWorkFieldBuilder().addBuilder(
@@ -1338,7 +1338,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork.Builder addZoneWorkBuilder(
         int index) {
@@ -1350,7 +1350,7 @@
      * Work of the VMs of the sender's zone, and of those of all zones.
      * </pre>
      *
-     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.ServiceWork.Builder> 
          getZoneWorkBuilderList() {
@@ -1384,7 +1384,7 @@
         org.zinniaspan.peer.proto.ServiceWork, org.zinniaspan.peer.proto.ServiceWork.Builder, org.zinniaspan.peer.proto.ServiceWorkOrBuilder> fleetWorkBuilder_;
 
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.ServiceWork> getFleetWorkList() {
       if (fleetWorkBuilder_ == null) {
@@ -1394,7 +1394,7 @@
       }
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public int getFleetWorkCount() {
       if (fleetWorkBuilder_ == null) {
@@ -1404,7 +1404,7 @@
       }
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork getFleetWork(int index) {
       if (fleetWorkBuilder_ == null) {
@@ -1414,7 +1414,7 @@
       }
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder setFleetWork(
         int index, org.zinniaspan.peer.proto.ServiceWork value) {
@@ -1429,7 +1429,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder setFleetWork(
         int index, org.zinniaspan.peer.proto.ServiceWork.Builder builderForValue) {
@@ -1443,7 +1443,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder addFleetWork(org.zinniaspan.peer.proto.ServiceWork value) {
       if (fleetWorkBuilder_ == null) {
@@ -1457,7 +1457,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder addFleetWork(
         int index, org.zinniaspan.peer.proto.ServiceWork value) {
@@ -1472,7 +1472,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder addFleetWork(
         org.zinniaspan.peer.proto.ServiceWork.Builder builderForValue) {
@@ -1486,7 +1486,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder addFleetWork(
         int index, org.zinniaspan.peer.proto.ServiceWork.Builder builderForValue) {
@@ -1500,7 +1500,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder addAllFleetWork(
         java.lang.Iterable<? extends org.zinniaspan.peer.proto.ServiceWork> values) {
@@ -1515,7 +1515,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder clearFleetWork() {
       if (fleetWorkBuilder_ == null) {
@@ -1528,7 +1528,7 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public Builder removeFleetWork(int index) {
       if (fleetWorkBuilder_ == null) {
@@ -1541,14 +1541,14 @@
       return this;
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork.Builder getFleetWorkBuilder(
         int index) {
       return internalGetFleetWorkFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWorkOrBuilder getFleetWorkOrBuilder(
         int index) {
@@ -1558,7 +1558,7 @@
       }
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public java.util.List<? extends org.zinniaspan.peer.proto.ServiceWorkOrBuilder> 
          getFleetWorkOrBuilderList() {
@@ -1569,14 +1569,14 @@
       }
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork.Builder addFleetWorkBuilder() {
       return internalGetFleetWorkFieldBuilder().addBuilder(
           org.zinniaspan.peer.proto.ServiceWork.getDefaultInstance());
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public org.zinniaspan.peer.proto.ServiceWork.Builder addFleetWorkBuilder(
         int index) {
@@ -1584,7 +1584,7 @@
           index, org.zinniaspan.peer.proto.ServiceWork.getDefaultInstance());
     }
     /**
-     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+     * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.ServiceWork.Builder> 
          getFleetWorkBuilderList() {
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
@@ -51,7 +51,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   java.util.List<org.zinniaspan.peer.proto.ServiceWork> 
       getZoneWorkList();
@@ -60,7 +60,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   org.zinniaspan.peer.proto.ServiceWork getZoneWork(int index);
   /**
@@ -68,7 +68,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   int getZoneWorkCount();
   /**
@@ -76,7 +76,7 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   java.util.List<? extends org.zinniaspan.peer.proto.ServiceWorkOrBuilder> 
       getZoneWorkOrBuilderList();
@@ -85,31 +85,31 @@
    * Work of the VMs of the sender's zone, and of those of all zones.
    * </pre>
    *
-   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 5;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork zone_work = 4;</code>
    */
   org.zinniaspan.peer.proto.ServiceWorkOrBuilder getZoneWorkOrBuilder(
       int index);
 
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   java.util.List<org.zinniaspan.peer.proto.ServiceWork> 
       getFleetWorkList();
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   org.zinniaspan.peer.proto.ServiceWork getFleetWork(int index);
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   int getFleetWorkCount();
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   java.util.List<? extends org.zinniaspan.peer.proto.ServiceWorkOrBuilder> 
       getFleetWorkOrBuilderList();
   /**
-   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 6;</code>
+   * <code>repeated .zinniaspan.peer.ServiceWork fleet_work = 5;</code>
    */
   org.zinniaspan.peer.proto.ServiceWorkOrBuilder getFleetWorkOrBuilder(
       int index);
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -102,15 +102,15 @@
       "\t\022\016\n\006sender\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinnia" +
       "span.peer.ServiceWork\"@\n\013ServiceWork\022\017\n\007" +
       "service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006stric" +
-      "t\030\003 \001(\001\"\303\001\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020" +
+      "t\030\003 \001(\001\"\275\001\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020" +
       "\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinnia" +
-      "span.peer.EngineLoad\022/\n\tzone_work\030\005 \003(\0132" +
+      "span.peer.EngineLoad\022/\n\tzone_work\030\004 \003(\0132" +
       "\034.zinniaspan.peer.ServiceWork\0220\n\nfleet_w" +
-      "ork\030\006 \003(\0132\034.zinniaspan.peer.ServiceWorkJ" +
-      "\004\010\004\020\005\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n" +
-      "\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006" +
-      "queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005B\035\n\031org.zinn" +
-      "iaspan.peer.protoP\001b\006proto3"
+      "ork\030\005 \003(\0132\034.zinniaspan.peer.ServiceWork\"" +
+      "e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstart" +
+      "ed_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued" +
+      "\030\004 \001(\005\022\016\n\006active\030\005 \001(\005B\035\n\031org.zinniaspan" +
+      ".peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -16,10 +16,10 @@
 import org.zinniaspan.forwarding.Refusal;
 import org.zinniaspan.forwarding.RequestFacts;
 import org.zinniaspan.forwarding.Route;
+import org.zinniaspan.forwarding.RouteDecision;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
-import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.InboundConnection;
 
@@ -70,13 +70,8 @@
   private final long arrivalMs;
   private final Set<String> triedEndpoints = new HashSet<>();
 
-  private Route route;
-  private Optional<OrganisationSpec> organisation = Optional.empty();
-  private String service = "";
+  private Optional<RouteDecision.Routed> routed = Optional.empty();
   private long version;
-  private int rank;
-  private boolean toleratesPauses;
-  private boolean leastUrgent;
   private long deadlineMs = Long.MAX_VALUE;
   private int sendCount;
   private boolean mayHaveRun;
@@ -103,8 +98,13 @@
     return facts.prompt();
   }
 
+  /** Returns the route; there is one once the request was sent to an endpoint. */
   Route route() {
-    return route;
+    return routed.orElseThrow().route();
+  }
+
+  private String service() {
+    return routed.orElseThrow().service();
   }
 
   /** Returns the longest pause between two events of the stream so far, in milliseconds. */
@@ -113,7 +113,7 @@
   }
 
   boolean toleratesPauses() {
-    return toleratesPauses;
+    return routed.orElseThrow().toleratesPauses();
   }
 
   ForwardContext context() {
@@ -153,34 +153,26 @@
       respondLocally(HttpStatus.SC_BAD_REQUEST, "no-attempt-id", Optional.empty());
       return;
     }
-    Optional<Route> found = table.get().route(facts.host(), facts.path());
-    boolean anonymous = found.map(r -> !table.get().needsKey(r)).orElse(false);
-    if (!anonymous && table.get().hasKeys() && !context.tableFreshness().isFresh()) {
+    version = table.get().version();
+    RouteDecision decision =
+        RouteDecision.of(
+            table.get(), facts, context.tableFreshness().isFresh(), context.random().nextDouble());
+    if (decision instanceof RouteDecision.Unconfirmed) {
       awaitConfirmation();
       return;
     }
     awaitingConfirmation = false;
-    version = table.get().version();
-    if (found.isEmpty()) {
+    if (decision instanceof RouteDecision.Routed found) {
+      routed = Optional.of(found);
+      long limitMs = Math.min(facts.deadlineMs().orElse(route().timeoutMs()), route().timeoutMs());
+      deadlineMs = arrivalMs + limitMs;
+      context.retryBudget(found.service()).onRequest();
+      sendToEndpoint();
+    } else if (decision instanceof RouteDecision.NoRoute) {
       respondLocally(HttpStatus.SC_NOT_FOUND, "no-route", Optional.empty());
-      return;
-    }
-    route = found.get();
-    if (!anonymous) {
-      organisation = facts.apiKey().flatMap(table.get()::organisation);
-      if (organisation.isEmpty() && table.get().needsKey(route)) {
-        respondLocally(HttpStatus.SC_UNAUTHORIZED, "unknown-key", Optional.empty());
-        return;
-      }
+    } else {
+      respondLocally(HttpStatus.SC_UNAUTHORIZED, "unknown-key", Optional.empty());
     }
-    rank = table.get().rank(organisation, route);
-    leastUrgent = table.get().isLeastUrgent(route);
-    toleratesPauses = table.get().toleratesPauses(route);
-    service = route.serviceAt(context.random().nextDouble());
-    long limitMs = Math.min(facts.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
-    deadlineMs = arrivalMs + limitMs;
-    context.retryBudget(service).onRequest();
-    sendToEndpoint();
   }
 
   /** Refuses the request because the process is shutting down. */
@@ -222,7 +214,7 @@
 
   private void sendToEndpoint() {
     Optional<Selection> selection =
-        context.selector().select(context.directory().ready(service), demand(), triedEndpoints);
+        context.selector().select(context.directory().ready(service()), demand(), triedEndpoints);
     if (selection.isEmpty()) {
       fail("no-endpoint");
       return;
@@ -232,7 +224,7 @@
       log.addFailure(
           selectionEvent("request-refused", selection.get())
               .with("reason", refusal.get().reason())
-              .with("rank", rank)
+              .with("rank", routed.orElseThrow().rank())
               .with("retryAfterMs", refusal.get().retryAfterMs()));
       refuse(refusal.get().reason(), refusal.get().retryAfterMs());
       return;
@@ -242,7 +234,7 @@
     triedEndpoints.add(endpointId);
     sendCount++;
     log.add(selectionEvent("endpoint-chosen", selection.get()).with("send", sendCount));
-    long maxIdleMs = route.isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
+    long maxIdleMs = route().isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
     attempt =
         new EndpointAttempt(
             this, selection.get(), context.connections().acquire(endpoint, maxIdleMs));
@@ -254,27 +246,17 @@
     boolean dropCredentials = context.follower().table().map(RoutingTable::hasKeys).orElse(true);
     return new Dialect.EndpointCall(
         endpoint.id(),
-        organisation.map(OrganisationSpec::name),
+        routed.flatMap(RouteDecision.Routed::organisation).map(OrganisationSpec::name),
         dropCredentials,
         Optional.of(leftMs),
-        facts.prompt().map(p -> rank),
+        facts.prompt().map(p -> routed.orElseThrow().rank()),
         delivery.lastEventId(),
         body.length);
   }
 
   private EventLog selectionEvent(String event, Selection selection) {
-    TrackedEndpoint endpoint = selection.endpoint();
-    long now = context.clock().nowMs();
-    return EventLog.event(event)
-        .with("id", attemptId())
-        .with("route", route.name())
-        .with("version", version)
-        .with("endpoint", endpoint.listed().id())
-        .with("expectedMs", Math.round(selection.expectedMs()))
-        .with("targetMs", route.targetLatencyMs())
-        .with("queued", endpoint.reportedQueue())
-        .with("occupancyPercent", Math.round(endpoint.occupancy() * 100))
-        .with("reportAgeMs", endpoint.hasReport(now) ? endpoint.reportAgeMs(now) : -1);
+    return RequestEvents.selection(
+        event, attemptId(), routed.orElseThrow(), selection, context.clock().nowMs());
   }
 
   /**
@@ -293,12 +275,16 @@
         .admission()
         .decide(
             new AdmissionControl.Request(
-                rank, leastUrgent, toleratesPauses, route.targetLatencyMs(), leftMs),
+                routed.orElseThrow().rank(),
+                routed.orElseThrow().leastUrgent(),
+                toleratesPauses(),
+                route().targetLatencyMs(),
+                leftMs),
             selection);
   }
 
   private EndpointSelector.Demand demand() {
-    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses);
+    return new EndpointSelector.Demand(facts.prompt(), toleratesPauses());
   }
 
   /** Checks the wait for a confirmation and the deadline of the request. */
@@ -357,7 +343,7 @@
   void onConnectionLost(Optional<Exception> cause) {
     attempt = null;
     mayHaveRun = true;
-    if (route.isIdempotent()) {
+    if (route().isIdempotent()) {
       retryOrFail("broken", true);
     } else {
       fail("broken");
@@ -366,9 +352,9 @@
 
   private void retryOrFail(String reason, boolean usesRetryBudget) {
     long leftMs = deadlineMs - context.clock().nowMs();
-    ServiceRetryBudget retryBudget = context.retryBudget(service);
+    ServiceRetryBudget retryBudget = context.retryBudget(service());
     boolean allowed =
-        sendCount < route.maxAttempts()
+        sendCount < route().maxAttempts()
             && leftMs >= MIN_TIME_FOR_RETRY_MS
             && (!usesRetryBudget || retryBudget.tryAcquire());
     log.addFailure(
@@ -393,12 +379,12 @@
   boolean tryRetryAfterError(int status) {
     long leftMs = deadlineMs - context.clock().nowMs();
     boolean retrying =
-        route.kind() == RouteKind.SAFE
+        route().kind() == RouteKind.SAFE
             && status >= HttpStatus.SC_INTERNAL_SERVER_ERROR
-            && sendCount < route.maxAttempts()
-            && leftMs >= route.targetLatencyMs()
-            && context.directory().ready(service).size() > triedEndpoints.size()
-            && context.retryBudget(service).tryAcquire();
+            && sendCount < route().maxAttempts()
+            && leftMs >= route().targetLatencyMs()
+            && context.directory().ready(service()).size() > triedEndpoints.size()
+            && context.retryBudget(service()).tryAcquire();
     if (retrying) {
       attempt = null;
       mayHaveRun = true;
@@ -471,47 +457,33 @@
   private void finish(String outcome, int status) {
     finished = true;
     long durationMs = context.clock().nowMs() - arrivalMs;
-    context
-        .metrics()
-        .recordRequest(
-            new ForwardMetrics.CompletedRequest(
-                Optional.ofNullable(route), outcome, status, sendCount, firstByteMs(), durationMs));
+    ForwardMetrics.CompletedRequest completed =
+        new ForwardMetrics.CompletedRequest(
+            routed.map(RouteDecision.Routed::route),
+            outcome,
+            status,
+            sendCount,
+            firstByteMs(),
+            durationMs);
+    context.metrics().recordRequest(completed);
     boolean failed =
         status >= HttpStatus.SC_INTERNAL_SERVER_ERROR
             || (status == 0 && !outcome.equals(CLIENT_LEFT));
     EventLog line =
-        EventLog.event("request-ended")
-            .with("id", attemptId())
-            .with("outcome", outcome)
-            .with("status", status)
-            .with("route", route == null ? "none" : route.name())
-            .with("version", version)
-            .with("sends", sendCount)
+        RequestEvents.ended(attemptId(), version, completed, delivery.longestPauseMs())
             .with("endpoint", endpointId)
-            .with("firstByteMs", firstByteMs())
-            .with("longestPauseMs", delivery.longestPauseMs())
-            .with("tookMs", durationMs)
             .with("confirmationAgeMs", context.tableFreshness().ageMs());
     if (failed) {
       log.addFailure(line);
     } else {
       log.add(line);
     }
-    log.complete(attemptId(), !failed && meetsTargets(durationMs));
+    boolean inTime = RequestEvents.meetsTargets(completed, delivery.longestPauseMs());
+    log.complete(attemptId(), !failed && inTime);
   }
 
   /** Returns the time from arrival to the first event, in milliseconds; -1 if there was none. */
   private long firstByteMs() {
     return delivery.isStarted() ? delivery.startedAtMs() - arrivalMs : -1;
   }
-
-  private boolean meetsTargets(long durationMs) {
-    if (route == null) {
-      return true;
-    }
-    long firstMs = delivery.isStarted() ? firstByteMs() : durationMs;
-    boolean pausesAreShort =
-        route.pauseTargetMs() == 0 || delivery.longestPauseMs() <= route.pauseTargetMs();
-    return firstMs <= route.targetLatencyMs() && pausesAreShort;
-  }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
@@ -0,0 +1,55 @@
+package org.zinniaspan.proxy;
+
+import org.zinniaspan.forwarding.EndpointSelector.Selection;
+import org.zinniaspan.forwarding.Route;
+import org.zinniaspan.forwarding.RouteDecision;
+import org.zinniaspan.forwarding.TrackedEndpoint;
+import org.zinniaspan.log.EventLog;
+
+/** Creates the log events of forwarded requests. */
+final class RequestEvents {
+
+  private RequestEvents() {}
+
+  /** Returns an event about the selection of an endpoint, with the inputs that decided it. */
+  static EventLog selection(
+      String event, String id, RouteDecision.Routed routed, Selection selection, long nowMs) {
+    TrackedEndpoint endpoint = selection.endpoint();
+    return EventLog.event(event)
+        .with("id", id)
+        .with("route", routed.route().name())
+        .with("version", routed.version())
+        .with("endpoint", endpoint.listed().id())
+        .with("expectedMs", Math.round(selection.expectedMs()))
+        .with("targetMs", routed.route().targetLatencyMs())
+        .with("queued", endpoint.reportedQueue())
+        .with("occupancyPercent", Math.round(endpoint.occupancy() * 100))
+        .with("reportAgeMs", endpoint.hasReport(nowMs) ? endpoint.reportAgeMs(nowMs) : -1);
+  }
+
+  /** Returns the event at the end of a request. */
+  static EventLog ended(
+      String id, long version, ForwardMetrics.CompletedRequest request, long longestPauseMs) {
+    return EventLog.event("request-ended")
+        .with("id", id)
+        .with("outcome", request.outcome())
+        .with("status", request.status())
+        .with("route", request.route().map(Route::name).orElse("none"))
+        .with("version", version)
+        .with("sends", request.sends())
+        .with("firstByteMs", request.firstEventMs())
+        .with("longestPauseMs", longestPauseMs)
+        .with("tookMs", request.durationMs());
+  }
+
+  /** Returns whether a request met the latency and pause targets of its route, if it has one. */
+  static boolean meetsTargets(ForwardMetrics.CompletedRequest request, long longestPauseMs) {
+    if (request.route().isEmpty()) {
+      return true;
+    }
+    Route route = request.route().get();
+    long firstMs = request.firstEventMs() >= 0 ? request.firstEventMs() : request.durationMs();
+    boolean pausesAreShort = route.pauseTargetMs() == 0 || longestPauseMs <= route.pauseTargetMs();
+    return firstMs <= route.targetLatencyMs() && pausesAreShort;
+  }
+}
