--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -29,7 +29,7 @@
   private static final long TIMEOUT_MS = 300;
 
   /** Shortest time between two queries to the own zone's observer, in milliseconds. */
-  private static final long MIN_INTERVAL_MS = 150;
+  private static final long MIN_INTERVAL_MS = 300;
 
   /** Shortest time between two queries to another zone's observer, in milliseconds. */
   private static final long MIN_FAR_INTERVAL_MS = 300;
