--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -76,8 +76,8 @@
 
   /**
    * Returns the rank of this VM among those that poll the engines of a zone: 0 for the observer, 1
-   * and more for those that take its place one after the other. In another zone's engines, the
-   * observer of this VM's zone comes first.
+   * and more for those that take its place one after the other. The engines of another zone are
+   * polled first by the observer of this VM's zone, if their own observer's reports stay away.
    */
   public int observerRank(String zone) {
     if (zone.equals(members.zone())) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -48,8 +48,8 @@
   private static final double JITTER_SHARE = 0.4;
 
   /**
-   * Share of a shared part's tokens that are expected to be cached at its home endpoint, where it
-   * is not known what is cached there.
+   * Share of a shared part's tokens that are expected to be cached at its home endpoint, if this VM
+   * did not send the part there itself.
    */
   private static final double CACHED_AT_HOME_SHARE = 0.5;
 
@@ -176,12 +176,12 @@
   /**
    * Returns the prompt tokens that the endpoint is expected to prefill.
    *
-   * <p>Parts are cached only if all parts before them are. Where this VM does not know what other
-   * VMs sent, a part of the shared ones is expected to be cached at their home.
+   * <p>Parts are cached only if all parts before them are. Of the shared parts that this VM did not
+   * send itself, a share is expected to be cached at their home, as other VMs may have sent them.
    */
   private static long uncachedTokens(TrackedEndpoint candidate, Prompt prompt, boolean isHome) {
     long cached = candidate.cachedTokens(prompt);
-    if (!isHome || candidate.isCacheKnown()) {
+    if (!isHome) {
       return Math.max(0, prompt.tokens() - cached);
     }
     long shared = Math.max(cached, sharedTokens(prompt));
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -53,7 +53,6 @@
   private ListedEndpoint listed;
   private EngineReport report;
   private long reportMs;
-  private boolean cacheKnown;
   private final Deque<Long> sendTimesMs = new ArrayDeque<>();
   private double meanPromptTokens = INITIAL_MEAN_TOKENS;
   private int inFlight;
@@ -87,7 +86,6 @@
   void update(ListedEndpoint entry) {
     if (entry.startedAtMs() != listed.startedAtMs()) {
       cachedParts.clear();
-      cacheKnown = false;
       report = null;
     }
     listed = entry;
@@ -259,7 +257,7 @@
 
   /**
    * Returns the prompt tokens that are expected to be cached there: those of the first parts that
-   * this VM sent or knows to be cached.
+   * this VM sent there.
    */
   public long cachedTokens(Prompt prompt) {
     long tokens = 0;
@@ -271,19 +269,4 @@
     }
     return tokens;
   }
-
-  /** Returns whether the parts that other VMs sent are known too. */
-  public boolean isCacheKnown() {
-    return cacheKnown;
-  }
-
-  /** Records that a part was cached or evicted, as the engine reports. */
-  public void onCacheChange(String partId, boolean cached) {
-    cacheKnown = true;
-    if (cached) {
-      cachedParts.put(partId, Boolean.TRUE);
-    } else {
-      cachedParts.remove(partId);
-    }
-  }
 }
