Log the software versions of endpoints and what streams clients resume

Change: entries of endpoints keep the version of their software, also between VMs; endpoint-added and endpoint-chosen log it. A request with Last-Event-Id logs stream-resume-requested, and zinniaspan_streams_resumed_total counts resumes by clients and by VMs. No decision uses any of it yet.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -136,6 +136,7 @@
         .setService(listed.service())
         .setAddress(listed.address())
         .setZone(listed.zone())
+        .setSoftwareVersion(listed.softwareVersion())
         .setSlots(listed.slots())
         .setDraining(listed.draining())
         .setStartedAtMs(listed.startedAtMs())
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -197,6 +197,7 @@
         entry.getService(),
         entry.getAddress(),
         entry.getZone(),
+        entry.getSoftwareVersion(),
         entry.getSlots(),
         entry.getDraining(),
         entry.getStartedAtMs());
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -156,6 +156,7 @@
         .with("service", entry.service())
         .with("address", entry.address())
         .with("zone", entry.zone())
+        .with("software", entry.softwareVersion())
         .info();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestFacts.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestFacts.java
@@ -11,6 +11,7 @@
  * @param apiKey the API key, if one was sent
  * @param deadlineMs how long the client waits after sending, in milliseconds
  * @param prompt the prompt, for a model service
+ * @param resume the stream that the client resumes, if it does
  */
 public record RequestFacts(
     Optional<String> attemptId,
@@ -18,4 +19,5 @@
     String path,
     Optional<String> apiKey,
     Optional<Long> deadlineMs,
-    Optional<Prompt> prompt) {}
+    Optional<Prompt> prompt,
+    Optional<StreamResume> resume) {}
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpoint.java
@@ -36,6 +36,7 @@
     service_ = "";
     address_ = "";
     zone_ = "";
+    softwareVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -249,6 +250,45 @@
     return startedAtMs_;
   }
 
+  public static final int SOFTWARE_VERSION_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object softwareVersion_ = "";
+  /**
+   * <code>string software_version = 8;</code>
+   * @return The softwareVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftwareVersion() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      softwareVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string software_version = 8;</code>
+   * @return The bytes for softwareVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareVersionBytes() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      softwareVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -284,6 +324,9 @@
     if (startedAtMs_ != 0L) {
       output.writeInt64(7, startedAtMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, softwareVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -312,6 +355,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, startedAtMs_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, softwareVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -350,6 +396,8 @@
         != other.getDraining()) return false;
     if (getStartedAtMs()
         != other.getStartedAtMs()) return false;
+    if (!getSoftwareVersion()
+        .equals(other.getSoftwareVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -377,6 +425,8 @@
     hash = (37 * hash) + STARTED_AT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStartedAtMs());
+    hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftwareVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -519,6 +569,7 @@
       slots_ = 0;
       draining_ = false;
       startedAtMs_ = 0L;
+      softwareVersion_ = "";
       return this;
     }
 
@@ -573,6 +624,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.startedAtMs_ = startedAtMs_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.softwareVersion_ = softwareVersion_;
+      }
     }
 
     @java.lang.Override
@@ -616,6 +670,11 @@
       if (other.getStartedAtMs() != 0L) {
         setStartedAtMs(other.getStartedAtMs());
       }
+      if (!other.getSoftwareVersion().isEmpty()) {
+        softwareVersion_ = other.softwareVersion_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -675,6 +734,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              softwareVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1088,6 +1152,78 @@
       return this;
     }
 
+    private java.lang.Object softwareVersion_ = "";
+    /**
+     * <code>string software_version = 8;</code>
+     * @return The softwareVersion.
+     */
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string software_version = 8;</code>
+     * @return The bytes for softwareVersion.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string software_version = 8;</code>
+     * @param value The softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersion(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string software_version = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftwareVersion() {
+      softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string software_version = 8;</code>
+     * @param value The bytes for softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersionBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogEndpoint)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpointOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpointOrBuilder.java
@@ -79,4 +79,16 @@
    * @return The startedAtMs.
    */
   long getStartedAtMs();
+
+  /**
+   * <code>string software_version = 8;</code>
+   * @return The softwareVersion.
+   */
+  java.lang.String getSoftwareVersion();
+  /**
+   * <code>string software_version = 8;</code>
+   * @return The bytes for softwareVersion.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareVersionBytes();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -93,24 +93,25 @@
       "ision\030\005 \001(\003\022\022\n\nlist_epoch\030\006 \001(\003\022\025\n\rlist_" +
       "sequence\030\007 \001(\003\022\025\n\rlist_included\030\010 \001(\010\0223\n" +
       "\tendpoints\030\t \003(\0132 .zinniaspan.peer.Catal" +
-      "ogEndpoint\022\r\n\005table\030\n \001(\014\"\205\001\n\017CatalogEnd" +
+      "ogEndpoint\022\r\n\005table\030\n \001(\014\"\237\001\n\017CatalogEnd" +
       "point\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007ad" +
       "dress\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005" +
       "\022\020\n\010draining\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001(" +
-      "\003\"\211\001\n\013EngineQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequ" +
-      "ence\030\002 \001(\003\022\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(" +
-      "\t\022\016\n\006sender\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinnia" +
-      "span.peer.ServiceWork\"@\n\013ServiceWork\022\017\n\007" +
-      "service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006stric" +
-      "t\030\003 \001(\001\"\275\001\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020" +
-      "\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinnia" +
-      "span.peer.EngineLoad\022/\n\tzone_work\030\004 \003(\0132" +
-      "\034.zinniaspan.peer.ServiceWork\0220\n\nfleet_w" +
-      "ork\030\005 \003(\0132\034.zinniaspan.peer.ServiceWork\"" +
-      "e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstart" +
-      "ed_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued" +
-      "\030\004 \001(\005\022\016\n\006active\030\005 \001(\005B\035\n\031org.zinniaspan" +
-      ".peer.protoP\001b\006proto3"
+      "\003\022\030\n\020software_version\030\010 \001(\t\"\211\001\n\013EngineQu" +
+      "ery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007" +
+      "wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 " +
+      "\001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.Serv" +
+      "iceWork\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022" +
+      "\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\275\001\n\013En" +
+      "gineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001" +
+      "(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.Engi" +
+      "neLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan.p" +
+      "eer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132\034.zi" +
+      "nniaspan.peer.ServiceWork\"e\n\nEngineLoad\022" +
+      "\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003" +
+      "\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006acti" +
+      "ve\030\005 \001(\005B\035\n\031org.zinniaspan.peer.protoP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -145,7 +146,7 @@
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogEndpoint_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", });
+        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", });
     internal_static_zinniaspan_peer_EngineQuery_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
@@ -21,6 +21,7 @@
         node.path("service").isTextual()
             && node.path("zone").isTextual()
             && isAddress(node.path("address"))
+            && (node.path("version").isMissingNode() || node.path("version").isTextual())
             && node.path("slots").isIntegralNumber()
             && (draining || state.equals("ready"));
     if (!usable) {
@@ -32,6 +33,7 @@
             node.path("service").asText(),
             node.path("address").asText(),
             node.path("zone").asText(),
+            node.path("version").asText(""),
             node.path("slots").asInt(),
             draining,
             node.path("born").asLong(0)));
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -51,5 +51,11 @@
   /** Engine from which a prompt's KV cache is fetched. */
   static final String KV_FETCH = "Kv-Fetch";
 
+  /** Id of the last event that a client received of a stream that it resumes. */
+  static final String LAST_EVENT_ID = "Last-Event-Id";
+
+  /** Id of the client attempt that delivered the first event of a stream that a client resumes. */
+  static final String RESUMES = "Resumes";
+
   private HeaderNames() {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -17,6 +17,7 @@
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptPart;
 import org.zinniaspan.forwarding.RequestFacts;
+import org.zinniaspan.forwarding.StreamResume;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.proxy.Dialect;
 
@@ -68,7 +69,9 @@
         query < 0 ? target : target.substring(0, query),
         headerValue(head, HttpHeaders.AUTHORIZATION).flatMap(HttpDialect::bearerToken),
         headerValue(head, HeaderNames.DEADLINE_MS).flatMap(HttpDialect::wholeNumber),
-        headerValue(head, HeaderNames.TOKEN_USAGE).flatMap(usage -> prompt(head, usage)));
+        headerValue(head, HeaderNames.TOKEN_USAGE).flatMap(usage -> prompt(head, usage)),
+        headerValue(head, HeaderNames.LAST_EVENT_ID)
+            .map(id -> new StreamResume(id, headerValue(head, HeaderNames.RESUMES))));
   }
 
   @Override
@@ -78,7 +81,8 @@
     for (Header header : clientHead.getHeaders()) {
       String name = lowerCase(header.getName());
       boolean credentials = call.dropCredentials() && name.equals("authorization");
-      boolean replaced = call.lastEventId().isPresent() && name.equals("last-event-id");
+      boolean replaced =
+          call.lastEventId().isPresent() && name.equals(lowerCase(HeaderNames.LAST_EVENT_ID));
       if (!dropped.contains(name)
           && !ROUTER_HEADERS.contains(name)
           && !name.equals("host")
@@ -92,7 +96,7 @@
     call.organisation().ifPresent(name -> request.setHeader(HeaderNames.TENANT, name));
     call.deadlineMs().ifPresent(ms -> request.setHeader(HeaderNames.DEADLINE_MS, ms));
     call.priority().ifPresent(rank -> request.setHeader(HeaderNames.REQUEST_PRIORITY, rank));
-    call.lastEventId().ifPresent(id -> request.setHeader("Last-Event-Id", id));
+    call.lastEventId().ifPresent(id -> request.setHeader(HeaderNames.LAST_EVENT_ID, id));
     if (call.bodyBytes() > 0 || clientHead.containsHeader(HttpHeaders.CONTENT_LENGTH)) {
       request.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(call.bodyBytes()));
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
@@ -38,6 +38,12 @@
           .help("Requests sent to endpoints, by kind of route; repeats included.")
           .labelNames("kind")
           .register(registry);
+  private final Counter resumes =
+      Counter.builder()
+          .name("zinniaspan_streams_resumed_total")
+          .help("Streams resumed at an endpoint, by who resumed them: a client or this VM.")
+          .labelNames("by")
+          .register(registry);
   private final Histogram firstEvent =
       Histogram.builder()
           .name("zinniaspan_first_event_seconds")
@@ -85,6 +91,11 @@
     }
   }
 
+  /** Records that a stream is resumed at an endpoint, by a client or by this VM. */
+  void recordResume(String by) {
+    resumes.labelValues(by).inc();
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   void registerGauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -167,6 +167,7 @@
       long limitMs = Math.min(facts.deadlineMs().orElse(route().timeoutMs()), route().timeoutMs());
       deadlineMs = arrivalMs + limitMs;
       context.retryBudget(found.service()).onRequest();
+      facts.resume().ifPresent(resume -> log.addFailure(RequestEvents.resume(attemptId(), resume)));
       sendToEndpoint();
     } else if (decision instanceof RouteDecision.NoRoute) {
       respondLocally(HttpStatus.SC_NOT_FOUND, "no-route", Optional.empty());
@@ -234,6 +235,7 @@
     triedEndpoints.add(endpointId);
     sendCount++;
     log.add(selectionEvent("endpoint-chosen", selection.get()).with("send", sendCount));
+    recordResume();
     long maxIdleMs = route().isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
     attempt =
         new EndpointAttempt(
@@ -241,6 +243,14 @@
     attempt.send(context.dialect().endpointRequest(head, endpointCall(endpoint)), body);
   }
 
+  private void recordResume() {
+    if (delivery.lastEventId().isPresent()) {
+      context.metrics().recordResume("vm");
+    } else if (facts.resume().isPresent() && sendCount == 1) {
+      context.metrics().recordResume("client");
+    }
+  }
+
   private Dialect.EndpointCall endpointCall(ListedEndpoint endpoint) {
     long leftMs = Math.max(1, deadlineMs - context.clock().nowMs());
     boolean dropCredentials = context.follower().table().map(RoutingTable::hasKeys).orElse(true);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
@@ -3,6 +3,7 @@
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteDecision;
+import org.zinniaspan.forwarding.StreamResume;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
 
@@ -20,6 +21,7 @@
         .with("route", routed.route().name())
         .with("version", routed.version())
         .with("endpoint", endpoint.listed().id())
+        .with("software", endpoint.listed().softwareVersion())
         .with("expectedMs", Math.round(selection.expectedMs()))
         .with("targetMs", routed.route().targetLatencyMs())
         .with("queued", endpoint.reportedQueue())
@@ -27,6 +29,14 @@
         .with("reportAgeMs", endpoint.hasReport(nowMs) ? endpoint.reportAgeMs(nowMs) : -1);
   }
 
+  /** Returns the event of a request that resumes a stream. */
+  static EventLog resume(String id, StreamResume resume) {
+    return EventLog.event("stream-resume-requested")
+        .with("id", id)
+        .with("firstAttempt", resume.firstAttemptId().orElse("none"))
+        .with("lastEventId", resume.lastEventId());
+  }
+
   /** Returns the event at the end of a request. */
   static EventLog ended(
       String id, long version, ForwardMetrics.CompletedRequest request, long longestPauseMs) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -482,7 +482,7 @@
   }
 
   static ListedEndpoint endpoint(String id, String zone, boolean draining) {
-    return new ListedEndpoint(id, "service", "10.0.0.1:80", zone, 16, draining, 1);
+    return new ListedEndpoint(id, "service", "10.0.0.1:80", zone, "v1", 16, draining, 1);
   }
 
   /** Returns the VMs of each zone. */
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/AdmissionControlTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/AdmissionControlTest.java
@@ -19,7 +19,7 @@
   private final AdmissionControl admission = new AdmissionControl(() -> nowMs, new Random(1));
   private final TrackedEndpoint engine =
       new TrackedEndpoint(
-          new ListedEndpoint("e", "service", "10.0.0.1:80", "zone-a", SLOTS, false, 1));
+          new ListedEndpoint("e", "service", "10.0.0.1:80", "zone-a", "v1", SLOTS, false, 1));
 
   private Optional<Refusal> decide(
       AdmissionControl.Request request, double expectedMs, long uncachedTokens) {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -12,7 +12,7 @@
 class CatalogFollowerTest {
 
   private static final ListedEndpoint ENDPOINT =
-      new ListedEndpoint("a", "service", "10.0.0.1:80", "zone-a", 6, false, 1);
+      new ListedEndpoint("a", "service", "10.0.0.1:80", "zone-a", "v1", 6, false, 1);
 
   private long nowMs = 50_000;
   private final FakeCatalog catalog = new FakeCatalog();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -12,7 +12,7 @@
   private final EndpointDirectory directory = new EndpointDirectory(() -> nowMs);
 
   private static ListedEndpoint endpoint(String id, boolean draining, long bornMs) {
-    return new ListedEndpoint(id, "service", "10.0.0.1:80", "zone-a", 6, draining, bornMs);
+    return new ListedEndpoint(id, "service", "10.0.0.1:80", "zone-a", "v1", 6, draining, bornMs);
   }
 
   private List<String> ready() {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EngineSpeedTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EngineSpeedTest.java
@@ -141,7 +141,8 @@
       for (int i = 0; i < ENGINES; i++) {
         engines.add(
             new TrackedEndpoint(
-                new ListedEndpoint("e" + i, "service", "10.0.0.1:80", "zone-a", 32, false, 1)));
+                new ListedEndpoint(
+                    "e" + i, "service", "10.0.0.1:80", "zone-a", "v1", 32, false, 1)));
       }
       return engines;
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/ReportPollerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/ReportPollerTest.java
@@ -44,7 +44,8 @@
     List<ListedEndpoint> engines = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       engines.add(
-          new ListedEndpoint("e" + i, "service", "10.0.0.1:80", "zone-" + i % 2, 64, false, 1));
+          new ListedEndpoint(
+              "e" + i, "service", "10.0.0.1:80", "zone-" + i % 2, "v1", 64, false, 1));
     }
     directory.replaceAll(engines);
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/RouteDecisionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/RouteDecisionTest.java
@@ -13,7 +13,13 @@
   private RouteDecision decide(String path, Optional<String> key, boolean fresh) {
     RequestFacts facts =
         new RequestFacts(
-            Optional.of("a1"), "shop.example", path, key, Optional.empty(), Optional.empty());
+            Optional.of("a1"),
+            "shop.example",
+            path,
+            key,
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty());
     return RouteDecision.of(table, facts, fresh, 0.5);
   }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/TimeToFirstByteSelectorTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/TimeToFirstByteSelectorTest.java
@@ -31,7 +31,7 @@
     for (int i = 0; i < zones.length; i++) {
       result.add(
           new TrackedEndpoint(
-              new ListedEndpoint("e" + i, "service", "10.0.0.1:80", zones[i], 64, false, 1)));
+              new ListedEndpoint("e" + i, "service", "10.0.0.1:80", zones[i], "v1", 64, false, 1)));
     }
     return result;
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
@@ -22,7 +22,7 @@
   @Test
   void readsAnEntry() throws JsonProcessingException {
     assertThat(decode(ENTRY))
-        .hasValue(new ListedEndpoint("i-1", "s", "10.128.0.9:8080", "z", 64, false, 77));
+        .hasValue(new ListedEndpoint("i-1", "s", "10.128.0.9:8080", "z", "v1", 64, false, 77));
   }
 
   @Test
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
@@ -13,6 +13,7 @@
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptPart;
 import org.zinniaspan.forwarding.RequestFacts;
+import org.zinniaspan.forwarding.StreamResume;
 import org.zinniaspan.proxy.Dialect;
 
 class HttpDialectTest {
@@ -57,6 +58,17 @@
       assertThat(dialect.requestFacts(request).apiKey()).isEmpty();
     }
 
+    @Test
+    void nameTheStreamThatTheyResume() {
+      assertThat(dialect.requestFacts(request).resume()).isEmpty();
+      request.addHeader("Last-Event-Id", "5");
+      assertThat(dialect.requestFacts(request).resume())
+          .hasValue(new StreamResume("5", Optional.empty()));
+      request.addHeader("Resumes", "a1");
+      assertThat(dialect.requestFacts(request).resume())
+          .hasValue(new StreamResume("5", Optional.of("a1")));
+    }
+
     @Test
     void haveNoDeadlineIfItIsNoWholeNumber() {
       request.addHeader("X-Zinniaspan-Deadline-Ms", "-5");
