Show that streams are joined from two software versions

Stand-ins of endpoints run side by side in several software versions, and their events name the version.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -15,11 +15,15 @@
  * A stand-in for an endpoint that records each request it executes and can inject a fault.
  *
  * <p>Paths below {@code /chat/} are answered with a stream of {@value #EVENT_COUNT} events, all
- * others with a text that contains the attempt id. {@code /report} returns the load report.
- * Example: {@code endpoint.setFault(Fault.REJECT);}
+ * others with a text that contains the attempt id. Each event names the version of the endpoint's
+ * software. {@code /report} returns the load report. Example: {@code
+ * endpoint.setFault(Fault.REJECT);}
  */
 public final class EndpointStandIn implements AutoCloseable {
 
+  /** Version of the software unless another one is given. */
+  public static final String DEFAULT_SOFTWARE = "v1";
+
   /** Number of events in a complete stream. */
   static final int EVENT_COUNT = 6;
 
@@ -61,6 +65,7 @@
   private static final long NANOS_PER_MS = 1_000_000;
 
   private final String id;
+  private final String software;
   private final RawServer server = new RawServer(this::handle);
   private final Map<String, List<Execution>> executions = new ConcurrentHashMap<>();
   private final AtomicInteger active = new AtomicInteger();
@@ -71,10 +76,12 @@
    * Starts an endpoint on a free port.
    *
    * @param id id of the endpoint
+   * @param software version of its software
    * @param delayMs delay before a response and before each event of a stream, in milliseconds
    */
-  public EndpointStandIn(String id, long delayMs) throws IOException {
+  public EndpointStandIn(String id, String software, long delayMs) throws IOException {
     this.id = id;
+    this.software = software;
     this.delayMs = delayMs;
   }
 
@@ -88,6 +95,11 @@
     return id;
   }
 
+  /** Returns the version of this endpoint's software. */
+  public String software() {
+    return software;
+  }
+
   /** Sets the fault to inject into requests from now on. */
   public void setFault(Fault value) {
     fault = value;
@@ -176,7 +188,7 @@
             "200 OK", attemptId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
     List<String> events = new ArrayList<>();
     for (int number = lastEventId + 1; number <= EVENT_COUNT; number++) {
-      events.add(responseEvent(attemptId, number));
+      events.add(responseEvent(attemptId, number, software));
     }
     int eventsSent = currentFault == Fault.CUT ? events.size() / 2 : events.size();
     for (String event : events.subList(0, eventsSent)) {
@@ -195,18 +207,18 @@
     return "answer to " + attemptId;
   }
 
-  /** Returns the expected complete stream for a client attempt. */
-  public static String responseStream(String attemptId) {
+  /** Returns the expected complete stream of one software version for a client attempt. */
+  public static String responseStream(String attemptId, String software) {
     StringBuilder events = new StringBuilder();
     for (int number = 1; number <= EVENT_COUNT; number++) {
-      events.append(responseEvent(attemptId, number));
+      events.append(responseEvent(attemptId, number, software));
     }
     return events.toString();
   }
 
   /** Returns one event of the stream for a client attempt. */
-  static String responseEvent(String attemptId, int number) {
-    return "id: " + number + "\ndata: " + attemptId + "-" + number + "\n\n";
+  static String responseEvent(String attemptId, int number, String software) {
+    return "id: " + number + "\ndata: " + attemptId + "-" + number + " " + software + "\n\n";
   }
 
   private static String responseHead(String status, String attemptId, String fields) {
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -111,9 +111,15 @@
     return endpoints;
   }
 
-  /** Starts an endpoint and registers it in the store as ready. */
+  /** Starts an endpoint with the default software and registers it in the store as ready. */
   public EndpointStandIn addEndpoint(String id, String zone, long delayMs) throws IOException {
-    EndpointStandIn endpoint = closer.add(new EndpointStandIn(id, delayMs));
+    return addEndpoint(id, zone, EndpointStandIn.DEFAULT_SOFTWARE, delayMs);
+  }
+
+  /** Starts an endpoint with a version of its software and registers it in the store as ready. */
+  public EndpointStandIn addEndpoint(String id, String zone, String software, long delayMs)
+      throws IOException {
+    EndpointStandIn endpoint = closer.add(new EndpointStandIn(id, software, delayMs));
     endpoints.put(id, endpoint);
     locations.put(id, new EndpointLocation(endpoint.address(), zone));
     putEndpointEntry(id, "ready");
@@ -134,7 +140,7 @@
             .put("service", SERVICE)
             .put("address", locations.get(id).address())
             .put("zone", locations.get(id).zone())
-            .put("version", "v1")
+            .put("version", endpoints.get(id).software())
             .put("slots", SLOTS_PER_ENDPOINT)
             .put("state", state)
             .put("born", 1)
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakChecks.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakChecks.java
@@ -98,7 +98,7 @@
     }
     String expected =
         call.path().startsWith("/chat/")
-            ? EndpointStandIn.responseStream(call.attemptId())
+            ? EndpointStandIn.responseStream(call.attemptId(), EndpointStandIn.DEFAULT_SOFTWARE)
             : EndpointStandIn.responseText(call.attemptId());
     if (!call.body().orElse("").equals(expected)) {
       violations.add(violation(call, "received an unexpected body: " + call.body().orElse("")));
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/SoakChecksTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/SoakChecksTest.java
@@ -28,7 +28,7 @@
   void acceptRequestsServedOnce() {
     ObservedCall plain = call("/unsafe/x", 200, EndpointStandIn.responseText("a-1"));
     assertThat(violations(plain, execution("i-1", "org-1"))).isEmpty();
-    ObservedCall chat = call("/chat/x", 200, EndpointStandIn.responseStream("a-1"));
+    ObservedCall chat = call("/chat/x", 200, EndpointStandIn.responseStream("a-1", "v1"));
     assertThat(violations(chat, execution("i-1", "org-1"), execution("i-2", "org-1"))).isEmpty();
     assertThat(violations(call("/unsafe/x", 503, "{}"))).isEmpty();
     assertThat(violations(call("/unsafe/x", 504, "{}"), execution("i-1", "org-1"))).isEmpty();
@@ -49,8 +49,8 @@
 
   @Test
   void findMissingAndDuplicateEvents() {
-    String whole = EndpointStandIn.responseStream("a-1");
-    String doubled = EndpointStandIn.responseStream("a-1") + "id: 6\ndata: a-1-6\n\n";
+    String whole = EndpointStandIn.responseStream("a-1", "v1");
+    String doubled = EndpointStandIn.responseStream("a-1", "v1") + "id: 6\ndata: a-1-6 v1\n\n";
     assertThat(violations(call("/chat/x", 200, whole.substring(20)), execution("i-1", "org-1")))
         .hasSize(1);
     assertThat(violations(call("/chat/x", 200, doubled), execution("i-1", "org-1"))).hasSize(1);
