Resume streams only at the software version that began them

A VM resumed a broken stream at any endpoint, and treated a client's resume as a new request. Class of the fault: work that is bound to one incarnation of a dependency is continued without carrying its identity.

Change: the first event that is passed on fixes the version of a stream. Endpoints of other versions are no candidates; a stream whose version is unknown or gone is refused as not run.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/StreamVersionTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/StreamVersionTest.java
@@ -62,7 +62,7 @@
 
     @Test
     void areNotJoinedWithAnotherVersionByTheVm() throws IOException {
-      EndpointStandIn other = site.addEndpoint("new-1", "zone-b", "v2", 1);
+      final EndpointStandIn other = site.addEndpoint("new-1", "zone-b", "v2", 1);
       old.setFault(EndpointStandIn.Fault.CUT);
       LocalSite.DaemonProcess daemon = startDaemon("vm-1", "zone-a");
       String text = client.call(daemon.callerAddress(), "POST", "/chat/x", "").text();
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/PeerClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/PeerClient.java
@@ -7,6 +7,10 @@
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.StreamOriginQuery;
+import org.zinniaspan.peer.proto.StreamOriginReceipt;
+import org.zinniaspan.peer.proto.StreamOriginReply;
+import org.zinniaspan.peer.proto.StreamOriginUpdate;
 
 /**
  * Sends requests to other VMs, by their peer address as host:port.
@@ -33,4 +37,18 @@
   /** Asks for observations of engines; the reply may be held until there are new ones. */
   void queryEngines(
       String address, EngineQuery query, long timeoutMs, Consumer<Optional<EngineState>> callback);
+
+  /** Sends origins of streams to a VM that keeps a copy of them. */
+  void updateOrigins(
+      String address,
+      StreamOriginUpdate update,
+      long timeoutMs,
+      Consumer<Optional<StreamOriginReceipt>> callback);
+
+  /** Requests the origin of a stream. */
+  void queryOrigin(
+      String address,
+      StreamOriginQuery query,
+      long timeoutMs,
+      Consumer<Optional<StreamOriginReply>> callback);
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
@@ -0,0 +1,32 @@
+package org.zinniaspan.fleet;
+
+import java.util.function.LongSupplier;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.EndpointDirectory;
+
+/**
+ * The sharing and the lookup of the origins of streams, over one set of known origins.
+ *
+ * @param sharing records and copies the origins of this VM's streams
+ * @param lookup finds the origin of a stream
+ */
+public record StreamOriginComponents(StreamOriginSharing sharing, StreamOriginLookup lookup) {
+
+  /**
+   * Creates components that know no stream.
+   *
+   * @param timeOfDayMs time of day, in milliseconds since the epoch
+   */
+  public static StreamOriginComponents create(
+      FleetMembership members,
+      EndpointDirectory directory,
+      PeerClient peers,
+      Clock clock,
+      LongSupplier timeOfDayMs) {
+    StreamOrigins origins = new StreamOrigins(clock);
+    StreamOriginHolders holders = new StreamOriginHolders(members, clock);
+    return new StreamOriginComponents(
+        new StreamOriginSharing(origins, holders, directory, peers, clock),
+        new StreamOriginLookup(origins, holders, directory, peers, clock, timeOfDayMs));
+  }
+}
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
@@ -0,0 +1,136 @@
+package org.zinniaspan.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.peer.proto.StreamOriginReceipt;
+import org.zinniaspan.peer.proto.StreamOriginUpdate;
+
+/**
+ * Records which software version began each stream of this VM, and copies that to other VMs, so
+ * that a stream can be resumed at its version when this VM has failed.
+ *
+ * <p>Origins are copied only while several versions of a service are listed, or were until a short
+ * time ago; with a single version there is nothing to tell apart. Not thread-safe.
+ */
+public final class StreamOriginSharing implements Ticking {
+
+  /** Time after which an update has failed, in milliseconds. */
+  private static final long TIMEOUT_MS = 300;
+
+  /** Time for which an origin is kept beyond the client's deadline, in milliseconds. */
+  private static final long EXPIRY_SLACK_MS = 1_000;
+
+  private final StreamOrigins origins;
+  private final StreamOriginHolders holders;
+  private final EndpointDirectory directory;
+  private final PeerClient peers;
+  private final Clock clock;
+  private final Deque<StreamOrigin> own = new ArrayDeque<>();
+  private final List<StreamOrigin> unsent = new ArrayList<>();
+  private final Set<String> mixedServices = new HashSet<>();
+
+  /** Creates a sharing that knows no stream. */
+  StreamOriginSharing(
+      StreamOrigins origins,
+      StreamOriginHolders holders,
+      EndpointDirectory directory,
+      PeerClient peers,
+      Clock clock) {
+    this.origins = origins;
+    this.holders = holders;
+    this.directory = directory;
+    this.peers = peers;
+    this.clock = clock;
+  }
+
+  /**
+   * Records the version that delivered the first event of a stream.
+   *
+   * @param attemptId id of the client attempt
+   * @param remainingMs time until the client's deadline, in milliseconds
+   */
+  public void record(String attemptId, String service, String softwareVersion, long remainingMs) {
+    StreamOrigin origin =
+        new StreamOrigin(
+            attemptId, service, softwareVersion, clock.nowMs() + remainingMs + EXPIRY_SLACK_MS);
+    origins.add(origin);
+    own.addLast(origin);
+    if (own.size() > StreamOrigins.MAX_ENTRIES) {
+      own.removeFirst();
+    }
+    if (mixedServices.contains(service)) {
+      unsent.add(origin);
+    }
+  }
+
+  /** Handles an update of another VM. */
+  public StreamOriginReceipt onUpdate(StreamOriginUpdate update) {
+    long now = clock.nowMs();
+    update.getOriginsList().forEach(entry -> origins.add(StreamOrigin.decode(entry, now)));
+    return StreamOriginReceipt.getDefaultInstance();
+  }
+
+  /** Returns the number of streams whose origin is known. */
+  public int size() {
+    return origins.size();
+  }
+
+  @Override
+  public void tick() {
+    long now = clock.nowMs();
+    origins.removeExpired();
+    own.removeIf(origin -> origin.expiresMs() <= now);
+    unsent.removeIf(origin -> origin.expiresMs() <= now);
+    updateMixedServices();
+    send();
+  }
+
+  /** Queues the origins of the streams of a service once it has several versions. */
+  private void updateMixedServices() {
+    Set<String> services = new HashSet<>(mixedServices);
+    own.forEach(origin -> services.add(origin.service()));
+    for (String service : services) {
+      if (directory.recentVersions(service).size() < 2) {
+        mixedServices.remove(service);
+      } else if (mixedServices.add(service)) {
+        own.stream().filter(o -> o.service().equals(service)).forEach(unsent::add);
+      }
+    }
+  }
+
+  private void send() {
+    Map<String, List<StreamOrigin>> byTarget = new HashMap<>();
+    for (StreamOrigin origin : unsent) {
+      for (String target : holders.copyTargets(origin.attemptId())) {
+        byTarget.computeIfAbsent(target, address -> new ArrayList<>()).add(origin);
+      }
+    }
+    unsent.clear();
+    byTarget.forEach(this::send);
+  }
+
+  private void send(String target, List<StreamOrigin> batch) {
+    long now = clock.nowMs();
+    StreamOriginUpdate.Builder update = StreamOriginUpdate.newBuilder();
+    batch.forEach(origin -> update.addOrigins(origin.encode(now)));
+    peers.updateOrigins(
+        target,
+        update.build(),
+        TIMEOUT_MS,
+        receipt -> {
+          if (receipt.isEmpty()) {
+            holders.suspect(target);
+            unsent.addAll(batch);
+          }
+        });
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -26,15 +26,24 @@
    */
   private static final long REMOVAL_GRACE_MS = 2_200;
 
+  /**
+   * Time for which versions are remembered after their last endpoint was unlisted, in milliseconds:
+   * longer than any stream can be resumed.
+   */
+  public static final long VERSION_HISTORY_MS = 30_000;
+
   private final Clock clock;
   private final Map<String, TrackedEndpoint> endpoints = new HashMap<>();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
+  private final VersionHistory versions;
+  private Optional<Long> firstListMs = Optional.empty();
   private long graceEndMs = Long.MIN_VALUE;
   private long changeCount;
 
   /** Creates an empty directory. */
   public EndpointDirectory(Clock clock) {
     this.clock = clock;
+    this.versions = new VersionHistory(clock);
   }
 
   /**
@@ -49,6 +58,7 @@
    * outage only when the grace period has ended.
    */
   public void replaceAll(List<ListedEndpoint> list) {
+    firstListMs = firstListMs.or(() -> Optional.of(clock.nowMs()));
     Set<String> ids = new HashSet<>();
     list.forEach(
         entry -> {
@@ -98,6 +108,19 @@
     return endpoints.values().stream().map(TrackedEndpoint::listed).toList();
   }
 
+  /**
+   * Returns the software versions of a service that are listed, or were within the last {@value
+   * #VERSION_HISTORY_MS} ms.
+   */
+  public Set<String> recentVersions(String service) {
+    return versions.recent(service, VERSION_HISTORY_MS);
+  }
+
+  /** Returns the time since the first complete list, in milliseconds; 0 if there was none. */
+  public long observedMs() {
+    return firstListMs.map(ms -> clock.nowMs() - ms).orElse(0L);
+  }
+
   /** Returns an endpoint by its id. */
   public Optional<TrackedEndpoint> endpoint(String id) {
     return Optional.ofNullable(endpoints.get(id));
@@ -123,8 +146,11 @@
     TrackedEndpoint known = endpoints.get(entry.id());
     if (known == null) {
       endpoints.put(entry.id(), new TrackedEndpoint(entry));
+      versions.onListed(entry);
       onChange("endpoint-added", entry);
     } else if (!known.listed().equals(entry)) {
+      versions.onUnlisted(known.listed());
+      versions.onListed(entry);
       known.update(entry);
       onChange(entry.draining() ? "endpoint-draining" : "endpoint-changed", entry);
     }
@@ -145,6 +171,7 @@
   private void remove(String id) {
     TrackedEndpoint removed = endpoints.remove(id);
     if (removed != null) {
+      versions.onUnlisted(removed.listed());
       onChange("endpoint-gone", removed.listed());
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -71,6 +71,31 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_EngineLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_StreamOriginEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_StreamOriginEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_StreamOriginUpdate_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_StreamOriginReceipt_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_StreamOriginQuery_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_StreamOriginQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_StreamOriginReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -110,7 +135,17 @@
       "nniaspan.peer.ServiceWork\"e\n\nEngineLoad\022" +
       "\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003" +
       "\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006acti" +
-      "ve\030\005 \001(\005B\035\n\031org.zinniaspan.peer.protoP\001b" +
+      "ve\030\005 \001(\005\"h\n\021StreamOriginEntry\022\022\n\nattempt" +
+      "_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_v" +
+      "ersion\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022St" +
+      "reamOriginUpdate\0223\n\007origins\030\001 \003(\0132\".zinn" +
+      "iaspan.peer.StreamOriginEntry\"\025\n\023StreamO" +
+      "riginReceipt\"K\n\021StreamOriginQuery\022\022\n\natt" +
+      "empt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_w" +
+      "ide\030\003 \001(\010\"u\n\021StreamOriginReply\0222\n\006origin" +
+      "\030\001 \001(\0132\".zinniaspan.peer.StreamOriginEnt" +
+      "ry\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013observed_" +
+      "ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer.protoP\001b" +
       "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
@@ -171,6 +206,36 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineLoad_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", "Queued", "Active", });
+    internal_static_zinniaspan_peer_StreamOriginEntry_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_zinniaspan_peer_StreamOriginEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_StreamOriginEntry_descriptor,
+        new java.lang.String[] { "AttemptId", "Service", "SoftwareVersion", "RemainingMs", });
+    internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_zinniaspan_peer_StreamOriginUpdate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor,
+        new java.lang.String[] { "Origins", });
+    internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_zinniaspan_peer_StreamOriginReceipt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor,
+        new java.lang.String[] { });
+    internal_static_zinniaspan_peer_StreamOriginQuery_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_zinniaspan_peer_StreamOriginQuery_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_StreamOriginQuery_descriptor,
+        new java.lang.String[] { "AttemptId", "Service", "ZoneWide", });
+    internal_static_zinniaspan_peer_StreamOriginReply_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_StreamOriginReply_descriptor,
+        new java.lang.String[] { "Origin", "RecentVersions", "ObservedMs", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -37,6 +37,7 @@
   private final Selection selection;
   private final OutboundConnection connection;
   private final TrackedEndpoint endpoint;
+  private final String softwareVersion;
   private final long sentMs;
   private final ByteArrayOutputStream content = new ByteArrayOutputStream();
   private final SseSplitter splitter = new SseSplitter();
@@ -53,6 +54,7 @@
     this.selection = selection;
     this.connection = connection;
     this.endpoint = selection.endpoint();
+    this.softwareVersion = endpoint.listed().softwareVersion();
     this.sentMs = proxiedRequest.context().clock().nowMs();
   }
 
@@ -71,6 +73,11 @@
     return connection.wasOpened();
   }
 
+  /** Returns the software version that the endpoint had when the request was sent. */
+  String softwareVersion() {
+    return softwareVersion;
+  }
+
   /** Cancels the request by resetting its connection. */
   void cancel() {
     if (!ended) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -10,6 +10,7 @@
 import org.zinniaspan.fleet.EngineBoard;
 import org.zinniaspan.fleet.EngineSharing;
 import org.zinniaspan.fleet.FleetMembership;
+import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.PlatformBounds;
@@ -26,6 +27,7 @@
   private final CatalogService catalogService;
   private final EngineSharing engineSharing;
   private final EngineBoard engineBoard;
+  private final StreamOriginComponents origins;
 
   /**
    * Creates the components of a VM that knows no other VM.
@@ -54,10 +56,18 @@
     catalogSharing = new CatalogSharing(follower, freshness, bounds, members, peers, clock);
     engineBoard = new EngineBoard(directory, work, clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
+    origins =
+        StreamOriginComponents.create(members, directory, peers, clock, System::currentTimeMillis);
   }
 
   FleetServer server() {
-    return new FleetServer(members, catalogService, engineBoard);
+    return new FleetServer(
+        members, catalogService, engineBoard, origins.sharing(), origins.lookup());
+  }
+
+  /** Returns the origins of streams. */
+  StreamOriginComponents origins() {
+    return origins;
   }
 
   FleetMembership members() {
@@ -89,6 +99,10 @@
         "zinniaspan_fleet_sent_bytes",
         "Bytes of the queries sent to other VMs since the start.",
         peers::sentBytes);
+    metrics.registerGauge(
+        "zinniaspan_stream_origins",
+        "Streams whose software version is known, of this VM and copied from others.",
+        origins.sharing()::size);
   }
 
   /** Gives up the roles of this VM, as it is stopping. */
@@ -106,5 +120,6 @@
     catalogService.tick();
     engineSharing.tick();
     engineBoard.tick();
+    origins.sharing().tick();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
@@ -8,15 +8,22 @@
 import org.zinniaspan.fleet.CatalogService;
 import org.zinniaspan.fleet.EngineBoard;
 import org.zinniaspan.fleet.FleetMembership;
+import org.zinniaspan.fleet.StreamOriginLookup;
+import org.zinniaspan.fleet.StreamOriginSharing;
 import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.peer.proto.CatalogQuery;
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.StreamOriginQuery;
+import org.zinniaspan.peer.proto.StreamOriginUpdate;
 import org.zinniaspan.transport.InboundConnection;
 import org.zinniaspan.transport.InboundHandler;
 
-/** Answers the requests of other VMs: members, catalog and engines, each with protobuf bodies. */
+/**
+ * Answers the requests of other VMs: members, catalog, engines and origins of streams, each with
+ * protobuf bodies.
+ */
 final class FleetServer implements InboundHandler {
 
   /** Path of the exchange of members. */
@@ -28,14 +35,29 @@
   /** Path of queries for the load of engines. */
   static final String ENGINES_PATH = "/fleet/engines";
 
+  /** Path of updates of the origins of streams. */
+  static final String ORIGIN_UPDATES_PATH = "/fleet/stream-origins";
+
+  /** Path of queries for the origin of a stream. */
+  static final String ORIGIN_QUERIES_PATH = "/fleet/stream-origin";
+
   private final FleetMembership members;
   private final CatalogService catalog;
   private final EngineBoard engines;
+  private final StreamOriginSharing originSharing;
+  private final StreamOriginLookup originLookup;
 
-  FleetServer(FleetMembership members, CatalogService catalog, EngineBoard engines) {
+  FleetServer(
+      FleetMembership members,
+      CatalogService catalog,
+      EngineBoard engines,
+      StreamOriginSharing originSharing,
+      StreamOriginLookup originLookup) {
     this.members = members;
     this.catalog = catalog;
     this.engines = engines;
+    this.originSharing = originSharing;
+    this.originLookup = originLookup;
   }
 
   @Override
@@ -57,6 +79,11 @@
             catalog.onQuery(CatalogQuery.parseFrom(body), state -> respond(connection, state));
         case ENGINES_PATH ->
             engines.onQuery(EngineQuery.parseFrom(body), state -> respond(connection, state));
+        case ORIGIN_UPDATES_PATH ->
+            respond(connection, originSharing.onUpdate(StreamOriginUpdate.parseFrom(body)));
+        case ORIGIN_QUERIES_PATH ->
+            originLookup.onQuery(
+                StreamOriginQuery.parseFrom(body), reply -> respond(connection, reply));
         default -> respond(connection, HttpStatus.SC_NOT_FOUND, new byte[0]);
       }
     } catch (InvalidProtocolBufferException e) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.AdmissionControl;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
@@ -26,6 +27,7 @@
  * @param speeds measured speed of the endpoints of each service
  * @param selector selects an endpoint for each send
  * @param admission refuses requests whose response would come too late
+ * @param origins the software versions that began streams
  * @param connections connection pool for endpoints
  * @param retryBudgets retry budget of each service, by the service's name
  * @param metrics counters and histograms
@@ -42,6 +44,7 @@
     EngineSpeeds speeds,
     EndpointSelector selector,
     AdmissionControl admission,
+    StreamOriginComponents origins,
     EndpointConnectionPool connections,
     Map<String, ServiceRetryBudget> retryBudgets,
     ForwardMetrics metrics,
@@ -58,6 +61,7 @@
       EngineSpeeds speeds,
       EndpointSelector selector,
       AdmissionControl admission,
+      StreamOriginComponents origins,
       EndpointConnectionPool connections,
       PlatformBounds bounds,
       VmLimits vmLimits) {
@@ -71,6 +75,7 @@
         speeds,
         selector,
         admission,
+        origins,
         connections,
         new HashMap<>(),
         new ForwardMetrics(),
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -71,6 +71,19 @@
             random);
     EngineSpeeds speeds = new EngineSpeeds();
     StreamWork work = new StreamWork(clock);
+    fleet =
+        new FleetComponents(
+            options.peerListen().map(Addresses::format).orElse(LONE_VM),
+            options.zoneCosts().zone(),
+            options.seeds(),
+            address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)),
+            follower,
+            tableFreshness,
+            directory,
+            work,
+            options.bounds(),
+            clock,
+            random);
     context =
         new ForwardContext(
             clock,
@@ -82,6 +95,7 @@
             speeds,
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
+            fleet.origins(),
             new EndpointConnectionPool(reactor, clock),
             options.bounds(),
             options.vmLimits());
@@ -90,19 +104,6 @@
         options
             .reportSourceFactory()
             .apply(address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)));
-    fleet =
-        new FleetComponents(
-            options.peerListen().map(Addresses::format).orElse(LONE_VM),
-            options.zoneCosts().zone(),
-            options.seeds(),
-            address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)),
-            follower,
-            tableFreshness,
-            directory,
-            work,
-            options.bounds(),
-            clock,
-            random);
     reportPoller =
         new ReportPoller(
             directory,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
@@ -20,6 +20,10 @@
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.StreamOriginQuery;
+import org.zinniaspan.peer.proto.StreamOriginReceipt;
+import org.zinniaspan.peer.proto.StreamOriginReply;
+import org.zinniaspan.peer.proto.StreamOriginUpdate;
 import org.zinniaspan.transport.BufferingHttpClient;
 
 /** Sends requests to other VMs as HTTP requests with protobuf bodies. */
@@ -72,6 +76,26 @@
     call(address, request, query, EngineState.parser(), timeoutMs, callback);
   }
 
+  @Override
+  public void updateOrigins(
+      String address,
+      StreamOriginUpdate update,
+      long timeoutMs,
+      Consumer<Optional<StreamOriginReceipt>> callback) {
+    HttpRequest request = new BasicHttpRequest("POST", FleetServer.ORIGIN_UPDATES_PATH);
+    call(address, request, update, StreamOriginReceipt.parser(), timeoutMs, callback);
+  }
+
+  @Override
+  public void queryOrigin(
+      String address,
+      StreamOriginQuery query,
+      long timeoutMs,
+      Consumer<Optional<StreamOriginReply>> callback) {
+    HttpRequest request = new BasicHttpRequest("POST", FleetServer.ORIGIN_QUERIES_PATH);
+    call(address, request, query, StreamOriginReply.parser(), timeoutMs, callback);
+  }
+
   @Override
   public void tick() {
     clientsByAddress.values().forEach(BufferingHttpClient::tick);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -2,11 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.zinniaspan.fleet.StreamOriginResult;
 import org.zinniaspan.forwarding.AdmissionControl;
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
@@ -20,6 +22,8 @@
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
+import org.zinniaspan.forwarding.StreamResume;
+import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.InboundConnection;
 
@@ -77,6 +81,7 @@
   private boolean mayHaveRun;
   private boolean finished;
   private boolean awaitingConfirmation;
+  private Optional<String> requiredVersion = Optional.empty();
   private EndpointAttempt attempt;
   private String endpointId = "none";
 
@@ -168,7 +173,11 @@
       deadlineMs = arrivalMs + limitMs;
       context.retryBudget(found.service()).onRequest();
       facts.resume().ifPresent(resume -> log.addFailure(RequestEvents.resume(attemptId(), resume)));
-      sendToEndpoint();
+      if (facts.resume().isPresent() && route().kind() == RouteKind.STREAMING) {
+        findOrigin(facts.resume().get());
+      } else {
+        sendToEndpoint();
+      }
     } else if (decision instanceof RouteDecision.NoRoute) {
       respondLocally(HttpStatus.SC_NOT_FOUND, "no-route", Optional.empty());
     } else {
@@ -213,11 +222,52 @@
     refuse(reason, OTHER_VM_RETRY_AFTER_MS);
   }
 
+  /** Finds the software version that began a stream before the stream is resumed. */
+  private void findOrigin(StreamResume resume) {
+    context
+        .origins()
+        .lookup()
+        .find(resume.firstAttemptId(), service(), result -> onOrigin(resume, result));
+  }
+
+  private void onOrigin(StreamResume resume, StreamOriginResult result) {
+    if (finished) {
+      return;
+    }
+    log.addFailure(
+        EventLog.event("stream-origin")
+            .with("id", attemptId())
+            .with("firstAttempt", resume.firstAttemptId().orElse("none"))
+            .with("result", result)
+            .with("tookMs", context.clock().nowMs() - arrivalMs));
+    if (result instanceof StreamOriginResult.Known known) {
+      requiredVersion = Optional.of(known.softwareVersion());
+      sendToEndpoint();
+    } else {
+      refuse("stream-origin-unknown", NOT_RUN_RETRY_AFTER_MS);
+    }
+  }
+
+  /**
+   * Returns the endpoints that may receive the request: those of the version that began the stream,
+   * once it has begun.
+   */
+  private List<TrackedEndpoint> candidates() {
+    List<TrackedEndpoint> ready = context.directory().ready(service());
+    return requiredVersion
+        .map(
+            version ->
+                ready.stream()
+                    .filter(endpoint -> endpoint.listed().softwareVersion().equals(version))
+                    .toList())
+        .orElse(ready);
+  }
+
   private void sendToEndpoint() {
     Optional<Selection> selection =
-        context.selector().select(context.directory().ready(service()), demand(), triedEndpoints);
+        context.selector().select(candidates(), demand(), triedEndpoints);
     if (selection.isEmpty()) {
-      fail("no-endpoint");
+      fail(requiredVersion.isPresent() ? "no-endpoint-of-version" : "no-endpoint");
       return;
     }
     Optional<Refusal> refusal = checkAdmission(selection.get());
@@ -417,9 +467,22 @@
 
   /** Passes an event of a stream on to the client; the head is sent before the first event. */
   void onEvent(HttpResponse response, SseSplitter.Event event) {
+    if (requiredVersion.isEmpty()) {
+      requiredVersion = Optional.of(attempt.softwareVersion());
+      context
+          .origins()
+          .sharing()
+          .record(attemptId(), service(), attempt.softwareVersion(), leftMs());
+    }
     delivery.add(response, event);
   }
 
+  /** Returns the time until the client's deadline; that of the route may be earlier. */
+  private long leftMs() {
+    long limitMs = facts.deadlineMs().orElse(route().timeoutMs());
+    return Math.max(0, arrivalMs + limitMs - context.clock().nowMs());
+  }
+
   /** Returns whether an event was sent to the client before. */
   boolean wasDelivered(SseSplitter.Event event) {
     return delivery.wasDelivered(event);
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -37,6 +37,10 @@
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.StreamOriginQuery;
+import org.zinniaspan.peer.proto.StreamOriginReceipt;
+import org.zinniaspan.peer.proto.StreamOriginReply;
+import org.zinniaspan.peer.proto.StreamOriginUpdate;
 
 /**
  * VMs that share the catalog and the load of engines, on virtual time, with a store and a network
@@ -197,7 +201,9 @@
     final EngineBoard board;
     final EngineSharing engines;
     final ReportPoller poller;
+    final StreamOriginComponents origins;
     long polls;
+    long originUpdates;
     long stepMs;
     private long suspendedMs;
     private long pausedSinceMs = -1;
@@ -230,6 +236,9 @@
               new ZoneCosts(zone, Map.of(zone, "region")),
               engines::observerRank,
               board::record);
+      origins =
+          StreamOriginComponents.create(
+              members, directory, this, this::steadyMs, this::timeOfDayMs);
     }
 
     private final class Reports implements EngineReportSource {
@@ -308,6 +317,7 @@
       engines.tick();
       board.tick();
       directory.tick();
+      origins.sharing().tick();
       poller.poll("service");
     }
 
@@ -457,6 +467,33 @@
       callPeer(peer, timeoutMs, callback, (target, reply) -> target.board.onQuery(query, reply));
     }
 
+    @Override
+    public void updateOrigins(
+        String peer,
+        StreamOriginUpdate update,
+        long timeoutMs,
+        Consumer<Optional<StreamOriginReceipt>> callback) {
+      originUpdates++;
+      callPeer(
+          peer,
+          timeoutMs,
+          callback,
+          (target, reply) -> reply.accept(target.origins.sharing().onUpdate(update)));
+    }
+
+    @Override
+    public void queryOrigin(
+        String peer,
+        StreamOriginQuery query,
+        long timeoutMs,
+        Consumer<Optional<StreamOriginReply>> callback) {
+      callPeer(
+          peer,
+          timeoutMs,
+          callback,
+          (target, reply) -> target.origins.lookup().onQuery(query, reply));
+    }
+
     long version() {
       return follower.table().map(RoutingTable::version).orElse(-1L);
     }
