--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakClient.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakClient.java
@@ -1,9 +1,11 @@
 package org.zinniaspan.standins.soak;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -13,14 +15,16 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.net.URIAuthority;
 import org.zinniaspan.http.HttpClientExchange;
 import org.zinniaspan.standins.site.LocalSite;
 
-/** A client that calls randomly chosen daemons and makes several calls on one connection. */
+/**
+ * A client that calls randomly chosen daemons, makes several calls on one connection, and resumes
+ * streams that broke off.
+ */
 final class SoakClient implements Runnable {
 
   private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -37,6 +41,9 @@
   /** Upper limit of the calls on one connection; their number is random. */
   private static final int MAX_CALLS_PER_CONNECTION = 8;
 
+  /** Number of times that a broken stream is resumed. */
+  private static final int MAX_RESUMES = 2;
+
   private static final List<String> PATHS = List.of("/unsafe/x", "/safe/x", "/chat/x");
 
   private final String attemptIdPrefix;
@@ -98,8 +105,7 @@
   }
 
   private boolean call(HttpClientExchange connection, InetSocketAddress daemon) {
-    attemptCount++;
-    String attemptId = attemptIdPrefix + '-' + attemptCount;
+    String attemptId = nextAttemptId();
     String path = PATHS.get(random.nextInt(PATHS.size()));
     int organisation = 1 + random.nextInt(SoakRun.ORGANISATION_COUNT);
     ClassicRequestBuilder request =
@@ -107,22 +113,102 @@
             .setHttpHost(new HttpHost(daemon.getHostString(), daemon.getPort()))
             .setHeader("X-Zinniaspan-Attempt-Id", attemptId)
             .setHeader("Authorization", "Bearer key-" + organisation);
+    Result result = execute(connection, request);
+    ObservedCall observed =
+        new ObservedCall(
+            attemptId,
+            attemptId,
+            path,
+            "org-key-" + organisation,
+            result.sentMs(),
+            result.status(),
+            result.received(),
+            result.complete());
+    observer.accept(observed);
+    if (!result.complete() && path.startsWith("/chat/")) {
+      resume(observed, "Bearer key-" + organisation);
+    }
+    return result.open();
+  }
+
+  private String nextAttemptId() {
+    attemptCount++;
+    return attemptIdPrefix + '-' + attemptCount;
+  }
+
+  /** Resumes a broken stream after the events that arrived, each time at any daemon. */
+  private void resume(ObservedCall first, String authorization) {
+    List<ObservedCall.Event> events = first.events();
+    int lastEvent = events.isEmpty() ? 0 : events.get(events.size() - 1).number();
+    for (int i = 0; i < MAX_RESUMES && lastEvent > 0 && !stopped; i++) {
+      List<InetSocketAddress> addresses = daemons.get();
+      if (addresses.isEmpty()) {
+        return;
+      }
+      InetSocketAddress daemon = addresses.get(random.nextInt(addresses.size()));
+      String attemptId = nextAttemptId();
+      ClassicRequestBuilder request =
+          post(first.path())
+              .setHttpHost(new HttpHost(daemon.getHostString(), daemon.getPort()))
+              .setHeader("X-Zinniaspan-Attempt-Id", attemptId)
+              .setHeader("Authorization", authorization)
+              .setHeader("Last-Event-Id", String.valueOf(lastEvent))
+              .setHeader("Resumes", first.attemptId());
+      try (HttpClientExchange connection =
+          HttpClientExchange.connect(daemon, CONNECT_TIMEOUT_MS, READ_TIMEOUT_MS)) {
+        Result result = execute(connection, request);
+        ObservedCall observed =
+            new ObservedCall(
+                attemptId,
+                first.attemptId(),
+                first.path(),
+                first.organisation(),
+                result.sentMs(),
+                result.status(),
+                result.received(),
+                result.complete());
+        observer.accept(observed);
+        if (observed.isServed()) {
+          return;
+        }
+        List<ObservedCall.Event> more = observed.events();
+        lastEvent = more.isEmpty() ? lastEvent : more.get(more.size() - 1).number();
+      } catch (IOException e) {
+        // Nothing was sent; the next resume goes to any daemon again.
+        LockSupport.parkNanos(RECONNECT_DELAY_NANOS);
+      }
+    }
+  }
+
+  private record Result(long sentMs, int status, String received, boolean complete, boolean open) {}
+
+  private static Result execute(HttpClientExchange connection, ClassicRequestBuilder request) {
     long sentMs = System.currentTimeMillis();
     int status = 0;
-    Optional<String> body = Optional.empty();
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    boolean complete = false;
     boolean open = false;
     try {
       ClassicHttpResponse response = connection.execute(withHost(request));
       status = response.getCode();
-      body = Optional.of(EntityUtils.toString(response.getEntity()));
+      readBody(response, received);
+      complete = true;
       open = !response.containsHeader("Connection");
     } catch (IOException | HttpException e) {
       // A missing or incomplete response guarantees nothing about the execution.
-      open = false;
+      complete = false;
+    }
+    return new Result(
+        sentMs, status, received.toString(StandardCharsets.ISO_8859_1), complete, open);
+  }
+
+  private static void readBody(ClassicHttpResponse response, ByteArrayOutputStream received)
+      throws IOException {
+    try (InputStream content = response.getEntity().getContent()) {
+      for (int next = content.read(); next >= 0; next = content.read()) {
+        received.write(next);
+      }
     }
-    observer.accept(
-        new ObservedCall(attemptId, path, "org-key-" + organisation, sentMs, status, body));
-    return open;
   }
 
   private static ClassicRequestBuilder post(String path) {
