Show that VMs without a path to endpoints serve no request

Cause: stand-ins and soak shared one proxy for each endpoint, so that they could not cut a single VM off from all endpoints while clients and peers reach it.

Change: the store stand-in serves views with rewritten addresses; each daemon of the soak has its own proxies to endpoints and a zone of its own; new fault partitionFromEndpoints, with new connections refused or hanging. Half of the faults of endpoints break answers off, as others hardly ever broke a stream.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -126,6 +126,11 @@
     return endpoint;
   }
 
+  /** Returns the address at which an endpoint is registered. */
+  public String endpointAddress(String id) {
+    return locations.get(id).address();
+  }
+
   /** Registers an endpoint at another address, such as that of a proxy in front of it. */
   public void setEndpointAddress(String id, String address) {
     locations.put(id, new EndpointLocation(address, locations.get(id).zone()));
@@ -195,7 +200,7 @@
                 "--zone",
                 zone,
                 "--zones",
-                "{\"zone-a\":\"west\",\"zone-b\":\"east\"}",
+                "{\"zone-a\":\"west\",\"zone-b\":\"east\",\"zone-c\":\"west\"}",
                 "--listen",
                 Addresses.format(callerAddress),
                 "--ready-listen",
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+import org.zinniaspan.lifecycle.Closer;
 
 /**
  * A stand-in for the platform's key-value store with revisions and watches.
@@ -44,7 +46,10 @@
 
   private final ObjectMapper json = new ObjectMapper();
   private final Map<String, StoredValue> storedValues = new TreeMap<>();
-  private final RawServer server = new RawServer(this::handle);
+  private final Closer closer = new Closer();
+  private final RawServer server =
+      closer.add(
+          new RawServer((request, socket) -> handle(request, socket, UnaryOperator.identity())));
   private long revision = FIRST_REVISION;
   private volatile Mode mode = Mode.UP;
 
@@ -56,6 +61,18 @@
     return server.address();
   }
 
+  /**
+   * Starts a listener on a free port that serves the same keys with rewritten values, such as other
+   * addresses of endpoints.
+   *
+   * @return its address in the form host:port
+   */
+  public String addView(UnaryOperator<String> rewrite) throws IOException {
+    return closer
+        .add(new RawServer((request, socket) -> handle(request, socket, rewrite)))
+        .address();
+  }
+
   /** Writes a key at the next revision and wakes waiting watches. */
   public void put(String key, String value) {
     write(key, Optional.of(value));
@@ -78,7 +95,8 @@
     notifyAll();
   }
 
-  private boolean handle(RawServer.Request request, Socket socket) throws IOException {
+  private boolean handle(RawServer.Request request, Socket socket, UnaryOperator<String> rewrite)
+      throws IOException {
     String path = request.line().split(" ")[1];
     Map<String, String> query = parseQuery(path);
     boolean isWatch = path.startsWith("/kv-watch");
@@ -98,8 +116,10 @@
       case FORGETFUL ->
           RawServer.write(
               socket,
-              isWatch ? RawServer.jsonResponse("410 Gone", "{}") : readResponse(path, query));
-      default -> RawServer.write(socket, readResponse(path, query));
+              isWatch
+                  ? RawServer.jsonResponse("410 Gone", "{}")
+                  : readResponse(path, query, rewrite));
+      default -> RawServer.write(socket, readResponse(path, query, rewrite));
     }
     return true;
   }
@@ -119,13 +139,15 @@
     }
   }
 
-  private synchronized String readResponse(String path, Map<String, String> query) {
+  private synchronized String readResponse(
+      String path, Map<String, String> query, UnaryOperator<String> rewrite) {
     if (path.startsWith("/kv-key")) {
       String key = query.get("key");
       StoredValue item = storedValues.get(key);
       return item == null || item.value().isEmpty()
           ? RawServer.jsonResponse("404 Not Found", "{}")
-          : RawServer.jsonResponse("200 OK", toJson(key, item).put("at", revision).toString());
+          : RawServer.jsonResponse(
+              "200 OK", toJson(key, item, rewrite).put("at", revision).toString());
     }
     boolean isWatch = path.startsWith("/kv-watch");
     long afterRevision = isWatch ? Long.parseLong(query.get("after")) : 0;
@@ -135,19 +157,19 @@
         (key, item) -> {
           boolean isIncluded = isWatch ? item.revision() > afterRevision : item.value().isPresent();
           if (isIncluded && key.startsWith(query.getOrDefault("prefix", ""))) {
-            found.add(toJson(key, item));
+            found.add(toJson(key, item, rewrite));
           }
         });
     body.put("has_more", false).put("at", revision);
     return RawServer.jsonResponse("200 OK", body.toString());
   }
 
-  private ObjectNode toJson(String key, StoredValue item) {
+  private ObjectNode toJson(String key, StoredValue item, UnaryOperator<String> rewrite) {
     ObjectNode node = json.createObjectNode().put("key", key).put("revision", item.revision());
     if (item.value().isEmpty()) {
       return node.put("deleted", true);
     }
-    byte[] value = item.value().get().getBytes(StandardCharsets.UTF_8);
+    byte[] value = rewrite.apply(item.value().get()).getBytes(StandardCharsets.UTF_8);
     return node.put("value", Base64.getEncoder().encodeToString(value))
         .put("created", 1)
         .put("lease", 0);
@@ -164,7 +186,7 @@
   }
 
   @Override
-  public void close() throws IOException {
-    server.close();
+  public void close() {
+    closer.close();
   }
 }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjectingProxy.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjectingProxy.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -33,7 +32,9 @@
     /** Bytes are dropped in both directions. */
     SILENT,
     /** Bytes from the server to the client are dropped. */
-    ONE_WAY
+    ONE_WAY,
+    /** New connections are refused, and bytes are dropped in both directions. */
+    PARTITION
   }
 
   private static final long DELAY_MS = 120;
@@ -41,36 +42,58 @@
   private static final int BUFFER_BYTES = 8 * 1024;
   private static final int BACKLOG = 200;
 
+  /** Differs from 127.0.0.1, where an outgoing connection could take the port of a partition. */
+  private static final String LISTEN_HOST = "127.0.0.3";
+
   private final InetSocketAddress target;
-  private final ServerSocket listener;
+  private final int port;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private ServerSocket listener;
   private volatile Mode mode = Mode.PASS;
 
   /** Starts a proxy on a free port that forwards to the target. */
   FaultInjectingProxy(InetSocketAddress target) throws IOException {
     this.target = target;
-    this.listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-    threads.execute(this::acceptConnections);
+    this.port = listen(0);
+  }
+
+  /** Starts to accept connections and returns the port. */
+  private int listen(int onPort) throws IOException {
+    listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(new InetSocketAddress(LISTEN_HOST, onPort), BACKLOG);
+    ServerSocket accepting = listener;
+    threads.execute(() -> acceptConnections(accepting));
+    return accepting.getLocalPort();
   }
 
   /** Returns the listening address in the form host:port. */
   String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return LISTEN_HOST + ":" + port;
   }
 
-  /** Sets the fault from now on; {@link Mode#RESET} resets the open connections at once. */
-  void setMode(Mode value) {
+  /**
+   * Sets the fault from now on; {@link Mode#RESET} resets the open connections at once.
+   *
+   * @throws IOException if the port cannot be bound again after {@link Mode#PARTITION}
+   */
+  synchronized void setMode(Mode value) throws IOException {
     mode = value;
     if (value == Mode.RESET) {
       sockets.forEach(FaultInjectingProxy::reset);
     }
+    if (value == Mode.PARTITION) {
+      listener.close();
+    } else if (listener.isClosed()) {
+      listen(port);
+    }
   }
 
-  private void acceptConnections() {
+  private void acceptConnections(ServerSocket accepting) {
     try {
       while (true) {
-        Socket clientSocket = listener.accept();
+        Socket clientSocket = accepting.accept();
         threads.execute(() -> proxyConnection(clientSocket));
       }
     } catch (IOException e) {
@@ -102,7 +125,7 @@
       OutputStream out = to.getOutputStream();
       for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
         Mode currentMode = mode;
-        droppedBytes |= currentMode == Mode.SILENT || (isResponse && currentMode == Mode.ONE_WAY);
+        droppedBytes |= isDropping(currentMode, isResponse);
         if (currentMode == Mode.DELAY) {
           LockSupport.parkNanos(DELAY_MS * NANOS_PER_MS);
         }
@@ -122,6 +145,10 @@
     }
   }
 
+  private static boolean isDropping(Mode mode, boolean isResponse) {
+    return mode == Mode.SILENT || mode == Mode.PARTITION || (isResponse && mode == Mode.ONE_WAY);
+  }
+
   private static void reset(Socket socket) {
     try {
       socket.setSoLinger(true, 0);
@@ -132,7 +159,7 @@
   }
 
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
     listener.close();
     sockets.forEach(FaultInjectingProxy::reset);
     threads.shutdownNow();
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
@@ -99,7 +99,7 @@
   }
 
   private void beginFault(long nowMs) throws IOException {
-    switch (random.nextInt(8)) {
+    switch (random.nextInt(9)) {
       case 0, 1 -> injectDaemonFault(nowMs);
       case 2 -> {
         SoakDaemon daemon = randomElement(daemons);
@@ -109,6 +109,7 @@
       case 4 -> injectEndpointFault(nowMs);
       case 5 -> injectStoreFault(nowMs);
       case 6 -> changeEndpointEntry(nowMs);
+      case 7 -> partitionFromEndpoints(nowMs);
       default -> publishKeys();
     }
   }
@@ -125,7 +126,19 @@
     scheduleEnd(nowMs, target, kind == 2 ? daemon::resume : daemon::restart);
   }
 
-  private void injectProxyFault(FaultInjectingProxy proxy, long nowMs) {
+  /** Cuts one daemon off from all endpoints, while clients, the store and its peers reach it. */
+  private void partitionFromEndpoints(long nowMs) throws IOException {
+    SoakDaemon daemon = randomElement(daemons);
+    daemon.setEndpointMode(
+        randomElement(
+            List.of(FaultInjectingProxy.Mode.PARTITION, FaultInjectingProxy.Mode.SILENT)));
+    scheduleEnd(
+        nowMs,
+        "endpoints of daemon " + daemons.indexOf(daemon),
+        () -> daemon.setEndpointMode(FaultInjectingProxy.Mode.PASS));
+  }
+
+  private void injectProxyFault(FaultInjectingProxy proxy, long nowMs) throws IOException {
     FaultInjectingProxy.Mode mode = randomElement(List.of(FaultInjectingProxy.Mode.values()));
     proxy.setMode(mode);
     scheduleEnd(nowMs, proxy.address(), () -> proxy.setMode(FaultInjectingProxy.Mode.PASS));
@@ -133,7 +146,11 @@
 
   private void injectEndpointFault(long nowMs) {
     EndpointStandIn endpoint = randomElement(List.copyOf(site.endpoints().values()));
-    endpoint.setFault(randomElement(List.of(EndpointStandIn.Fault.values())));
+    // Broken streams are the only requests that clients and daemons resume.
+    endpoint.setFault(
+        random.nextBoolean()
+            ? EndpointStandIn.Fault.CUT
+            : randomElement(List.of(EndpointStandIn.Fault.values())));
     scheduleEnd(nowMs, endpoint.id(), () -> endpoint.setFault(EndpointStandIn.Fault.NONE));
   }
 
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakDaemon.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakDaemon.java
@@ -3,14 +3,23 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.zinniaspan.http.Addresses;
+import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.standins.fleet.LocalFleet;
 import org.zinniaspan.standins.site.LocalSite;
 
-/** A daemon that can be killed, stopped, paused and restarted, with its proxy to the store. */
+/**
+ * A daemon that can be killed, stopped, paused and restarted, with its own proxies to the store and
+ * to each endpoint.
+ *
+ * <p>The daemon reads the proxies' addresses from its own view of the store. Daemons of one zone
+ * pass the list of endpoints on to each other, so each needs a zone of its own.
+ */
 final class SoakDaemon implements AutoCloseable {
 
   private static final long STOP_TIMEOUT_S = 6;
@@ -20,21 +29,49 @@
   private final LocalSite site;
   private final String name;
   private final String zone;
+  private final Closer closer = new Closer();
   private final FaultInjectingProxy storeProxy;
+  private final Map<String, FaultInjectingProxy> endpointProxies = new LinkedHashMap<>();
   private final List<String> versionViolations = new ArrayList<>();
   private final List<Long> versions = new ArrayList<>();
   private volatile LocalSite.DaemonProcess daemon;
   private int startCount;
 
-  /** Starts a daemon that connects to the store through a new proxy. */
+  /** Starts a daemon that connects to the store and the endpoints through new proxies. */
   SoakDaemon(LocalSite site, String name, String zone) throws IOException {
     this.site = site;
     this.name = name;
     this.zone = zone;
-    this.storeProxy = new FaultInjectingProxy(Addresses.parse(site.store().address()));
+    for (String id : site.endpoints().keySet()) {
+      InetSocketAddress target = Addresses.parse(site.endpointAddress(id));
+      endpointProxies.put(site.endpointAddress(id), closer.add(new FaultInjectingProxy(target)));
+    }
+    String view = site.store().addView(this::rewriteAddresses);
+    this.storeProxy = closer.add(new FaultInjectingProxy(Addresses.parse(view)));
     start();
   }
 
+  private String rewriteAddresses(String value) {
+    String rewritten = value;
+    for (Map.Entry<String, FaultInjectingProxy> entry : endpointProxies.entrySet()) {
+      rewritten =
+          rewritten.replace('"' + entry.getKey() + '"', '"' + entry.getValue().address() + '"');
+    }
+    return rewritten;
+  }
+
+  /** Sets the mode of the connections to all endpoints. */
+  void setEndpointMode(FaultInjectingProxy.Mode mode) throws IOException {
+    for (FaultInjectingProxy proxy : endpointProxies.values()) {
+      proxy.setMode(mode);
+    }
+  }
+
+  /** Returns the running process. */
+  LocalSite.DaemonProcess process() {
+    return daemon;
+  }
+
   private synchronized void start() throws IOException {
     startCount++;
     versions.clear();
@@ -107,7 +144,7 @@
   }
 
   @Override
-  public void close() throws IOException {
-    storeProxy.close();
+  public void close() {
+    closer.close();
   }
 }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakRun.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakRun.java
@@ -35,6 +35,10 @@
 
   private static final int CLIENT_COUNT = 6;
   private static final long ENDPOINT_DELAY_MS = 8;
+
+  /** Availability zones of the daemons in turn. */
+  private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
+
   private static final long STEP_INTERVAL_MS = 20;
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long MS_PER_SECOND = 1_000;
@@ -99,7 +103,7 @@
       site.publishConfiguration(organisationKeys(ORGANISATION_COUNT));
       List<SoakDaemon> daemons = new ArrayList<>();
       for (int number = 1; number <= daemonCount; number++) {
-        String zone = number % 2 == 0 ? "zone-b" : "zone-a";
+        String zone = ZONES.get((number - 1) % ZONES.size());
         daemons.add(closer.add(new SoakDaemon(site, "vm-" + number, zone)));
       }
       daemons.forEach(SoakDaemon::awaitReady);
