Enforce connect timeouts with a timer of the reactor

Cause: HttpCore's reactor checks connect timeouts in its select loop, at most once a second by default. Class of the fault: a timeout that is delegated to a component with a coarser clock. Looked for elsewhere: calls of peers and of the store end by their own ticks of 20 ms.

Change: a timer ends the connection at its timeout and is cancelled once it is open.

--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -1,9 +1,11 @@
 package org.zinniaspan.transport;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.Optional;
+import java.util.concurrent.Future;
 import java.util.concurrent.locks.ReentrantLock;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.EventMask;
@@ -26,6 +28,7 @@
   protected final ReceiveBuffer received;
   protected final SendBuffer unsent = new SendBuffer();
   private IOSession session;
+  private Optional<Future<?>> connectTimer = Optional.empty();
   private boolean inputEnded;
   private boolean closed;
 
@@ -88,6 +91,7 @@
     runLocked(
         () -> {
           session = opened;
+          connectTimer.ifPresent(timer -> timer.cancel(false));
           if (closed) {
             // Closed or reset while it was being opened: nothing may be sent any more.
             opened.close(CloseMode.IMMEDIATE);
@@ -187,6 +191,24 @@
     onDisconnect(cause);
   }
 
+  /** Sets the timer to cancel once the connection is open. */
+  final void setConnectTimer(Future<?> timer) {
+    connectTimer = Optional.of(timer);
+  }
+
+  /** Closes the connection and reports the timeout, unless the connection is open by now. */
+  final void onConnectTimeout(long timeoutMs) {
+    runLocked(
+        () -> {
+          if (session == null) {
+            terminate(
+                Optional.of(
+                    new SocketTimeoutException("not connected within " + timeoutMs + " ms")),
+                CloseMode.IMMEDIATE);
+          }
+        });
+  }
+
   /** Closes the connection because it could not be opened, and reports the error. */
   final void onConnectFailed(Exception cause) {
     runLocked(() -> terminate(Optional.of(cause), CloseMode.IMMEDIATE));
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -114,11 +115,32 @@
   /**
    * Opens a connection; its own callbacks report that it is open or could not be opened.
    *
+   * <p>The reactor of HttpCore checks connect timeouts about once a second, so a timer enforces
+   * them.
+   *
    * @param timeoutMs connect timeout in milliseconds
    */
   void connect(InetSocketAddress address, long timeoutMs, Connection connection) {
     Supplier<Connection> attachment = () -> connection;
-    reactor.connect(
+    Future<IOSession> pending = connect(address, timeoutMs, connection, attachment);
+    if (!closing) {
+      connection.setConnectTimer(
+          timers.schedule(
+              () -> {
+                connection.onConnectTimeout(timeoutMs);
+                pending.cancel(true);
+              },
+              timeoutMs,
+              TimeUnit.MILLISECONDS));
+    }
+  }
+
+  private Future<IOSession> connect(
+      InetSocketAddress address,
+      long timeoutMs,
+      Connection connection,
+      Supplier<Connection> attachment) {
+    return reactor.connect(
         new HttpHost(address.getHostString(), address.getPort()),
         address,
         null,
