Relay requests through other VMs while a VM reaches no endpoint

Cause: a VM knew endpoints that fail, but no failure of its own path. Each request tried one endpoint after the other, although none had been reached for seconds, and there was no other way to an endpoint. Class of the fault: the health of a dependency is judged without the health of the own link to it.

Change: EndpointReachability finds from failed connections and probes that the path is lost. Requests then go through another VM, which handles them like a client's own; those that may be repeated leave silent endpoints.

Its fourth test now cuts both VMs off instead of closing the endpoints behind proxies that still accept connections, which is no partition; what it demands is unchanged.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/PartitionedVmTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/PartitionedVmTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.standins.fleet.LocalFleet;
-import org.zinniaspan.standins.site.EndpointStandIn;
 import org.zinniaspan.standins.site.LocalSite;
 import org.zinniaspan.standins.site.RawClient;
 import org.zinniaspan.standins.site.SiteClient;
@@ -29,6 +28,7 @@
   private final SiteClient client = new SiteClient("call", "key-1");
   private LocalSite site;
   private SoakDaemon partitioned;
+  private SoakDaemon other;
 
   @BeforeEach
   void start() throws IOException {
@@ -38,7 +38,7 @@
     }
     site.publishConfiguration(List.of("key-1"));
     partitioned = closer.add(new SoakDaemon(site, "vm-1", "zone-a"));
-    SoakDaemon other = closer.add(new SoakDaemon(site, "vm-2", "zone-b"));
+    other = closer.add(new SoakDaemon(site, "vm-2", "zone-b"));
     for (SoakDaemon daemon : List.of(partitioned, other)) {
       daemon.awaitReady();
       awaitMetric(daemon, "zinniaspan_fleet_vms 2.0");
@@ -114,9 +114,8 @@
 
   @Test
   void refusesAtOnceWhileNoVmReachesAnEndpoint() throws IOException {
-    for (EndpointStandIn endpoint : site.endpoints().values()) {
-      endpoint.close();
-    }
+    partitioned.setEndpointMode(FaultInjectingProxy.Mode.PARTITION);
+    other.setEndpointMode(FaultInjectingProxy.Mode.PARTITION);
     LocalFleet.await(
         "refusal", () -> call("POST", "/unsafe/x").text().contains("no-path-to-endpoints"));
     SiteClient.RawResponse refusal = call("POST", "/unsafe/x");
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -20,6 +20,7 @@
 import org.zinniaspan.forwarding.StreamResume;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.proxy.Dialect;
+import org.zinniaspan.proxy.RelayHeaders;
 
 /** Translates message heads from and to the platform's HTTP headers. */
 public final class HttpDialect implements Dialect {
@@ -85,6 +86,7 @@
           call.lastEventId().isPresent() && name.equals(lowerCase(HeaderNames.LAST_EVENT_ID));
       if (!dropped.contains(name)
           && !ROUTER_HEADERS.contains(name)
+          && !RelayHeaders.contains(name)
           && !name.equals("host")
           && !credentials
           && !replaced) {
@@ -103,6 +105,30 @@
     return request;
   }
 
+  @Override
+  public HttpRequest relayRequest(HttpRequest clientHead, RelayCall call) {
+    HttpRequest request = new BasicHttpRequest(clientHead.getMethod(), clientHead.getPath());
+    Set<String> dropped = connectionHeaders(clientHead);
+    for (Header header : clientHead.getHeaders()) {
+      String name = lowerCase(header.getName());
+      if (!dropped.contains(name) && !RelayHeaders.contains(name) && !name.equals("host")) {
+        request.addHeader(header);
+      }
+    }
+    request.setHeader(HttpHeaders.HOST, host(clientHead));
+    call.deadlineMs().ifPresent(ms -> request.setHeader(HeaderNames.DEADLINE_MS, ms));
+    call.resume()
+        .ifPresent(
+            resume -> {
+              request.setHeader(HeaderNames.LAST_EVENT_ID, resume.lastEventId());
+              resume.firstAttemptId().ifPresent(id -> request.setHeader(HeaderNames.RESUMES, id));
+            });
+    if (call.bodyBytes() > 0 || clientHead.containsHeader(HttpHeaders.CONTENT_LENGTH)) {
+      request.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(call.bodyBytes()));
+    }
+    return request;
+  }
+
   @Override
   public ResponseFacts responseFacts(HttpResponse head) {
     boolean notRun =
@@ -120,7 +146,8 @@
     HttpResponse response = new BasicHttpResponse(endpointHead.getCode());
     Set<String> dropped = connectionHeaders(endpointHead);
     for (Header header : endpointHead.getHeaders()) {
-      if (!dropped.contains(lowerCase(header.getName()))) {
+      if (!dropped.contains(lowerCase(header.getName()))
+          && !RelayHeaders.contains(header.getName())) {
         response.addHeader(header);
       }
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.zinniaspan.forwarding.RequestFacts;
+import org.zinniaspan.forwarding.StreamResume;
 
 /** Translates the heads of HTTP messages between clients, the router and endpoints. */
 public interface Dialect {
@@ -14,6 +15,9 @@
   /** Creates the head of the request that is sent to an endpoint. */
   HttpRequest endpointRequest(HttpRequest clientHead, EndpointCall call);
 
+  /** Creates the head of the request that is sent to another VM, which sends it to an endpoint. */
+  HttpRequest relayRequest(HttpRequest clientHead, RelayCall call);
+
   /** Extracts from the head of an endpoint's response what its classification needs. */
   ResponseFacts responseFacts(HttpResponse head);
 
@@ -49,6 +53,15 @@
       Optional<String> lastEventId,
       int bodyBytes) {}
 
+  /**
+   * The parameters of a request to another VM.
+   *
+   * @param deadlineMs time left until the client's deadline, in milliseconds, if it stated one
+   * @param resume the stream that the request resumes, if it does
+   * @param bodyBytes length of the body in bytes
+   */
+  record RelayCall(Optional<Long> deadlineMs, Optional<StreamResume> resume, int bodyBytes) {}
+
   /**
    * What the head of an endpoint's response states.
    *
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -6,6 +6,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.MeasuredEngineSpeed;
 import org.zinniaspan.forwarding.Prompt;
@@ -16,7 +17,7 @@
 import org.zinniaspan.transport.ResponseHandler;
 
 /** One send of a request to one endpoint: reads the response and classifies it. */
-final class EndpointAttempt implements ResponseHandler {
+final class EndpointAttempt implements Attempt, ResponseHandler {
 
   /** How a response is handled. */
   private enum Verdict {
@@ -45,6 +46,7 @@
   private Verdict verdict = Verdict.UNUSABLE;
   private boolean unloaded;
   private long firstEventMs;
+  private long lastBytesMs;
   private boolean promptDone;
   private boolean ended;
 
@@ -56,6 +58,7 @@
     this.endpoint = selection.endpoint();
     this.softwareVersion = endpoint.listed().softwareVersion();
     this.sentMs = proxiedRequest.context().clock().nowMs();
+    this.lastBytesMs = sentMs;
   }
 
   void send(HttpRequest request, byte[] body) {
@@ -63,31 +66,47 @@
     unloaded = endpoint.isUnloaded(now);
     endpoint.onSent(selection.uncachedTokens(), now);
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
+    reachability().onSent();
+    connection.whenOpened(reachability()::onConnected);
     connection.send(request, body, this);
   }
 
-  /**
-   * Returns whether bytes of the request may have reached the endpoint, so that it may have run.
-   */
-  boolean mayHaveRun() {
+  @Override
+  public boolean mayHaveRun() {
     return connection.wasOpened();
   }
 
   /** Returns the software version that the endpoint had when the request was sent. */
-  String softwareVersion() {
+  @Override
+  public String softwareVersion() {
     return softwareVersion;
   }
 
-  /** Cancels the request by resetting its connection. */
-  void cancel() {
+  /** Returns the time since the last byte of the response, or since the request was sent. */
+  long silentMs(long nowMs) {
+    return nowMs - lastBytesMs;
+  }
+
+  @Override
+  public void cancel() {
     if (!ended) {
       finish();
       connection.reset();
     }
   }
 
+  private EndpointReachability reachability() {
+    return proxiedRequest.context().reachability();
+  }
+
+  private void onBytes() {
+    lastBytesMs = proxiedRequest.context().clock().nowMs();
+    reachability().onBytes();
+  }
+
   @Override
   public boolean onHead(HttpResponse response) {
+    onBytes();
     if (!proxiedRequest.matchesAttempt(response)) {
       proxiedRequest
           .log()
@@ -132,6 +151,7 @@
 
   @Override
   public void onBody(ByteBuffer part) {
+    onBytes();
     if (verdict == Verdict.STREAM) {
       boolean added = false;
       for (SseSplitter.Event event : splitter.add(part)) {
@@ -237,6 +257,7 @@
     if (opened) {
       proxiedRequest.onConnectionLost(cause);
     } else {
+      reachability().onConnectFailed(endpoint.listed().id());
       proxiedRequest.onNotSent(cause);
     }
   }
@@ -244,6 +265,7 @@
   private void finish() {
     ended = true;
     endpoint.onEnded();
+    reachability().onEnded();
     if (!promptDone) {
       promptDone = true;
       endpoint.onPromptDone(selection.uncachedTokens());
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointConnectionPool.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointConnectionPool.java
@@ -5,13 +5,17 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.transport.OutboundConnection;
 import org.zinniaspan.transport.Reactor;
 
-/** A connection pool for endpoints: opens connections, and keeps idle ones for a short time. */
+/**
+ * A connection pool for endpoints and for VMs through which requests are relayed: opens
+ * connections, and keeps idle ones for a short time.
+ */
 final class EndpointConnectionPool {
 
   /** Connect timeout in milliseconds, after which another endpoint is tried. */
@@ -45,7 +49,21 @@
    *     always opens a new one
    */
   OutboundConnection acquire(ListedEndpoint endpoint, long maxIdleMs) {
-    Deque<IdleConnection> idleConnections = idle.get(endpoint.id());
+    return acquireConnection(endpoint.id(), endpoint.address(), maxIdleMs);
+  }
+
+  /**
+   * Returns an idle connection to another VM, or opens a new one.
+   *
+   * @param vm peer address of the VM, as host:port
+   * @param maxIdleMs as for endpoints
+   */
+  OutboundConnection acquireRelay(String vm, long maxIdleMs) {
+    return acquireConnection(vm, vm, maxIdleMs);
+  }
+
+  private OutboundConnection acquireConnection(String key, String address, long maxIdleMs) {
+    Deque<IdleConnection> idleConnections = idle.get(key);
     long now = clock.nowMs();
     while (maxIdleMs > 0 && idleConnections != null && !idleConnections.isEmpty()) {
       IdleConnection newest = idleConnections.pop();
@@ -55,16 +73,46 @@
       newest.connection().close();
     }
     return OutboundConnection.open(
-        reactor,
-        Addresses.parse(endpoint.address()),
-        CONNECT_TIMEOUT_MS,
-        lost -> remove(endpoint.id(), lost));
+        reactor, Addresses.parse(address), CONNECT_TIMEOUT_MS, lost -> remove(key, lost));
+  }
+
+  /**
+   * Opens a connection to an endpoint without sending anything, and keeps it for later requests.
+   *
+   * @param callback receives whether the connection was opened
+   */
+  void probe(ListedEndpoint endpoint, Consumer<Boolean> callback) {
+    OutboundConnection connection =
+        OutboundConnection.open(
+            reactor,
+            Addresses.parse(endpoint.address()),
+            CONNECT_TIMEOUT_MS,
+            lost -> {
+              remove(endpoint.id(), lost);
+              if (!lost.wasOpened()) {
+                callback.accept(false);
+              }
+            });
+    connection.whenOpened(
+        () -> {
+          release(endpoint.id(), connection);
+          callback.accept(true);
+        });
   }
 
   /** Returns a connection to the pool after a complete response, or closes it if not reusable. */
   void release(ListedEndpoint endpoint, OutboundConnection connection) {
+    release(endpoint.id(), connection);
+  }
+
+  /**
+   * Returns a connection to the pool, or closes it if not reusable.
+   *
+   * @param key id of the endpoint, or peer address of the VM
+   */
+  void release(String key, OutboundConnection connection) {
     if (connection.isReusable()) {
-      idle.computeIfAbsent(endpoint.id(), id -> new ArrayDeque<>())
+      idle.computeIfAbsent(key, name -> new ArrayDeque<>())
           .push(new IdleConnection(connection, clock.nowMs()));
     } else {
       connection.close();
@@ -92,8 +140,8 @@
     return Math.min(MAX_IDLE_MS, Math.max(0, announcedMs - KEEP_ALIVE_MARGIN_MS));
   }
 
-  private void remove(String endpointId, OutboundConnection closed) {
-    Deque<IdleConnection> idleConnections = idle.get(endpointId);
+  private void remove(String key, OutboundConnection closed) {
+    Deque<IdleConnection> idleConnections = idle.get(key);
     if (idleConnections != null) {
       idleConnections.removeIf(entry -> entry.connection() == closed);
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -60,9 +60,9 @@
         StreamOriginComponents.create(members, directory, peers, clock, System::currentTimeMillis);
   }
 
-  FleetServer server() {
+  FleetServer server(RelayReceiver relays) {
     return new FleetServer(
-        members, catalogService, engineBoard, origins.sharing(), origins.lookup());
+        members, catalogService, engineBoard, origins.sharing(), origins.lookup(), relays);
   }
 
   /** Returns the origins of streams. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
@@ -22,7 +22,7 @@
 
 /**
  * Answers the requests of other VMs: members, catalog, engines and origins of streams, each with
- * protobuf bodies.
+ * protobuf bodies; and takes the requests of clients that they relay.
  */
 final class FleetServer implements InboundHandler {
 
@@ -41,28 +41,40 @@
   /** Path of queries for the origin of a stream. */
   static final String ORIGIN_QUERIES_PATH = "/fleet/stream-origin";
 
+  /** Largest size of the headers that a VM adds to a request that it relays, in bytes. */
+  private static final int RELAY_HEADER_BYTES = 1_024;
+
   private final FleetMembership members;
   private final CatalogService catalog;
   private final EngineBoard engines;
   private final StreamOriginSharing originSharing;
   private final StreamOriginLookup originLookup;
+  private final RelayReceiver relays;
 
   FleetServer(
       FleetMembership members,
       CatalogService catalog,
       EngineBoard engines,
       StreamOriginSharing originSharing,
-      StreamOriginLookup originLookup) {
+      StreamOriginLookup originLookup,
+      RelayReceiver relays) {
     this.members = members;
     this.catalog = catalog;
     this.engines = engines;
     this.originSharing = originSharing;
     this.originLookup = originLookup;
+    this.relays = relays;
   }
 
   @Override
   public InboundLimits limits() {
-    return InboundLimits.DEFAULT;
+    InboundLimits clients = relays.limits();
+    return new InboundLimits(
+        Math.max(InboundLimits.DEFAULT.maxHeaderBytes(), clients.maxHeaderBytes())
+            + RELAY_HEADER_BYTES,
+        Math.max(InboundLimits.DEFAULT.maxBodyBytes(), clients.maxBodyBytes()),
+        InboundLimits.DEFAULT.headerTimeoutMs(),
+        InboundLimits.DEFAULT.idleTimeoutMs());
   }
 
   @Override
@@ -72,6 +84,10 @@
 
   @Override
   public void onRequest(InboundConnection connection, HttpRequest head, byte[] body) {
+    if (head.containsHeader(RelayHeaders.RELAYED_BY)) {
+      relays.onRelayedRequest(connection, head, body);
+      return;
+    }
     try {
       switch (String.valueOf(head.getPath())) {
         case MEMBERS_PATH -> respond(connection, members.onExchange(FleetMembers.parseFrom(body)));
@@ -113,5 +129,6 @@
   @Override
   public void onDisconnect(InboundConnection connection) {
     // A held query is answered later, and its answer is dropped.
+    relays.onDisconnect(connection);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -4,10 +4,12 @@
 import java.util.Map;
 import java.util.Random;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.fleet.RelayTargets;
 import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.AdmissionControl;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
@@ -28,7 +30,9 @@
  * @param selector selects an endpoint for each send
  * @param admission refuses requests whose response would come too late
  * @param origins the software versions that began streams
- * @param connections connection pool for endpoints
+ * @param reachability whether this VM has a path to the endpoints
+ * @param relayTargets the VMs through which requests are relayed without such a path
+ * @param connections connection pool for endpoints and other VMs
  * @param retryBudgets retry budget of each service, by the service's name
  * @param metrics counters and histograms
  * @param bounds time bounds and budgets of the platform
@@ -45,6 +49,8 @@
     EndpointSelector selector,
     AdmissionControl admission,
     StreamOriginComponents origins,
+    EndpointReachability reachability,
+    RelayTargets relayTargets,
     EndpointConnectionPool connections,
     Map<String, ServiceRetryBudget> retryBudgets,
     ForwardMetrics metrics,
@@ -62,6 +68,8 @@
       EndpointSelector selector,
       AdmissionControl admission,
       StreamOriginComponents origins,
+      EndpointReachability reachability,
+      RelayTargets relayTargets,
       EndpointConnectionPool connections,
       PlatformBounds bounds,
       VmLimits vmLimits) {
@@ -76,6 +84,8 @@
         selector,
         admission,
         origins,
+        reachability,
+        relayTargets,
         connections,
         new HashMap<>(),
         new ForwardMetrics(),
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -5,14 +5,17 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.SystemClock;
+import org.zinniaspan.fleet.RelayTargets;
 import org.zinniaspan.forwarding.AdmissionControl;
 import org.zinniaspan.forwarding.Catalog;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
@@ -96,6 +99,8 @@
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
             fleet.origins(),
+            new EndpointReachability(clock, random, directory::size),
+            new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
             new EndpointConnectionPool(reactor, clock),
             options.bounds(),
             options.vmLimits());
@@ -174,7 +179,7 @@
           options.metricsListen().get(), () -> new InboundConnection(reactor, metrics, clock));
     }
     if (options.peerListen().isPresent()) {
-      FleetServer fleetServer = fleet.server();
+      FleetServer fleetServer = fleet.server(server);
       reactor.listen(
           options.peerListen().get(), () -> new InboundConnection(reactor, fleetServer, clock));
     }
@@ -207,6 +212,10 @@
         "zinniaspan_log_lines_dropped",
         "Log lines that were dropped since the start because nobody read them in time.",
         EventLog::droppedLines);
+    metrics.registerGauge(
+        "zinniaspan_endpoints_reachable",
+        "0 while this VM reaches no endpoint, so that requests are relayed through other VMs.",
+        () -> context.reachability().isLost() ? 0 : 1);
     metrics.registerGauge(
         "zinniaspan_ready", "1 if this VM takes requests.", () -> isReady() ? 1 : 0);
   }
@@ -215,7 +224,13 @@
     return !shutdown.isStopping()
         && context.follower().table().isPresent()
         && context.follower().isListComplete()
-        && context.tableFreshness().isFresh();
+        && context.tableFreshness().isFresh()
+        && hasPath();
+  }
+
+  /** Returns whether this VM reaches endpoints, or another VM that may reach them. */
+  private boolean hasPath() {
+    return !context.reachability().isLost() || context.relayTargets().choose(Set.of()).isPresent();
   }
 
   private void tick() {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
@@ -44,6 +44,12 @@
           .help("Streams resumed at an endpoint, by who resumed them: a client or this VM.")
           .labelNames("by")
           .register(registry);
+  private final Counter relays =
+      Counter.builder()
+          .name("zinniaspan_relayed_requests_total")
+          .help("Requests that this VM relayed to other VMs, or received from them.")
+          .labelNames("side")
+          .register(registry);
   private final Histogram firstEvent =
       Histogram.builder()
           .name("zinniaspan_first_event_seconds")
@@ -96,6 +102,11 @@
     resumes.labelValues(by).inc();
   }
 
+  /** Records a request that was {@code sent} to another VM or {@code received} from one. */
+  void recordRelay(String side) {
+    relays.labelValues(side).inc();
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   void registerGauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -11,14 +11,16 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.InboundConnection;
 import org.zinniaspan.transport.InboundHandler;
 
 /** Accepts clients' requests and tracks each one until it is finished. */
-final class ForwardServer implements InboundHandler, Ticking {
+final class ForwardServer implements InboundHandler, RelayReceiver, Ticking {
 
   /** Time between two checks for connections that have timed out, in milliseconds. */
   private static final long IDLE_CHECK_INTERVAL_MS = 500;
@@ -51,7 +53,19 @@
     if (shutdown.isStopping()) {
       connection.closeAfterResponse();
     }
-    ProxiedRequest request = new ProxiedRequest(context, connection, head, body);
+    start(connection, new ProxiedRequest(context, connection, head, body, false));
+  }
+
+  @Override
+  public void onRelayedRequest(InboundConnection connection, HttpRequest head, byte[] body) {
+    if (shutdown.isStopping()) {
+      connection.closeAfterResponse();
+    }
+    context.metrics().recordRelay("received");
+    start(connection, new ProxiedRequest(context, connection, head, body, true));
+  }
+
+  private void start(InboundConnection connection, ProxiedRequest request) {
     requests.put(connection, request);
     if (shutdown.refusesNewRequests(clock.nowMs())) {
       request.refuseForShutdown();
@@ -98,6 +112,7 @@
   @Override
   public void tick() {
     long now = clock.nowMs();
+    probeEndpoints();
     for (Map.Entry<InboundConnection, ProxiedRequest> entry : List.copyOf(requests.entrySet())) {
       entry.getValue().tick(now);
       removeIfFinished(entry.getKey(), entry.getValue());
@@ -112,6 +127,23 @@
     }
   }
 
+  private void probeEndpoints() {
+    EndpointReachability reachability = context.reachability();
+    for (ListedEndpoint endpoint : reachability.nextProbes(context.directory().entries())) {
+      context
+          .connections()
+          .probe(
+              endpoint,
+              opened -> {
+                if (opened) {
+                  reachability.onConnected();
+                } else {
+                  reachability.onConnectFailed(endpoint.id());
+                }
+              });
+    }
+  }
+
   /** Returns the number of requests whose final response has not been written completely. */
   int inFlight() {
     requests.values().removeIf(ProxiedRequest::isFinished);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -21,7 +21,6 @@
 import org.zinniaspan.forwarding.RouteDecision;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.RoutingTable;
-import org.zinniaspan.forwarding.ServiceRetryBudget;
 import org.zinniaspan.forwarding.StreamResume;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
@@ -61,6 +60,15 @@
   /** Reason for refusing a request on a route with API keys while keys may be out of date. */
   private static final String CONFIGURATION_NOT_CONFIRMED = "configuration-not-confirmed";
 
+  /** Reason for refusing a request as no endpoint and no other VM is reachable. */
+  private static final String NO_PATH = "no-path-to-endpoints";
+
+  /**
+   * Silence of an endpoint, in milliseconds, after which a request leaves it while this VM reaches
+   * no endpoint.
+   */
+  private static final long MIN_SILENCE_MS = 500;
+
   /** Outcome of a request whose client has disconnected. */
   private static final String CLIENT_LEFT = "client-left";
 
@@ -68,11 +76,13 @@
   private final InboundConnection client;
   private final HttpRequest head;
   private final byte[] body;
+  private final boolean relayed;
   private final RequestFacts facts;
   private final RequestLog log = new RequestLog();
   private final StreamDelivery delivery;
   private final long arrivalMs;
   private final Set<String> triedEndpoints = new HashSet<>();
+  private final Set<String> triedVms = new HashSet<>();
 
   private Optional<RouteDecision.Routed> routed = Optional.empty();
   private long version;
@@ -80,16 +90,28 @@
   private int sendCount;
   private boolean mayHaveRun;
   private boolean finished;
+  private boolean refusedByVm;
   private boolean awaitingConfirmation;
   private Optional<String> requiredVersion = Optional.empty();
-  private EndpointAttempt attempt;
+  private Attempt attempt;
   private String endpointId = "none";
 
-  ProxiedRequest(ForwardContext context, InboundConnection client, HttpRequest head, byte[] body) {
+  /**
+   * Creates a request that was not started.
+   *
+   * @param relayed whether another VM relays the request to this one
+   */
+  ProxiedRequest(
+      ForwardContext context,
+      InboundConnection client,
+      HttpRequest head,
+      byte[] body,
+      boolean relayed) {
     this.context = context;
     this.client = client;
     this.head = head;
     this.body = body;
+    this.relayed = relayed;
     this.facts = context.dialect().requestFacts(head);
     this.arrivalMs = context.clock().nowMs();
     this.delivery = new StreamDelivery(client, context.dialect(), context.clock());
@@ -171,12 +193,19 @@
       routed = Optional.of(found);
       long limitMs = Math.min(facts.deadlineMs().orElse(route().timeoutMs()), route().timeoutMs());
       deadlineMs = arrivalMs + limitMs;
-      context.retryBudget(found.service()).onRequest();
+      if (!relayed) {
+        context.retryBudget(found.service()).onRequest();
+      }
       facts.resume().ifPresent(resume -> log.addFailure(RequestEvents.resume(attemptId(), resume)));
-      if (facts.resume().isPresent() && route().kind() == RouteKind.STREAMING) {
+      requiredVersion = relayedVersion();
+      if (relayed && context.reachability().isLost()) {
+        refuseAndClose(NO_PATH);
+      } else if (facts.resume().isPresent()
+          && route().kind() == RouteKind.STREAMING
+          && requiredVersion.isEmpty()) {
         findOrigin(facts.resume().get());
       } else {
-        sendToEndpoint();
+        send();
       }
     } else if (decision instanceof RouteDecision.NoRoute) {
       respondLocally(HttpStatus.SC_NOT_FOUND, "no-route", Optional.empty());
@@ -219,9 +248,15 @@
    */
   private void refuseAndClose(String reason) {
     client.closeAfterResponse();
+    refusedByVm = true;
     refuse(reason, OTHER_VM_RETRY_AFTER_MS);
   }
 
+  /** Returns the version at which a stream must go on, if another VM relays it and knows that. */
+  private Optional<String> relayedVersion() {
+    return relayed ? RelayHeaders.value(head, RelayHeaders.SOFTWARE_VERSION) : Optional.empty();
+  }
+
   /** Finds the software version that began a stream before the stream is resumed. */
   private void findOrigin(StreamResume resume) {
     context
@@ -242,7 +277,7 @@
             .with("tookMs", context.clock().nowMs() - arrivalMs));
     if (result instanceof StreamOriginResult.Known known) {
       requiredVersion = Optional.of(known.softwareVersion());
-      sendToEndpoint();
+      send();
     } else {
       refuse("stream-origin-unknown", NOT_RUN_RETRY_AFTER_MS);
     }
@@ -263,6 +298,54 @@
         .orElse(ready);
   }
 
+  /** Sends the request to an endpoint, or to another VM if this one reaches no endpoint. */
+  private void send() {
+    if (!context.reachability().isLost()) {
+      sendToEndpoint();
+    } else if (relayed) {
+      fail(NO_PATH);
+    } else {
+      sendToVm();
+    }
+  }
+
+  private void sendToVm() {
+    Optional<String> vm = context.relayTargets().choose(triedVms);
+    if (vm.isEmpty()) {
+      fail(NO_PATH);
+      return;
+    }
+    triedVms.add(vm.get());
+    sendCount++;
+    log.add(
+        RequestEvents.relay(attemptId(), routed.orElseThrow(), vm.get()).with("send", sendCount));
+    context.metrics().recordRelay("sent");
+    HttpRequest request = context.dialect().relayRequest(head, relayCall());
+    request.setHeader(RelayHeaders.RELAYED_BY, context.relayTargets().self());
+    requiredVersion.ifPresent(v -> request.setHeader(RelayHeaders.SOFTWARE_VERSION, v));
+    RelayAttempt relay =
+        new RelayAttempt(this, vm.get(), context.connections().acquireRelay(vm.get(), maxIdleMs()));
+    attempt = relay;
+    relay.send(request, body);
+  }
+
+  private Dialect.RelayCall relayCall() {
+    Optional<StreamResume> resume =
+        delivery
+            .lastEventId()
+            .map(
+                id ->
+                    new StreamResume(
+                        id,
+                        facts.resume().flatMap(StreamResume::firstAttemptId).or(facts::attemptId)));
+    return new Dialect.RelayCall(facts.deadlineMs().map(ms -> leftMs()), resume, body.length);
+  }
+
+  /** Returns how long a pooled connection may have been idle if this request is to use it. */
+  private long maxIdleMs() {
+    return route().isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
+  }
+
   private void sendToEndpoint() {
     Optional<Selection> selection =
         context.selector().select(candidates(), demand(), triedEndpoints);
@@ -286,11 +369,11 @@
     sendCount++;
     log.add(selectionEvent("endpoint-chosen", selection.get()).with("send", sendCount));
     recordResume();
-    long maxIdleMs = route().isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
-    attempt =
+    EndpointAttempt direct =
         new EndpointAttempt(
-            this, selection.get(), context.connections().acquire(endpoint, maxIdleMs));
-    attempt.send(context.dialect().endpointRequest(head, endpointCall(endpoint)), body);
+            this, selection.get(), context.connections().acquire(endpoint, maxIdleMs()));
+    attempt = direct;
+    direct.send(context.dialect().endpointRequest(head, endpointCall(endpoint)), body);
   }
 
   private void recordResume() {
@@ -363,9 +446,34 @@
     }
     if (nowMs >= deadlineMs) {
       fail("timeout");
+    } else if (context.reachability().isLost()) {
+      leaveSilentEndpoint(nowMs);
     }
   }
 
+  /**
+   * Sends a request that may be repeated through another VM if its endpoint has been silent, as
+   * this VM reaches none. Others stay, as their answers may still arrive.
+   */
+  private void leaveSilentEndpoint(long nowMs) {
+    if (!(attempt instanceof EndpointAttempt direct)
+        || direct.silentMs(nowMs) < MIN_SILENCE_MS
+        || !route().isIdempotent()
+        || relayed
+        || !mayRetry(true)) {
+      return;
+    }
+    log.addFailure(
+        EventLog.event("endpoint-failed")
+            .with("id", attemptId())
+            .with("reason", "unreachable")
+            .with("leftMs", deadlineMs - nowMs)
+            .with("again", true));
+    cancelAttempt();
+    mayHaveRun = true;
+    send();
+  }
+
   /** Called when the client has disconnected. */
   void onClientLeft() {
     if (!finished) {
@@ -412,11 +520,7 @@
 
   private void retryOrFail(String reason, boolean usesRetryBudget) {
     long leftMs = deadlineMs - context.clock().nowMs();
-    ServiceRetryBudget retryBudget = context.retryBudget(service());
-    boolean allowed =
-        sendCount < route().maxAttempts()
-            && leftMs >= MIN_TIME_FOR_RETRY_MS
-            && (!usesRetryBudget || retryBudget.tryAcquire());
+    boolean allowed = mayRetry(usesRetryBudget);
     log.addFailure(
         EventLog.event("endpoint-failed")
             .with("id", attemptId())
@@ -424,12 +528,30 @@
             .with("leftMs", leftMs)
             .with("again", allowed));
     if (allowed) {
-      sendToEndpoint();
+      send();
     } else {
       fail(reason);
     }
   }
 
+  /** Returns whether the request may be sent again; takes a retry from the budget if so. */
+  private boolean mayRetry(boolean usesRetryBudget) {
+    return sendCount < route().maxAttempts()
+        && deadlineMs - context.clock().nowMs() >= MIN_TIME_FOR_RETRY_MS
+        && (!usesRetryBudget || context.retryBudget(service()).tryAcquire());
+  }
+
+  /** Passes on that another VM refused the request, which did not run. */
+  void onRefusedByRelay(HttpResponse response, byte[] content) {
+    attempt = null;
+    if (delivery.isStarted() || mayHaveRun) {
+      fail("refused-by-relay");
+      return;
+    }
+    finish("refused-by-relay", response.getCode());
+    client.sendResponse(context.dialect().clientResponse(response), content);
+  }
+
   /**
    * Called when the endpoint responded with status 500 or higher; retries a safe request if there
    * is time for the route's latency target, an endpoint that was not tried, and retry budget.
@@ -448,7 +570,7 @@
     if (retrying) {
       attempt = null;
       mayHaveRun = true;
-      sendToEndpoint();
+      send();
     }
     return retrying;
   }
@@ -474,6 +596,9 @@
           .sharing()
           .record(attemptId(), service(), attempt.softwareVersion(), leftMs());
     }
+    if (relayed) {
+      delivery.stateSoftwareVersion(attempt.softwareVersion());
+    }
     delivery.add(response, event);
   }
 
@@ -523,8 +648,12 @@
   private void respondLocally(int status, String reason, Optional<Long> retryAfterMs) {
     finish(reason, status);
     byte[] content = ("{\"error\":\"" + reason + "\"}").getBytes(StandardCharsets.UTF_8);
-    client.sendResponse(
-        context.dialect().localResponse(status, facts.attemptId(), retryAfterMs), content);
+    HttpResponse response =
+        context.dialect().localResponse(status, facts.attemptId(), retryAfterMs);
+    if (relayed && refusedByVm) {
+      response.setHeader(RelayHeaders.REFUSED_BY_VM, "1");
+    }
+    client.sendResponse(response, content);
   }
 
   private void finish(String outcome, int status) {
@@ -545,7 +674,8 @@
     EventLog line =
         RequestEvents.ended(attemptId(), version, completed, delivery.longestPauseMs())
             .with("endpoint", endpointId)
-            .with("confirmationAgeMs", context.tableFreshness().ageMs());
+            .with("confirmationAgeMs", context.tableFreshness().ageMs())
+            .with("relayed", relayed);
     if (failed) {
       log.addFailure(line);
     } else {
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -0,0 +1,151 @@
+package org.zinniaspan.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.zinniaspan.forwarding.RouteKind;
+import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.OutboundConnection;
+import org.zinniaspan.transport.ResponseHandler;
+
+/** One send of a request through another VM, which chooses the endpoint. */
+final class RelayAttempt implements Attempt, ResponseHandler {
+
+  /** How a response of the other VM is handled. */
+  private enum Verdict {
+    /** An endpoint's stream, passed on event by event. */
+    STREAM,
+    /** An endpoint's response, passed on once it is complete. */
+    WHOLE,
+    /** The other VM could not take the request; it is sent through another one. */
+    REFUSED_BY_VM,
+    /** The request was refused, and did not run. */
+    REFUSED,
+    /** The other VM failed, and the request may have run. */
+    FAILED
+  }
+
+  private final ProxiedRequest proxiedRequest;
+  private final String vm;
+  private final OutboundConnection connection;
+  private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+  private final SseSplitter splitter = new SseSplitter();
+  private HttpResponse head;
+  private Verdict verdict = Verdict.FAILED;
+  private boolean ended;
+
+  RelayAttempt(ProxiedRequest proxiedRequest, String vm, OutboundConnection connection) {
+    this.proxiedRequest = proxiedRequest;
+    this.vm = vm;
+    this.connection = connection;
+  }
+
+  void send(HttpRequest request, byte[] body) {
+    connection.send(request, body, this);
+  }
+
+  @Override
+  public boolean mayHaveRun() {
+    return connection.wasOpened();
+  }
+
+  @Override
+  public String softwareVersion() {
+    return head == null ? "" : RelayHeaders.value(head, RelayHeaders.SOFTWARE_VERSION).orElse("");
+  }
+
+  @Override
+  public void cancel() {
+    if (!ended) {
+      ended = true;
+      connection.reset();
+    }
+  }
+
+  @Override
+  public boolean onHead(HttpResponse response) {
+    if (!proxiedRequest.matchesAttempt(response)) {
+      return false;
+    }
+    head = response;
+    verdict = classify(response);
+    return true;
+  }
+
+  private Verdict classify(HttpResponse response) {
+    Dialect.ResponseFacts facts = proxiedRequest.context().dialect().responseFacts(response);
+    if (facts.signed()) {
+      boolean streams = proxiedRequest.route().kind() == RouteKind.STREAMING;
+      return streams && response.getCode() == HttpStatus.SC_OK ? Verdict.STREAM : Verdict.WHOLE;
+    }
+    if (response.containsHeader(RelayHeaders.REFUSED_BY_VM)) {
+      return Verdict.REFUSED_BY_VM;
+    }
+    return response.getCode() == HttpStatus.SC_SERVICE_UNAVAILABLE
+        ? Verdict.REFUSED
+        : Verdict.FAILED;
+  }
+
+  @Override
+  public void onBody(ByteBuffer part) {
+    if (verdict != Verdict.STREAM) {
+      content.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+      return;
+    }
+    boolean added = false;
+    for (SseSplitter.Event event : splitter.add(part)) {
+      if (!proxiedRequest.wasDelivered(event)) {
+        proxiedRequest.onEvent(head, event);
+        added = true;
+      }
+    }
+    if (added) {
+      proxiedRequest.flush();
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    ended = true;
+    proxiedRequest.context().connections().release(vm, connection);
+    switch (verdict) {
+      case STREAM -> proxiedRequest.onStreamEnd(head, splitter.incompleteEvent());
+      case WHOLE -> proxiedRequest.onWholeResponse(head, content.toByteArray());
+      case REFUSED_BY_VM -> {
+        proxiedRequest.context().relayTargets().suspect(vm);
+        logFailure("refused by the VM");
+        proxiedRequest.onNotSent(Optional.empty());
+      }
+      case REFUSED -> proxiedRequest.onRefusedByRelay(head, content.toByteArray());
+      default -> {
+        logFailure("status " + head.getCode());
+        proxiedRequest.onConnectionLost(Optional.empty());
+      }
+    }
+  }
+
+  @Override
+  public void onConnectionLost(boolean opened, Optional<Exception> cause) {
+    ended = true;
+    logFailure(cause.map(Exception::toString).orElse("closed"));
+    if (opened) {
+      proxiedRequest.onConnectionLost(cause);
+    } else {
+      proxiedRequest.context().relayTargets().suspect(vm);
+      proxiedRequest.onNotSent(cause);
+    }
+  }
+
+  private void logFailure(String reason) {
+    proxiedRequest
+        .log()
+        .addFailure(
+            EventLog.event("relay-failed")
+                .with("id", proxiedRequest.attemptId())
+                .with("vm", vm)
+                .with("reason", reason));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
@@ -37,6 +37,15 @@
         .with("lastEventId", resume.lastEventId());
   }
 
+  /** Returns the event of a request that is sent through another VM. */
+  static EventLog relay(String id, RouteDecision.Routed routed, String vm) {
+    return EventLog.event("relay-chosen")
+        .with("id", id)
+        .with("route", routed.route().name())
+        .with("version", routed.version())
+        .with("vm", vm);
+  }
+
   /** Returns the event at the end of a request. */
   static EventLog ended(
       String id, long version, ForwardMetrics.CompletedRequest request, long longestPauseMs) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
@@ -17,6 +17,7 @@
   private final InboundConnection client;
   private final Dialect dialect;
   private final Clock clock;
+  private Optional<String> softwareVersion = Optional.empty();
   private Optional<String> lastEventId = Optional.empty();
   private boolean started;
   private long startedAtMs;
@@ -49,12 +50,19 @@
     return lastEventId;
   }
 
+  /** Sets the software version that the head states to a VM that relays the request. */
+  void stateSoftwareVersion(String version) {
+    softwareVersion = Optional.of(version);
+  }
+
   /** Sends the head of the response, unless it was sent before. */
   void start(HttpResponse endpointHead) {
     if (!started) {
       started = true;
       startedAtMs = clock.nowMs();
-      client.startChunked(dialect.clientResponse(endpointHead));
+      HttpResponse response = dialect.clientResponse(endpointHead);
+      softwareVersion.ifPresent(v -> response.setHeader(RelayHeaders.SOFTWARE_VERSION, v));
+      client.startChunked(response);
     }
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -40,6 +40,7 @@
               .setMaxLineLength(MAX_LINE_BYTES)
               .setMaxHeaderCount(MAX_HEADERS)
               .build());
+  private Runnable openedCallback = () -> {};
   private ResponseHandler handler;
   private ContentDecoder decoder;
   private boolean opened;
@@ -86,6 +87,11 @@
     }
   }
 
+  /** Sets a callback for the time when the connection is opened; it is not called if it is open. */
+  public void whenOpened(Runnable callback) {
+    openedCallback = callback;
+  }
+
   /** Returns whether this connection can carry another request. */
   public boolean isReusable() {
     return reusable
@@ -112,6 +118,7 @@
   @Override
   protected void onOpen() {
     opened = true;
+    openedCallback.run();
     flushOrFail();
   }
 
