Leave out endpoints that a VM does not reach until a probe does

Change: an endpoint is left out from a failed connection until one is opened; it is probed each second. If a service has no reachable endpoint, its requests are relayed. Only failures since the last opened connection show a lost path.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,28 +13,36 @@
 import org.zinniaspan.log.EventLog;
 
 /**
- * Determines whether this VM has a path to the endpoints at all.
+ * Determines which endpoints this VM reaches, and whether it has a path to them at all.
  *
- * <p>The path counts as lost once connections to several endpoints failed and none was opened in
- * between, since it is unlikely that these endpoints failed at the same time. Only new connections
- * count: those that are open may live on, or may stay silent, while new ones fail. A VM that sends
- * few requests finds out by probes, which open a connection and send nothing. Not thread-safe.
+ * <p>An endpoint counts as unreachable from a failed connection until one is opened. The path
+ * counts as lost once connections to several endpoints failed and none was opened in between, since
+ * it is unlikely that these endpoints failed at the same time. Only new connections count: those
+ * that are open may live on, or may stay silent, while new ones fail. Probes open a connection and
+ * send nothing: they find out that an endpoint is back, and that the path is lost while few
+ * requests are sent. Not thread-safe.
  */
 public final class EndpointReachability {
 
   /** Number of endpoints whose failed connections show that the path is lost. */
   private static final int MIN_FAILED_ENDPOINTS = 3;
 
-  /** Time after which a failed connection does not count any more, in milliseconds. */
+  /**
+   * Time after which a failed connection does not show any more that the path is lost, in
+   * milliseconds.
+   */
   private static final long FAILURE_AGE_MS = 5_000;
 
+  /** Interval between two probes of an unreachable endpoint, in milliseconds. */
+  private static final long ENDPOINT_PROBE_INTERVAL_MS = 1_000;
+
   /**
    * Time without a byte from any endpoint, while requests are in progress, after which the path is
    * probed, in milliseconds.
    */
   private static final long SILENCE_MS = 600;
 
-  /** The same after a connection has failed. */
+  /** The same after a connection has failed, in milliseconds. */
   private static final long SILENCE_AFTER_FAILURE_MS = 200;
 
   /** Interval between two rounds of probes, in milliseconds. */
@@ -46,6 +55,8 @@
   private final Random random;
   private final IntSupplier endpointCount;
   private final Map<String, Long> failedMs = new HashMap<>();
+  private final Map<String, Long> probedMs = new HashMap<>();
+  private long lastConnectedMs = Long.MIN_VALUE;
   private int inProgress;
   private long lastBytesMs;
   private long nextProbeMs;
@@ -68,6 +79,11 @@
     return lost;
   }
 
+  /** Returns whether the last connection to an endpoint was opened, or none was tried. */
+  public boolean isReachable(String endpointId) {
+    return !failedMs.containsKey(endpointId);
+  }
+
   /** Records that a request was sent to an endpoint. */
   public void onSent() {
     if (inProgress == 0) {
@@ -87,9 +103,11 @@
   }
 
   /** Records that a connection to an endpoint was opened. */
-  public void onConnected() {
+  public void onConnected(String endpointId) {
     lastBytesMs = clock.nowMs();
-    failedMs.clear();
+    lastConnectedMs = clock.nowMs();
+    failedMs.remove(endpointId);
+    probedMs.remove(endpointId);
     if (lost) {
       lost = false;
       EventLog.event("endpoints-reachable").with("afterMs", clock.nowMs() - lostSinceMs).info();
@@ -100,9 +118,9 @@
   public void onConnectFailed(String endpointId) {
     long now = clock.nowMs();
     failedMs.put(endpointId, now);
-    failedMs.values().removeIf(ms -> now - ms > FAILURE_AGE_MS);
+    probedMs.putIfAbsent(endpointId, now);
     int required = Math.max(1, Math.min(MIN_FAILED_ENDPOINTS, endpointCount.getAsInt()));
-    if (!lost && failedMs.size() >= required) {
+    if (!lost && failuresInRow(now) >= required) {
       lost = true;
       lostSinceMs = now;
       EventLog.event("endpoints-unreachable")
@@ -113,26 +131,46 @@
     }
   }
 
-  /** Returns the endpoints to probe now: first those whose connections have not failed lately. */
+  /** Returns the number of endpoints that failed since the last connection was opened. */
+  private long failuresInRow(long now) {
+    return failedMs.values().stream()
+        .filter(ms -> ms > lastConnectedMs && now - ms <= FAILURE_AGE_MS)
+        .count();
+  }
+
+  /**
+   * Returns the endpoints to probe now: unreachable ones from time to time, and while the path is
+   * in doubt, first those that are not known to be unreachable.
+   */
   public List<ListedEndpoint> nextProbes(Collection<ListedEndpoint> listed) {
     long now = clock.nowMs();
-    if (now < nextProbeMs || !isDoubtful(now)) {
+    boolean doubtful = isDoubtful(now);
+    if (now < nextProbeMs || (!doubtful && failedMs.isEmpty())) {
       return List.of();
     }
-    nextProbeMs = now + PROBE_INTERVAL_MS;
+    failedMs.keySet().retainAll(listed.stream().map(ListedEndpoint::id).toList());
+    probedMs.keySet().retainAll(failedMs.keySet());
     List<ListedEndpoint> candidates = new ArrayList<>(listed);
-    candidates.removeIf(ListedEndpoint::draining);
+    candidates.removeIf(e -> e.draining() || !(doubtful || isProbeDue(e.id(), now)));
     Collections.shuffle(candidates, random);
-    candidates.sort(
-        (a, b) -> Boolean.compare(failedMs.containsKey(a.id()), failedMs.containsKey(b.id())));
-    return candidates.stream().limit(PROBES_PER_ROUND).toList();
+    candidates.sort(Comparator.comparing(e -> !isReachable(e.id())));
+    List<ListedEndpoint> probes = candidates.stream().limit(PROBES_PER_ROUND).toList();
+    if (!probes.isEmpty()) {
+      nextProbeMs = now + PROBE_INTERVAL_MS;
+    }
+    probes.forEach(e -> probedMs.computeIfPresent(e.id(), (id, ms) -> now));
+    return probes;
+  }
+
+  private boolean isProbeDue(String endpointId, long now) {
+    return now - probedMs.getOrDefault(endpointId, now) >= ENDPOINT_PROBE_INTERVAL_MS;
   }
 
   private boolean isDoubtful(long now) {
     long silentMs = now - lastBytesMs;
     return lost
-        || failedMs.size() > 1
-        || (!failedMs.isEmpty() && silentMs > SILENCE_AFTER_FAILURE_MS)
+        || failuresInRow(now) > 1
+        || (failuresInRow(now) > 0 && silentMs > SILENCE_AFTER_FAILURE_MS)
         || (inProgress > 0 && silentMs > SILENCE_MS);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -67,7 +67,7 @@
     endpoint.onSent(selection.uncachedTokens(), now);
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
     reachability().onSent();
-    connection.whenOpened(reachability()::onConnected);
+    connection.whenOpened(() -> reachability().onConnected(endpoint.listed().id()));
     connection.send(request, body, this);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -136,7 +136,7 @@
               endpoint,
               opened -> {
                 if (opened) {
-                  reachability.onConnected();
+                  reachability.onConnected(endpoint.id());
                 } else {
                   reachability.onConnectFailed(endpoint.id());
                 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.zinniaspan.fleet.StreamOriginResult;
 import org.zinniaspan.forwarding.AdmissionControl;
+import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.ListedEndpoint;
@@ -69,6 +70,9 @@
    */
   private static final long MIN_SILENCE_MS = 500;
 
+  /** Largest number of VMs through which a request is sent. */
+  private static final int MAX_RELAYS = 4;
+
   /** Outcome of a request whose client has disconnected. */
   private static final String CLIENT_LEFT = "client-left";
 
@@ -198,9 +202,7 @@
       }
       facts.resume().ifPresent(resume -> log.addFailure(RequestEvents.resume(attemptId(), resume)));
       requiredVersion = relayedVersion();
-      if (relayed && context.reachability().isLost()) {
-        refuseAndClose(NO_PATH);
-      } else if (facts.resume().isPresent()
+      if (facts.resume().isPresent()
           && route().kind() == RouteKind.STREAMING
           && requiredVersion.isEmpty()) {
         findOrigin(facts.resume().get());
@@ -298,11 +300,16 @@
         .orElse(ready);
   }
 
-  /** Sends the request to an endpoint, or to another VM if this one reaches no endpoint. */
+  /** Sends the request to an endpoint, or to another VM if this one reaches none that fits. */
   private void send() {
-    if (!context.reachability().isLost()) {
-      sendToEndpoint();
+    EndpointReachability reachability = context.reachability();
+    List<TrackedEndpoint> candidates = candidates();
+    List<TrackedEndpoint> reachable =
+        candidates.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
+    if (candidates.isEmpty() || (!reachable.isEmpty() && !reachability.isLost())) {
+      sendToEndpoint(reachable);
     } else if (relayed) {
+      refusedByVm = true;
       fail(NO_PATH);
     } else {
       sendToVm();
@@ -311,7 +318,7 @@
 
   private void sendToVm() {
     Optional<String> vm = context.relayTargets().choose(triedVms);
-    if (vm.isEmpty()) {
+    if (vm.isEmpty() || triedVms.size() >= MAX_RELAYS) {
       fail(NO_PATH);
       return;
     }
@@ -346,9 +353,8 @@
     return route().isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
   }
 
-  private void sendToEndpoint() {
-    Optional<Selection> selection =
-        context.selector().select(candidates(), demand(), triedEndpoints);
+  private void sendToEndpoint(List<TrackedEndpoint> candidates) {
+    Optional<Selection> selection = context.selector().select(candidates, demand(), triedEndpoints);
     if (selection.isEmpty()) {
       fail(requiredVersion.isPresent() ? "no-endpoint-of-version" : "no-endpoint");
       return;
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointReachabilityTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointReachabilityTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -46,7 +47,9 @@
     @Test
     void isNotLostIfOneConnectionWasOpenedInBetween() {
       fail(0, 1);
-      reachability.onConnected();
+      nowMs += 10;
+      reachability.onConnected("e3");
+      nowMs += 10;
       fail(2);
       assertThat(reachability.isLost()).isFalse();
     }
@@ -71,10 +74,22 @@
     @Test
     void isBackWithTheFirstOpenedConnection() {
       fail(0, 1, 2);
-      reachability.onConnected();
+      reachability.onConnected("e3");
       assertThat(reachability.isLost()).isFalse();
     }
 
+    @Test
+    void isLostAgainOnlyByNewFailures() {
+      fail(0, 1, 2);
+      nowMs += 10;
+      reachability.onConnected("e3");
+      nowMs += 10;
+      fail(0, 1);
+      assertThat(reachability.isLost()).isFalse();
+      fail(4);
+      assertThat(reachability.isLost()).isTrue();
+    }
+
     @Test
     void isLostWithFewerFailuresIfFewerEndpointsAreListed() {
       EndpointReachability small = new EndpointReachability(() -> nowMs, new Random(1), () -> 2);
@@ -85,6 +100,45 @@
     }
   }
 
+  @Nested
+  class SingleEndpoints {
+
+    @Test
+    void areUnreachableUntilTheirNextConnectionIsOpened() {
+      fail(0);
+      reachability.onConnected("e1");
+      nowMs += 20_000;
+      assertThat(reachability.isReachable("e0")).isFalse();
+      assertThat(reachability.isReachable("e1")).isTrue();
+      reachability.onConnected("e0");
+      assertThat(reachability.isReachable("e0")).isTrue();
+    }
+
+    @Test
+    void areProbedEachSecondWhileUnreachable() {
+      reachability.onConnected("e1");
+      nowMs += 10;
+      fail(0);
+      nowMs += 10;
+      reachability.onConnected("e1");
+      int sent = 0;
+      for (int i = 0; i < 500; i++) {
+        nowMs += 20;
+        List<String> probed = probes();
+        sent += probed.size();
+        assertThat(probed).isIn(List.of(List.of(), List.of("e0")));
+      }
+      assertThat(sent).isIn(Range.closed(7, 10));
+    }
+
+    @Test
+    void areReachableAgainOnceTheyWereUnlisted() {
+      fail(0);
+      reachability.nextProbes(List.of(endpoint(1)));
+      assertThat(reachability.isReachable("e0")).isTrue();
+    }
+  }
+
   @Nested
   class Probes {
 
@@ -112,7 +166,7 @@
       assertThat(probes()).isEmpty();
       nowMs += 250;
       assertThat(probes()).hasSize(2);
-      reachability.onConnected();
+      reachability.onConnected("e3");
       nowMs += 250;
       assertThat(probes()).isEmpty();
     }
@@ -124,7 +178,7 @@
     }
 
     @Test
-    void areNotSentAfterOneFailureWhileOthersRespond() {
+    void areNotSentToOthersAfterOneFailureWhileTheyRespond() {
       reachability.onSent();
       fail(0);
       reachability.onBytes();
