Send nothing to endpoints before their Retry-After has passed

Cause: the Retry-After of an endpoint that rejects a request was ignored; the next request reached it again.

Change: EndpointBackoff leaves such an incarnation out until then; if all endpoints of a service do so, requests are refused at once with the time until the first one takes requests again.

--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -138,7 +138,8 @@
         headerValue(head, HeaderNames.ATTEMPT_ID),
         head.containsHeader(HeaderNames.SERVER_STAMP),
         notRun,
-        head.containsHeader(HttpHeaders.CONTENT_ENCODING));
+        head.containsHeader(HttpHeaders.CONTENT_ENCODING),
+        headerValue(head, HttpHeaders.RETRY_AFTER).flatMap(HttpDialect::secondsInMs));
   }
 
   @Override
@@ -215,6 +216,12 @@
     return text.matches("[0-9]{1,15}") ? Optional.of(Long.parseLong(text)) : Optional.empty();
   }
 
+  private static Optional<Long> secondsInMs(String text) {
+    return text.matches("[0-9]{1,6}([.][0-9]{1,6})?")
+        ? Optional.of(Math.round(Double.parseDouble(text) * MS_PER_SECOND))
+        : Optional.empty();
+  }
+
   private static String lowerCase(String text) {
     return text.toLowerCase(Locale.ROOT);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -69,7 +69,13 @@
    * @param signed whether the response has the endpoint's server stamp
    * @param notRun whether the endpoint states that it did not run the request
    * @param encoded whether the body has a content encoding, which no client asks for
+   * @param retryAfterMs time for which the endpoint takes no request of this VM, in milliseconds,
+   *     if stated
    */
   record ResponseFacts(
-      Optional<String> attemptId, boolean signed, boolean notRun, boolean encoded) {}
+      Optional<String> attemptId,
+      boolean signed,
+      boolean notRun,
+      boolean encoded,
+      Optional<Long> retryAfterMs) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -200,6 +200,7 @@
       case WHOLE -> onWholeResponse(now);
       case NOT_RUN -> {
         endpoint.onFailure(now);
+        recordRejection();
         proxiedRequest.onNotRun(head.getCode());
       }
       default -> {
@@ -216,6 +217,21 @@
     }
   }
 
+  private void recordRejection() {
+    Optional<Long> retryAfterMs =
+        proxiedRequest.context().dialect().responseFacts(head).retryAfterMs();
+    proxiedRequest.context().backoff().onRejected(endpoint.listed(), retryAfterMs);
+    retryAfterMs.ifPresent(
+        ms ->
+            proxiedRequest
+                .log()
+                .addFailure(
+                    EventLog.event("endpoint-paused")
+                        .with("id", proxiedRequest.attemptId())
+                        .with("endpoint", endpoint.listed().id())
+                        .with("retryAfterMs", ms)));
+  }
+
   private MeasuredEngineSpeed speed() {
     return proxiedRequest.context().speeds().of(endpoint.listed().service());
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -8,6 +8,7 @@
 import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.AdmissionControl;
 import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.EndpointBackoff;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector;
@@ -30,6 +31,7 @@
  * @param selector selects an endpoint for each send
  * @param admission refuses requests whose response would come too late
  * @param origins the software versions that began streams
+ * @param backoff the endpoints that take no requests of this VM for a while
  * @param reachability whether this VM has a path to the endpoints
  * @param relayTargets the VMs through which requests are relayed without such a path
  * @param connections connection pool for endpoints and other VMs
@@ -49,6 +51,7 @@
     EndpointSelector selector,
     AdmissionControl admission,
     StreamOriginComponents origins,
+    EndpointBackoff backoff,
     EndpointReachability reachability,
     RelayTargets relayTargets,
     EndpointConnectionPool connections,
@@ -68,6 +71,7 @@
       EndpointSelector selector,
       AdmissionControl admission,
       StreamOriginComponents origins,
+      EndpointBackoff backoff,
       EndpointReachability reachability,
       RelayTargets relayTargets,
       EndpointConnectionPool connections,
@@ -84,6 +88,7 @@
         selector,
         admission,
         origins,
+        backoff,
         reachability,
         relayTargets,
         connections,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -14,6 +14,7 @@
 import org.zinniaspan.forwarding.AdmissionControl;
 import org.zinniaspan.forwarding.Catalog;
 import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.EndpointBackoff;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EngineReportSource;
@@ -99,6 +100,7 @@
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
             fleet.origins(),
+            new EndpointBackoff(clock),
             new EndpointReachability(clock, random, directory::size),
             new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
             new EndpointConnectionPool(reactor, clock),
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -73,6 +73,9 @@
   /** Largest number of VMs through which a request is sent. */
   private static final int MAX_RELAYS = 4;
 
+  /** Reason for refusing a request as all endpoints stated that they take none for a while. */
+  private static final String ENDPOINTS_PAUSED = "endpoints-paused";
+
   /** Outcome of a request whose client has disconnected. */
   private static final String CLIENT_LEFT = "client-left";
 
@@ -304,8 +307,14 @@
   private void send() {
     EndpointReachability reachability = context.reachability();
     List<TrackedEndpoint> candidates = candidates();
+    List<TrackedEndpoint> admitting =
+        candidates.stream().filter(e -> context.backoff().admits(e.listed())).toList();
+    if (admitting.isEmpty() && !candidates.isEmpty()) {
+      failForBackoff(candidates);
+      return;
+    }
     List<TrackedEndpoint> reachable =
-        candidates.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
+        admitting.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
     if (candidates.isEmpty() || (!reachable.isEmpty() && !reachability.isLost())) {
       sendToEndpoint(reachable);
     } else if (relayed) {
@@ -316,6 +325,15 @@
     }
   }
 
+  /** Refuses the request until the first endpoint takes requests again, if it has not run. */
+  private void failForBackoff(List<TrackedEndpoint> candidates) {
+    if (delivery.isStarted() || mayHaveRun) {
+      fail(ENDPOINTS_PAUSED);
+    } else {
+      refuse(ENDPOINTS_PAUSED, context.backoff().remainingMs(candidates));
+    }
+  }
+
   private void sendToVm() {
     Optional<String> vm = context.relayTargets().choose(triedVms);
     if (vm.isEmpty() || triedVms.size() >= MAX_RELAYS) {
