Send nothing to endpoints that state in a response that they are leaving

Cause: only the list told that an endpoint is draining; a VM that gets the list late, or whose store is away, sent requests to endpoints that had already stated it in their responses (Server-Leaving).

Change: an incarnation that states it gets no new requests, whatever the list says. ForwardDaemonTest.LeavingEndpoints saw the second request at the leaving endpoint before.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -396,6 +396,37 @@
     }
   }
 
+  @Nested
+  class LeavingEndpoints {
+
+    @Test
+    void receiveNothingOnceTheyHaveSaidSo() throws IOException {
+      first.setHandler(
+          always(okResponse("a1", "first").replace(STAMP, STAMP + "Server-Leaving: 1\r\n")));
+      second.setHandler(always(okResponse("a1", "second")));
+      assertThat(call(request("GET", "/safe/x", "", ""))).endsWith("\r\n\r\nfirst");
+      for (int i = 0; i < 6; i++) {
+        assertThat(call(request("GET", "/safe/x", "", ""))).endsWith("\r\n\r\nsecond");
+      }
+      assertThat(first.requests()).hasSize(1);
+    }
+
+    @Test
+    void receiveRequestsAgainOnceTheyHaveRestarted() throws IOException {
+      first.setHandler(
+          always(okResponse("a1", "first").replace(STAMP, STAMP + "Server-Leaving: 1\r\n")));
+      second.setHandler((request, socket) -> false);
+      call(request("GET", "/safe/x", "", ""));
+      first.setHandler(always(okResponse("a1", "restarted")));
+      store.put("servers/i-1", endpointEntry(first, "zone-a", 2));
+      String response = "";
+      while (!response.endsWith("restarted")) {
+        response = call(request("GET", "/safe/x", "", ""));
+      }
+      assertThat(response).startsWith("HTTP/1.1 200");
+    }
+  }
+
   @Nested
   class Keys {
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -91,12 +91,25 @@
     }
   }
 
+  /**
+   * Records that an endpoint stated itself that it is draining, which the list may state later; it
+   * holds for this incarnation.
+   */
+  public void onStatedDraining(ListedEndpoint entry) {
+    TrackedEndpoint known = endpoints.get(entry.id());
+    if (known != null
+        && known.listed().startedAtMs() == entry.startedAtMs()
+        && known.stateDraining()) {
+      onChange("endpoint-stated-draining", known.listed());
+    }
+  }
+
   /** Returns the endpoints of a service that accept requests; draining ones are left out. */
   public List<TrackedEndpoint> ready(String service) {
     List<TrackedEndpoint> result = new ArrayList<>();
     for (TrackedEndpoint endpoint : endpoints.values()) {
       ListedEndpoint listed = endpoint.listed();
-      if (!listed.draining() && listed.service().equals(service)) {
+      if (!listed.draining() && !endpoint.statedDraining() && listed.service().equals(service)) {
         result.add(endpoint);
       }
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -51,6 +51,7 @@
   private static final long MAX_REPORT_AGE_MS = 2_000;
 
   private ListedEndpoint listed;
+  private boolean statedDraining;
   private EngineReport report;
   private long reportMs;
   private final Deque<Long> sendTimesMs = new ArrayDeque<>();
@@ -87,10 +88,23 @@
     if (entry.startedAtMs() != listed.startedAtMs()) {
       cachedParts.clear();
       report = null;
+      statedDraining = false;
     }
     listed = entry;
   }
 
+  /** Returns whether this incarnation stated in a response that it is draining. */
+  boolean statedDraining() {
+    return statedDraining;
+  }
+
+  /** Records that this incarnation stated that it is draining; returns whether that is new. */
+  boolean stateDraining() {
+    boolean isNew = !statedDraining;
+    statedDraining = true;
+    return isNew;
+  }
+
   /** Returns the number of this VM's requests in flight at the endpoint. */
   public int inFlight() {
     return inFlight;
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -57,5 +57,8 @@
   /** Id of the client attempt that delivered the first event of a stream that a client resumes. */
   static final String RESUMES = "Resumes";
 
+  /** Present in all responses of an endpoint that is about to shut down. */
+  static final String SERVER_LEAVING = "Server-Leaving";
+
   private HeaderNames() {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -139,7 +139,8 @@
         head.containsHeader(HeaderNames.SERVER_STAMP),
         notRun,
         head.containsHeader(HttpHeaders.CONTENT_ENCODING),
-        headerValue(head, HttpHeaders.RETRY_AFTER).flatMap(HttpDialect::secondsInMs));
+        headerValue(head, HttpHeaders.RETRY_AFTER).flatMap(HttpDialect::secondsInMs),
+        head.containsHeader(HeaderNames.SERVER_LEAVING));
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -71,11 +71,13 @@
    * @param encoded whether the body has a content encoding, which no client asks for
    * @param retryAfterMs time for which the endpoint takes no request of this VM, in milliseconds,
    *     if stated
+   * @param draining whether the endpoint states that it is about to shut down
    */
   record ResponseFacts(
       Optional<String> attemptId,
       boolean signed,
       boolean notRun,
       boolean encoded,
-      Optional<Long> retryAfterMs) {}
+      Optional<Long> retryAfterMs,
+      boolean draining) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -107,6 +107,9 @@
   @Override
   public boolean onHead(HttpResponse response) {
     onBytes();
+    if (proxiedRequest.context().dialect().responseFacts(response).draining()) {
+      proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
+    }
     if (!proxiedRequest.matchesAttempt(response)) {
       proxiedRequest
           .log()
