Follow the platform's store through a restore from a copy

Cause: revisions were compared by number only. When the store comes back from a copy, they go back and are given out again: VMs that get the list from their zone's reader ignored it as older than their own, and a watch could skip changes whose numbers were given out anew.

Change: StoreRevision orders by the store's era (Store-Era) first. A new era is read completely; removals get the grace period of an outage; reads confirm nothing until what the copy lacks has been written again, as far as the last confirmation lasts. Versions of the configuration still only rise.

Evidence: CatalogSharingTest.RestoredStore failed before: VMs did not know an endpoint that was written after the restore. The store stand-in restores copies, and the soak lets it (new fault restoreStore).

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
@@ -51,6 +51,7 @@
       closer.add(
           new RawServer((request, socket) -> handle(request, socket, UnaryOperator.identity())));
   private long revision = FIRST_REVISION;
+  private volatile long era = 1;
   private volatile Mode mode = Mode.UP;
 
   /** Starts the store on a free port. */
@@ -95,6 +96,47 @@
     notifyAll();
   }
 
+  /** The content of the store at a time. */
+  public static final class Copy {
+    private final Map<String, StoredValue> values;
+    private final long revision;
+
+    private Copy(Map<String, StoredValue> values, long revision) {
+      this.values = new TreeMap<>(values);
+      this.revision = revision;
+    }
+  }
+
+  /** Returns a copy of the present content. */
+  public synchronized Copy copy() {
+    return new Copy(storedValues, revision);
+  }
+
+  /**
+   * Goes back to a copy: the era rises, and revisions go back and are given out again. What was
+   * written since is then written again, as its writers do.
+   */
+  public synchronized void restore(Copy copy) {
+    final Map<String, StoredValue> lost = new TreeMap<>(storedValues);
+    storedValues.clear();
+    storedValues.putAll(copy.values);
+    revision = copy.revision;
+    era++;
+    notifyAll();
+    lost.forEach(
+        (key, item) -> {
+          StoredValue restored = storedValues.get(key);
+          if (restored == null || !restored.value().equals(item.value())) {
+            write(key, item.value());
+          }
+        });
+  }
+
+  /** Returns the bytes of a response, which states the era. */
+  private String response(String status, String body) {
+    return RawServer.jsonResponse(status + "\r\nStore-Era: " + era, body);
+  }
+
   private boolean handle(RawServer.Request request, Socket socket, UnaryOperator<String> rewrite)
       throws IOException {
     String path = request.line().split(" ")[1];
@@ -112,22 +154,20 @@
       case CLOSING -> {
         return false;
       }
-      case BUSY -> RawServer.write(socket, RawServer.jsonResponse("503 Service Unavailable", "{}"));
+      case BUSY -> RawServer.write(socket, response("503 Service Unavailable", "{}"));
       case FORGETFUL ->
           RawServer.write(
-              socket,
-              isWatch
-                  ? RawServer.jsonResponse("410 Gone", "{}")
-                  : readResponse(path, query, rewrite));
+              socket, isWatch ? response("410 Gone", "{}") : readResponse(path, query, rewrite));
       default -> RawServer.write(socket, readResponse(path, query, rewrite));
     }
     return true;
   }
 
   private synchronized void awaitChange(long afterRevision, long waitMs) {
+    final long startEra = era;
     long deadlineMs = System.nanoTime() / 1_000_000 + waitMs;
     try {
-      while (revision <= afterRevision && mode == Mode.UP) {
+      while (revision == afterRevision && era == startEra && mode == Mode.UP) {
         long remainingMs = deadlineMs - System.nanoTime() / 1_000_000;
         if (remainingMs <= 0) {
           return;
@@ -145,11 +185,13 @@
       String key = query.get("key");
       StoredValue item = storedValues.get(key);
       return item == null || item.value().isEmpty()
-          ? RawServer.jsonResponse("404 Not Found", "{}")
-          : RawServer.jsonResponse(
-              "200 OK", toJson(key, item, rewrite).put("at", revision).toString());
+          ? response("404 Not Found", "{}")
+          : response("200 OK", toJson(key, item, rewrite).put("at", revision).toString());
     }
     boolean isWatch = path.startsWith("/kv-watch");
+    if (isWatch && Long.parseLong(query.get("after")) > revision) {
+      return response("410 Gone", "{}");
+    }
     long afterRevision = isWatch ? Long.parseLong(query.get("after")) : 0;
     ObjectNode body = json.createObjectNode();
     ArrayNode found = body.putArray(isWatch ? "events" : "items");
@@ -161,7 +203,7 @@
           }
         });
     body.put("has_more", false).put("at", revision);
-    return RawServer.jsonResponse("200 OK", body.toString());
+    return response("200 OK", body.toString());
   }
 
   private ObjectNode toJson(String key, StoredValue item, UnaryOperator<String> rewrite) {
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
@@ -99,7 +99,7 @@
   }
 
   private void beginFault(long nowMs) throws IOException {
-    switch (random.nextInt(9)) {
+    switch (random.nextInt(10)) {
       case 0, 1 -> injectDaemonFault(nowMs);
       case 2 -> {
         SoakDaemon daemon = randomElement(daemons);
@@ -110,6 +110,7 @@
       case 5 -> injectStoreFault(nowMs);
       case 6 -> changeEndpointEntry(nowMs);
       case 7 -> partitionFromEndpoints(nowMs);
+      case 8 -> restoreStore(nowMs);
       default -> publishKeys();
     }
   }
@@ -159,6 +160,12 @@
     scheduleEnd(nowMs, "store", () -> site.store().setMode(StoreStandIn.Mode.UP));
   }
 
+  /** Lets the store come back from a copy of its present content after a while. */
+  private void restoreStore(long nowMs) {
+    StoreStandIn.Copy copy = site.store().copy();
+    scheduleEnd(nowMs, "content of the store", () -> site.store().restore(copy));
+  }
+
   private void changeEndpointEntry(long nowMs) {
     String id = randomElement(List.copyOf(site.endpoints().keySet()));
     if (random.nextBoolean()) {
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -427,6 +427,28 @@
     }
   }
 
+  @Nested
+  class RestoredStore {
+
+    @Test
+    void endpointsWrittenAfterwardsAreUsed() throws IOException {
+      first.setHandler(always(okResponse("a1", "first")));
+      second.setHandler(always(okResponse("a1", "second")));
+      StoreStandIn.Copy copy = store.copy();
+      for (int i = 0; i < 20; i++) {
+        publish(4 + i, "key-1");
+      }
+      assertThat(call(request("GET", "/safe/x", "", ""))).startsWith("HTTP/1.1 200");
+      store.restore(copy);
+      store.delete("servers/i-1");
+      String response = "";
+      while (!response.endsWith("\r\n\r\nsecond")) {
+        response = call(request("GET", "/safe/x", "", ""));
+        assertThat(response).startsWith("HTTP/1.1 200");
+      }
+    }
+  }
+
   @Nested
   class Keys {
 
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -119,7 +119,8 @@
         .ifPresent(document -> state.setTable(ByteString.copyFrom(document)));
     if (follower.isListComplete()) {
       state
-          .setRevision(follower.revision())
+          .setRevision(follower.revision().number())
+          .setStoreEra(follower.revision().era())
           .setListEpoch(epoch)
           .setListSequence(directory.changeCount());
       if (!hasList(entry.query())) {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -8,6 +8,7 @@
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.StoreRevision;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.peer.proto.CatalogEndpoint;
@@ -164,7 +165,7 @@
     if (state.getListIncluded()) {
       List<ListedEndpoint> list =
           state.getEndpointsList().stream().map(CatalogSharing::decode).toList();
-      follower.onPeerList(list, state.getRevision());
+      follower.onPeerList(list, new StoreRevision(state.getStoreEra(), state.getRevision()));
     }
     listEpoch = state.getListEpoch();
     listSequence = state.getListSequence();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -15,6 +15,9 @@
  * only such a read confirms the table. A table is adopted only if its version is higher than the
  * version in force.
  *
+ * <p>When the store came back from a copy, shown by its era, everything is read again, and reads
+ * confirm nothing until what the copy lacks has been written again.
+ *
  * <p>While another VM reads the platform for this one, the follower is passive: it reads only what
  * this VM still lacks, and is told the rest.
  */
@@ -37,6 +40,12 @@
   /** Time after which an unanswered read counts as a failure of the platform, in milliseconds. */
   private static final long SLOW_READ_MS = 400;
 
+  /**
+   * Time after the store came back from a copy in which reads confirm nothing, in milliseconds: as
+   * long as the platform takes to write again what is lost.
+   */
+  private static final long RESTORE_SETTLE_MS = 2_200;
+
   private final Catalog catalog;
   private final Clock clock;
   private final TableFreshness freshness;
@@ -54,7 +63,9 @@
   private boolean watching;
   private boolean listComplete;
   private boolean reachable = true;
-  private long revision;
+  private StoreRevision revision = StoreRevision.NONE;
+  private long watchedEra;
+  private long settledMs = Long.MIN_VALUE;
   private long lastAnswerMs;
   private long nextTableReadMs;
   private long nextEndpointReadMs;
@@ -97,7 +108,7 @@
   }
 
   /** Returns the revision of the platform's store up to which the endpoints are known. */
-  public long revision() {
+  public StoreRevision revision() {
     return revision;
   }
 
@@ -145,8 +156,9 @@
    * @param listRevision revision up to which that VM knows the endpoints; a list that is older than
    *     this VM's own is ignored
    */
-  public void onPeerList(List<ListedEndpoint> endpoints, long listRevision) {
-    if (listRevision >= revision) {
+  public void onPeerList(List<ListedEndpoint> endpoints, StoreRevision listRevision) {
+    observeEra(listRevision);
+    if (listRevision.compareTo(revision) >= 0) {
       revision = listRevision;
       listComplete = true;
       directory.replaceAll(endpoints);
@@ -185,11 +197,14 @@
       CatalogResult<Optional<RoutingTable>> result, TableFreshness.ReadStart readStart) {
     if (result instanceof CatalogResult.Read<Optional<RoutingTable>> read) {
       onAnswered();
+      observeEra(read.revision());
       tableReadRequested = false;
       nextTableReadMs = clock.nowMs() + bounds.confirmIntervalMs();
       read.value().ifPresent(this::adopt);
       if (table.isPresent()) {
-        freshness.confirm(readStart);
+        if (readStart.steadyMs() >= settledMs) {
+          freshness.confirm(readStart);
+        }
       } else {
         nextTableReadMs = clock.nowMs() + retryDelayMs();
       }
@@ -211,11 +226,18 @@
   private void onEndpoints(CatalogResult<List<ListedEndpoint>> result) {
     if (result instanceof CatalogResult.Read<List<ListedEndpoint>> read) {
       onAnswered();
+      observeEra(read.revision());
+      if (read.revision().era() < revision.era()) {
+        nextEndpointReadMs = clock.nowMs();
+        return;
+      }
       nextEndpointReadMs = clock.nowMs() + ENDPOINT_READ_INTERVAL_MS;
       directory.replaceAll(read.value());
       listComplete = true;
-      if (!watching) {
+      if (!watching || watchedEra != read.revision().era()) {
         revision = read.revision();
+      }
+      if (!watching) {
         watchUnlessPassive();
       }
     } else {
@@ -229,8 +251,9 @@
       return;
     }
     watching = true;
+    watchedEra = revision.era();
     catalog.watch(
-        revision,
+        revision.number(),
         bounds.watchWaitMs(),
         result -> {
           watching = false;
@@ -238,11 +261,17 @@
         });
   }
 
+  /**
+   * Applies the changes that a watch returned, if it began in the same era; the numbers of another
+   * era mean other changes.
+   */
   private void onChanges(CatalogResult<CatalogChanges> result) {
-    if (result instanceof CatalogResult.Read<CatalogChanges> read) {
+    if (result instanceof CatalogResult.Read<CatalogChanges> read
+        && read.revision().era() == watchedEra
+        && watchedEra == revision.era()) {
       read.value().table().ifPresent(this::adopt);
       read.value().endpoints().forEach(directory::apply);
-      revision = Math.max(revision, read.revision());
+      revision = read.revision().compareTo(revision) > 0 ? read.revision() : revision;
       watchUnlessPassive();
       return;
     }
@@ -250,12 +279,37 @@
       return;
     }
     EventLog.event("watch-lost").with("revision", revision).with("result", result).info();
-    boolean readAtOnce = result instanceof CatalogResult.HistoryLost;
+    boolean readAtOnce = !(result instanceof CatalogResult.Failed);
     nextTableReadMs = clock.nowMs() + (readAtOnce ? 0 : random.nextInt(RETRY_DELAY_MS));
     nextEndpointReadMs = nextTableReadMs;
     tick();
   }
 
+  /** Starts a new era if a response shows that the store came back from a copy. */
+  private void observeEra(StoreRevision observed) {
+    if (observed.era() <= revision.era()) {
+      return;
+    }
+    boolean first = revision.equals(StoreRevision.NONE);
+    EventLog.event("store-era")
+        .with("era", observed.era())
+        .with("before", revision)
+        .with("revision", observed.number())
+        .info();
+    revision = new StoreRevision(observed.era(), 0);
+    if (!first) {
+      long now = clock.nowMs();
+      // The last confirmation must not expire meanwhile.
+      long spareMs =
+          bounds.maxConfirmationAgeMs()
+              - bounds.confirmIntervalMs()
+              - PlatformBounds.PLATFORM_TIMEOUT_MS;
+      settledMs = now + Math.max(0, Math.min(RESTORE_SETTLE_MS, spareMs));
+      nextEndpointReadMs = now;
+      directory.onPlatformRecovered();
+    }
+  }
+
   private void adopt(RoutingTable candidate) {
     long versionInForce = table.map(RoutingTable::version).orElse(-1L);
     if (candidate.version() <= versionInForce) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogResult.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogResult.java
@@ -14,7 +14,7 @@
    * @param revision revision of the platform's store at which the value is valid
    * @param <T> type of the value
    */
-  record Read<T>(T value, long revision) implements CatalogResult<T> {}
+  record Read<T>(T value, StoreRevision revision) implements CatalogResult<T> {}
 
   /**
    * The changes since the requested revision are no longer available; a complete read is needed.
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
@@ -223,6 +223,21 @@
     return table_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 11;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store, in which the revision counts.
+   * </pre>
+   *
+   * <code>int64 store_era = 11;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -267,6 +282,9 @@
     if (!table_.isEmpty()) {
       output.writeBytes(10, table_);
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(11, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -316,6 +334,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(10, table_);
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, storeEra_);
+    }
     return size;
   }
   @java.lang.Override
@@ -360,6 +382,8 @@
         .equals(other.getEndpointsList())) return false;
     if (!getTable()
         .equals(other.getTable())) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -401,6 +425,9 @@
     }
     hash = (37 * hash) + TABLE_FIELD_NUMBER;
     hash = (53 * hash) + getTable().hashCode();
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -552,6 +579,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000100);
       table_ = com.google.protobuf.ByteString.EMPTY;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -625,6 +653,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.table_ = table_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -692,6 +723,9 @@
       if (!other.getTable().isEmpty()) {
         setTable(other.getTable());
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -774,6 +808,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 82
+            case 88: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1400,6 +1439,50 @@
       return this;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Era of the store, in which the revision counts.
+     * </pre>
+     *
+     * <code>int64 store_era = 11;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store, in which the revision counts.
+     * </pre>
+     *
+     * <code>int64 store_era = 11;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store, in which the revision counts.
+     * </pre>
+     *
+     * <code>int64 store_era = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogState)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
@@ -116,4 +116,14 @@
    * @return The table.
    */
   com.google.protobuf.ByteString getTable();
+
+  /**
+   * <pre>
+   * Era of the store, in which the revision counts.
+   * </pre>
+   *
+   * <code>int64 store_era = 11;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -60,5 +60,8 @@
   /** Present in all responses of an endpoint that is about to shut down. */
   static final String SERVER_LEAVING = "Server-Leaving";
 
+  /** Number of times that the platform's store came back from a copy; in all its responses. */
+  static final String STORE_ERA = "Store-Era";
+
   private HeaderNames() {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -21,6 +21,7 @@
 import org.zinniaspan.forwarding.EndpointChange;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.StoreRevision;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.BufferingHttpClient;
 
@@ -71,7 +72,7 @@
   private void readPage(
       List<ListedEndpoint> found,
       Optional<String> afterKey,
-      Optional<Long> firstRevision,
+      Optional<StoreRevision> firstRevision,
       Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
     String after = afterKey.map(key -> "&after=" + encode(key)).orElse("");
     get(
@@ -79,14 +80,22 @@
         timeoutMs,
         result -> {
           CatalogResult<JsonNode> page =
-              decode(result, body -> new CatalogResult.Read<>(body, body.path("at").asLong()));
+              decode(
+                  result,
+                  (body, era) ->
+                      new CatalogResult.Read<>(
+                          body, new StoreRevision(era, body.path("at").asLong())));
           if (!(page instanceof CatalogResult.Read<JsonNode> read)) {
             callback.accept(new CatalogResult.Failed<>(page.toString()));
             return;
           }
+          if (firstRevision.isPresent() && firstRevision.get().era() != read.revision().era()) {
+            callback.accept(new CatalogResult.Failed<>("restored between two pages"));
+            return;
+          }
           JsonNode items = read.value().path("items");
           items.forEach(item -> endpoint(item).ifPresent(found::add));
-          long revision = firstRevision.orElse(read.revision());
+          StoreRevision revision = firstRevision.orElse(read.revision());
           if (read.value().path("has_more").asBoolean() && !items.isEmpty()) {
             String last = items.get(items.size() - 1).path("key").asText();
             readPage(found, Optional.of(last), Optional.of(revision), callback);
@@ -112,7 +121,7 @@
   }
 
   private interface Decoder<T> {
-    CatalogResult<T> decode(JsonNode body) throws IOException;
+    CatalogResult<T> decode(JsonNode body, long era) throws IOException;
   }
 
   private <T> CatalogResult<T> decode(BufferingHttpClient.Result result, Decoder<T> decoder) {
@@ -127,19 +136,30 @@
       return new CatalogResult.Failed<>("status " + answered.status());
     }
     try {
-      return decoder.decode(missing ? json.createObjectNode() : json.readTree(answered.body()));
+      JsonNode body = missing ? json.createObjectNode() : json.readTree(answered.body());
+      return decoder.decode(body, era(answered));
     } catch (IOException | IllegalArgumentException e) {
       return new CatalogResult.Failed<>("cannot decode the response: " + e.getMessage());
     }
   }
 
-  private CatalogResult<Optional<RoutingTable>> table(JsonNode item) throws IOException {
+  /** Returns the store's era; 0 if it states none. */
+  private static long era(BufferingHttpClient.Result.Answered answered) {
+    return answered
+        .header(HeaderNames.STORE_ERA)
+        .filter(text -> text.matches("[0-9]{1,15}"))
+        .map(Long::parseLong)
+        .orElse(0L);
+  }
+
+  private CatalogResult<Optional<RoutingTable>> table(JsonNode item, long era) throws IOException {
     Optional<RoutingTable> table =
         item.has("value") ? Optional.of(decodeDocument(valueBytes(item))) : Optional.empty();
-    return new CatalogResult.Read<>(table, item.path("at").asLong(item.path("revision").asLong()));
+    long number = item.path("at").asLong(item.path("revision").asLong());
+    return new CatalogResult.Read<>(table, new StoreRevision(era, number));
   }
 
-  private CatalogResult<CatalogChanges> changes(JsonNode body) throws IOException {
+  private CatalogResult<CatalogChanges> changes(JsonNode body, long era) throws IOException {
     Optional<RoutingTable> table = Optional.empty();
     List<EndpointChange> endpoints = new ArrayList<>();
     for (JsonNode event : body.path("events")) {
@@ -156,7 +176,8 @@
                 .orElse(new EndpointChange.Removed(id)));
       }
     }
-    return new CatalogResult.Read<>(new CatalogChanges(table, endpoints), body.path("at").asLong());
+    return new CatalogResult.Read<>(
+        new CatalogChanges(table, endpoints), new StoreRevision(era, body.path("at").asLong()));
   }
 
   private Optional<ListedEndpoint> endpoint(JsonNode item) {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
@@ -42,10 +42,21 @@
     /**
      * A complete response was received.
      *
-     * @param status HTTP status code
+     * @param head head of the response
      * @param body the complete response body
      */
-    record Answered(int status, byte[] body) implements Result {}
+    record Answered(HttpResponse head, byte[] body) implements Result {
+
+      /** Returns the HTTP status code. */
+      public int status() {
+        return head.getCode();
+      }
+
+      /** Returns the value of a header, if the response has it. */
+      public Optional<String> header(String name) {
+        return Optional.ofNullable(head.getFirstHeader(name)).map(field -> field.getValue());
+      }
+    }
 
     /**
      * No complete response was received.
@@ -102,7 +113,7 @@
     private final long deadlineMs;
     private final Consumer<Result> callback;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
+    private HttpResponse responseHead;
 
     Call(OutboundConnection connection, long deadlineMs, Consumer<Result> callback) {
       this.connection = connection;
@@ -112,7 +123,7 @@
 
     @Override
     public boolean onHead(HttpResponse head) {
-      status = head.getCode();
+      responseHead = head;
       return true;
     }
 
@@ -128,7 +139,7 @@
       } else {
         connection.close();
       }
-      finish(new Result.Answered(status, body.toByteArray()));
+      finish(new Result.Answered(responseHead, body.toByteArray()));
     }
 
     @Override
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogSharingTest.java
@@ -70,6 +70,28 @@
     }
   }
 
+  @Nested
+  class RestoredStore {
+
+    private final FleetSimulation fleet = settledFleet(SMALL, 12, 2);
+
+    @Test
+    void listsOfAllVmsFollowItAlthoughItsRevisionsWentBack() {
+      final long copy = fleet.store.revision();
+      for (int i = 0; i < 40; i++) {
+        fleet.store.put(FleetSimulation.endpoint("lost-" + i, "zone-0", false));
+      }
+      fleet.advance(3_000);
+      fleet.store.restore(copy);
+      fleet.store.put(FleetSimulation.endpoint("e-2", "zone-0", false));
+      fleet.advance(6_000);
+      for (FleetSimulation.Vm vm : fleet.vms.values()) {
+        assertWithMessage(vm.address).that(vm.directory.contains("e-2")).isTrue();
+        assertWithMessage(vm.address).that(vm.directory.contains("lost-1")).isFalse();
+      }
+    }
+  }
+
   @Nested
   class LossOfTheReader {
 
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -28,6 +28,7 @@
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.StoreRevision;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TrackedEndpoint;
@@ -150,6 +151,33 @@
     boolean down;
     long calls;
     private long revision = 100;
+    private long era = 1;
+
+    /** Goes back to a copy: the changes since are gone, and their revisions are given out again. */
+    void restore(long atRevision) {
+      era++;
+      history.keySet().removeIf(number -> number > atRevision);
+      versionRevisions.keySet().removeIf(number -> number > atRevision);
+      endpoints.clear();
+      history.values().forEach(change -> apply(change));
+      revision = atRevision;
+    }
+
+    private void apply(EndpointChange change) {
+      if (change instanceof EndpointChange.Listed listed) {
+        endpoints.put(change.id(), listed.endpoint());
+      } else {
+        endpoints.remove(change.id());
+      }
+    }
+
+    long revision() {
+      return revision;
+    }
+
+    private StoreRevision at() {
+      return new StoreRevision(era, revision);
+    }
 
     long version() {
       return versionStartsMs.size();
@@ -373,7 +401,7 @@
       callStore(
           0,
           callback,
-          () -> Optional.of(new CatalogResult.Read<>(Optional.of(store.table()), store.revision)));
+          () -> Optional.of(new CatalogResult.Read<>(Optional.of(store.table()), store.at())));
     }
 
     @Override
@@ -391,7 +419,7 @@
           callback,
           () ->
               Optional.of(
-                  new CatalogResult.Read<>(List.copyOf(store.endpoints.values()), store.revision)));
+                  new CatalogResult.Read<>(List.copyOf(store.endpoints.values()), store.at())));
     }
 
     @Override
@@ -402,6 +430,9 @@
           waitMs,
           callback,
           () -> {
+            if (afterRevision > store.revision) {
+              return Optional.of(new CatalogResult.HistoryLost<>());
+            }
             List<EndpointChange> changes = new ArrayList<>();
             store.history.forEach(
                 (revision, change) -> {
@@ -416,7 +447,7 @@
             }
             Optional<RoutingTable> table = newTable ? Optional.of(store.table()) : Optional.empty();
             return Optional.of(
-                new CatalogResult.Read<>(new CatalogChanges(table, changes), store.revision));
+                new CatalogResult.Read<>(new CatalogChanges(table, changes), store.at()));
           });
     }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -107,6 +107,72 @@
     }
   }
 
+  @Nested
+  class RestoredStore {
+
+    /** Reads the table from the store after it came back from a copy of an earlier revision. */
+    @BeforeEach
+    void restore() {
+      advance(1_500);
+      catalog.era = 2;
+      catalog.completeTableRead(TestTables.table(6));
+      advance(40);
+    }
+
+    @Test
+    void isReadCompletelyAtOnce() {
+      assertThat(catalog.lists).hasSize(1);
+      catalog.completeListRead(10);
+      assertThat(follower.revision()).isEqualTo(new StoreRevision(2, 10));
+    }
+
+    @Test
+    void takesNoVersionBack() {
+      assertThat(version()).isEqualTo(7);
+    }
+
+    @Test
+    void losesNoEndpointsThatAreWrittenAgainSoon() {
+      catalog.completeListRead(10);
+      assertThat(directory.size()).isEqualTo(1);
+      advance(1_000);
+      catalog.completeWatch(11, Optional.empty());
+      nowMs += 2_300;
+      directory.tick();
+      assertThat(directory.size()).isEqualTo(0);
+    }
+
+    @Test
+    void isWatchedFromTheRevisionOfItsNewEra() {
+      catalog.completeListRead(10, ENDPOINT);
+      EndpointChange removal = new EndpointChange.Removed("a");
+      catalog.completeWatch(44, Optional.empty(), removal);
+      assertThat(directory.size()).isEqualTo(1);
+      assertThat(catalog.lists).hasSize(1);
+      catalog.completeListRead(12, ENDPOINT);
+      assertThat(catalog.watchedAfter).isEqualTo(12);
+    }
+
+    @Test
+    void confirmsNothingUntilItHasSettled() {
+      assertThat(freshness.ageMs()).isAtLeast(1_500);
+      advance(1_500);
+      catalog.completeTableRead(TestTables.table(7));
+      assertThat(freshness.ageMs()).isAtLeast(3_000);
+      advance(1_500);
+      catalog.completeTableRead(TestTables.table(7));
+      assertThat(freshness.ageMs()).isAtMost(100);
+    }
+
+    @Test
+    void countsInItsNewEraForListsOfOtherVms() {
+      follower.onPeerList(List.of(), new StoreRevision(1, 90));
+      assertThat(follower.revision().era()).isEqualTo(2);
+      follower.onPeerList(List.of(ENDPOINT), new StoreRevision(2, 11));
+      assertThat(follower.revision()).isEqualTo(new StoreRevision(2, 11));
+    }
+  }
+
   @Nested
   class WhileAnotherVmReads {
 
@@ -163,9 +229,9 @@
 
     @Test
     void anOlderListIsIgnored() {
-      follower.onPeerList(List.of(), 39);
+      follower.onPeerList(List.of(), new StoreRevision(1, 39));
       assertThat(directory.size()).isEqualTo(1);
-      follower.onPeerList(List.of(), 41);
+      follower.onPeerList(List.of(), new StoreRevision(1, 41));
       assertThat(directory.size()).isEqualTo(0);
     }
 
