Spare endpoints that fail when they have to reject too many requests

Cause: endpoints may state that they are brittle (Server-Brittle): one that has to reject more than so many requests in a second falls over. VMs took no notice and sent on as before, so that an overload ends with all endpoints down in turn.

Change: EndpointBackoff keeps each VM's requests in progress at a brittle endpoint below its share of the slots, lowers that after a rejection and pauses the endpoint, so that all VMs together cause about half of the rejections that it endures. Requests wait for room up to their latency target, then are refused with the time until an endpoint takes requests again.

ForwardDaemonTest: eight requests that are all rejected reach each of two brittle endpoints at most three times.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -383,6 +383,17 @@
       assertThat(first.requests()).hasSize(1);
     }
 
+    @Test
+    void receiveFewRequestsAfterRejectionWhileTheyAreBrittle() throws IOException {
+      first.setHandler(rejecting("Server-Brittle: 1\r\n"));
+      second.setHandler(rejecting("Server-Brittle: 1\r\n"));
+      for (int i = 0; i < 8; i++) {
+        assertThat(call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 503");
+      }
+      assertThat(first.requests().size()).isAtMost(3);
+      assertThat(second.requests().size()).isAtMost(3);
+    }
+
     @Test
     void makeTheVmRefuseAtOnceIfAllDo() throws IOException {
       first.setHandler(rejecting("Retry-After: 30\r\n"));
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
@@ -143,6 +143,14 @@
     return 1 + (int) rows.values().stream().filter(this::isLive).count();
   }
 
+  /**
+   * Returns the estimated number of VMs of all zones, including this one; of other zones only some
+   * are known, so each counts like this one unless more are known.
+   */
+  public int estimatedCount() {
+    return Math.max(liveCount(), live(zone).size() * zones().size());
+  }
+
   private boolean isLive(Row row) {
     return clock.nowMs() - row.heardMs <= LIVE_MS;
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
@@ -4,49 +4,136 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.function.IntSupplier;
 import org.zinniaspan.clock.Clock;
 
 /**
- * Keeps requests from endpoints that rejected one and stated when to come back.
+ * Keeps requests from endpoints that reject some for lack of room.
  *
- * <p>The statement concerns one incarnation of an endpoint and this VM. Not thread-safe.
+ * <p>An endpoint that rejects a request and states when to come back gets nothing until then.
+ *
+ * <p>An endpoint that states that it is brittle fails if it has to reject more than a number of
+ * requests in a second, whichever VMs send them. While it does, each VM keeps the requests in
+ * progress there below its share of the slots. A rejection lowers that cap and pauses the endpoint,
+ * for so long that all VMs together cause about half of the rejections that it endures; each answer
+ * raises the cap a little.
+ *
+ * <p>All statements concern one incarnation of an endpoint. Not thread-safe.
  */
 public final class EndpointBackoff {
 
-  /** Longest time for which an endpoint's statement is followed, in milliseconds. */
+  /** Longest time for which an endpoint's Retry-After is followed, in milliseconds. */
   private static final long MAX_PAUSE_MS = 60_000;
 
+  /** Time after which an endpoint's statement that it is brittle is outdated, in milliseconds. */
+  private static final long BRITTLE_AGE_MS = 10_000;
+
+  /** Share of the rejections that an endpoint endures which the VMs may cause. */
+  private static final double USED_REJECTION_SHARE = 0.5;
+
+  /** Factor by which a rejection lowers the cap. */
+  private static final double CAP_DECREASE = 0.7;
+
+  /** Amount by which as many answers as the cap raise it, in requests. */
+  private static final double CAP_INCREASE = 0.1;
+
+  private static final double MS_PER_SECOND = 1_000;
+
   private record Incarnation(String id, long startedAtMs) {
     static Incarnation of(ListedEndpoint endpoint) {
       return new Incarnation(endpoint.id(), endpoint.startedAtMs());
     }
   }
 
+  /** How a brittle endpoint is used; the time is that of its last statement. */
+  private static final class BrittleState {
+    private int rejectionsPerSecond;
+    private double cap;
+    private long statedMs;
+  }
+
   private final Clock clock;
+  private final Random random;
+  private final IntSupplier vmCount;
   private final Map<Incarnation, Long> pausedUntilMs = new HashMap<>();
+  private final Map<Incarnation, BrittleState> brittle = new HashMap<>();
 
-  /** Creates a state in which all endpoints take requests. */
-  public EndpointBackoff(Clock clock) {
+  /**
+   * Creates a state in which all endpoints take requests.
+   *
+   * @param vmCount number of VMs that send to the endpoints, as far as they are known
+   */
+  public EndpointBackoff(Clock clock, Random random, IntSupplier vmCount) {
     this.clock = clock;
+    this.random = random;
+    this.vmCount = vmCount;
+  }
+
+  /**
+   * Records what a response of an endpoint states.
+   *
+   * @param rejectionsPerSecond number of rejections in a second that it endures, if it states that
+   *     it is brittle
+   */
+  public void onResponse(ListedEndpoint endpoint, Optional<Integer> rejectionsPerSecond) {
+    Incarnation key = Incarnation.of(endpoint);
+    if (rejectionsPerSecond.isEmpty()) {
+      brittle.remove(key);
+      return;
+    }
+    BrittleState state = brittle.get(key);
+    if (state == null || isOutdated(state)) {
+      state = new BrittleState();
+      state.cap = Math.max(1, (double) endpoint.slots() / vms());
+      brittle.put(key, state);
+    }
+    state.rejectionsPerSecond = Math.max(1, rejectionsPerSecond.get());
+    state.statedMs = clock.nowMs();
+  }
+
+  /** Records that an endpoint answered a request other than with a rejection. */
+  public void onAnswered(ListedEndpoint endpoint) {
+    limiting(endpoint)
+        .ifPresent(
+            state -> state.cap = Math.min(endpoint.slots(), state.cap + CAP_INCREASE / state.cap));
   }
 
   /**
    * Records that an endpoint rejected a request.
    *
+   * @param inFlight number of this VM's other requests in progress there
    * @param retryAfterMs time for which it takes nothing from this VM, in milliseconds, if stated
    */
-  public void onRejected(ListedEndpoint endpoint, Optional<Long> retryAfterMs) {
+  public void onRejected(ListedEndpoint endpoint, int inFlight, Optional<Long> retryAfterMs) {
     long now = clock.nowMs();
     pausedUntilMs.values().removeIf(ms -> ms <= now);
-    retryAfterMs.ifPresent(
-        ms ->
-            pausedUntilMs.merge(
-                Incarnation.of(endpoint), now + Math.min(ms, MAX_PAUSE_MS), Math::max));
+    brittle.values().removeIf(this::isOutdated);
+    retryAfterMs.ifPresent(ms -> pause(endpoint, Math.min(ms, MAX_PAUSE_MS)));
+    limiting(endpoint)
+        .ifPresent(
+            state -> {
+              state.cap = Math.max(1, CAP_DECREASE * Math.min(state.cap, inFlight + 1));
+              double allowedPerSecond = state.rejectionsPerSecond * USED_REJECTION_SHARE / vms();
+              double spacingMs = MS_PER_SECOND / allowedPerSecond;
+              pause(endpoint, Math.round(spacingMs * (0.5 + random.nextDouble())));
+            });
+  }
+
+  private void pause(ListedEndpoint endpoint, long forMs) {
+    pausedUntilMs.merge(Incarnation.of(endpoint), clock.nowMs() + forMs, Math::max);
   }
 
-  /** Returns whether an endpoint takes requests of this VM now. */
-  public boolean admits(ListedEndpoint endpoint) {
-    return remainingMs(endpoint) <= 0;
+  /** Returns whether an endpoint takes another request of this VM now. */
+  public boolean admits(TrackedEndpoint endpoint) {
+    ListedEndpoint listed = endpoint.listed();
+    return remainingMs(listed) <= 0
+        && limiting(listed).map(state -> endpoint.inFlight() < Math.floor(state.cap)).orElse(true);
+  }
+
+  /** Returns whether some of these endpoints are brittle, so that a request may wait for room. */
+  public boolean isLimiting(Collection<TrackedEndpoint> endpoints) {
+    return endpoints.stream().anyMatch(e -> limiting(e.listed()).isPresent());
   }
 
   /** Returns the time until the first of some endpoints takes requests again, in milliseconds. */
@@ -58,4 +145,17 @@
     Long until = pausedUntilMs.get(Incarnation.of(endpoint));
     return until == null ? 0 : Math.max(0, until - clock.nowMs());
   }
+
+  private Optional<BrittleState> limiting(ListedEndpoint endpoint) {
+    return Optional.ofNullable(brittle.get(Incarnation.of(endpoint)))
+        .filter(state -> !isOutdated(state));
+  }
+
+  private boolean isOutdated(BrittleState state) {
+    return clock.nowMs() - state.statedMs > BRITTLE_AGE_MS;
+  }
+
+  private int vms() {
+    return Math.max(1, vmCount.getAsInt());
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -63,5 +63,8 @@
   /** Number of times that the platform's store came back from a copy; in all its responses. */
   static final String STORE_ERA = "Store-Era";
 
+  /** Number of rejections in a second that an endpoint endures; present while it is brittle. */
+  static final String SERVER_BRITTLE = "Server-Brittle";
+
   private HeaderNames() {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -140,7 +140,10 @@
         notRun,
         head.containsHeader(HttpHeaders.CONTENT_ENCODING),
         headerValue(head, HttpHeaders.RETRY_AFTER).flatMap(HttpDialect::secondsInMs),
-        head.containsHeader(HeaderNames.SERVER_LEAVING));
+        head.containsHeader(HeaderNames.SERVER_LEAVING),
+        headerValue(head, HeaderNames.SERVER_BRITTLE)
+            .flatMap(HttpDialect::wholeNumber)
+            .map(Long::intValue));
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -72,6 +72,8 @@
    * @param retryAfterMs time for which the endpoint takes no request of this VM, in milliseconds,
    *     if stated
    * @param draining whether the endpoint states that it is about to shut down
+   * @param rejectionsPerSecond number of rejections in a second that the endpoint endures, if it
+   *     states that it is brittle
    */
   record ResponseFacts(
       Optional<String> attemptId,
@@ -79,5 +81,6 @@
       boolean notRun,
       boolean encoded,
       Optional<Long> retryAfterMs,
-      boolean draining) {}
+      boolean draining,
+      Optional<Integer> rejectionsPerSecond) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -107,9 +107,7 @@
   @Override
   public boolean onHead(HttpResponse response) {
     onBytes();
-    if (proxiedRequest.context().dialect().responseFacts(response).draining()) {
-      proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
-    }
+    recordStatements(proxiedRequest.context().dialect().responseFacts(response));
     if (!proxiedRequest.matchesAttempt(response)) {
       proxiedRequest
           .log()
@@ -194,6 +192,7 @@
     switch (verdict) {
       case STREAM -> {
         endpoint.onSuccess(now);
+        proxiedRequest.context().backoff().onAnswered(endpoint.listed());
         recordStream(now);
         if (!proxiedRequest.toleratesPauses()) {
           endpoint.onPause(proxiedRequest.longestPauseMs(), now);
@@ -220,10 +219,21 @@
     }
   }
 
+  /** Records what an endpoint states of itself in each response. */
+  private void recordStatements(Dialect.ResponseFacts facts) {
+    if (facts.draining()) {
+      proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
+    }
+    proxiedRequest.context().backoff().onResponse(endpoint.listed(), facts.rejectionsPerSecond());
+  }
+
   private void recordRejection() {
     Optional<Long> retryAfterMs =
         proxiedRequest.context().dialect().responseFacts(head).retryAfterMs();
-    proxiedRequest.context().backoff().onRejected(endpoint.listed(), retryAfterMs);
+    proxiedRequest
+        .context()
+        .backoff()
+        .onRejected(endpoint.listed(), endpoint.inFlight(), retryAfterMs);
     retryAfterMs.ifPresent(
         ms ->
             proxiedRequest
@@ -255,6 +265,7 @@
       }
     } else {
       endpoint.onSuccess(now);
+      proxiedRequest.context().backoff().onAnswered(endpoint.listed());
       speed().onPlainCall(now - sentMs);
     }
     proxiedRequest.onWholeResponse(head, content.toByteArray());
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -100,7 +100,7 @@
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
             fleet.origins(),
-            new EndpointBackoff(clock),
+            new EndpointBackoff(clock, random, fleet.members()::estimatedCount),
             new EndpointReachability(clock, random, directory::size),
             new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
             new EndpointConnectionPool(reactor, clock),
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -99,6 +99,7 @@
   private boolean finished;
   private boolean refusedByVm;
   private boolean awaitingConfirmation;
+  private boolean awaitingRoom;
   private Optional<String> requiredVersion = Optional.empty();
   private Attempt attempt;
   private String endpointId = "none";
@@ -308,9 +309,10 @@
     EndpointReachability reachability = context.reachability();
     List<TrackedEndpoint> candidates = candidates();
     List<TrackedEndpoint> admitting =
-        candidates.stream().filter(e -> context.backoff().admits(e.listed())).toList();
+        candidates.stream().filter(e -> context.backoff().admits(e)).toList();
+    awaitingRoom = false;
     if (admitting.isEmpty() && !candidates.isEmpty()) {
-      failForBackoff(candidates);
+      awaitRoom(candidates);
       return;
     }
     List<TrackedEndpoint> reachable =
@@ -325,12 +327,24 @@
     }
   }
 
-  /** Refuses the request until the first endpoint takes requests again, if it has not run. */
-  private void failForBackoff(List<TrackedEndpoint> candidates) {
+  /**
+   * Waits for room at brittle endpoints, up to the latency target; otherwise refuses the request
+   * until the first endpoint takes requests again, if it has not run.
+   */
+  private void awaitRoom(List<TrackedEndpoint> candidates) {
+    long waitedMs = context.clock().nowMs() - arrivalMs;
+    awaitingRoom =
+        context.backoff().isLimiting(candidates)
+            && waitedMs + context.backoff().remainingMs(candidates) < route().targetLatencyMs();
+    if (awaitingRoom) {
+      return;
+    }
     if (delivery.isStarted() || mayHaveRun) {
       fail(ENDPOINTS_PAUSED);
     } else {
-      refuse(ENDPOINTS_PAUSED, context.backoff().remainingMs(candidates));
+      long retryAfterMs =
+          Math.max(NOT_RUN_RETRY_AFTER_MS, context.backoff().remainingMs(candidates));
+      refuse(ENDPOINTS_PAUSED, retryAfterMs);
     }
   }
 
@@ -470,6 +484,8 @@
     }
     if (nowMs >= deadlineMs) {
       fail("timeout");
+    } else if (awaitingRoom) {
+      send();
     } else if (context.reachability().isLost()) {
       leaveSilentEndpoint(nowMs);
     }
