Keep incarnations draining when the store comes back from a copy

Cause: a copy shows an endpoint as ready that has announced since that it is draining, until it is written again; a VM that knew it sent requests there anew.

Change: within the grace period after an outage or a restore, no incarnation returns from draining. EndpointDirectoryTest.keepsIncarnationsDrainingAfterAnOutage failed before.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -161,7 +161,7 @@
       endpoints.put(entry.id(), new TrackedEndpoint(entry));
       versions.onListed(entry);
       onChange("endpoint-added", entry);
-    } else if (!known.listed().equals(entry)) {
+    } else if (!known.listed().equals(entry) && !isOutdated(entry, known.listed())) {
       versions.onUnlisted(known.listed());
       versions.onListed(entry);
       known.update(entry);
@@ -169,6 +169,17 @@
     }
   }
 
+  /**
+   * Returns whether an entry is older than the known one: no incarnation returns from draining, but
+   * a store that came back from a copy shows it as it was until it is written again.
+   */
+  private boolean isOutdated(ListedEndpoint entry, ListedEndpoint known) {
+    return clock.nowMs() < graceEndMs
+        && known.draining()
+        && !entry.draining()
+        && known.startedAtMs() == entry.startedAtMs();
+  }
+
   private void removeAfterGrace(String id) {
     if (!endpoints.containsKey(id)) {
       return;
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -36,6 +36,16 @@
     assertThat(directory.ready("service").get(0).cachedTokens(prompt)).isEqualTo(0);
   }
 
+  @Test
+  void keepsIncarnationsDrainingAfterAnOutage() {
+    directory.replaceAll(List.of(endpoint("a", true, 1)));
+    directory.onPlatformRecovered();
+    directory.replaceAll(List.of(endpoint("a", false, 1)));
+    assertThat(ready()).isEmpty();
+    directory.replaceAll(List.of(endpoint("a", false, 2)));
+    assertThat(ready()).containsExactly("a");
+  }
+
   @Nested
   class Removal {
 
