Try another VM if one rejects a relayed request

Cause: a VM of an earlier release answers a relayed request with 404, as it knows no such path, and one with an older configuration with 401 or 404; both were taken for a request that may have run.

Change: a response below 500 that no endpoint signed shows that the request did not run; the next VM is tried.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -20,7 +20,10 @@
     STREAM,
     /** An endpoint's response, passed on once it is complete. */
     WHOLE,
-    /** The other VM could not take the request; it is sent through another one. */
+    /**
+     * The other VM did not take the request, because of its state, its configuration or its
+     * release; the request is sent through another one.
+     */
     REFUSED_BY_VM,
     /** The request was refused, and did not run. */
     REFUSED,
@@ -81,7 +84,8 @@
       boolean streams = proxiedRequest.route().kind() == RouteKind.STREAMING;
       return streams && response.getCode() == HttpStatus.SC_OK ? Verdict.STREAM : Verdict.WHOLE;
     }
-    if (response.containsHeader(RelayHeaders.REFUSED_BY_VM)) {
+    boolean rejected = response.getCode() < HttpStatus.SC_INTERNAL_SERVER_ERROR;
+    if (rejected || response.containsHeader(RelayHeaders.REFUSED_BY_VM)) {
       return Verdict.REFUSED_BY_VM;
     }
     return response.getCode() == HttpStatus.SC_SERVICE_UNAVAILABLE
