Decide apart from connections where a request goes next

SendDecision says whether a request goes to an endpoint, through another VM or nowhere for now; ProxiedRequest only acts on it. Expired origins are looked for twice a second instead of at each tick, and the list of endpoints is copied only when probes are due.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
@@ -29,6 +29,9 @@
   /** Time for which an origin is kept beyond the client's deadline, in milliseconds. */
   private static final long EXPIRY_SLACK_MS = 1_000;
 
+  /** Interval at which expired origins are removed, in milliseconds. */
+  private static final long EXPIRY_INTERVAL_MS = 500;
+
   private final StreamOrigins origins;
   private final StreamOriginHolders holders;
   private final EndpointDirectory directory;
@@ -37,6 +40,7 @@
   private final Deque<StreamOrigin> own = new ArrayDeque<>();
   private final List<StreamOrigin> unsent = new ArrayList<>();
   private final Set<String> mixedServices = new HashSet<>();
+  private long nextExpiryMs;
 
   /** Creates a sharing that knows no stream. */
   StreamOriginSharing(
@@ -87,9 +91,12 @@
   @Override
   public void tick() {
     long now = clock.nowMs();
-    origins.removeExpired();
-    own.removeIf(origin -> origin.expiresMs() <= now);
-    unsent.removeIf(origin -> origin.expiresMs() <= now);
+    if (now >= nextExpiryMs) {
+      nextExpiryMs = now + EXPIRY_INTERVAL_MS;
+      origins.removeExpired();
+      own.removeIf(origin -> origin.expiresMs() <= now);
+      unsent.removeIf(origin -> origin.expiresMs() <= now);
+    }
     updateMixedServices();
     send();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
@@ -1,7 +1,6 @@
 package org.zinniaspan.forwarding;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -9,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.log.EventLog;
 
@@ -141,13 +141,16 @@
   /**
    * Returns the endpoints to probe now: unreachable ones from time to time, and while the path is
    * in doubt, first those that are not known to be unreachable.
+   *
+   * @param listing supplies all listed endpoints
    */
-  public List<ListedEndpoint> nextProbes(Collection<ListedEndpoint> listed) {
+  public List<ListedEndpoint> nextProbes(Supplier<List<ListedEndpoint>> listing) {
     long now = clock.nowMs();
     boolean doubtful = isDoubtful(now);
     if (now < nextProbeMs || (!doubtful && failedMs.isEmpty())) {
       return List.of();
     }
+    List<ListedEndpoint> listed = listing.get();
     failedMs.keySet().retainAll(listed.stream().map(ListedEndpoint::id).toList());
     probedMs.keySet().retainAll(failedMs.keySet());
     List<ListedEndpoint> candidates = new ArrayList<>(listed);
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
@@ -0,0 +1,49 @@
+package org.zinniaspan.forwarding;
+
+import java.util.List;
+
+/** Where a request is sent next. */
+public sealed interface SendDecision {
+
+  /**
+   * To one of some endpoints.
+   *
+   * @param candidates endpoints that this VM reaches and that take requests; empty if the service
+   *     has none that fits the request
+   */
+  record ToEndpoint(List<TrackedEndpoint> candidates) implements SendDecision {}
+
+  /** Through another VM, as this one reaches none of the endpoints. */
+  record ThroughVm() implements SendDecision {}
+
+  /**
+   * Nowhere at the moment, as no endpoint takes requests of this VM.
+   *
+   * @param remainingMs time until the first one does, in milliseconds; 0 if that is not known
+   * @param limited whether brittle endpoints are among them, so that there may be room at any time
+   */
+  record Paused(long remainingMs, boolean limited) implements SendDecision {}
+
+  /**
+   * Decides on a request.
+   *
+   * @param candidates endpoints that fit the request
+   */
+  static SendDecision of(
+      List<TrackedEndpoint> candidates,
+      EndpointBackoff backoff,
+      EndpointReachability reachability) {
+    if (candidates.isEmpty()) {
+      return new ToEndpoint(candidates);
+    }
+    List<TrackedEndpoint> admitting = candidates.stream().filter(backoff::admits).toList();
+    if (admitting.isEmpty()) {
+      return new Paused(backoff.remainingMs(candidates), backoff.isLimiting(candidates));
+    }
+    List<TrackedEndpoint> reachable =
+        admitting.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
+    return reachable.isEmpty() || reachability.isLost()
+        ? new ThroughVm()
+        : new ToEndpoint(reachable);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -129,7 +129,7 @@
 
   private void probeEndpoints() {
     EndpointReachability reachability = context.reachability();
-    for (ListedEndpoint endpoint : reachability.nextProbes(context.directory().entries())) {
+    for (ListedEndpoint endpoint : reachability.nextProbes(context.directory()::entries)) {
       context
           .connections()
           .probe(
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -10,7 +10,6 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.zinniaspan.fleet.StreamOriginResult;
 import org.zinniaspan.forwarding.AdmissionControl;
-import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.ListedEndpoint;
@@ -22,6 +21,7 @@
 import org.zinniaspan.forwarding.RouteDecision;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.SendDecision;
 import org.zinniaspan.forwarding.StreamResume;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
@@ -306,19 +306,13 @@
 
   /** Sends the request to an endpoint, or to another VM if this one reaches none that fits. */
   private void send() {
-    EndpointReachability reachability = context.reachability();
-    List<TrackedEndpoint> candidates = candidates();
-    List<TrackedEndpoint> admitting =
-        candidates.stream().filter(e -> context.backoff().admits(e)).toList();
     awaitingRoom = false;
-    if (admitting.isEmpty() && !candidates.isEmpty()) {
-      awaitRoom(candidates);
-      return;
-    }
-    List<TrackedEndpoint> reachable =
-        admitting.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
-    if (candidates.isEmpty() || (!reachable.isEmpty() && !reachability.isLost())) {
-      sendToEndpoint(reachable);
+    SendDecision decision =
+        SendDecision.of(candidates(), context.backoff(), context.reachability());
+    if (decision instanceof SendDecision.ToEndpoint endpoints) {
+      sendToEndpoint(endpoints.candidates());
+    } else if (decision instanceof SendDecision.Paused paused) {
+      awaitRoom(paused);
     } else if (relayed) {
       refusedByVm = true;
       fail(NO_PATH);
@@ -331,20 +325,16 @@
    * Waits for room at brittle endpoints, up to the latency target; otherwise refuses the request
    * until the first endpoint takes requests again, if it has not run.
    */
-  private void awaitRoom(List<TrackedEndpoint> candidates) {
+  private void awaitRoom(SendDecision.Paused paused) {
     long waitedMs = context.clock().nowMs() - arrivalMs;
-    awaitingRoom =
-        context.backoff().isLimiting(candidates)
-            && waitedMs + context.backoff().remainingMs(candidates) < route().targetLatencyMs();
+    awaitingRoom = paused.limited() && waitedMs + paused.remainingMs() < route().targetLatencyMs();
     if (awaitingRoom) {
       return;
     }
     if (delivery.isStarted() || mayHaveRun) {
       fail(ENDPOINTS_PAUSED);
     } else {
-      long retryAfterMs =
-          Math.max(NOT_RUN_RETRY_AFTER_MS, context.backoff().remainingMs(candidates));
-      refuse(ENDPOINTS_PAUSED, retryAfterMs);
+      refuse(ENDPOINTS_PAUSED, Math.max(NOT_RUN_RETRY_AFTER_MS, paused.remainingMs()));
     }
   }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointReachabilityTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointReachabilityTest.java
@@ -30,7 +30,7 @@
   }
 
   private List<String> probes() {
-    return reachability.nextProbes(LISTED).stream().map(ListedEndpoint::id).toList();
+    return reachability.nextProbes(() -> LISTED).stream().map(ListedEndpoint::id).toList();
   }
 
   @Nested
@@ -134,7 +134,7 @@
     @Test
     void areReachableAgainOnceTheyWereUnlisted() {
       fail(0);
-      reachability.nextProbes(List.of(endpoint(1)));
+      reachability.nextProbes(() -> List.of(endpoint(1)));
       assertThat(reachability.isReachable("e0")).isTrue();
     }
   }
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
@@ -0,0 +1,55 @@
+package org.zinniaspan.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class SendDecisionTest {
+
+  private final TrackedEndpoint first = tracked("e1");
+  private final TrackedEndpoint second = tracked("e2");
+  private final EndpointBackoff backoff = new EndpointBackoff(() -> 1_000, new Random(1), () -> 3);
+  private final EndpointReachability reachability =
+      new EndpointReachability(() -> 1_000, new Random(1), () -> 9);
+
+  private static TrackedEndpoint tracked(String id) {
+    return new TrackedEndpoint(
+        new ListedEndpoint(id, "service", "10.0.0.1:80", "z", "v1", 6, false, 1));
+  }
+
+  private SendDecision decide() {
+    return SendDecision.of(List.of(first, second), backoff, reachability);
+  }
+
+  @Test
+  void leavesOutPausedAndUnreachableEndpoints() {
+    assertThat(decide()).isEqualTo(new SendDecision.ToEndpoint(List.of(first, second)));
+    backoff.onRejected(first.listed(), 0, Optional.of(2_000L));
+    assertThat(decide()).isEqualTo(new SendDecision.ToEndpoint(List.of(second)));
+  }
+
+  @Test
+  void relaysIfNoEndpointIsReachable() {
+    reachability.onConnectFailed("e1");
+    assertThat(decide()).isEqualTo(new SendDecision.ToEndpoint(List.of(second)));
+    reachability.onConnectFailed("e2");
+    assertThat(reachability.isLost()).isFalse();
+    assertThat(decide()).isEqualTo(new SendDecision.ThroughVm());
+  }
+
+  @Test
+  void waitsIfAllEndpointsArePaused() {
+    backoff.onRejected(first.listed(), 0, Optional.of(2_000L));
+    backoff.onRejected(second.listed(), 0, Optional.of(500L));
+    assertThat(decide()).isEqualTo(new SendDecision.Paused(500, false));
+  }
+
+  @Test
+  void findsNoEndpointIfThereIsNone() {
+    assertThat(SendDecision.of(List.of(), backoff, reachability))
+        .isEqualTo(new SendDecision.ToEndpoint(List.of()));
+  }
+}
