--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -137,6 +137,11 @@
     putEndpointEntry(id, "ready");
   }
 
+  /** Adds a VM that is not started here to the seeds of the daemons that are started next. */
+  public void addPeer(String address) {
+    peerAddresses.add(address);
+  }
+
   /** Writes an endpoint's entry in the store with the given state. */
   public void putEndpointEntry(String id, String state) {
     store.put(
