Keep the last era if a response of the store states none

Cause: a response without the header would have counted as one of an earlier era, so that the list is read again and again. Found when reading the change.

The soak's client builds its observations in one place.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakClient.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakClient.java
@@ -115,15 +115,7 @@
             .setHeader("Authorization", "Bearer key-" + organisation);
     Result result = execute(connection, request);
     ObservedCall observed =
-        new ObservedCall(
-            attemptId,
-            attemptId,
-            path,
-            "org-key-" + organisation,
-            result.sentMs(),
-            result.status(),
-            result.received(),
-            result.complete());
+        result.toObservedCall(attemptId, attemptId, path, "org-key-" + organisation);
     observer.accept(observed);
     if (!result.complete() && path.startsWith("/chat/")) {
       resume(observed, "Bearer key-" + organisation);
@@ -158,15 +150,7 @@
           HttpClientExchange.connect(daemon, CONNECT_TIMEOUT_MS, READ_TIMEOUT_MS)) {
         Result result = execute(connection, request);
         ObservedCall observed =
-            new ObservedCall(
-                attemptId,
-                first.attemptId(),
-                first.path(),
-                first.organisation(),
-                result.sentMs(),
-                result.status(),
-                result.received(),
-                result.complete());
+            result.toObservedCall(attemptId, first.attemptId(), first.path(), first.organisation());
         observer.accept(observed);
         if (observed.isServed()) {
           return;
@@ -180,7 +164,15 @@
     }
   }
 
-  private record Result(long sentMs, int status, String received, boolean complete, boolean open) {}
+  /** What one exchange brought; {@code open} tells whether the connection can be used again. */
+  private record Result(long sentMs, int status, String received, boolean complete, boolean open) {
+
+    ObservedCall toObservedCall(
+        String attemptId, String firstAttemptId, String path, String organisation) {
+      return new ObservedCall(
+          attemptId, firstAttemptId, path, organisation, sentMs, status, received, complete);
+    }
+  }
 
   private static Result execute(HttpClientExchange connection, ClassicRequestBuilder request) {
     long sentMs = System.currentTimeMillis();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -228,7 +228,7 @@
       onAnswered();
       observeEra(read.revision());
       if (read.revision().era() < revision.era()) {
-        nextEndpointReadMs = clock.nowMs();
+        nextEndpointReadMs = clock.nowMs() + retryDelayMs();
         return;
       }
       nextEndpointReadMs = clock.nowMs() + ENDPOINT_READ_INTERVAL_MS;
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -37,6 +37,7 @@
   private final String host;
   private final long timeoutMs;
   private final ObjectMapper json = new ObjectMapper();
+  private long lastEra;
 
   /**
    * Creates a client.
@@ -143,13 +144,15 @@
     }
   }
 
-  /** Returns the store's era; 0 if it states none. */
-  private static long era(BufferingHttpClient.Result.Answered answered) {
-    return answered
-        .header(HeaderNames.STORE_ERA)
-        .filter(text -> text.matches("[0-9]{1,15}"))
-        .map(Long::parseLong)
-        .orElse(0L);
+  /** Returns the store's era; if a response states none, that of the response before. */
+  private long era(BufferingHttpClient.Result.Answered answered) {
+    lastEra =
+        answered
+            .header(HeaderNames.STORE_ERA)
+            .filter(text -> text.matches("[0-9]{1,15}"))
+            .map(Long::parseLong)
+            .orElse(lastEra);
+    return lastEra;
   }
 
   private CatalogResult<Optional<RoutingTable>> table(JsonNode item, long era) throws IOException {
