Archive the classes of resumed streams and relayed requests

Cause: the archive of classes was written from a run without them, so that a daemon would load them from a jar in the middle of an incident.

Change: the run resumes a stream, receives a relayed request, loses all endpoints and sees the store restored; ArchiveClassesTest resumes a stream and loses its endpoint too. The test was not run without the change.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -22,6 +22,9 @@
   /** Delay of each response and event: short, as only the order of events matters here. */
   private static final long ENDPOINT_DELAY_MS = 1;
 
+  /** Enough for the daemon to find out that it reaches no endpoint, and to relay some. */
+  private static final int REQUESTS_WITHOUT_ENDPOINTS = 6;
+
   private static final long STOP_TIMEOUT_S = 10;
   private static final String ORGANISATION_KEY = "key-1";
 
@@ -49,6 +52,7 @@
     try (LocalSite site = new LocalSite(Path.of(logDirectory))) {
       site.addEndpoint("i-1", "zone-a", ENDPOINT_DELAY_MS);
       site.addEndpoint("i-2", "zone-b", ENDPOINT_DELAY_MS);
+      site.addEndpoint("i-3", "zone-b", "v2", ENDPOINT_DELAY_MS);
       site.publishConfiguration(List.of(ORGANISATION_KEY));
       LocalSite.LaunchOptions plain =
           new LocalSite.LaunchOptions(List.of("-XX:+UseSerialGC"), classPath, Optional.empty());
@@ -87,11 +91,14 @@
     sendRequest(daemon, "GET", "/none/x", "");
     sendRequest(daemon, "GET", "/safe/x", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n");
     disconnectMidStream(daemon);
+    sendRequest(daemon, "POST", "/chat/x", "Last-Event-Id: 3\r\nResumes: unknown\r\n");
+    receiveRelayedRequest(daemon);
     try (RawClient metrics = new RawClient(daemon.metricsAddress())) {
       metrics.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
       metrics.readAll();
     }
-    for (String path : List.of("members", "catalog", "engines")) {
+    for (String path :
+        List.of("members", "catalog", "engines", "stream-origins", "stream-origin")) {
       try (RawClient peer = new RawClient(daemon.peerAddress())) {
         peer.send(
             "POST /fleet/"
@@ -101,6 +108,8 @@
         peer.readAll();
       }
     }
+    site.store().restore(site.store().copy());
+    sendRequestsWithoutEndpoints(site, daemon);
     site.putEndpointEntry("i-2", "draining");
     site.store().delete("servers/i-2");
     site.publishConfiguration(List.of("key-2"));
@@ -109,6 +118,32 @@
     sendRequest(daemon, "GET", "/safe/x", "");
   }
 
+  /** Sends a request as another VM does that reaches no endpoint. */
+  private static void receiveRelayedRequest(LocalSite.DaemonProcess daemon) throws IOException {
+    SiteClient client = new SiteClient("relayed", ORGANISATION_KEY);
+    try (RawClient peer = new RawClient(daemon.peerAddress())) {
+      peer.send(
+          client.formatRequest(
+              client.nextAttemptId(),
+              "POST",
+              "/chat/x",
+              "Connection: close\r\nZinniaspan-Relay-By: 127.0.0.2:1\r\n" + PROMPT_HEADERS));
+      peer.readAll();
+    }
+  }
+
+  /** Ends all endpoints, so that the daemon relays requests to the others. */
+  private static void sendRequestsWithoutEndpoints(LocalSite site, LocalSite.DaemonProcess daemon)
+      throws IOException {
+    for (EndpointStandIn endpoint : site.endpoints().values()) {
+      endpoint.close();
+    }
+    for (int i = 0; i < REQUESTS_WITHOUT_ENDPOINTS; i++) {
+      sendRequest(daemon, "POST", "/chat/x", PROMPT_HEADERS);
+      sendRequest(daemon, "GET", "/safe/x", "");
+    }
+  }
+
   private static void sendRequest(
       LocalSite.DaemonProcess daemon, String method, String path, String fields)
       throws IOException {
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ArchiveClassesTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ArchiveClassesTest.java
@@ -34,8 +34,9 @@
     List<String> flags = new ArrayList<>(LocalFleet.ENTRY_JVM_FLAGS);
     flags.add("-XX:SharedArchiveFile=" + archive);
     flags.add("-Xlog:class+load=info:stdout");
-    site.addEndpoint("i-1", "zone-a", 1);
+    final EndpointStandIn endpoint = site.addEndpoint("i-1", "zone-a", 1);
     site.publishConfiguration(List.of("key-1"));
+    LocalSite.awaitReady(site.startDaemon("peer", "zone-a", LocalSite.LaunchOptions.smallVm()));
     LocalSite.DaemonProcess daemon =
         site.startDaemon(
             "vm-1", "zone-a", new LocalSite.LaunchOptions(flags, CLASS_PATH, Optional.empty()));
@@ -45,6 +46,11 @@
       assertThat(client.call(daemon.callerAddress(), "POST", path, "").isCompleteSuccess())
           .isTrue();
     }
+    client.call(daemon.callerAddress(), "POST", "/chat/x", "Last-Event-Id: 3\r\nResumes: b\r\n");
+    endpoint.close();
+    for (int i = 0; i < 4; i++) {
+      client.call(daemon.callerAddress(), "GET", "/safe/x", "");
+    }
     return daemon;
   }
 
