Take a relayed request for not run only if the other VM says so

A client could get 503, which promises that its request never runs, although it may have run.

Cause: any response below 500 without an endpoint's stamp, even 200, and any response with the header that a VM refused, even 502, counted as not run, so that an unsafe request was also sent again. Found when reading the change.

Change: only 503 and the 4xx statuses show that the other VM did not send the request on; a VM states that it refused only with 503. RelayRejectionTest: two of its three tests failed before, with 503 where 502 is due.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/RelayRejectionTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/RelayRejectionTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,7 +20,7 @@
 import org.zinniaspan.peer.proto.FleetMembers;
 import org.zinniaspan.standins.fleet.LocalFleet;
 
-/** A VM without a path to endpoints, beside one of an earlier release that relays nothing. */
+/** A VM that reaches no endpoint, beside one that answers relayed requests without an endpoint. */
 @Timeout(60)
 class RelayRejectionTest {
 
@@ -27,15 +28,16 @@
 
   private final Closer closer = new Closer();
   private final SiteClient client = new SiteClient("call", "key-1");
-  private RawServer earlierVm;
+  private RawServer otherVm;
+  private volatile String answer = "404 Not Found";
   private InetSocketAddress daemon;
 
   @BeforeEach
   void start() throws IOException {
-    earlierVm = closer.add(new RawServer(this::answerAsEarlierVm));
+    otherVm = closer.add(new RawServer(this::answerRelayedRequest));
     LocalSite site = closer.add(new LocalSite(logs));
     site.publishConfiguration(List.of("key-1"));
-    site.addPeer(earlierVm.address());
+    site.addPeer(otherVm.address());
     for (int number = 1; number <= 3; number++) {
       site.addEndpoint("i-" + number, "zone-a", 1).close();
     }
@@ -43,7 +45,7 @@
         site.startDaemon("vm-1", "zone-a", LocalSite.LaunchOptions.smallVm());
     LocalSite.awaitReady(process);
     LocalFleet.await(
-        "the earlier VM is known",
+        "the other VM is known",
         () ->
             LocalFleet.get(process.metricsAddress(), "/metrics")
                 .body()
@@ -56,16 +58,18 @@
     closer.close();
   }
 
-  /** Answers membership messages, and anything else as an unknown path. */
-  private boolean answerAsEarlierVm(RawServer.Request request, Socket socket) throws IOException {
+  /** Answers membership messages, and anything else with the status and headers of the test. */
+  private boolean answerRelayedRequest(RawServer.Request request, Socket socket)
+      throws IOException {
     boolean members = request.line().contains("/fleet/members");
     FleetMember self =
-        FleetMember.newBuilder().setAddress(earlierVm.address()).setZone("zone-a").build();
+        FleetMember.newBuilder().setAddress(otherVm.address()).setZone("zone-a").build();
     byte[] body =
         members ? FleetMembers.newBuilder().setSender(self).build().toByteArray() : new byte[0];
     RawServer.write(
         socket,
-        (members ? "HTTP/1.1 200 OK" : "HTTP/1.1 404 Not Found")
+        "HTTP/1.1 "
+            + (members ? "200 OK" : answer)
             + "\r\nContent-Length: "
             + body.length
             + "\r\n\r\n"
@@ -73,17 +77,33 @@
     return true;
   }
 
+  /** Calls until a request was relayed, and returns the status of that call's response. */
+  private int statusOfRelayedCall() {
+    AtomicInteger status = new AtomicInteger();
+    LocalFleet.await(
+        "a request is relayed",
+        () -> {
+          status.set(call().status());
+          return otherVm.requests().stream().anyMatch(r -> r.line().contains("/unsafe/"));
+        });
+    return status.get();
+  }
+
   @Test
-  void isReportedAsNotRun() {
-    LocalFleet.await("a request is relayed", this::wasRelayed);
-    SiteClient.RawResponse refusal = call();
-    assertThat(refusal.status()).isEqualTo(503);
-    assertThat(refusal.text()).contains("Retry-After: ");
+  void ofEarlierReleaseMeansThatTheRequestDidNotRun() {
+    assertThat(statusOfRelayedCall()).isEqualTo(503);
   }
 
-  private boolean wasRelayed() {
-    assertThat(call().status()).isEqualTo(503);
-    return earlierVm.requests().stream().anyMatch(r -> r.line().contains("/unsafe/"));
+  @Test
+  void thatNoEndpointSignedDoesNotMeanThatTheRequestDidNotRun() {
+    answer = "200 OK";
+    assertThat(statusOfRelayedCall()).isEqualTo(502);
+  }
+
+  @Test
+  void ofRequestThatMayHaveRunIsNotReportedAsNotRun() {
+    answer = "502 Bad Gateway\r\nZinniaspan-Relay-Refused-By-Vm: 1";
+    assertThat(statusOfRelayedCall()).isEqualTo(502);
   }
 
   private SiteClient.RawResponse call() {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -682,7 +682,7 @@
     byte[] content = ("{\"error\":\"" + reason + "\"}").getBytes(StandardCharsets.UTF_8);
     HttpResponse response =
         context.dialect().localResponse(status, facts.attemptId(), retryAfterMs);
-    if (relayed && refusedByVm) {
+    if (relayed && refusedByVm && status == HttpStatus.SC_SERVICE_UNAVAILABLE) {
       response.setHeader(RelayHeaders.REFUSED_BY_VM, "1");
     }
     client.sendResponse(response, content);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -84,13 +84,15 @@
       boolean streams = proxiedRequest.route().kind() == RouteKind.STREAMING;
       return streams && response.getCode() == HttpStatus.SC_OK ? Verdict.STREAM : Verdict.WHOLE;
     }
-    boolean rejected = response.getCode() < HttpStatus.SC_INTERNAL_SERVER_ERROR;
-    if (rejected || response.containsHeader(RelayHeaders.REFUSED_BY_VM)) {
-      return Verdict.REFUSED_BY_VM;
+    int status = response.getCode();
+    if (status == HttpStatus.SC_SERVICE_UNAVAILABLE) {
+      return response.containsHeader(RelayHeaders.REFUSED_BY_VM)
+          ? Verdict.REFUSED_BY_VM
+          : Verdict.REFUSED;
     }
-    return response.getCode() == HttpStatus.SC_SERVICE_UNAVAILABLE
-        ? Verdict.REFUSED
-        : Verdict.FAILED;
+    boolean rejected =
+        status >= HttpStatus.SC_CLIENT_ERROR && status < HttpStatus.SC_INTERNAL_SERVER_ERROR;
+    return rejected ? Verdict.REFUSED_BY_VM : Verdict.FAILED;
   }
 
   @Override
