Ignore connections that time out because the process was paused

Cause: connections that were being opened when a VM was paused time out together when it wakes, which looked like a lost path: requests left endpoints that had answered meanwhile. Found when reading the change.

Change: EndpointReachability takes no notice of failed connections shortly after a pause. EndpointReachabilityTest.Pauses failed before.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
@@ -10,6 +10,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.PauseDetector;
 import org.zinniaspan.log.EventLog;
 
 /**
@@ -51,7 +52,17 @@
   /** Number of endpoints that are probed in a round. */
   private static final int PROBES_PER_ROUND = 2;
 
+  /** Gap between two calls that is taken for a pause of this process, in milliseconds. */
+  private static final long MAX_CALL_GAP_MS = 300;
+
+  /**
+   * Time after a pause in which failed connections do not count, in milliseconds: those that were
+   * being opened meanwhile time out although their endpoints may have answered.
+   */
+  private static final long PAUSE_EFFECT_MS = 500;
+
   private final Clock clock;
+  private final PauseDetector pauses;
   private final Random random;
   private final IntSupplier endpointCount;
   private final Map<String, Long> failedMs = new HashMap<>();
@@ -70,6 +81,7 @@
    */
   public EndpointReachability(Clock clock, Random random, IntSupplier endpointCount) {
     this.clock = clock;
+    this.pauses = new PauseDetector(clock, MAX_CALL_GAP_MS);
     this.random = random;
     this.endpointCount = endpointCount;
   }
@@ -114,9 +126,15 @@
     }
   }
 
-  /** Records that a connection to an endpoint could not be opened. */
+  /**
+   * Records that a connection to an endpoint could not be opened; shortly after a pause of this
+   * process that shows nothing.
+   */
   public void onConnectFailed(String endpointId) {
     long now = clock.nowMs();
+    if (pauses.pausedSince(now - PAUSE_EFFECT_MS)) {
+      return;
+    }
     failedMs.put(endpointId, now);
     probedMs.putIfAbsent(endpointId, now);
     int required = Math.max(1, Math.min(MIN_FAILED_ENDPOINTS, endpointCount.getAsInt()));
@@ -146,6 +164,7 @@
    */
   public List<ListedEndpoint> nextProbes(Supplier<List<ListedEndpoint>> listing) {
     long now = clock.nowMs();
+    pauses.observe();
     boolean doubtful = isDoubtful(now);
     if (now < nextProbeMs || (!doubtful && failedMs.isEmpty())) {
       return List.of();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointReachabilityTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointReachabilityTest.java
@@ -100,6 +100,36 @@
     }
   }
 
+  @Nested
+  class Pauses {
+
+    private void tickFor(long ms) {
+      for (long end = nowMs + ms; nowMs < end; nowMs += 20) {
+        probes();
+      }
+    }
+
+    @Test
+    void doNotMakeConnectionsCountAsFailedThatTimedOutMeanwhile() {
+      tickFor(100);
+      nowMs += 3_000;
+      fail(0, 1);
+      tickFor(20);
+      fail(2, 3);
+      assertThat(reachability.isLost()).isFalse();
+      assertThat(reachability.isReachable("e0")).isTrue();
+    }
+
+    @Test
+    void areForgottenAfterTheTimeoutOfConnections() {
+      tickFor(100);
+      nowMs += 3_000;
+      tickFor(600);
+      fail(0, 1, 2);
+      assertThat(reachability.isLost()).isTrue();
+    }
+  }
+
   @Nested
   class SingleEndpoints {
 
