Let only lists that are current since a pause rule out other versions

A stream could go on at another software version after its VM was paused.

Cause: a VM without an origin resumes a stream if one version has been listed for long enough. The time of a pause counted as observed, although the list did not change meanwhile for lack of reading; if no other VM replied, the only version of an outdated list was taken for the only one.

Change: the list counts as observed from the first answer to a request that was sent after the pause, from the store or from the zone's reader, whose own list must be current. StreamOriginTest.isUnknownAfterPauseInWhichAnotherMayHaveBeenListed failed before with v1.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -122,6 +122,7 @@
           .setRevision(follower.revision().number())
           .setStoreEra(follower.revision().era())
           .setListEpoch(epoch)
+          .setListCurrent(directory.isListCurrent())
           .setListSequence(directory.changeCount());
       if (!hasList(entry.query())) {
         state.setListIncluded(true);
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -157,6 +157,9 @@
       return;
     }
     adopt(state);
+    if (state.getListCurrent()) {
+      follower.onPeerListCurrent(sent.steadyMs());
+    }
     follower.onPeerConfirmed(
         state.getVersion(), new TableFreshness.ReadStart(confirmedMs, sent.driftMs()));
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
@@ -177,10 +177,11 @@
      * have ended shortly before VMs that know nothing of it started.
      */
     private boolean startedLongAgo() {
-      return directory.entries().stream()
-          .filter(entry -> entry.service().equals(service))
-          .mapToLong(ListedEndpoint::startedAtMs)
-          .allMatch(ms -> timeOfDayMs.getAsLong() - ms >= EndpointDirectory.VERSION_HISTORY_MS);
+      return directory.isListCurrent()
+          && directory.entries().stream()
+              .filter(entry -> entry.service().equals(service))
+              .mapToLong(ListedEndpoint::startedAtMs)
+              .allMatch(ms -> timeOfDayMs.getAsLong() - ms >= EndpointDirectory.VERSION_HISTORY_MS);
     }
 
     private void conclude(StreamOriginResult result) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -165,6 +165,15 @@
     }
   }
 
+  /**
+   * Records that another VM's current list is the one that this VM has.
+   *
+   * @param requestedMs time at which that VM was queried, in milliseconds
+   */
+  public void onPeerListCurrent(long requestedMs) {
+    directory.onListCurrent(requestedMs);
+  }
+
   @Override
   public void tick() {
     long now = clock.nowMs();
@@ -216,14 +225,15 @@
 
   private void readEndpoints() {
     readingEndpoints = true;
+    long requestedMs = clock.nowMs();
     catalog.readEndpoints(
         result -> {
           readingEndpoints = false;
-          onEndpoints(result);
+          onEndpoints(result, requestedMs);
         });
   }
 
-  private void onEndpoints(CatalogResult<List<ListedEndpoint>> result) {
+  private void onEndpoints(CatalogResult<List<ListedEndpoint>> result, long requestedMs) {
     if (result instanceof CatalogResult.Read<List<ListedEndpoint>> read) {
       onAnswered();
       observeEra(read.revision());
@@ -233,6 +243,7 @@
       }
       nextEndpointReadMs = clock.nowMs() + ENDPOINT_READ_INTERVAL_MS;
       directory.replaceAll(read.value());
+      directory.onListCurrent(requestedMs);
       listComplete = true;
       if (!watching || watchedEra != read.revision().era()) {
         revision = read.revision();
@@ -252,12 +263,13 @@
     }
     watching = true;
     watchedEra = revision.era();
+    long requestedMs = clock.nowMs();
     catalog.watch(
         revision.number(),
         bounds.watchWaitMs(),
         result -> {
           watching = false;
-          onChanges(result);
+          onChanges(result, requestedMs);
         });
   }
 
@@ -265,12 +277,13 @@
    * Applies the changes that a watch returned, if it began in the same era; the numbers of another
    * era mean other changes.
    */
-  private void onChanges(CatalogResult<CatalogChanges> result) {
+  private void onChanges(CatalogResult<CatalogChanges> result, long requestedMs) {
     if (result instanceof CatalogResult.Read<CatalogChanges> read
         && read.revision().era() == watchedEra
         && watchedEra == revision.era()) {
       read.value().table().ifPresent(this::adopt);
       read.value().endpoints().forEach(directory::apply);
+      directory.onListCurrent(requestedMs);
       revision = read.revision().compareTo(revision) > 0 ? read.revision() : revision;
       watchUnlessPassive();
       return;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.PauseDetector;
 import org.zinniaspan.log.EventLog;
 
 /**
@@ -32,11 +33,15 @@
    */
   public static final long VERSION_HISTORY_MS = 30_000;
 
+  /** Gap between two ticks that is taken for a pause of this process, in milliseconds. */
+  private static final long MAX_TICK_GAP_MS = 1_000;
+
   private final Clock clock;
   private final Map<String, TrackedEndpoint> endpoints = new HashMap<>();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
   private final VersionHistory versions;
-  private Optional<Long> firstListMs = Optional.empty();
+  private final PauseDetector pauses;
+  private Optional<Long> currentSinceMs = Optional.empty();
   private long graceEndMs = Long.MIN_VALUE;
   private long changeCount;
 
@@ -44,6 +49,7 @@
   public EndpointDirectory(Clock clock) {
     this.clock = clock;
     this.versions = new VersionHistory(clock);
+    this.pauses = new PauseDetector(clock, MAX_TICK_GAP_MS);
   }
 
   /**
@@ -58,7 +64,6 @@
    * outage only when the grace period has ended.
    */
   public void replaceAll(List<ListedEndpoint> list) {
-    firstListMs = firstListMs.or(() -> Optional.of(clock.nowMs()));
     Set<String> ids = new HashSet<>();
     list.forEach(
         entry -> {
@@ -80,6 +85,7 @@
 
   /** Removes the endpoints whose grace period has ended. */
   public void tick() {
+    observePauses();
     long now = clock.nowMs();
     Iterator<Map.Entry<String, Long>> due = pendingRemovals.entrySet().iterator();
     while (due.hasNext()) {
@@ -129,9 +135,38 @@
     return versions.recent(service, VERSION_HISTORY_MS);
   }
 
-  /** Returns the time since the first complete list, in milliseconds; 0 if there was none. */
+  /**
+   * Records that the list was shown to be current by the answer to a request, unless this process
+   * was paused since.
+   *
+   * @param requestedMs time at which the request was sent, in milliseconds
+   */
+  public void onListCurrent(long requestedMs) {
+    observePauses();
+    if (currentSinceMs.isEmpty() && !pauses.pausedSince(requestedMs)) {
+      currentSinceMs = Optional.of(clock.nowMs());
+    }
+  }
+
+  /** Returns whether the list was shown to be current since the last pause of this process. */
+  public boolean isListCurrent() {
+    observePauses();
+    return currentSinceMs.isPresent();
+  }
+
+  /**
+   * Returns the time for which all changes of the list were observed, in milliseconds; it starts
+   * anew after a pause of this process.
+   */
   public long observedMs() {
-    return firstListMs.map(ms -> clock.nowMs() - ms).orElse(0L);
+    observePauses();
+    return currentSinceMs.map(ms -> clock.nowMs() - ms).orElse(0L);
+  }
+
+  private void observePauses() {
+    if (pauses.observe()) {
+      currentSinceMs = Optional.empty();
+    }
   }
 
   /** Returns an endpoint by its id. */
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
@@ -238,6 +238,21 @@
     return storeEra_;
   }
 
+  public static final int LIST_CURRENT_FIELD_NUMBER = 12;
+  private boolean listCurrent_ = false;
+  /**
+   * <pre>
+   * Whether the list was shown to be current since the last pause of the sender.
+   * </pre>
+   *
+   * <code>bool list_current = 12;</code>
+   * @return The listCurrent.
+   */
+  @java.lang.Override
+  public boolean getListCurrent() {
+    return listCurrent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -285,6 +300,9 @@
     if (storeEra_ != 0L) {
       output.writeInt64(11, storeEra_);
     }
+    if (listCurrent_ != false) {
+      output.writeBool(12, listCurrent_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -338,6 +356,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(11, storeEra_);
     }
+    if (listCurrent_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, listCurrent_);
+    }
     return size;
   }
   @java.lang.Override
@@ -384,6 +406,8 @@
         .equals(other.getTable())) return false;
     if (getStoreEra()
         != other.getStoreEra()) return false;
+    if (getListCurrent()
+        != other.getListCurrent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -428,6 +452,9 @@
     hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStoreEra());
+    hash = (37 * hash) + LIST_CURRENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getListCurrent());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -580,6 +607,7 @@
       bitField0_ = (bitField0_ & ~0x00000100);
       table_ = com.google.protobuf.ByteString.EMPTY;
       storeEra_ = 0L;
+      listCurrent_ = false;
       return this;
     }
 
@@ -656,6 +684,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.storeEra_ = storeEra_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.listCurrent_ = listCurrent_;
+      }
     }
 
     @java.lang.Override
@@ -726,6 +757,9 @@
       if (other.getStoreEra() != 0L) {
         setStoreEra(other.getStoreEra());
       }
+      if (other.getListCurrent() != false) {
+        setListCurrent(other.getListCurrent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -813,6 +847,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 96: {
+              listCurrent_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1483,6 +1522,50 @@
       return this;
     }
 
+    private boolean listCurrent_ ;
+    /**
+     * <pre>
+     * Whether the list was shown to be current since the last pause of the sender.
+     * </pre>
+     *
+     * <code>bool list_current = 12;</code>
+     * @return The listCurrent.
+     */
+    @java.lang.Override
+    public boolean getListCurrent() {
+      return listCurrent_;
+    }
+    /**
+     * <pre>
+     * Whether the list was shown to be current since the last pause of the sender.
+     * </pre>
+     *
+     * <code>bool list_current = 12;</code>
+     * @param value The listCurrent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setListCurrent(boolean value) {
+
+      listCurrent_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the list was shown to be current since the last pause of the sender.
+     * </pre>
+     *
+     * <code>bool list_current = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearListCurrent() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      listCurrent_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogState)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
@@ -126,4 +126,14 @@
    * @return The storeEra.
    */
   long getStoreEra();
+
+  /**
+   * <pre>
+   * Whether the list was shown to be current since the last pause of the sender.
+   * </pre>
+   *
+   * <code>bool list_current = 12;</code>
+   * @return The listCurrent.
+   */
+  boolean getListCurrent();
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -158,6 +158,21 @@
       assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v1");
     }
 
+    @Test
+    void isUnknownAfterPauseInWhichAnotherMayHaveBeenListed() {
+      fleet.advance(EndpointDirectory.VERSION_HISTORY_MS);
+      vm(3).pause(20_000, false);
+      list("new", "v2");
+      fleet.store.remove("old");
+      fleet.cut("vm-003", FleetSimulation.Store.NAME);
+      List.copyOf(fleet.vms.keySet()).stream()
+          .filter(name -> !name.equals("vm-003"))
+          .forEach(fleet::kill);
+      fleet.advance(20_100);
+      assertThat(vm(3).directory.contains("old")).isTrue();
+      assertThat(versionOf(find(vm(3), "a9"))).isEqualTo("unknown");
+    }
+
     @Test
     void isNotCopied() {
       begin(vm(0), "a1", "v1");
