--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/RelayTargets.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/RelayTargets.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -26,16 +24,15 @@
 
   private final FleetMembership members;
   private final ZoneCosts zoneCosts;
-  private final Clock clock;
   private final Random random;
-  private final Map<String, Long> suspectUntilMs = new HashMap<>();
+  private final SuspectVms suspects;
 
   /** Creates a selection that passes no VM over. */
   public RelayTargets(FleetMembership members, ZoneCosts zoneCosts, Clock clock, Random random) {
     this.members = members;
     this.zoneCosts = zoneCosts;
-    this.clock = clock;
     this.random = random;
+    this.suspects = new SuspectVms(clock);
   }
 
   /** Returns the peer address of this VM. */
@@ -49,7 +46,6 @@
    * @param excluded peer addresses of the VMs that the request was sent to already
    */
   public Optional<String> choose(Set<String> excluded) {
-    suspectUntilMs.values().removeIf(ms -> ms <= clock.nowMs());
     List<String> zones = new ArrayList<>(members.zones());
     Collections.shuffle(zones, random);
     zones.sort(Comparator.comparingDouble(zoneCosts::costMs));
@@ -57,7 +53,7 @@
       List<String> candidates = new ArrayList<>(members.live(zone));
       candidates.remove(members.self());
       candidates.removeAll(excluded);
-      candidates.removeAll(suspectUntilMs.keySet());
+      candidates.removeIf(suspects::contains);
       if (!candidates.isEmpty()) {
         return Optional.of(candidates.get(random.nextInt(candidates.size())));
       }
@@ -67,6 +63,6 @@
 
   /** Passes a VM over for a while. */
   public void suspect(String address) {
-    suspectUntilMs.put(address, clock.nowMs() + SUSPECT_MS);
+    suspects.add(address, SUSPECT_MS);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/RoleHolders.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/RoleHolders.java
@@ -31,13 +31,14 @@
   private final String role;
   private final FleetMembership members;
   private final Clock clock;
-  private final Map<String, Long> suspectUntilMs = new HashMap<>();
+  private final SuspectVms suspects;
   private final Map<String, Ranking> rankings = new HashMap<>();
 
   RoleHolders(String role, FleetMembership members, Clock clock) {
     this.role = role;
     this.members = members;
     this.clock = clock;
+    this.suspects = new SuspectVms(clock);
   }
 
   /** Returns whether this VM holds the role in its own zone. */
@@ -47,13 +48,13 @@
 
   /** Returns the VM that holds the role in a zone; empty if none is known that is not suspected. */
   Optional<String> holder(String zone) {
-    return ranked(zone).stream().filter(address -> !isSuspect(address)).findFirst();
+    return ranked(zone).stream().filter(address -> !suspects.contains(address)).findFirst();
   }
 
   /** Returns the first VM in rank of this VM's zone other than itself that is not suspected. */
   Optional<String> other() {
     return ranked(members.zone()).stream()
-        .filter(address -> !address.equals(members.self()) && !isSuspect(address))
+        .filter(address -> !address.equals(members.self()) && !suspects.contains(address))
         .findFirst();
   }
 
@@ -64,11 +65,7 @@
 
   /** Passes a VM over for a time in milliseconds. */
   void suspect(String address, long forMs) {
-    suspectUntilMs.put(address, clock.nowMs() + forMs);
-  }
-
-  private boolean isSuspect(String address) {
-    return suspectUntilMs.getOrDefault(address, Long.MIN_VALUE) > clock.nowMs();
+    suspects.add(address, forMs);
   }
 
   private List<String> ranked(String zone) {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginHolders.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginHolders.java
@@ -1,10 +1,8 @@
 package org.zinniaspan.fleet;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.membership.RendezvousHash;
@@ -27,12 +25,11 @@
   private static final long NO_REPLY_MS = 5_000;
 
   private final FleetMembership members;
-  private final Clock clock;
-  private final Map<String, Long> suspectUntilMs = new HashMap<>();
+  private final SuspectVms suspects;
 
   StreamOriginHolders(FleetMembership members, Clock clock) {
     this.members = members;
-    this.clock = clock;
+    this.suspects = new SuspectVms(clock);
   }
 
   /**
@@ -40,14 +37,11 @@
    * representatives of other zones.
    */
   List<String> copyTargets(String attemptId) {
-    suspectUntilMs.values().removeIf(ms -> ms <= clock.nowMs());
     Set<String> candidates = others();
-    candidates.removeAll(suspectUntilMs.keySet());
+    candidates.removeIf(suspects::contains);
     Set<String> targets = new LinkedHashSet<>(RendezvousHash.ranked(attemptId, candidates, COPIES));
     if (targets.size() < COPIES) {
-      representatives().stream()
-          .filter(vm -> !suspectUntilMs.containsKey(vm))
-          .forEach(targets::add);
+      representatives().stream().filter(vm -> !suspects.contains(vm)).forEach(targets::add);
     }
     return targets.stream().limit(COPIES).toList();
   }
@@ -71,7 +65,7 @@
 
   /** Passes a VM over for a while, as it did not confirm an update. */
   void suspect(String address) {
-    suspectUntilMs.put(address, clock.nowMs() + NO_REPLY_MS);
+    suspects.add(address, NO_REPLY_MS);
   }
 
   private Set<String> others() {
