Split the sends of a request from its routing and response

RequestSender now holds the sends, their retries and what may have run; StreamVersion the version at which a stream goes on; EventForwarder what EndpointAttempt and RelayAttempt did twice with the events of a stream.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -34,6 +34,7 @@
     UNUSABLE
   }
 
+  private final RequestSender sender;
   private final ProxiedRequest proxiedRequest;
   private final Selection selection;
   private final OutboundConnection connection;
@@ -41,7 +42,7 @@
   private final String softwareVersion;
   private final long sentMs;
   private final ByteArrayOutputStream content = new ByteArrayOutputStream();
-  private final SseSplitter splitter = new SseSplitter();
+  private final EventForwarder events;
   private HttpResponse head;
   private Verdict verdict = Verdict.UNUSABLE;
   private boolean unloaded;
@@ -50,9 +51,10 @@
   private boolean promptDone;
   private boolean ended;
 
-  EndpointAttempt(
-      ProxiedRequest proxiedRequest, Selection selection, OutboundConnection connection) {
-    this.proxiedRequest = proxiedRequest;
+  EndpointAttempt(RequestSender sender, Selection selection, OutboundConnection connection) {
+    this.sender = sender;
+    this.proxiedRequest = sender.request();
+    this.events = new EventForwarder(proxiedRequest);
     this.selection = selection;
     this.connection = connection;
     this.endpoint = selection.endpoint();
@@ -154,16 +156,8 @@
   public void onBody(ByteBuffer part) {
     onBytes();
     if (verdict == Verdict.STREAM) {
-      boolean added = false;
-      for (SseSplitter.Event event : splitter.add(part)) {
+      if (events.add(head, part)) {
         onPromptDone();
-        if (!proxiedRequest.wasDelivered(event)) {
-          proxiedRequest.onEvent(head, event);
-          added = true;
-        }
-      }
-      if (added) {
-        proxiedRequest.flush();
       }
     } else {
       content.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
@@ -197,13 +191,13 @@
         if (!proxiedRequest.toleratesPauses()) {
           endpoint.onPause(proxiedRequest.longestPauseMs(), now);
         }
-        proxiedRequest.onStreamEnd(head, splitter.incompleteEvent());
+        proxiedRequest.onStreamEnd(head, events.incompleteEvent());
       }
       case WHOLE -> onWholeResponse(now);
       case NOT_RUN -> {
         endpoint.onFailure(now);
         recordRejection();
-        proxiedRequest.onNotRun(head.getCode());
+        sender.onNotRun(head.getCode());
       }
       default -> {
         endpoint.onFailure(now);
@@ -214,7 +208,7 @@
                     .with("id", proxiedRequest.attemptId())
                     .with("endpoint", endpoint.listed().id())
                     .with("status", head.getCode()));
-        proxiedRequest.onConnectionLost(Optional.empty());
+        sender.onConnectionLost(Optional.empty());
       }
     }
   }
@@ -260,7 +254,7 @@
     int status = head.getCode();
     if (status >= HttpStatus.SC_INTERNAL_SERVER_ERROR) {
       endpoint.onFailure(now);
-      if (proxiedRequest.tryRetryAfterError(status)) {
+      if (sender.tryRetryAfterError(status)) {
         return;
       }
     } else {
@@ -285,10 +279,10 @@
                 .with("cause", cause.map(Exception::toString).orElse("closed"))
                 .with("afterMs", proxiedRequest.context().clock().nowMs() - sentMs));
     if (opened) {
-      proxiedRequest.onConnectionLost(cause);
+      sender.onConnectionLost(cause);
     } else {
       reachability().onConnectFailed(endpoint.listed().id());
-      proxiedRequest.onNotSent(cause);
+      sender.onNotSent(cause);
     }
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -31,17 +31,20 @@
     FAILED
   }
 
+  private final RequestSender sender;
   private final ProxiedRequest proxiedRequest;
   private final String vm;
   private final OutboundConnection connection;
   private final ByteArrayOutputStream content = new ByteArrayOutputStream();
-  private final SseSplitter splitter = new SseSplitter();
+  private final EventForwarder events;
   private HttpResponse head;
   private Verdict verdict = Verdict.FAILED;
   private boolean ended;
 
-  RelayAttempt(ProxiedRequest proxiedRequest, String vm, OutboundConnection connection) {
-    this.proxiedRequest = proxiedRequest;
+  RelayAttempt(RequestSender sender, String vm, OutboundConnection connection) {
+    this.sender = sender;
+    this.proxiedRequest = sender.request();
+    this.events = new EventForwarder(proxiedRequest);
     this.vm = vm;
     this.connection = connection;
   }
@@ -101,16 +104,7 @@
       content.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
       return;
     }
-    boolean added = false;
-    for (SseSplitter.Event event : splitter.add(part)) {
-      if (!proxiedRequest.wasDelivered(event)) {
-        proxiedRequest.onEvent(head, event);
-        added = true;
-      }
-    }
-    if (added) {
-      proxiedRequest.flush();
-    }
+    events.add(head, part);
   }
 
   @Override
@@ -118,21 +112,21 @@
     ended = true;
     proxiedRequest.context().connections().release(vm, connection);
     switch (verdict) {
-      case STREAM -> proxiedRequest.onStreamEnd(head, splitter.incompleteEvent());
+      case STREAM -> proxiedRequest.onStreamEnd(head, events.incompleteEvent());
       case WHOLE -> {
-        if (!proxiedRequest.tryRetryAfterError(head.getCode())) {
+        if (!sender.tryRetryAfterError(head.getCode())) {
           proxiedRequest.onWholeResponse(head, content.toByteArray());
         }
       }
       case REFUSED_BY_VM -> {
         proxiedRequest.context().relayTargets().suspect(vm);
         logFailure("refused by the VM");
-        proxiedRequest.onNotSent(Optional.empty());
+        sender.onNotSent(Optional.empty());
       }
       case REFUSED -> proxiedRequest.onRefusedByRelay(head, content.toByteArray());
       default -> {
         logFailure("status " + head.getCode());
-        proxiedRequest.onConnectionLost(Optional.empty());
+        sender.onConnectionLost(Optional.empty());
       }
     }
   }
@@ -142,10 +136,10 @@
     ended = true;
     logFailure(cause.map(Exception::toString).orElse("closed"));
     if (opened) {
-      proxiedRequest.onConnectionLost(cause);
+      sender.onConnectionLost(cause);
     } else {
       proxiedRequest.context().relayTargets().suspect(vm);
-      proxiedRequest.onNotSent(cause);
+      sender.onNotSent(cause);
     }
   }
 
