--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/StoreStandIn.java
@@ -51,7 +51,7 @@
       closer.add(
           new RawServer((request, socket) -> handle(request, socket, UnaryOperator.identity())));
   private long revision = FIRST_REVISION;
-  private volatile long era = 1;
+  private volatile long epoch = 1;
   private volatile Mode mode = Mode.UP;
 
   /** Starts the store on a free port. */
@@ -113,7 +113,7 @@
   }
 
   /**
-   * Goes back to a copy: the era rises, and revisions go back and are given out again. What was
+   * Goes back to a copy: the epoch rises, and revisions go back and are given out again. What was
    * written since is then written again, as its writers do.
    */
   public synchronized void restore(Copy copy) {
@@ -121,7 +121,7 @@
     storedValues.clear();
     storedValues.putAll(copy.values);
     revision = copy.revision;
-    era++;
+    epoch++;
     notifyAll();
     lost.forEach(
         (key, item) -> {
@@ -132,9 +132,9 @@
         });
   }
 
-  /** Returns the bytes of a response, which states the era. */
+  /** Returns the bytes of a response, which states the epoch. */
   private String response(String status, String body) {
-    return RawServer.jsonResponse(status + "\r\nStore-Era: " + era, body);
+    return RawServer.jsonResponse(status + "\r\nStore-Era: " + epoch, body);
   }
 
   private boolean handle(RawServer.Request request, Socket socket, UnaryOperator<String> rewrite)
@@ -164,10 +164,10 @@
   }
 
   private synchronized void awaitChange(long afterRevision, long waitMs) {
-    final long startEra = era;
+    final long startEpoch = epoch;
     long deadlineMs = System.nanoTime() / 1_000_000 + waitMs;
     try {
-      while (revision == afterRevision && era == startEra && mode == Mode.UP) {
+      while (revision == afterRevision && epoch == startEpoch && mode == Mode.UP) {
         long remainingMs = deadlineMs - System.nanoTime() / 1_000_000;
         if (remainingMs <= 0) {
           return;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
@@ -160,7 +160,7 @@
     scheduleEnd(nowMs, "store", () -> site.store().setMode(StoreStandIn.Mode.UP));
   }
 
-  /** Lets the store come back from a copy of its present content after a while. */
+  /** Restores the store after a while from a copy of its present content. */
   private void restoreStore(long nowMs) {
     StoreStandIn.Copy copy = site.store().copy();
     scheduleEnd(nowMs, "content of the store", () -> site.store().restore(copy));
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -384,7 +384,7 @@
     }
 
     @Test
-    void receiveFewRequestsAfterRejectionWhileTheyAreBrittle() throws IOException {
+    void receiveFewRequestsAfterRejectionWhileTheyStateRejectionLimit() throws IOException {
       first.setHandler(rejecting("Server-Brittle: 1\r\n"));
       second.setHandler(rejecting("Server-Brittle: 1\r\n"));
       for (int i = 0; i < 8; i++) {
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/StreamVersionTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/StreamVersionTest.java
@@ -73,10 +73,10 @@
 
     @Test
     void areResumedByTheVmAtTheirVersion() throws IOException {
-      site.addEndpoint("new-1", "zone-a", "v2", 1);
+      // The VM prefers the nearest zones: that of old-1, then that of new-1.
+      site.addEndpoint("new-1", "zone-c", "v2", 1);
       site.addEndpoint("old-2", "zone-b", "v1", 1);
       old.setFault(EndpointStandIn.Fault.CUT);
-      site.putEndpointEntry("new-1", "draining");
       LocalSite.DaemonProcess daemon = startDaemon("vm-1", "zone-a");
       SiteClient.RawResponse response = client.call(daemon.callerAddress(), "POST", "/chat/x", "");
       assertThat(response.isCompleteSuccess()).isTrue();
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/PartitionedVmTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/PartitionedVmTest.java
@@ -123,6 +123,7 @@
     awaitServed("GET", "/safe/x");
     partitioned.setEndpointMode(FaultInjectingProxy.Mode.PASS);
     awaitMetric(partitioned, "zinniaspan_endpoints_reachable 1.0");
+    other.kill();
     SiteClient.RawResponse response = call("POST", "/unsafe/x");
     assertThat(response.isCompleteSuccess()).isTrue();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -120,7 +120,7 @@
     if (follower.isListComplete()) {
       state
           .setRevision(follower.revision().number())
-          .setStoreEra(follower.revision().era())
+          .setStoreEpoch(follower.revision().epoch())
           .setListEpoch(epoch)
           .setListCurrent(directory.isListCurrent())
           .setListSequence(directory.changeCount());
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -168,7 +168,7 @@
     if (state.getListIncluded()) {
       List<ListedEndpoint> list =
           state.getEndpointsList().stream().map(CatalogSharing::decode).toList();
-      follower.onPeerList(list, new StoreRevision(state.getStoreEra(), state.getRevision()));
+      follower.onPeerList(list, new StoreRevision(state.getStoreEpoch(), state.getRevision()));
     }
     listEpoch = state.getListEpoch();
     listSequence = state.getListSequence();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -15,8 +15,8 @@
  * only such a read confirms the table. A table is adopted only if its version is higher than the
  * version in force.
  *
- * <p>When the store came back from a copy, shown by its era, everything is read again, and reads
- * confirm nothing until what the copy lacks has been written again.
+ * <p>When the store was restored from a copy, shown by its epoch, everything is read again, and
+ * reads confirm nothing until what the copy lacks has been written again.
  *
  * <p>While another VM reads the platform for this one, the follower is passive: it reads only what
  * this VM still lacks, and is told the rest.
@@ -41,8 +41,8 @@
   private static final long SLOW_READ_MS = 400;
 
   /**
-   * Time after the store came back from a copy in which reads confirm nothing, in milliseconds: as
-   * long as the platform takes to write again what is lost.
+   * Time after the store was restored from a copy in which reads confirm nothing, in milliseconds:
+   * as long as the platform takes to write again what is lost.
    */
   private static final long RESTORE_SETTLE_MS = 2_200;
 
@@ -64,7 +64,7 @@
   private boolean listComplete;
   private boolean reachable = true;
   private StoreRevision revision = StoreRevision.NONE;
-  private long watchedEra;
+  private long watchedEpoch;
   private long settledMs = Long.MIN_VALUE;
   private long lastAnswerMs;
   private long nextTableReadMs;
@@ -157,7 +157,7 @@
    *     this VM's own is ignored
    */
   public void onPeerList(List<ListedEndpoint> endpoints, StoreRevision listRevision) {
-    observeEra(listRevision);
+    observeEpoch(listRevision);
     if (listRevision.compareTo(revision) >= 0) {
       revision = listRevision;
       listComplete = true;
@@ -206,7 +206,7 @@
       CatalogResult<Optional<RoutingTable>> result, TableFreshness.ReadStart readStart) {
     if (result instanceof CatalogResult.Read<Optional<RoutingTable>> read) {
       onAnswered();
-      observeEra(read.revision());
+      observeEpoch(read.revision());
       tableReadRequested = false;
       nextTableReadMs = clock.nowMs() + bounds.confirmIntervalMs();
       read.value().ifPresent(this::adopt);
@@ -236,8 +236,8 @@
   private void onEndpoints(CatalogResult<List<ListedEndpoint>> result, long requestedMs) {
     if (result instanceof CatalogResult.Read<List<ListedEndpoint>> read) {
       onAnswered();
-      observeEra(read.revision());
-      if (read.revision().era() < revision.era()) {
+      observeEpoch(read.revision());
+      if (read.revision().epoch() < revision.epoch()) {
         nextEndpointReadMs = clock.nowMs() + retryDelayMs();
         return;
       }
@@ -245,7 +245,7 @@
       directory.replaceAll(read.value());
       directory.onListCurrent(requestedMs);
       listComplete = true;
-      if (!watching || watchedEra != read.revision().era()) {
+      if (!watching || watchedEpoch != read.revision().epoch()) {
         revision = read.revision();
       }
       if (!watching) {
@@ -262,7 +262,7 @@
       return;
     }
     watching = true;
-    watchedEra = revision.era();
+    watchedEpoch = revision.epoch();
     long requestedMs = clock.nowMs();
     catalog.watch(
         revision.number(),
@@ -274,13 +274,13 @@
   }
 
   /**
-   * Applies the changes that a watch returned, if it began in the same era; the numbers of another
-   * era mean other changes.
+   * Applies the changes that a watch returned, if it began in the same epoch; the numbers of
+   * another epoch mean other changes.
    */
   private void onChanges(CatalogResult<CatalogChanges> result, long requestedMs) {
     if (result instanceof CatalogResult.Read<CatalogChanges> read
-        && read.revision().era() == watchedEra
-        && watchedEra == revision.era()) {
+        && read.revision().epoch() == watchedEpoch
+        && watchedEpoch == revision.epoch()) {
       read.value().table().ifPresent(this::adopt);
       read.value().endpoints().forEach(directory::apply);
       directory.onListCurrent(requestedMs);
@@ -298,31 +298,31 @@
     tick();
   }
 
-  /** Starts a new era if a response shows that the store came back from a copy. */
-  private void observeEra(StoreRevision observed) {
-    if (observed.era() <= revision.era()) {
+  /** Starts a new epoch if a response shows that the store was restored from a copy. */
+  private void observeEpoch(StoreRevision observed) {
+    if (observed.epoch() <= revision.epoch()) {
       return;
     }
-    boolean first = revision.equals(StoreRevision.NONE);
-    EventLog.event("store-era")
-        .with("era", observed.era())
-        .with("before", revision)
-        .with("revision", observed.number())
-        .info();
-    revision = new StoreRevision(observed.era(), 0);
-    if (!first) {
-      long now = clock.nowMs();
-      // The last confirmation must not expire meanwhile.
-      long spareMs =
-          bounds.maxConfirmationAgeMs()
-              - bounds.confirmIntervalMs()
-              - PlatformBounds.PLATFORM_TIMEOUT_MS;
-      settledMs = now + Math.max(0, Math.min(RESTORE_SETTLE_MS, spareMs));
-      nextEndpointReadMs = now;
-      directory.onPlatformRecovered();
+    StoreRevision before = revision;
+    revision = new StoreRevision(observed.epoch(), 0);
+    if (!before.equals(StoreRevision.NONE)) {
+      onRestored(before, observed);
     }
   }
 
+  private void onRestored(StoreRevision before, StoreRevision observed) {
+    EventLog.event("store-restored").with("before", before).with("now", observed).warn();
+    long now = clock.nowMs();
+    // The last confirmation must not expire meanwhile.
+    long spareMs =
+        bounds.maxConfirmationAgeMs()
+            - bounds.confirmIntervalMs()
+            - PlatformBounds.PLATFORM_TIMEOUT_MS;
+    settledMs = now + Math.max(0, Math.min(RESTORE_SETTLE_MS, spareMs));
+    nextEndpointReadMs = now;
+    directory.onPlatformRecovered();
+  }
+
   private void adopt(RoutingTable candidate) {
     long versionInForce = table.map(RoutingTable::version).orElse(-1L);
     if (candidate.version() <= versionInForce) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
@@ -13,11 +13,11 @@
  *
  * <p>An endpoint that rejects a request and states when to come back gets nothing until then.
  *
- * <p>An endpoint that states that it is brittle fails if it has to reject more than a number of
- * requests in a second, whichever VMs send them. While it does, each VM keeps the requests in
- * progress there below its share of the slots. A rejection lowers that cap and pauses the endpoint,
- * for so long that all VMs together cause about half of the rejections that it endures; each answer
- * raises the cap a little.
+ * <p>An endpoint that states a rejection limit fails if it has to reject more requests in a second,
+ * whichever VMs send them. While it does, each VM keeps the requests in progress there below its
+ * share of the slots. A rejection lowers that cap and pauses the endpoint, for so long that all VMs
+ * together cause about half of the rejections that it tolerates; each answer raises the cap a
+ * little.
  *
  * <p>All statements concern one incarnation of an endpoint. Not thread-safe.
  */
@@ -26,10 +26,10 @@
   /** Longest time for which an endpoint's Retry-After is followed, in milliseconds. */
   private static final long MAX_PAUSE_MS = 60_000;
 
-  /** Time after which an endpoint's statement that it is brittle is outdated, in milliseconds. */
-  private static final long BRITTLE_AGE_MS = 10_000;
+  /** Time after which a stated rejection limit is outdated, in milliseconds. */
+  private static final long LIMIT_AGE_MS = 10_000;
 
-  /** Share of the rejections that an endpoint endures which the VMs may cause. */
+  /** Share of a rejection limit that the VMs use. */
   private static final double USED_REJECTION_SHARE = 0.5;
 
   /** Factor by which a rejection lowers the cap. */
@@ -46,8 +46,8 @@
     }
   }
 
-  /** How a brittle endpoint is used; the time is that of its last statement. */
-  private static final class BrittleState {
+  /** How an endpoint with a rejection limit is used; the time is that of its last statement. */
+  private static final class LimitedUse {
     private int rejectionsPerSecond;
     private double cap;
     private long statedMs;
@@ -57,7 +57,7 @@
   private final Random random;
   private final IntSupplier vmCount;
   private final Map<Incarnation, Long> pausedUntilMs = new HashMap<>();
-  private final Map<Incarnation, BrittleState> brittle = new HashMap<>();
+  private final Map<Incarnation, LimitedUse> limitedUse = new HashMap<>();
 
   /**
    * Creates a state in which all endpoints take requests.
@@ -73,20 +73,20 @@
   /**
    * Records what a response of an endpoint states.
    *
-   * @param rejectionsPerSecond number of rejections in a second that it endures, if it states that
-   *     it is brittle
+   * @param rejectionsPerSecond number of rejections in a second beyond which it fails, if it states
+   *     such a limit
    */
   public void onResponse(ListedEndpoint endpoint, Optional<Integer> rejectionsPerSecond) {
     Incarnation key = Incarnation.of(endpoint);
     if (rejectionsPerSecond.isEmpty()) {
-      brittle.remove(key);
+      limitedUse.remove(key);
       return;
     }
-    BrittleState state = brittle.get(key);
+    LimitedUse state = limitedUse.get(key);
     if (state == null || isOutdated(state)) {
-      state = new BrittleState();
+      state = new LimitedUse();
       state.cap = Math.max(1, (double) endpoint.slots() / vms());
-      brittle.put(key, state);
+      limitedUse.put(key, state);
     }
     state.rejectionsPerSecond = Math.max(1, rejectionsPerSecond.get());
     state.statedMs = clock.nowMs();
@@ -108,7 +108,7 @@
   public void onRejected(ListedEndpoint endpoint, int inFlight, Optional<Long> retryAfterMs) {
     long now = clock.nowMs();
     pausedUntilMs.values().removeIf(ms -> ms <= now);
-    brittle.values().removeIf(this::isOutdated);
+    limitedUse.values().removeIf(this::isOutdated);
     retryAfterMs.ifPresent(ms -> pause(endpoint, Math.min(ms, MAX_PAUSE_MS)));
     limiting(endpoint)
         .ifPresent(
@@ -131,7 +131,10 @@
         && limiting(listed).map(state -> endpoint.inFlight() < Math.floor(state.cap)).orElse(true);
   }
 
-  /** Returns whether some of these endpoints are brittle, so that a request may wait for room. */
+  /**
+   * Returns whether some of these endpoints state a rejection limit, so that there may be room
+   * soon.
+   */
   public boolean isLimiting(Collection<TrackedEndpoint> endpoints) {
     return endpoints.stream().anyMatch(e -> limiting(e.listed()).isPresent());
   }
@@ -146,13 +149,13 @@
     return until == null ? 0 : Math.max(0, until - clock.nowMs());
   }
 
-  private Optional<BrittleState> limiting(ListedEndpoint endpoint) {
-    return Optional.ofNullable(brittle.get(Incarnation.of(endpoint)))
+  private Optional<LimitedUse> limiting(ListedEndpoint endpoint) {
+    return Optional.ofNullable(limitedUse.get(Incarnation.of(endpoint)))
         .filter(state -> !isOutdated(state));
   }
 
-  private boolean isOutdated(BrittleState state) {
-    return clock.nowMs() - state.statedMs > BRITTLE_AGE_MS;
+  private boolean isOutdated(LimitedUse state) {
+    return clock.nowMs() - state.statedMs > LIMIT_AGE_MS;
   }
 
   private int vms() {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -206,7 +206,7 @@
 
   /**
    * Returns whether an entry is older than the known one: no incarnation returns from draining, but
-   * a store that came back from a copy shows it as it was until it is written again.
+   * a store that was restored from a copy shows it as it was until it is written again.
    */
   private boolean isOutdated(ListedEndpoint entry, ListedEndpoint known) {
     return clock.nowMs() < graceEndMs
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointReachability.java
@@ -19,7 +19,7 @@
  * <p>An endpoint counts as unreachable from a failed connection until one is opened. The path
  * counts as lost once connections to several endpoints failed and none was opened in between, since
  * it is unlikely that these endpoints failed at the same time. Only new connections count: those
- * that are open may live on, or may stay silent, while new ones fail. Probes open a connection and
+ * that are open may stay in use, or turn silent, while new ones fail. Probes open a connection and
  * send nothing: they find out that an endpoint is back, and that the path is lost while few
  * requests are sent. Not thread-safe.
  */
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
@@ -20,7 +20,8 @@
    * Nowhere at the moment, as no endpoint takes requests of this VM.
    *
    * @param remainingMs time until the first one does, in milliseconds; 0 if that is not known
-   * @param limited whether brittle endpoints are among them, so that there may be room at any time
+   * @param limited whether some of them state a rejection limit, so that there may be room at any
+   *     time
    */
   record Paused(long remainingMs, boolean limited) implements SendDecision {}
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
@@ -223,19 +223,19 @@
     return table_;
   }
 
-  public static final int STORE_ERA_FIELD_NUMBER = 11;
-  private long storeEra_ = 0L;
+  public static final int STORE_EPOCH_FIELD_NUMBER = 11;
+  private long storeEpoch_ = 0L;
   /**
    * <pre>
-   * Era of the store, in which the revision counts.
+   * Epoch of the store, in which the revision counts.
    * </pre>
    *
-   * <code>int64 store_era = 11;</code>
-   * @return The storeEra.
+   * <code>int64 store_epoch = 11;</code>
+   * @return The storeEpoch.
    */
   @java.lang.Override
-  public long getStoreEra() {
-    return storeEra_;
+  public long getStoreEpoch() {
+    return storeEpoch_;
   }
 
   public static final int LIST_CURRENT_FIELD_NUMBER = 12;
@@ -297,8 +297,8 @@
     if (!table_.isEmpty()) {
       output.writeBytes(10, table_);
     }
-    if (storeEra_ != 0L) {
-      output.writeInt64(11, storeEra_);
+    if (storeEpoch_ != 0L) {
+      output.writeInt64(11, storeEpoch_);
     }
     if (listCurrent_ != false) {
       output.writeBool(12, listCurrent_);
@@ -352,9 +352,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(10, table_);
     }
-    if (storeEra_ != 0L) {
+    if (storeEpoch_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(11, storeEra_);
+        .computeInt64Size(11, storeEpoch_);
     }
     if (listCurrent_ != false) {
       size += com.google.protobuf.CodedOutputStream
@@ -404,8 +404,8 @@
         .equals(other.getEndpointsList())) return false;
     if (!getTable()
         .equals(other.getTable())) return false;
-    if (getStoreEra()
-        != other.getStoreEra()) return false;
+    if (getStoreEpoch()
+        != other.getStoreEpoch()) return false;
     if (getListCurrent()
         != other.getListCurrent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -449,9 +449,9 @@
     }
     hash = (37 * hash) + TABLE_FIELD_NUMBER;
     hash = (53 * hash) + getTable().hashCode();
-    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (37 * hash) + STORE_EPOCH_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getStoreEra());
+        getStoreEpoch());
     hash = (37 * hash) + LIST_CURRENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getListCurrent());
@@ -606,7 +606,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000100);
       table_ = com.google.protobuf.ByteString.EMPTY;
-      storeEra_ = 0L;
+      storeEpoch_ = 0L;
       listCurrent_ = false;
       return this;
     }
@@ -682,7 +682,7 @@
         result.table_ = table_;
       }
       if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.storeEra_ = storeEra_;
+        result.storeEpoch_ = storeEpoch_;
       }
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.listCurrent_ = listCurrent_;
@@ -754,8 +754,8 @@
       if (!other.getTable().isEmpty()) {
         setTable(other.getTable());
       }
-      if (other.getStoreEra() != 0L) {
-        setStoreEra(other.getStoreEra());
+      if (other.getStoreEpoch() != 0L) {
+        setStoreEpoch(other.getStoreEpoch());
       }
       if (other.getListCurrent() != false) {
         setListCurrent(other.getListCurrent());
@@ -843,7 +843,7 @@
               break;
             } // case 82
             case 88: {
-              storeEra_ = input.readInt64();
+              storeEpoch_ = input.readInt64();
               bitField0_ |= 0x00000400;
               break;
             } // case 88
@@ -1478,46 +1478,46 @@
       return this;
     }
 
-    private long storeEra_ ;
+    private long storeEpoch_ ;
     /**
      * <pre>
-     * Era of the store, in which the revision counts.
+     * Epoch of the store, in which the revision counts.
      * </pre>
      *
-     * <code>int64 store_era = 11;</code>
-     * @return The storeEra.
+     * <code>int64 store_epoch = 11;</code>
+     * @return The storeEpoch.
      */
     @java.lang.Override
-    public long getStoreEra() {
-      return storeEra_;
+    public long getStoreEpoch() {
+      return storeEpoch_;
     }
     /**
      * <pre>
-     * Era of the store, in which the revision counts.
+     * Epoch of the store, in which the revision counts.
      * </pre>
      *
-     * <code>int64 store_era = 11;</code>
-     * @param value The storeEra to set.
+     * <code>int64 store_epoch = 11;</code>
+     * @param value The storeEpoch to set.
      * @return This builder for chaining.
      */
-    public Builder setStoreEra(long value) {
+    public Builder setStoreEpoch(long value) {
 
-      storeEra_ = value;
+      storeEpoch_ = value;
       bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Era of the store, in which the revision counts.
+     * Epoch of the store, in which the revision counts.
      * </pre>
      *
-     * <code>int64 store_era = 11;</code>
+     * <code>int64 store_epoch = 11;</code>
      * @return This builder for chaining.
      */
-    public Builder clearStoreEra() {
+    public Builder clearStoreEpoch() {
       bitField0_ = (bitField0_ & ~0x00000400);
-      storeEra_ = 0L;
+      storeEpoch_ = 0L;
       onChanged();
       return this;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
@@ -119,13 +119,13 @@
 
   /**
    * <pre>
-   * Era of the store, in which the revision counts.
+   * Epoch of the store, in which the revision counts.
    * </pre>
    *
-   * <code>int64 store_era = 11;</code>
-   * @return The storeEra.
+   * <code>int64 store_epoch = 11;</code>
+   * @return The storeEpoch.
    */
-  long getStoreEra();
+  long getStoreEpoch();
 
   /**
    * <pre>
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -112,42 +112,42 @@
       "mbers\030\002 \003(\0132\034.zinniaspan.peer.FleetMembe" +
       "r\"[\n\014CatalogQuery\022\017\n\007version\030\001 \001(\003\022\022\n\nli" +
       "st_epoch\030\002 \001(\003\022\025\n\rlist_sequence\030\003 \001(\003\022\017\n" +
-      "\007wait_ms\030\004 \001(\003\"\241\002\n\014CatalogState\022\017\n\007versi" +
+      "\007wait_ms\030\004 \001(\003\"\243\002\n\014CatalogState\022\017\n\007versi" +
       "on\030\001 \001(\003\022\021\n\tconfirmed\030\002 \001(\010\022\033\n\023confirmat" +
       "ion_age_ms\030\003 \001(\003\022\017\n\007held_ms\030\004 \001(\003\022\020\n\010rev" +
       "ision\030\005 \001(\003\022\022\n\nlist_epoch\030\006 \001(\003\022\025\n\rlist_" +
       "sequence\030\007 \001(\003\022\025\n\rlist_included\030\010 \001(\010\0223\n" +
       "\tendpoints\030\t \003(\0132 .zinniaspan.peer.Catal" +
-      "ogEndpoint\022\r\n\005table\030\n \001(\014\022\021\n\tstore_era\030\013" +
-      " \001(\003\022\024\n\014list_current\030\014 \001(\010\"\237\001\n\017CatalogEn" +
-      "dpoint\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007a" +
-      "ddress\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(" +
-      "\005\022\020\n\010draining\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001" +
-      "(\003\022\030\n\020software_version\030\010 \001(\t\"\211\001\n\013EngineQ" +
-      "uery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n" +
-      "\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005" +
-      " \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.Ser" +
-      "viceWork\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t" +
-      "\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\275\001\n\013E" +
-      "ngineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 " +
-      "\001(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.Eng" +
-      "ineLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan." +
-      "peer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132\034.z" +
-      "inniaspan.peer.ServiceWork\"e\n\nEngineLoad" +
-      "\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(" +
-      "\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006act" +
-      "ive\030\005 \001(\005\"h\n\021StreamOriginEntry\022\022\n\nattemp" +
-      "t_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_" +
-      "version\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022S" +
-      "treamOriginUpdate\0223\n\007origins\030\001 \003(\0132\".zin" +
-      "niaspan.peer.StreamOriginEntry\"\025\n\023Stream" +
-      "OriginReceipt\"K\n\021StreamOriginQuery\022\022\n\nat" +
-      "tempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_" +
-      "wide\030\003 \001(\010\"u\n\021StreamOriginReply\0222\n\006origi" +
-      "n\030\001 \001(\0132\".zinniaspan.peer.StreamOriginEn" +
-      "try\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013observed" +
-      "_ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer.protoP\001" +
-      "b\006proto3"
+      "ogEndpoint\022\r\n\005table\030\n \001(\014\022\023\n\013store_epoch" +
+      "\030\013 \001(\003\022\024\n\014list_current\030\014 \001(\010\"\237\001\n\017Catalog" +
+      "Endpoint\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n" +
+      "\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 " +
+      "\001(\005\022\020\n\010draining\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007" +
+      " \001(\003\022\030\n\020software_version\030\010 \001(\t\"\211\001\n\013Engin" +
+      "eQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022" +
+      "\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender" +
+      "\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.S" +
+      "erviceWork\"@\n\013ServiceWork\022\017\n\007service\030\001 \001" +
+      "(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\275\001\n" +
+      "\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030" +
+      "\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.E" +
+      "ngineLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspa" +
+      "n.peer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132\034" +
+      ".zinniaspan.peer.ServiceWork\"e\n\nEngineLo" +
+      "ad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 " +
+      "\001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006a" +
+      "ctive\030\005 \001(\005\"h\n\021StreamOriginEntry\022\022\n\natte" +
+      "mpt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020softwar" +
+      "e_version\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n" +
+      "\022StreamOriginUpdate\0223\n\007origins\030\001 \003(\0132\".z" +
+      "inniaspan.peer.StreamOriginEntry\"\025\n\023Stre" +
+      "amOriginReceipt\"K\n\021StreamOriginQuery\022\022\n\n" +
+      "attempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzon" +
+      "e_wide\030\003 \001(\010\"u\n\021StreamOriginReply\0222\n\006ori" +
+      "gin\030\001 \001(\0132\".zinniaspan.peer.StreamOrigin" +
+      "Entry\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013observ" +
+      "ed_ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer.proto" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -176,7 +176,7 @@
     internal_static_zinniaspan_peer_CatalogState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogState_descriptor,
-        new java.lang.String[] { "Version", "Confirmed", "ConfirmationAgeMs", "HeldMs", "Revision", "ListEpoch", "ListSequence", "ListIncluded", "Endpoints", "Table", "StoreEra", "ListCurrent", });
+        new java.lang.String[] { "Version", "Confirmed", "ConfirmationAgeMs", "HeldMs", "Revision", "ListEpoch", "ListSequence", "ListIncluded", "Endpoints", "Table", "StoreEpoch", "ListCurrent", });
     internal_static_zinniaspan_peer_CatalogEndpoint_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -60,10 +60,16 @@
   /** Present in all responses of an endpoint that is about to shut down. */
   static final String SERVER_LEAVING = "Server-Leaving";
 
-  /** Number of times that the platform's store came back from a copy; in all its responses. */
+  /**
+   * Epoch of the platform's store, which rises when it is restored from a copy; in all its
+   * responses.
+   */
   static final String STORE_ERA = "Store-Era";
 
-  /** Number of rejections in a second that an endpoint endures; present while it is brittle. */
+  /**
+   * Number of rejections in a second beyond which an endpoint fails; present while there is such a
+   * limit.
+   */
   static final String SERVER_BRITTLE = "Server-Brittle";
 
   private HeaderNames() {}
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -37,7 +37,7 @@
   private final String host;
   private final long timeoutMs;
   private final ObjectMapper json = new ObjectMapper();
-  private long lastEra;
+  private long lastEpoch;
 
   /**
    * Creates a client.
@@ -83,14 +83,14 @@
           CatalogResult<JsonNode> page =
               decode(
                   result,
-                  (body, era) ->
+                  (body, epoch) ->
                       new CatalogResult.Read<>(
-                          body, new StoreRevision(era, body.path("at").asLong())));
+                          body, new StoreRevision(epoch, body.path("at").asLong())));
           if (!(page instanceof CatalogResult.Read<JsonNode> read)) {
             callback.accept(new CatalogResult.Failed<>(page.toString()));
             return;
           }
-          if (firstRevision.isPresent() && firstRevision.get().era() != read.revision().era()) {
+          if (firstRevision.isPresent() && firstRevision.get().epoch() != read.revision().epoch()) {
             callback.accept(new CatalogResult.Failed<>("restored between two pages"));
             return;
           }
@@ -122,7 +122,7 @@
   }
 
   private interface Decoder<T> {
-    CatalogResult<T> decode(JsonNode body, long era) throws IOException;
+    CatalogResult<T> decode(JsonNode body, long epoch) throws IOException;
   }
 
   private <T> CatalogResult<T> decode(BufferingHttpClient.Result result, Decoder<T> decoder) {
@@ -138,31 +138,32 @@
     }
     try {
       JsonNode body = missing ? json.createObjectNode() : json.readTree(answered.body());
-      return decoder.decode(body, era(answered));
+      return decoder.decode(body, epoch(answered));
     } catch (IOException | IllegalArgumentException e) {
       return new CatalogResult.Failed<>("cannot decode the response: " + e.getMessage());
     }
   }
 
-  /** Returns the store's era; if a response states none, that of the response before. */
-  private long era(BufferingHttpClient.Result.Answered answered) {
-    lastEra =
+  /** Returns the store's epoch; if a response states none, that of the response before. */
+  private long epoch(BufferingHttpClient.Result.Answered answered) {
+    lastEpoch =
         answered
             .header(HeaderNames.STORE_ERA)
             .filter(text -> text.matches("[0-9]{1,15}"))
             .map(Long::parseLong)
-            .orElse(lastEra);
-    return lastEra;
+            .orElse(lastEpoch);
+    return lastEpoch;
   }
 
-  private CatalogResult<Optional<RoutingTable>> table(JsonNode item, long era) throws IOException {
+  private CatalogResult<Optional<RoutingTable>> table(JsonNode item, long epoch)
+      throws IOException {
     Optional<RoutingTable> table =
         item.has("value") ? Optional.of(decodeDocument(valueBytes(item))) : Optional.empty();
     long number = item.path("at").asLong(item.path("revision").asLong());
-    return new CatalogResult.Read<>(table, new StoreRevision(era, number));
+    return new CatalogResult.Read<>(table, new StoreRevision(epoch, number));
   }
 
-  private CatalogResult<CatalogChanges> changes(JsonNode body, long era) throws IOException {
+  private CatalogResult<CatalogChanges> changes(JsonNode body, long epoch) throws IOException {
     Optional<RoutingTable> table = Optional.empty();
     List<EndpointChange> endpoints = new ArrayList<>();
     for (JsonNode event : body.path("events")) {
@@ -180,7 +181,7 @@
       }
     }
     return new CatalogResult.Read<>(
-        new CatalogChanges(table, endpoints), new StoreRevision(era, body.path("at").asLong()));
+        new CatalogChanges(table, endpoints), new StoreRevision(epoch, body.path("at").asLong()));
   }
 
   private Optional<ListedEndpoint> endpoint(JsonNode item) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -72,8 +72,8 @@
    * @param retryAfterMs time for which the endpoint takes no request of this VM, in milliseconds,
    *     if stated
    * @param draining whether the endpoint states that it is about to shut down
-   * @param rejectionsPerSecond number of rejections in a second that the endpoint endures, if it
-   *     states that it is brittle
+   * @param rejectionsPerSecond number of rejections in a second beyond which the endpoint fails, if
+   *     it states such a limit
    */
   record ResponseFacts(
       Optional<String> attemptId,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -130,8 +130,8 @@
   }
 
   /**
-   * Waits for room at brittle endpoints, up to the latency target; otherwise refuses the request
-   * until the first endpoint takes requests again, if it has not run.
+   * Waits for room at endpoints with a rejection limit, up to the latency target; otherwise refuses
+   * the request until the first endpoint takes requests again, if it has not run.
    */
   private void awaitRoom(SendDecision.Paused paused) {
     long waitedMs = context.clock().nowMs() - request.arrivalMs();
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogServiceTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogServiceTest.java
@@ -71,7 +71,7 @@
   @Test
   void doesNotConfirmAfterSuspension() {
     reader.pause(3_000, true);
-    fleet.cut("vm-000", FleetSimulation.Store.NAME);
+    fleet.cut("vm-000", SimulatedStore.NAME);
     fleet.nowMs += 3_000;
     ask(CatalogQuery.newBuilder().setVersion(1));
     assertThat(reader.freshness.ageMs()).isLessThan(PlatformBounds.DEFAULT.confirmIntervalMs());
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/CatalogSharingTest.java
@@ -132,7 +132,7 @@
     @Test
     void delaysNewVersionsNoLongerThanAllowed() {
       List<FleetSimulation.Vm> cutOff = readers();
-      cutOff.forEach(reader -> fleet.cut(reader.address, FleetSimulation.Store.NAME));
+      cutOff.forEach(reader -> fleet.cut(reader.address, SimulatedStore.NAME));
       fleet.store.publish();
       fleet.advance(SMALL.configMs());
       fleet.vms.values().stream()
@@ -238,7 +238,7 @@
         case 3 -> vm.pause(300 + random.nextInt(8_000), random.nextBoolean());
         case 4 -> vm.stepMs = random.nextInt(8_000) - 4_000;
         case 5 -> fleet.cut(vm.address, other.address);
-        case 6 -> fleet.cut(vm.address, FleetSimulation.Store.NAME);
+        case 6 -> fleet.cut(vm.address, SimulatedStore.NAME);
         case 7 -> fleet.store.down = !fleet.store.down;
         case 8 -> fleet.store.refused.add(vm.address);
         case 9 -> fleet.store.refused.clear();
@@ -269,11 +269,11 @@
     @Test
     void doesNotAdoptWhatAnotherVmCannotConfirm() {
       FleetSimulation fleet = settledFleet(SMALL, 4, 1);
-      fleet.vms.keySet().forEach(vm -> fleet.cut(vm, FleetSimulation.Store.NAME));
+      fleet.vms.keySet().forEach(vm -> fleet.cut(vm, SimulatedStore.NAME));
       fleet.store.publish();
       fleet.advance(6_000);
       fleet.start("vm-900", "zone-0", List.of("vm-000"));
-      fleet.cut("vm-900", FleetSimulation.Store.NAME);
+      fleet.cut("vm-900", SimulatedStore.NAME);
       fleet.advance(4_000);
       assertThat(fleet.vms.get("vm-900").version()).isEqualTo(-1);
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -19,7 +19,6 @@
 import org.zinniaspan.forwarding.CatalogChanges;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.CatalogResult;
-import org.zinniaspan.forwarding.EndpointChange;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.EngineReportSource;
@@ -28,7 +27,6 @@
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
-import org.zinniaspan.forwarding.StoreRevision;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TrackedEndpoint;
@@ -62,8 +60,8 @@
   final PlatformBounds bounds;
   final Random random;
   final Map<String, Vm> vms = new TreeMap<>();
-  final Store store = new Store();
   long nowMs = START_MS;
+  final SimulatedStore store = new SimulatedStore(() -> nowMs);
   double lossRate;
   private final Set<String> cutLinks = new HashSet<>();
   private final PriorityQueue<Event> events =
@@ -140,81 +138,6 @@
     at(delayMs, () -> to.run(action));
   }
 
-  /** The platform's store: one configuration version and a list of endpoints. */
-  final class Store {
-    static final String NAME = "store";
-    private final Map<String, ListedEndpoint> endpoints = new TreeMap<>();
-    private final List<Long> versionStartsMs = new ArrayList<>(List.of(START_MS));
-    private final Map<Long, EndpointChange> history = new TreeMap<>();
-    private final Map<Long, Long> versionRevisions = new TreeMap<>();
-    final Set<String> refused = new HashSet<>();
-    boolean down;
-    long calls;
-    private long revision = 100;
-    private long era = 1;
-
-    /** Goes back to a copy: the changes since are gone, and their revisions are given out again. */
-    void restore(long atRevision) {
-      era++;
-      history.keySet().removeIf(number -> number > atRevision);
-      versionRevisions.keySet().removeIf(number -> number > atRevision);
-      endpoints.clear();
-      history.values().forEach(change -> apply(change));
-      revision = atRevision;
-    }
-
-    private void apply(EndpointChange change) {
-      if (change instanceof EndpointChange.Listed listed) {
-        endpoints.put(change.id(), listed.endpoint());
-      } else {
-        endpoints.remove(change.id());
-      }
-    }
-
-    long revision() {
-      return revision;
-    }
-
-    private StoreRevision at() {
-      return new StoreRevision(era, revision);
-    }
-
-    long version() {
-      return versionStartsMs.size();
-    }
-
-    void publish() {
-      versionStartsMs.add(nowMs);
-      versionRevisions.put(++revision, version());
-    }
-
-    /** Returns the time until which a version was the newest one. */
-    long supersededMs(long version) {
-      return version >= version() ? Long.MAX_VALUE : versionStartsMs.get((int) version);
-    }
-
-    void put(ListedEndpoint entry) {
-      endpoints.put(entry.id(), entry);
-      history.put(++revision, new EndpointChange.Listed(entry));
-    }
-
-    void remove(String id) {
-      endpoints.remove(id);
-      history.put(++revision, new EndpointChange.Removed(id));
-    }
-
-    private RoutingTable table() {
-      return new RoutingTable(
-          version(),
-          List.of(),
-          Map.of(),
-          Map.of(),
-          true,
-          InboundLimits.DEFAULT,
-          Long.toString(version()).getBytes(StandardCharsets.US_ASCII));
-    }
-  }
-
   /** One VM of the fleet. */
   final class Vm implements Catalog, PeerClient {
     final String address;
@@ -381,16 +304,19 @@
         long endMs,
         Consumer<CatalogResult<T>> callback,
         java.util.function.Supplier<Optional<CatalogResult<T>>> answer) {
-      if (store.down || isCut(address, Store.NAME)) {
+      if (store.down || isCut(address, SimulatedStore.NAME)) {
         return;
       }
       if (store.refused.contains(address)) {
-        deliver(Store.NAME, this, () -> callback.accept(new CatalogResult.Failed<>("status 503")));
+        deliver(
+            SimulatedStore.NAME,
+            this,
+            () -> callback.accept(new CatalogResult.Failed<>("status 503")));
         return;
       }
       Optional<CatalogResult<T>> result = answer.get();
       if (result.isPresent()) {
-        deliver(Store.NAME, this, () -> callback.accept(result.get()));
+        deliver(SimulatedStore.NAME, this, () -> callback.accept(result.get()));
       } else if (nowMs < endMs) {
         at(5, () -> awaitAnswer(endMs, callback, answer));
       }
@@ -398,10 +324,7 @@
 
     @Override
     public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
-      callStore(
-          0,
-          callback,
-          () -> Optional.of(new CatalogResult.Read<>(Optional.of(store.table()), store.at())));
+      callStore(0, callback, () -> Optional.of(store.readTable()));
     }
 
     @Override
@@ -414,12 +337,7 @@
 
     @Override
     public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
-      callStore(
-          0,
-          callback,
-          () ->
-              Optional.of(
-                  new CatalogResult.Read<>(List.copyOf(store.endpoints.values()), store.at())));
+      callStore(0, callback, () -> Optional.of(store.readEndpoints()));
     }
 
     @Override
@@ -430,24 +348,9 @@
           waitMs,
           callback,
           () -> {
-            if (afterRevision > store.revision) {
-              return Optional.of(new CatalogResult.HistoryLost<>());
-            }
-            List<EndpointChange> changes = new ArrayList<>();
-            store.history.forEach(
-                (revision, change) -> {
-                  if (revision > afterRevision) {
-                    changes.add(change);
-                  }
-                });
-            boolean newTable =
-                store.versionRevisions.keySet().stream().anyMatch(r -> r > afterRevision);
-            if (changes.isEmpty() && !newTable && nowMs < endMs - 10) {
-              return Optional.empty();
-            }
-            Optional<RoutingTable> table = newTable ? Optional.of(store.table()) : Optional.empty();
-            return Optional.of(
-                new CatalogResult.Read<>(new CatalogChanges(table, changes), store.at()));
+            return store.hasChanges(afterRevision) || nowMs >= endMs - 10
+                ? Optional.of(store.readChanges(afterRevision))
+                : Optional.empty();
           });
     }
 
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
@@ -0,0 +1,132 @@
+package org.zinniaspan.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.zinniaspan.forwarding.CatalogChanges;
+import org.zinniaspan.forwarding.CatalogResult;
+import org.zinniaspan.forwarding.EndpointChange;
+import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.StoreRevision;
+
+/** The platform's store in a simulation: one configuration version and a list of endpoints. */
+final class SimulatedStore {
+
+  static final String NAME = "store";
+  private final Map<String, ListedEndpoint> endpoints = new TreeMap<>();
+  private final LongSupplier nowMs;
+  private final List<Long> versionStartsMs = new ArrayList<>();
+  private final Map<Long, EndpointChange> history = new TreeMap<>();
+  private final Map<Long, Long> versionRevisions = new TreeMap<>();
+  final Set<String> refused = new HashSet<>();
+  boolean down;
+  long calls;
+  private long revision = 100;
+  private long epoch = 1;
+
+  SimulatedStore(LongSupplier nowMs) {
+    this.nowMs = nowMs;
+    versionStartsMs.add(nowMs.getAsLong());
+  }
+
+  /** Goes back to a copy: the changes since are gone, and their revisions are given out again. */
+  void restore(long atRevision) {
+    epoch++;
+    history.keySet().removeIf(number -> number > atRevision);
+    versionRevisions.keySet().removeIf(number -> number > atRevision);
+    endpoints.clear();
+    history.values().forEach(change -> apply(change));
+    revision = atRevision;
+  }
+
+  private void apply(EndpointChange change) {
+    if (change instanceof EndpointChange.Listed listed) {
+      endpoints.put(change.id(), listed.endpoint());
+    } else {
+      endpoints.remove(change.id());
+    }
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  private StoreRevision at() {
+    return new StoreRevision(epoch, revision);
+  }
+
+  long version() {
+    return versionStartsMs.size();
+  }
+
+  void publish() {
+    versionStartsMs.add(nowMs.getAsLong());
+    versionRevisions.put(++revision, version());
+  }
+
+  /** Returns the time until which a version was the newest one. */
+  long supersededMs(long version) {
+    return version >= version() ? Long.MAX_VALUE : versionStartsMs.get((int) version);
+  }
+
+  void put(ListedEndpoint entry) {
+    endpoints.put(entry.id(), entry);
+    history.put(++revision, new EndpointChange.Listed(entry));
+  }
+
+  void remove(String id) {
+    endpoints.remove(id);
+    history.put(++revision, new EndpointChange.Removed(id));
+  }
+
+  CatalogResult<Optional<RoutingTable>> readTable() {
+    return new CatalogResult.Read<>(Optional.of(table()), at());
+  }
+
+  CatalogResult<List<ListedEndpoint>> readEndpoints() {
+    return new CatalogResult.Read<>(List.copyOf(endpoints.values()), at());
+  }
+
+  /**
+   * Returns whether there are changes after a revision, or it is one that was not given out yet.
+   */
+  boolean hasChanges(long afterRevision) {
+    return revision != afterRevision;
+  }
+
+  /** Returns the changes after a revision. */
+  CatalogResult<CatalogChanges> readChanges(long afterRevision) {
+    if (afterRevision > revision) {
+      return new CatalogResult.HistoryLost<>();
+    }
+    List<EndpointChange> changes = new ArrayList<>();
+    history.forEach(
+        (number, change) -> {
+          if (number > afterRevision) {
+            changes.add(change);
+          }
+        });
+    boolean newTable = versionRevisions.keySet().stream().anyMatch(r -> r > afterRevision);
+    Optional<RoutingTable> table = newTable ? Optional.of(table()) : Optional.empty();
+    return new CatalogResult.Read<>(new CatalogChanges(table, changes), at());
+  }
+
+  private RoutingTable table() {
+    return new RoutingTable(
+        version(),
+        List.of(),
+        Map.of(),
+        Map.of(),
+        true,
+        InboundLimits.DEFAULT,
+        Long.toString(version()).getBytes(StandardCharsets.US_ASCII));
+  }
+}
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -164,7 +164,7 @@
       vm(3).pause(20_000, false);
       list("new", "v2");
       fleet.store.remove("old");
-      fleet.cut("vm-003", FleetSimulation.Store.NAME);
+      fleet.cut("vm-003", SimulatedStore.NAME);
       List.copyOf(fleet.vms.keySet()).stream()
           .filter(name -> !name.equals("vm-003"))
           .forEach(fleet::kill);
@@ -257,7 +257,7 @@
         }
         case 1 -> vm.pause(300 + random.nextInt(4_000), random.nextBoolean());
         case 2 -> fleet.cut(vm.address, anyVm(random).address);
-        case 3 -> fleet.cut(vm.address, FleetSimulation.Store.NAME);
+        case 3 -> fleet.cut(vm.address, SimulatedStore.NAME);
         case 4 -> fleet.healLinks();
         case 5 -> fleet.store.remove("e-" + random.nextInt(4));
         case 6, 7 -> list("e-" + (2 + random.nextInt(2)), "v" + (1 + random.nextInt(3)));
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -110,11 +110,11 @@
   @Nested
   class RestoredStore {
 
-    /** Reads the table from the store after it came back from a copy of an earlier revision. */
+    /** Reads the table from the store after it was restored from a copy of an earlier revision. */
     @BeforeEach
     void restore() {
       advance(1_500);
-      catalog.era = 2;
+      catalog.epoch = 2;
       catalog.completeTableRead(TestTables.table(6));
       advance(40);
     }
@@ -143,7 +143,7 @@
     }
 
     @Test
-    void isWatchedFromTheRevisionOfItsNewEra() {
+    void isWatchedFromTheRevisionOfItsNewEpoch() {
       catalog.completeListRead(10, ENDPOINT);
       EndpointChange removal = new EndpointChange.Removed("a");
       catalog.completeWatch(44, Optional.empty(), removal);
@@ -167,7 +167,7 @@
     @Test
     void countsInItsNewEraForListsOfOtherVms() {
       follower.onPeerList(List.of(), new StoreRevision(1, 90));
-      assertThat(follower.revision().era()).isEqualTo(2);
+      assertThat(follower.revision().epoch()).isEqualTo(2);
       follower.onPeerList(List.of(ENDPOINT), new StoreRevision(2, 11));
       assertThat(follower.revision()).isEqualTo(new StoreRevision(2, 11));
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointBackoffTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointBackoffTest.java
@@ -50,7 +50,7 @@
     }
   }
 
-  /** VMs that send more than brittle endpoints can take; those fail when they reject too many. */
+  /** VMs that send more than endpoints can take, which fail when they reject too many. */
   @Nested
   class Overload {
 
@@ -73,7 +73,7 @@
       private final Deque<Long> rejectedMs = new ArrayDeque<>();
       private int taken;
       private long downUntilMs;
-      private int falls;
+      private int failures;
 
       private Endpoint(int number) {
         entry = listed("e" + number, 1);
@@ -89,7 +89,7 @@
           rejectedMs.removeFirst();
         }
         if (rejectedMs.size() > REJECTIONS_PER_SECOND) {
-          falls++;
+          failures++;
           downUntilMs = nowMs + DOWN_MS;
           rejectedMs.clear();
         }
@@ -171,20 +171,20 @@
       }
     }
 
-    private int falls() {
-      return endpoints.stream().mapToInt(e -> e.falls).sum();
+    private int failures() {
+      return endpoints.stream().mapToInt(e -> e.failures).sum();
     }
 
     @Test
-    void failsEndpointsAgainAndAgainIfNothingLimitsIt() {
+    void makesEndpointsFailIfTheyStateNoLimit() {
       run(2, false);
-      assertThat(falls()).isGreaterThan(6);
+      assertThat(failures()).isGreaterThan(6);
     }
 
     @Test
-    void failsNoEndpointThatStatesThatItIsBrittle() {
+    void makesNoEndpointFailThatStatesItsLimit() {
       run(2, true);
-      assertThat(falls()).isEqualTo(0);
+      assertThat(failures()).isEqualTo(0);
     }
 
     @Test
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
@@ -13,7 +13,7 @@
   final Deque<Consumer<CatalogResult<List<ListedEndpoint>>>> lists = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<CatalogChanges>>> watches = new ArrayDeque<>();
   long watchedAfter;
-  long era = 1;
+  long epoch = 1;
 
   @Override
   public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
@@ -38,17 +38,19 @@
   }
 
   void completeTableRead(RoutingTable table) {
-    tables.remove().accept(new CatalogResult.Read<>(Optional.of(table), new StoreRevision(era, 1)));
+    tables
+        .remove()
+        .accept(new CatalogResult.Read<>(Optional.of(table), new StoreRevision(epoch, 1)));
   }
 
   void completeListRead(long revision, ListedEndpoint... endpoints) {
     lists
         .remove()
-        .accept(new CatalogResult.Read<>(List.of(endpoints), new StoreRevision(era, revision)));
+        .accept(new CatalogResult.Read<>(List.of(endpoints), new StoreRevision(epoch, revision)));
   }
 
   void completeWatch(long revision, Optional<RoutingTable> table, EndpointChange... changes) {
     CatalogChanges value = new CatalogChanges(table, List.of(changes));
-    watches.remove().accept(new CatalogResult.Read<>(value, new StoreRevision(era, revision)));
+    watches.remove().accept(new CatalogResult.Read<>(value, new StoreRevision(epoch, revision)));
   }
 }
