--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOrigins.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOrigins.java
@@ -13,7 +13,7 @@
  */
 final class StreamOrigins {
 
-  /** Largest number of origins that are kept, about 4 MB. */
+  /** Largest number of origins that are kept. */
   static final int MAX_ENTRIES = 20_000;
 
   private final Clock clock;
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -207,6 +207,9 @@
       if (!relayed) {
         context.retryBudget(found.service()).onRequest();
       }
+      if (relayed) {
+        log.addFailure(RequestEvents.relayReceived(attemptId(), head));
+      }
       facts.resume().ifPresent(resume -> log.addFailure(RequestEvents.resume(attemptId(), resume)));
       if (relayed) {
         RelayHeaders.value(head, RelayHeaders.SOFTWARE_VERSION).ifPresent(streamVersion::set);
@@ -436,7 +439,7 @@
             || (status == 0 && !outcome.equals(CLIENT_LEFT));
     EventLog line =
         RequestEvents.ended(attemptId(), version, completed, delivery.longestPauseMs())
-            .with("endpoint", sender.endpointId())
+            .with("endpoint", sender.receiver())
             .with("confirmationAgeMs", context.tableFreshness().ageMs())
             .with("relayed", relayed);
     if (failed) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.proxy;
 
+import org.apache.hc.core5.http.HttpRequest;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteDecision;
@@ -37,6 +38,13 @@
         .with("lastEventId", resume.lastEventId());
   }
 
+  /** Returns the event of a request that another VM relays to this one. */
+  static EventLog relayReceived(String id, HttpRequest head) {
+    return EventLog.event("relay-received")
+        .with("id", id)
+        .with("by", RelayHeaders.value(head, RelayHeaders.RELAYED_BY).orElse("none"));
+  }
+
   /** Returns the event of a request that is sent through another VM. */
   static EventLog relay(String id, RouteDecision.Routed routed, String vm) {
     return EventLog.event("relay-chosen")
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -59,7 +59,7 @@
   private boolean mayHaveRun;
   private boolean awaitingRoom;
   private Attempt attempt;
-  private String endpointId = "none";
+  private String receiver = "none";
 
   RequestSender(ForwardContext context, ProxiedRequest request) {
     this.context = context;
@@ -76,9 +76,12 @@
     return sendCount;
   }
 
-  /** Returns the id of the endpoint that received the request last; {@code none} before that. */
-  String endpointId() {
-    return endpointId;
+  /**
+   * Returns the id of the endpoint, or the peer address of the VM, to which the request was sent
+   * last; {@code none} before that.
+   */
+  String receiver() {
+    return receiver;
   }
 
   /** Returns whether an endpoint may have run the request. */
@@ -155,6 +158,7 @@
       return;
     }
     triedVms.add(vm.get());
+    receiver = vm.get();
     sendCount++;
     request
         .log()
@@ -216,8 +220,8 @@
       return;
     }
     ListedEndpoint endpoint = selection.get().endpoint().listed();
-    endpointId = endpoint.id();
-    triedEndpoints.add(endpointId);
+    receiver = endpoint.id();
+    triedEndpoints.add(receiver);
     sendCount++;
     request.log().add(selectionEvent("endpoint-chosen", selection.get()).with("send", sendCount));
     recordResume();
