Log what was in progress when the connection to an endpoint was lost

A lost connection's line now states the parts of the prompt, whether the answer had begun and whether its first event had arrived.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -267,6 +267,7 @@
 
   @Override
   public void onConnectionLost(boolean opened, Optional<Exception> cause) {
+    final boolean hadFirstEvent = promptDone;
     finish();
     endpoint.onFailure(proxiedRequest.context().clock().nowMs());
     proxiedRequest
@@ -277,6 +278,9 @@
                 .with("endpoint", endpoint.listed().id())
                 .with("opened", opened)
                 .with("cause", cause.map(Exception::toString).orElse("closed"))
+                .with("answerBegun", head != null)
+                .with("firstEvent", hadFirstEvent)
+                .with("promptParts", RequestEvents.partIds(proxiedRequest.prompt()))
                 .with("afterMs", proxiedRequest.context().clock().nowMs() - sentMs));
     if (opened) {
       sender.onConnectionLost(cause);
