--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -6,8 +6,12 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
@@ -69,8 +73,12 @@
   private final RawServer server = new RawServer(this::handle);
   private final Map<String, List<Execution>> executions = new ConcurrentHashMap<>();
   private final AtomicInteger active = new AtomicInteger();
+  private final AtomicInteger crashes = new AtomicInteger();
+  private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
   private final long delayMs;
   private volatile Fault fault = Fault.NONE;
+  private volatile Optional<String> crashingPart = Optional.empty();
+  private volatile long downMs;
 
   /**
    * Starts an endpoint on a free port.
@@ -105,6 +113,22 @@
     fault = value;
   }
 
+  /**
+   * Makes the endpoint crash when it begins to answer a prompt that contains a part.
+   *
+   * @param part id of the part; empty to answer all prompts
+   * @param forMs time after which it accepts connections again, in milliseconds
+   */
+  public void setCrashingPart(Optional<String> part, long forMs) {
+    downMs = forMs;
+    crashingPart = part;
+  }
+
+  /** Returns the number of times that a prompt made the endpoint crash. */
+  public int crashes() {
+    return crashes.get();
+  }
+
   /** Returns all executions, grouped by client attempt. */
   public List<Execution> executions() {
     return executions.values().stream().flatMap(Collection::stream).toList();
@@ -161,11 +185,33 @@
           socket, responseHead("500 Internal Server Error", attemptId, "Content-Length: 0"));
       return true;
     }
+    if (makesCrash(request)) {
+      RawServer.write(socket, streamHead(attemptId));
+      crash();
+      return false;
+    }
     return request.line().contains(" /chat/")
         ? writeStreamResponse(attemptId, lastEventId, currentFault, socket)
         : writeTextResponse(attemptId, currentFault, socket);
   }
 
+  private boolean makesCrash(RawServer.Request request) {
+    String parts = ',' + request.header("X-Zinniaspan-Prefix-Hash").replace(" ", "");
+    return crashingPart.map(part -> parts.contains(',' + part + ':')).orElse(false);
+  }
+
+  private void crash() throws IOException {
+    crashes.incrementAndGet();
+    server.crash();
+    restarts.schedule(
+        () -> {
+          server.restart();
+          return null;
+        },
+        downMs,
+        TimeUnit.MILLISECONDS);
+  }
+
   private boolean writeTextResponse(String attemptId, Fault currentFault, Socket socket)
       throws IOException {
     String body = responseText(attemptId);
@@ -182,10 +228,7 @@
 
   private boolean writeStreamResponse(
       String attemptId, int lastEventId, Fault currentFault, Socket socket) throws IOException {
-    RawServer.write(
-        socket,
-        responseHead(
-            "200 OK", attemptId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+    RawServer.write(socket, streamHead(attemptId));
     List<String> events = new ArrayList<>();
     for (int number = lastEventId + 1; number <= EVENT_COUNT; number++) {
       events.add(responseEvent(attemptId, number, software));
@@ -202,6 +245,11 @@
     return true;
   }
 
+  private static String streamHead(String attemptId) {
+    return responseHead(
+        "200 OK", attemptId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked");
+  }
+
   /** Returns the expected text response to a client attempt. */
   public static String responseText(String attemptId) {
     return "answer to " + attemptId;
@@ -239,6 +287,7 @@
 
   @Override
   public void close() throws IOException {
+    restarts.shutdownNow();
     server.close();
   }
 }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/RawServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/RawServer.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -41,23 +41,55 @@
     boolean handle(Request request, Socket socket) throws IOException;
   }
 
-  private final ServerSocket listener;
+  /** Differs from 127.0.0.1, where an outgoing connection could take the port after a crash. */
+  private static final String LISTEN_HOST = "127.0.0.4";
+
+  private static final int BACKLOG = 50;
+
+  private final int port;
+  private volatile ServerSocket listener;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
   private final CountDownLatch clientClosed = new CountDownLatch(1);
   private volatile RequestHandler handler;
+  private boolean closed;
 
-  /** Starts a server on a free port of 127.0.0.1. */
+  /** Starts a server on a free port of the loopback interface. */
   public RawServer(RequestHandler handler) throws IOException {
     this.handler = handler;
-    listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    threads.execute(this::acceptConnections);
+    this.port = listen(0);
+  }
+
+  private int listen(int onPort) throws IOException {
+    ServerSocket accepting = new ServerSocket();
+    accepting.setReuseAddress(true);
+    accepting.bind(new InetSocketAddress(LISTEN_HOST, onPort), BACKLOG);
+    listener = accepting;
+    threads.execute(() -> acceptConnections(accepting));
+    return accepting.getLocalPort();
   }
 
   /** Returns the listening address in the form host:port. */
   public String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return LISTEN_HOST + ":" + port;
+  }
+
+  /** Resets all connections and refuses new ones until {@link #restart}, like a crashed process. */
+  public synchronized void crash() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+    sockets.clear();
+  }
+
+  /** Accepts connections again after {@link #crash}, unless the server was closed meanwhile. */
+  public synchronized void restart() throws IOException {
+    if (!closed && listener.isClosed()) {
+      listen(port);
+    }
   }
 
   /** Sets the handler for requests from now on. */
@@ -91,15 +123,15 @@
     socket.getOutputStream().flush();
   }
 
-  private void acceptConnections() {
+  private void acceptConnections(ServerSocket accepting) {
     try {
       while (true) {
-        Socket socket = listener.accept();
+        Socket socket = accepting.accept();
         sockets.add(socket);
         threads.execute(() -> serveConnection(socket));
       }
     } catch (IOException e) {
-      // close() closed the listener.
+      // The listener was closed.
     }
   }
 
@@ -117,6 +149,8 @@
       clientClosed.countDown();
     } catch (IOException e) {
       clientClosed.countDown();
+    } finally {
+      sockets.remove(socket);
     }
   }
 
@@ -150,7 +184,8 @@
   }
 
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
+    closed = true;
     listener.close();
     for (Socket socket : sockets) {
       socket.close();
