--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -33,6 +33,12 @@
       "X-Zinniaspan-Token-Usage: 6000,80\r\n"
           + "X-Zinniaspan-Prefix-Hash: 5c1e:800,91bd:4200,e440:1000\r\n";
 
+  /** One of the parts in {@link #PROMPT_HEADERS}. */
+  private static final String CRASHING_PART = "91bd";
+
+  private static final long ENDPOINT_DOWN_MS = 400;
+  private static final int PROMPTS_THAT_CRASH = 4;
+
   @Parameter(
       names = "--output",
       description = "Path of the archive file to write.",
@@ -109,6 +115,7 @@
       }
     }
     site.store().restore(site.store().copy());
+    sendPromptsThatCrashEndpoints(site, daemon);
     sendRequestsWithoutEndpoints(site, daemon);
     site.putEndpointEntry("i-2", "draining");
     site.store().delete("servers/i-2");
@@ -132,6 +139,17 @@
     }
   }
 
+  /** Lets endpoints crash until the daemon refuses the prompt. */
+  private static void sendPromptsThatCrashEndpoints(LocalSite site, LocalSite.DaemonProcess daemon)
+      throws IOException {
+    for (EndpointStandIn endpoint : site.endpoints().values()) {
+      endpoint.setCrashingPart(Optional.of(CRASHING_PART), ENDPOINT_DOWN_MS);
+    }
+    for (int i = 0; i < PROMPTS_THAT_CRASH; i++) {
+      sendRequest(daemon, "POST", "/chat/x", PROMPT_HEADERS);
+    }
+  }
+
   /** Ends all endpoints, so that the daemon relays requests to the others. */
   private static void sendRequestsWithoutEndpoints(LocalSite site, LocalSite.DaemonProcess daemon)
       throws IOException {
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ArchiveClassesTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ArchiveClassesTest.java
@@ -47,6 +47,12 @@
           .isTrue();
     }
     client.call(daemon.callerAddress(), "POST", "/chat/x", "Last-Event-Id: 3\r\nResumes: b\r\n");
+    endpoint.setCrashingPart(Optional.of("dead"), 200);
+    client.call(
+        daemon.callerAddress(),
+        "POST",
+        "/chat/x",
+        "X-Zinniaspan-Token-Usage: 30,3\r\nX-Zinniaspan-Prefix-Hash: dead:20,own:10\r\n");
     endpoint.close();
     for (int i = 0; i < 4; i++) {
       client.call(daemon.callerAddress(), "GET", "/safe/x", "");
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
@@ -10,6 +10,7 @@
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.peer.proto.EngineLoad;
 import org.zinniaspan.peer.proto.EngineQuery;
@@ -17,10 +18,10 @@
 
 /**
  * The newest load report of each engine, numbered so that other VMs can ask for those that they
- * have not seen, and the work of the streams at the engines.
+ * have not seen, the work of the streams at the engines, and prompts at crashed endpoints.
  *
  * <p>A query is held until there are new reports; those that arrive shortly after one another are
- * sent together. Not thread-safe.
+ * sent together. Prompts at crashed endpoints are sent at once. Not thread-safe.
  */
 public final class EngineBoard implements Ticking {
 
@@ -37,6 +38,7 @@
 
   private final EndpointDirectory directory;
   private final WorkExchange work;
+  private final PromptObservationExchange prompts;
   private final Clock clock;
   private final long epoch;
   private final Map<String, Entry> entries = new HashMap<>();
@@ -50,11 +52,18 @@
    * Creates a board without reports.
    *
    * @param streamWork the work of this VM's streams
+   * @param quarantine what this VM knows of prompts at crashed endpoints
    * @param epoch number of this process that no other one has
    */
-  public EngineBoard(EndpointDirectory directory, StreamWork streamWork, Clock clock, long epoch) {
+  public EngineBoard(
+      EndpointDirectory directory,
+      StreamWork streamWork,
+      PromptQuarantine quarantine,
+      Clock clock,
+      long epoch) {
     this.directory = directory;
     this.work = new WorkExchange(streamWork, clock);
+    this.prompts = new PromptObservationExchange(quarantine, clock);
     this.clock = clock;
     this.epoch = epoch;
   }
@@ -84,20 +93,27 @@
     return work;
   }
 
+  /** Returns the exchange of prompts at crashed endpoints. */
+  PromptObservationExchange prompts() {
+    return prompts;
+  }
+
   /** Answers a query, now or later; the responder is called once. */
   public void onQuery(EngineQuery query, Consumer<EngineState> responder) {
     if (query.getWorkCount() > 0) {
       work.onMember(query.getSender(), query.getWorkList());
     }
+    prompts.merge(query.getPrompts());
     HeldQuery entry = new HeldQuery(query, clock.nowMs(), responder);
-    if (stopped || hasNew(query)) {
+    boolean isDue = hasNew(query) && query.getMinWaitMs() <= 0;
+    if (stopped || isDue || hasNewPrompts(query)) {
       respond(entry);
     } else {
       held.add(entry);
     }
   }
 
-  /** Answers all queries from now on at once and without reports. */
+  /** Answers all queries from now on at once and without load reports. */
   public void stop() {
     stopped = true;
   }
@@ -114,7 +130,10 @@
         held.stream()
             .filter(
                 entry ->
-                    stopped || isWaitOver(entry, now) || (batchComplete && hasNew(entry.query())))
+                    stopped
+                        || isWaitOver(entry, now)
+                        || hasNewPrompts(entry.query())
+                        || (isMinWaitOver(entry, now, batchComplete) && hasNew(entry.query())))
             .toList();
     held.removeAll(due);
     due.forEach(this::respond);
@@ -124,17 +143,41 @@
     return now - entry.arrivedMs() >= Math.min(MAX_WAIT_MS, entry.query().getWaitMs());
   }
 
+  /**
+   * Returns whether new reports are sent now: with the batch, or once the query's minimum wait has
+   * passed if it states one.
+   */
+  private static boolean isMinWaitOver(HeldQuery entry, long now, boolean batchComplete) {
+    long minWaitMs = entry.query().getMinWaitMs();
+    return minWaitMs > 0 ? now - entry.arrivedMs() >= minWaitMs : batchComplete;
+  }
+
   private boolean hasNew(EngineQuery query) {
     return entries.values().stream().anyMatch(entry -> isNew(entry, query));
   }
 
+  private boolean hasNewPrompts(EngineQuery query) {
+    return query.hasPromptSequence() && prompts.sequence() > promptSequence(query);
+  }
+
+  /** Returns the sequence up to which the sender of a query has this process's observations. */
+  private long promptSequence(EngineQuery query) {
+    return query.getEpoch() == epoch ? query.getPromptSequence() : 0;
+  }
+
   private boolean isNew(Entry entry, EngineQuery query) {
     boolean wanted = query.getZone().isEmpty() || query.getZone().equals(entry.engine().zone());
     return wanted && (query.getEpoch() != epoch || entry.sequence() > query.getSequence());
   }
 
   private void respond(HeldQuery heldQuery) {
-    EngineState.Builder state = EngineState.newBuilder().setEpoch(epoch).setSequence(sequence);
+    EngineState.Builder state =
+        EngineState.newBuilder()
+            .setEpoch(epoch)
+            .setSequence(sequence)
+            .setHeldMs(clock.nowMs() - heldQuery.arrivedMs())
+            .setHeedsMinWait(true)
+            .setStopping(stopped);
     if (!stopped) {
       state.addAllZoneWork(work.zoneWork()).addAllFleetWork(work.fleetWork());
       entries.forEach(
@@ -144,6 +187,11 @@
             }
           });
     }
+    if (heldQuery.query().hasPromptSequence()) {
+      state
+          .setPromptSequence(prompts.sequence())
+          .setPrompts(prompts.encodeAll(promptSequence(heldQuery.query())));
+    }
     heldQuery.responder().accept(state.build());
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -28,11 +28,21 @@
   /** Time beyond the wait until a query has failed, in milliseconds. */
   private static final long TIMEOUT_MS = 300;
 
-  /** Shortest time between two queries to the own zone's observer, in milliseconds. */
+  /**
+   * Shortest time between two replies with load reports of one observer, in milliseconds. The
+   * observer waits that long, so that it holds a query at any time and can reply at once to tell of
+   * prompts at crashed endpoints; for one of a release that does not, this VM waits.
+   */
   private static final long MIN_INTERVAL_MS = 300;
 
-  /** Shortest time between two queries to another zone's observer, in milliseconds. */
-  private static final long MIN_FAR_INTERVAL_MS = 300;
+  /**
+   * Time that a query and its reply may take on the way, in milliseconds; if they take longer, the
+   * ages of prompt observations are inexact, and they are sent again.
+   */
+  private static final long MAX_TRANSIT_MS = 50;
+
+  /** Shortest time between two reports of the same prompt observations, in milliseconds. */
+  private static final long REPORT_INTERVAL_MS = 300;
 
   /** Rank of a VM that is not an observer for the engines of other zones. */
   private static final int FAR_RANK = 3;
@@ -41,8 +51,20 @@
   private static final class Source {
     private long epoch;
     private long sequence;
+    private long promptSequence;
     private boolean querying;
+    private boolean reporting;
     private long nextQueryMs;
+    private long nextReportMs;
+
+    /** Observer that has this VM's own prompt observations up to a sequence number. */
+    private String reportedTo = "";
+
+    private long reportedSequence;
+
+    long reportedSequence(String observer) {
+      return reportedTo.equals(observer) ? reportedSequence : 0;
+    }
   }
 
   private final EndpointDirectory directory;
@@ -112,19 +134,17 @@
   private void query(String observerZone, String engineZone) {
     Source source = sourcesByZone.computeIfAbsent(observerZone, zone -> new Source());
     Optional<String> observer = holders.holder(observerZone);
+    if (engineZone.isEmpty() && observer.isPresent()) {
+      reportPrompts(observer.get(), source);
+    }
     if (source.querying || observer.isEmpty() || clock.nowMs() < source.nextQueryMs) {
       return;
     }
     source.querying = true;
     long sentMs = clock.nowMs();
-    source.nextQueryMs = sentMs + (engineZone.isEmpty() ? MIN_INTERVAL_MS : MIN_FAR_INTERVAL_MS);
+    source.nextQueryMs = sentMs + MIN_INTERVAL_MS;
     EngineQuery.Builder query =
-        EngineQuery.newBuilder()
-            .setEpoch(source.epoch)
-            .setSequence(source.sequence)
-            .setWaitMs(WAIT_MS)
-            .setZone(engineZone)
-            .setSender(members.self());
+        newQuery(source).setWaitMs(WAIT_MS).setZone(engineZone).setMinWaitMs(MIN_INTERVAL_MS);
     if (engineZone.isEmpty()) {
       query.addAllWork(board.work().ownWork());
     }
@@ -134,7 +154,10 @@
         WAIT_MS + TIMEOUT_MS,
         reply -> {
           source.querying = false;
-          onReply(observer.get(), source, reply);
+          if (reply.map(state -> isHeldAgain(sentMs, state)).orElse(false)) {
+            source.nextQueryMs = clock.nowMs();
+          }
+          onReply(observer.get(), source, sentMs, reply);
           if (engineZone.isEmpty()) {
             reply.ifPresent(state -> board.work().useFleetWork(state.getFleetWorkList()));
           } else {
@@ -143,14 +166,75 @@
         });
   }
 
-  private void onReply(String observer, Source source, Optional<EngineState> reply) {
+  private EngineQuery.Builder newQuery(Source source) {
+    return EngineQuery.newBuilder()
+        .setEpoch(source.epoch)
+        .setSequence(source.sequence)
+        .setPromptSequence(source.promptSequence)
+        .setSender(members.self());
+  }
+
+  /**
+   * Sends what this VM itself observed of prompts to the zone's observer at once, as each endpoint
+   * that crashes meanwhile breaks streams of all VMs.
+   */
+  private void reportPrompts(String observer, Source source) {
+    long since = source.reportedSequence(observer);
+    long sentMs = clock.nowMs();
+    if (source.reporting
+        || sentMs < source.nextReportMs
+        || !board.prompts().hasReportSince(since)) {
+      return;
+    }
+    source.reporting = true;
+    long sequence = board.prompts().sequence();
+    long epoch = source.epoch;
+    EngineQuery query = newQuery(source).setPrompts(board.prompts().encodeReport(since)).build();
+    peers.queryEngines(
+        observer,
+        query,
+        TIMEOUT_MS,
+        reply -> {
+          source.reporting = false;
+          // A new process of the observer has none of what was reported to the one before it.
+          boolean known = reply.map(r -> since == 0 || r.getEpoch() == epoch).orElse(false);
+          boolean exact = known && isExact(sentMs, reply.get());
+          onReply(observer, source, sentMs, reply);
+          source.reportedTo = observer;
+          source.reportedSequence = exact ? sequence : known ? since : 0;
+          source.nextReportMs = exact ? 0 : clock.nowMs() + REPORT_INTERVAL_MS;
+        });
+  }
+
+  /** Returns whether the sender of a reply holds the next query, so that it may be sent at once. */
+  private boolean isHeldAgain(long sentMs, EngineState reply) {
+    return reply.getHeedsMinWait() && !reply.getStopping() && isExact(sentMs, reply);
+  }
+
+  /** Returns whether a query and its reply were under way so shortly that ages hold. */
+  private boolean isExact(long sentMs, EngineState reply) {
+    return clock.nowMs() - sentMs - reply.getHeldMs() <= MAX_TRANSIT_MS;
+  }
+
+  private void onReply(String observer, Source source, long sentMs, Optional<EngineState> reply) {
     if (reply.isEmpty()) {
       holders.suspect(observer, RoleHolders.NO_REPLY_MS);
       EventLog.event("engine-observer-passed-over").with("observer", observer).info();
       return;
     }
+    if (reply.get().getStopping()) {
+      holders.suspect(observer, RoleHolders.NO_REPLY_MS);
+    }
+    if (reply.get().getEpoch() != source.epoch) {
+      source.reportedSequence = 0;
+      source.promptSequence = 0;
+    }
     source.epoch = reply.get().getEpoch();
     source.sequence = reply.get().getSequence();
+    if (isExact(sentMs, reply.get())) {
+      source.promptSequence = reply.get().getPromptSequence();
+    }
+    board.prompts().merge(reply.get().getPrompts());
     reply.get().getLoadsList().forEach(this::adopt);
   }
 
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
@@ -0,0 +1,191 @@
+package org.zinniaspan.forwarding;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+
+/**
+ * Finds the combinations of prompt parts that explain why endpoints crashed.
+ *
+ * <p>When an endpoint crashes, several prompts wait there for their answers, and one of them may be
+ * the cause. A combination of parts explains the crashes at which a prompt with all of them waited.
+ * The combination with the most crashes is taken first, and the crashes that it explains do not
+ * count for others. Of combinations with nearly as many, a more specific one is preferred: parts
+ * that the same prompts always have in common cannot be told apart, and a prompt with only some of
+ * them may be sound.
+ *
+ * <p>A part that was answered after a crash did not cause that crash. All methods are pure
+ * functions.
+ */
+final class CrashAnalysis {
+
+  /** Time within which crashes of several endpoints count as one, in milliseconds. */
+  private static final long SAME_CRASH_MS = 100;
+
+  /** Time within which VMs notice the crash of one endpoint, in milliseconds. */
+  private static final long SAME_ENDPOINT_MS = 1_000;
+
+  /** Weight of a crash at which the answer to a prompt had begun. */
+  private static final double BEGUN_WEIGHT = 1;
+
+  /** Weight of a crash at which a prompt only waited, as others did. */
+  private static final double WAITING_WEIGHT = 0.5;
+
+  /** Sum of weights from which crashes are explained. */
+  private static final double MIN_WEIGHT = 2;
+
+  /** Sum of weights from which all of several equal explanations are accepted. */
+  private static final double MIN_AMBIGUOUS_WEIGHT = 4;
+
+  /** Difference of weights within which a more specific explanation is preferred. */
+  private static final double SPECIFIC_MARGIN = 1;
+
+  /**
+   * A combination of parts that explains crashes.
+   *
+   * @param parts ids of the parts
+   * @param crashes number of the crashes
+   * @param lastMs time of the last of them, in milliseconds
+   */
+  record Explanation(Set<String> parts, int crashes, long lastMs) {}
+
+  /** The prompts that waited when one endpoint, or several at once, crashed. */
+  private static final class Incident {
+    private final long startMs;
+    private final List<PromptCrash> observations = new ArrayList<>();
+
+    Incident(long startMs) {
+      this.startMs = startMs;
+    }
+
+    boolean includes(PromptCrash crash) {
+      long afterMs = crash.atMs() - startMs;
+      boolean sameEndpoint =
+          observations.stream().anyMatch(o -> o.endpointId().equals(crash.endpointId()));
+      if (sameEndpoint) {
+        return afterMs <= SAME_ENDPOINT_MS;
+      }
+      // A prompt that was sent again met a crash of its own.
+      return afterMs <= SAME_CRASH_MS
+          && observations.stream().noneMatch(o -> o.attemptId().equals(crash.attemptId()));
+    }
+  }
+
+  /** A part's share in the crashes: the parts that all its prompts have in common, and weights. */
+  private static final class Candidate {
+    private final Set<String> common;
+    private final Map<Incident, Double> weights = new LinkedHashMap<>();
+
+    Candidate(PromptCrash first) {
+      common = new LinkedHashSet<>(first.parts());
+    }
+
+    void add(Incident incident, PromptCrash crash) {
+      common.retainAll(crash.parts());
+      weights.merge(
+          incident, crash.answerBegun() ? BEGUN_WEIGHT : WAITING_WEIGHT, (a, b) -> Math.max(a, b));
+    }
+
+    double weight() {
+      return weights.values().stream().mapToDouble(w -> w).sum();
+    }
+
+    boolean isLessSpecificThan(Candidate other) {
+      return common.size() < other.common.size() && other.common.containsAll(common);
+    }
+
+    Explanation explanation() {
+      long lastMs = weights.keySet().stream().mapToLong(i -> i.startMs).max().orElse(0);
+      return new Explanation(Set.copyOf(common), weights.size(), lastMs);
+    }
+  }
+
+  private CrashAnalysis() {}
+
+  /**
+   * Returns the explanations of some crashes, the one with the most crashes first.
+   *
+   * @param answeredMs returns when a part was last answered, in milliseconds
+   */
+  static List<Explanation> explain(List<PromptCrash> crashes, ToLongFunction<String> answeredMs) {
+    List<Incident> incidents = incidents(crashes, answeredMs);
+    List<Explanation> explanations = new ArrayList<>();
+    List<Candidate> best = best(incidents);
+    while (!best.isEmpty()) {
+      best.forEach(candidate -> explanations.add(candidate.explanation()));
+      best.forEach(candidate -> incidents.removeAll(candidate.weights.keySet()));
+      best = best(incidents);
+    }
+    return explanations;
+  }
+
+  private static List<Incident> incidents(
+      List<PromptCrash> crashes, ToLongFunction<String> answeredMs) {
+    List<PromptCrash> sorted = new ArrayList<>(crashes);
+    sorted.sort(
+        Comparator.comparingLong(PromptCrash::atMs)
+            .thenComparing(PromptCrash::endpointId)
+            .thenComparing(PromptCrash::attemptId));
+    List<Incident> incidents = new ArrayList<>();
+    for (PromptCrash crash : sorted) {
+      List<String> unanswered =
+          crash.parts().stream()
+              .filter(part -> answeredMs.applyAsLong(part) <= crash.atMs())
+              .toList();
+      Incident incident =
+          incidents.stream()
+              .filter(known -> known.includes(crash))
+              .findFirst()
+              .orElseGet(
+                  () -> {
+                    Incident added = new Incident(crash.atMs());
+                    incidents.add(added);
+                    return added;
+                  });
+      incident.observations.add(
+          new PromptCrash(
+              crash.endpointId(),
+              crash.attemptId(),
+              unanswered,
+              crash.answerBegun(),
+              crash.atMs()));
+    }
+    return incidents;
+  }
+
+  /** Returns the best candidate; several if they are equal; none if no one explains enough. */
+  private static List<Candidate> best(List<Incident> incidents) {
+    List<Candidate> enough =
+        candidates(incidents).stream().filter(c -> c.weight() >= MIN_WEIGHT).toList();
+    double most = enough.stream().mapToDouble(Candidate::weight).max().orElse(0);
+    List<Candidate> near =
+        enough.stream().filter(c -> c.weight() > most - SPECIFIC_MARGIN).toList();
+    List<Candidate> specific =
+        near.stream().filter(c -> near.stream().noneMatch(c::isLessSpecificThan)).toList();
+    double top = specific.stream().mapToDouble(Candidate::weight).max().orElse(0);
+    List<Candidate> best = specific.stream().filter(c -> c.weight() == top).toList();
+    return best.size() == 1 || top >= MIN_AMBIGUOUS_WEIGHT ? best : List.of();
+  }
+
+  /** Returns the candidates with different common parts. */
+  private static List<Candidate> candidates(List<Incident> incidents) {
+    Map<String, Candidate> byPart = new LinkedHashMap<>();
+    for (Incident incident : incidents) {
+      for (PromptCrash crash : incident.observations) {
+        for (String part : crash.parts()) {
+          byPart.computeIfAbsent(part, id -> new Candidate(crash)).add(incident, crash);
+        }
+      }
+    }
+    Map<Set<String>, Candidate> byCommonParts = new HashMap<>();
+    byPart.values().forEach(c -> byCommonParts.putIfAbsent(new HashSet<>(c.common), c));
+    return List.copyOf(byCommonParts.values());
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Prompt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Prompt.java
@@ -15,4 +15,9 @@
   public Prompt {
     parts = List.copyOf(parts);
   }
+
+  /** Returns the ids of the parts, in order. */
+  public List<String> partIds() {
+    return parts.stream().map(PromptPart::id).toList();
+  }
 }
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
@@ -0,0 +1,299 @@
+package org.zinniaspan.forwarding;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.log.EventLog;
+
+/**
+ * Decides which prompts are not sent to endpoints, as prompts with the same parts crashed some.
+ *
+ * <p>It collects the prompts that waited at endpoints that crashed, and the parts that were
+ * answered since, as this VM and others observed them. Both are only ever added, so that VMs agree
+ * once they have exchanged them, in any order. A quarantine ends some time after the last crash;
+ * the time doubles with each crash, so that a part that is still harmful crashes few endpoints when
+ * it is tried again. Not thread-safe.
+ *
+ * <p>Example: {@code quarantine.suspect(crash); ... quarantine.confirm(crash.key());}
+ */
+public final class PromptQuarantine implements Ticking {
+
+  /**
+   * Time for which two crashes quarantine a prompt, in milliseconds; each further one doubles it.
+   */
+  static final long MIN_QUARANTINE_MS = 60_000;
+
+  /** Longest time for which a prompt is quarantined after the last crash, in milliseconds. */
+  static final long MAX_QUARANTINE_MS = 1_800_000;
+
+  /** Time for which crashes are remembered, in milliseconds. */
+  static final long CRASH_MEMORY_MS = 3_600_000;
+
+  /** Largest number of crashes that are remembered. */
+  private static final int MAX_CRASHES = 256;
+
+  /** Largest number of parts whose last answer is remembered. */
+  private static final int MAX_ANSWERED_PARTS = 4_000;
+
+  /** Correction of the time of a crash that other VMs are told, in milliseconds. */
+  private static final long MIN_TIME_CORRECTION_MS = 20;
+
+  /** Number of crashes that are enough to quarantine a prompt. */
+  private static final int MIN_CRASHES = 2;
+
+  /** Interval at which outdated crashes are removed, in milliseconds. */
+  private static final long EXPIRY_INTERVAL_MS = 1_000;
+
+  /**
+   * Prompts that are not sent.
+   *
+   * @param parts ids of the parts that a prompt must have to be concerned
+   * @param crashes number of crashes that they explain
+   * @param untilMs time until which they are not sent, in milliseconds
+   */
+  public record Quarantine(Set<String> parts, int crashes, long untilMs) {}
+
+  /** An observation and whether and when it was learned, for other VMs. */
+  private record Observed<T>(T value, boolean own, long sequence) {}
+
+  /**
+   * Observations that a VM may not know yet.
+   *
+   * @param crashes confirmed crashes
+   * @param answeredMs times at which parts were answered after crashes, in milliseconds
+   */
+  public record Changes(List<PromptCrash> crashes, Map<String, Long> answeredMs) {
+
+    /** Returns whether there are none. */
+    public boolean isEmpty() {
+      return crashes.isEmpty() && answeredMs.isEmpty();
+    }
+  }
+
+  private final Clock clock;
+  private final Map<PromptCrash.Key, PromptCrash> unconfirmed = new HashMap<>();
+  private final Map<PromptCrash.Key, Observed<PromptCrash>> confirmed = new HashMap<>();
+  private final Map<String, Observed<Long>> answeredMs =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Observed<Long>> eldest) {
+          return size() > MAX_ANSWERED_PARTS;
+        }
+      };
+  private List<Quarantine> quarantines = List.of();
+  private long sequence;
+  private long ownSequence;
+  private long nextExpiryMs;
+  private boolean changed;
+
+  /** Creates a state without crashes. */
+  public PromptQuarantine(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Records that a prompt waited at an endpoint whose connection was lost. */
+  public void suspect(PromptCrash crash) {
+    if (!confirmed.containsKey(crash.key())) {
+      unconfirmed.put(crash.key(), crash);
+      changed = true;
+    }
+  }
+
+  /** Records that the endpoint of a suspected prompt has crashed. */
+  public void confirm(PromptCrash.Key key) {
+    PromptCrash crash = unconfirmed.remove(key);
+    if (crash != null) {
+      add(crash, true);
+    }
+  }
+
+  /** Records that the endpoint of a suspected prompt has not crashed. */
+  public void retract(PromptCrash.Key key) {
+    if (unconfirmed.remove(key) != null) {
+      changed = true;
+    }
+  }
+
+  /** Records that a prompt was answered, so that its parts caused none of the crashes before. */
+  public void onAnswered(Prompt prompt) {
+    long now = clock.nowMs();
+    prompt.partIds().forEach(part -> putAnswered(part, now, true));
+  }
+
+  /** Adds what other VMs observed. */
+  public void merge(Changes changes) {
+    changes.crashes().forEach(crash -> add(crash, false));
+    changes.answeredMs().forEach((part, ms) -> putAnswered(part, ms, false));
+  }
+
+  private void add(PromptCrash crash, boolean own) {
+    Observed<PromptCrash> known = confirmed.get(crash.key());
+    if (clock.nowMs() - crash.atMs() > CRASH_MEMORY_MS
+        || (known != null && known.value().atMs() <= crash.atMs())) {
+      return;
+    }
+    changed = true;
+    boolean isOwn = own || (known != null && known.own());
+    // Times that passed through other VMs are late; the earliest one is the best.
+    boolean isNews = known == null || known.value().atMs() - crash.atMs() >= MIN_TIME_CORRECTION_MS;
+    long announced = isNews ? next(own) : known.sequence();
+    confirmed.put(crash.key(), new Observed<>(crash, isOwn, announced));
+    if (known == null) {
+      crash.parts().forEach(part -> announceAnswer(part, crash));
+    }
+    if (confirmed.size() > MAX_CRASHES) {
+      confirmed.values().stream()
+          .map(Observed::value)
+          .min(Comparator.comparing(PromptCrash::answerBegun).thenComparing(PromptCrash::atMs))
+          .ifPresent(least -> confirmed.remove(least.key()));
+    }
+  }
+
+  /** Announces to other VMs that a part was answered after a crash that has just become known. */
+  private void announceAnswer(String part, PromptCrash crash) {
+    Observed<Long> answer = answeredMs.get(part);
+    if (answer != null && answer.value() > crash.atMs()) {
+      answeredMs.put(part, new Observed<>(answer.value(), answer.own(), next(answer.own())));
+    }
+  }
+
+  private void putAnswered(String part, long ms, boolean own) {
+    Observed<Long> known = answeredMs.get(part);
+    long previousMs = known == null ? Long.MIN_VALUE : known.value();
+    if (ms <= previousMs) {
+      return;
+    }
+    boolean acquits = isAcquitted(part, previousMs, ms);
+    long announced = acquits ? next(own) : known == null ? 0 : known.sequence();
+    answeredMs.put(part, new Observed<>(ms, own, announced));
+    changed |= acquits;
+  }
+
+  private long next(boolean own) {
+    sequence++;
+    if (own) {
+      ownSequence = sequence;
+    }
+    return sequence;
+  }
+
+  /** Returns whether a part waited at a crash in some span of time. */
+  private boolean isAcquitted(String part, long afterMs, long untilMs) {
+    for (Observed<PromptCrash> crash : confirmed.values()) {
+      long atMs = crash.value().atMs();
+      if (atMs >= afterMs && atMs < untilMs && crash.value().parts().contains(part)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the quarantine that keeps a prompt from being sent, if there is one. */
+  public Optional<Quarantine> find(Prompt prompt) {
+    update();
+    if (quarantines.isEmpty()) {
+      return Optional.empty();
+    }
+    Set<String> parts = Set.copyOf(prompt.partIds());
+    long now = clock.nowMs();
+    return quarantines.stream()
+        .filter(q -> q.untilMs() > now && parts.containsAll(q.parts()))
+        .max(Comparator.comparingLong(Quarantine::untilMs));
+  }
+
+  /** Returns the number of quarantines in force. */
+  public int size() {
+    update();
+    return quarantines.size();
+  }
+
+  /** Returns a number that rises with each change that other VMs have to know. */
+  public long sequence() {
+    return sequence;
+  }
+
+  /** Returns the sequence number of the last change that this VM itself observed. */
+  public long ownSequence() {
+    return ownSequence;
+  }
+
+  /**
+   * Returns the observations since a sequence number.
+   *
+   * @param ownOnly whether those that other VMs told are left out
+   */
+  public Changes changesSince(long since, boolean ownOnly) {
+    List<PromptCrash> crashes = new ArrayList<>();
+    confirmed.values().stream()
+        .filter(crash -> crash.sequence() > since && (crash.own() || !ownOnly))
+        .forEach(crash -> crashes.add(crash.value()));
+    Map<String, Long> answers = new HashMap<>();
+    answeredMs.forEach(
+        (part, answer) -> {
+          if (answer.sequence() > since && (answer.own() || !ownOnly)) {
+            answers.put(part, answer.value());
+          }
+        });
+    return new Changes(crashes, answers);
+  }
+
+  @Override
+  public void tick() {
+    long now = clock.nowMs();
+    if (now >= nextExpiryMs) {
+      nextExpiryMs = now + EXPIRY_INTERVAL_MS;
+      changed |= confirmed.values().removeIf(crash -> now - crash.value().atMs() > CRASH_MEMORY_MS);
+      changed |= quarantines.stream().anyMatch(quarantine -> quarantine.untilMs() <= now);
+    }
+    update();
+  }
+
+  private void update() {
+    if (!changed) {
+      return;
+    }
+    changed = false;
+    List<PromptCrash> crashes = new ArrayList<>(unconfirmed.values());
+    confirmed.values().forEach(crash -> crashes.add(crash.value()));
+    long now = clock.nowMs();
+    List<Quarantine> updated =
+        CrashAnalysis.explain(crashes, this::answeredMs).stream()
+            .map(PromptQuarantine::quarantine)
+            .filter(quarantine -> quarantine.untilMs() > now)
+            .toList();
+    log("prompts-quarantined", updated, quarantines);
+    log("prompts-released", quarantines, updated);
+    quarantines = updated;
+  }
+
+  private long answeredMs(String part) {
+    Observed<Long> answer = answeredMs.get(part);
+    return answer == null ? Long.MIN_VALUE : answer.value();
+  }
+
+  private static Quarantine quarantine(CrashAnalysis.Explanation explanation) {
+    int doublings = Math.max(0, explanation.crashes() - MIN_CRASHES);
+    long forMs = (long) Math.min(MAX_QUARANTINE_MS, MIN_QUARANTINE_MS * Math.pow(2, doublings));
+    return new Quarantine(explanation.parts(), explanation.crashes(), explanation.lastMs() + forMs);
+  }
+
+  /** Logs the quarantines in a list whose parts are not in another one. */
+  private void log(String event, List<Quarantine> present, List<Quarantine> absent) {
+    for (Quarantine quarantine : present) {
+      if (absent.stream().noneMatch(q -> q.parts().equals(quarantine.parts()))) {
+        EventLog.event(event)
+            .with("parts", quarantine.parts())
+            .with("crashes", quarantine.crashes())
+            .with("remainingMs", quarantine.untilMs() - clock.nowMs())
+            .warn();
+      }
+    }
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQuery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQuery.java
@@ -55,6 +55,7 @@
             org.zinniaspan.peer.proto.EngineQuery.class, org.zinniaspan.peer.proto.EngineQuery.Builder.class);
   }
 
+  private int bitField0_;
   public static final int EPOCH_FIELD_NUMBER = 1;
   private long epoch_ = 0L;
   /**
@@ -243,6 +244,89 @@
     return work_.get(index);
   }
 
+  public static final int PROMPT_SEQUENCE_FIELD_NUMBER = 7;
+  private long promptSequence_ = 0L;
+  /**
+   * <pre>
+   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * </pre>
+   *
+   * <code>optional int64 prompt_sequence = 7;</code>
+   * @return Whether the promptSequence field is set.
+   */
+  @java.lang.Override
+  public boolean hasPromptSequence() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * </pre>
+   *
+   * <code>optional int64 prompt_sequence = 7;</code>
+   * @return The promptSequence.
+   */
+  @java.lang.Override
+  public long getPromptSequence() {
+    return promptSequence_;
+  }
+
+  public static final int PROMPTS_FIELD_NUMBER = 8;
+  private org.zinniaspan.peer.proto.PromptObservations prompts_;
+  /**
+   * <pre>
+   * What the sender itself observed of prompts since its last query that was answered; all that
+   * it knows if the receiver is new to it.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   * @return Whether the prompts field is set.
+   */
+  @java.lang.Override
+  public boolean hasPrompts() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * What the sender itself observed of prompts since its last query that was answered; all that
+   * it knows if the receiver is new to it.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   * @return The prompts.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
+    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  }
+  /**
+   * <pre>
+   * What the sender itself observed of prompts since its last query that was answered; all that
+   * it knows if the receiver is new to it.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
+    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  }
+
+  public static final int MIN_WAIT_MS_FIELD_NUMBER = 9;
+  private long minWaitMs_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds for which new load reports alone are no reason to reply.
+   * </pre>
+   *
+   * <code>int64 min_wait_ms = 9;</code>
+   * @return The minWaitMs.
+   */
+  @java.lang.Override
+  public long getMinWaitMs() {
+    return minWaitMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -275,6 +359,15 @@
     for (int i = 0; i < work_.size(); i++) {
       output.writeMessage(6, work_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(7, promptSequence_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(8, getPrompts());
+    }
+    if (minWaitMs_ != 0L) {
+      output.writeInt64(9, minWaitMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -306,6 +399,18 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, promptSequence_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getPrompts());
+    }
+    if (minWaitMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, minWaitMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -342,6 +447,18 @@
         .equals(other.getSender())) return false;
     if (!getWorkList()
         .equals(other.getWorkList())) return false;
+    if (hasPromptSequence() != other.hasPromptSequence()) return false;
+    if (hasPromptSequence()) {
+      if (getPromptSequence()
+          != other.getPromptSequence()) return false;
+    }
+    if (hasPrompts() != other.hasPrompts()) return false;
+    if (hasPrompts()) {
+      if (!getPrompts()
+          .equals(other.getPrompts())) return false;
+    }
+    if (getMinWaitMs()
+        != other.getMinWaitMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -370,6 +487,18 @@
       hash = (37 * hash) + WORK_FIELD_NUMBER;
       hash = (53 * hash) + getWorkList().hashCode();
     }
+    if (hasPromptSequence()) {
+      hash = (37 * hash) + PROMPT_SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getPromptSequence());
+    }
+    if (hasPrompts()) {
+      hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPrompts().hashCode();
+    }
+    hash = (37 * hash) + MIN_WAIT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMinWaitMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -493,13 +622,20 @@
 
     // Construct using org.zinniaspan.peer.proto.EngineQuery.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetWorkFieldBuilder();
+        internalGetPromptsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -517,6 +653,13 @@
         workBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      promptSequence_ = 0L;
+      prompts_ = null;
+      if (promptsBuilder_ != null) {
+        promptsBuilder_.dispose();
+        promptsBuilder_ = null;
+      }
+      minWaitMs_ = 0L;
       return this;
     }
 
@@ -578,6 +721,21 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.sender_ = sender_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.promptSequence_ = promptSequence_;
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.prompts_ = promptsBuilder_ == null
+            ? prompts_
+            : promptsBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.minWaitMs_ = minWaitMs_;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -637,6 +795,15 @@
           }
         }
       }
+      if (other.hasPromptSequence()) {
+        setPromptSequence(other.getPromptSequence());
+      }
+      if (other.hasPrompts()) {
+        mergePrompts(other.getPrompts());
+      }
+      if (other.getMinWaitMs() != 0L) {
+        setMinWaitMs(other.getMinWaitMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -699,6 +866,23 @@
               }
               break;
             } // case 50
+            case 56: {
+              promptSequence_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 66: {
+              input.readMessage(
+                  internalGetPromptsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 72: {
+              minWaitMs_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1302,6 +1486,270 @@
       return workBuilder_;
     }
 
+    private long promptSequence_ ;
+    /**
+     * <pre>
+     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * </pre>
+     *
+     * <code>optional int64 prompt_sequence = 7;</code>
+     * @return Whether the promptSequence field is set.
+     */
+    @java.lang.Override
+    public boolean hasPromptSequence() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * </pre>
+     *
+     * <code>optional int64 prompt_sequence = 7;</code>
+     * @return The promptSequence.
+     */
+    @java.lang.Override
+    public long getPromptSequence() {
+      return promptSequence_;
+    }
+    /**
+     * <pre>
+     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * </pre>
+     *
+     * <code>optional int64 prompt_sequence = 7;</code>
+     * @param value The promptSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptSequence(long value) {
+
+      promptSequence_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * </pre>
+     *
+     * <code>optional int64 prompt_sequence = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptSequence() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      promptSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private org.zinniaspan.peer.proto.PromptObservations prompts_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> promptsBuilder_;
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * @return Whether the prompts field is set.
+     */
+    public boolean hasPrompts() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * @return The prompts.
+     */
+    public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
+      if (promptsBuilder_ == null) {
+        return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+      } else {
+        return promptsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    public Builder setPrompts(org.zinniaspan.peer.proto.PromptObservations value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        prompts_ = value;
+      } else {
+        promptsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    public Builder setPrompts(
+        org.zinniaspan.peer.proto.PromptObservations.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        prompts_ = builderForValue.build();
+      } else {
+        promptsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    public Builder mergePrompts(org.zinniaspan.peer.proto.PromptObservations value) {
+      if (promptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          prompts_ != null &&
+          prompts_ != org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance()) {
+          getPromptsBuilder().mergeFrom(value);
+        } else {
+          prompts_ = value;
+        }
+      } else {
+        promptsBuilder_.mergeFrom(value);
+      }
+      if (prompts_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    public Builder clearPrompts() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      prompts_ = null;
+      if (promptsBuilder_ != null) {
+        promptsBuilder_.dispose();
+        promptsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    public org.zinniaspan.peer.proto.PromptObservations.Builder getPromptsBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetPromptsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
+      if (promptsBuilder_ != null) {
+        return promptsBuilder_.getMessageOrBuilder();
+      } else {
+        return prompts_ == null ?
+            org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+      }
+    }
+    /**
+     * <pre>
+     * What the sender itself observed of prompts since its last query that was answered; all that
+     * it knows if the receiver is new to it.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> 
+        internalGetPromptsFieldBuilder() {
+      if (promptsBuilder_ == null) {
+        promptsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder>(
+                getPrompts(),
+                getParentForChildren(),
+                isClean());
+        prompts_ = null;
+      }
+      return promptsBuilder_;
+    }
+
+    private long minWaitMs_ ;
+    /**
+     * <pre>
+     * Milliseconds for which new load reports alone are no reason to reply.
+     * </pre>
+     *
+     * <code>int64 min_wait_ms = 9;</code>
+     * @return The minWaitMs.
+     */
+    @java.lang.Override
+    public long getMinWaitMs() {
+      return minWaitMs_;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which new load reports alone are no reason to reply.
+     * </pre>
+     *
+     * <code>int64 min_wait_ms = 9;</code>
+     * @param value The minWaitMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMinWaitMs(long value) {
+
+      minWaitMs_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which new load reports alone are no reason to reply.
+     * </pre>
+     *
+     * <code>int64 min_wait_ms = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMinWaitMs() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      minWaitMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.EngineQuery)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQueryOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQueryOrBuilder.java
@@ -111,4 +111,63 @@
    */
   org.zinniaspan.peer.proto.ServiceWorkOrBuilder getWorkOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * </pre>
+   *
+   * <code>optional int64 prompt_sequence = 7;</code>
+   * @return Whether the promptSequence field is set.
+   */
+  boolean hasPromptSequence();
+  /**
+   * <pre>
+   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * </pre>
+   *
+   * <code>optional int64 prompt_sequence = 7;</code>
+   * @return The promptSequence.
+   */
+  long getPromptSequence();
+
+  /**
+   * <pre>
+   * What the sender itself observed of prompts since its last query that was answered; all that
+   * it knows if the receiver is new to it.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   * @return Whether the prompts field is set.
+   */
+  boolean hasPrompts();
+  /**
+   * <pre>
+   * What the sender itself observed of prompts since its last query that was answered; all that
+   * it knows if the receiver is new to it.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   * @return The prompts.
+   */
+  org.zinniaspan.peer.proto.PromptObservations getPrompts();
+  /**
+   * <pre>
+   * What the sender itself observed of prompts since its last query that was answered; all that
+   * it knows if the receiver is new to it.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   */
+  org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder();
+
+  /**
+   * <pre>
+   * Milliseconds for which new load reports alone are no reason to reply.
+   * </pre>
+   *
+   * <code>int64 min_wait_ms = 9;</code>
+   * @return The minWaitMs.
+   */
+  long getMinWaitMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
@@ -55,6 +55,7 @@
             org.zinniaspan.peer.proto.EngineState.class, org.zinniaspan.peer.proto.EngineState.Builder.class);
   }
 
+  private int bitField0_;
   public static final int EPOCH_FIELD_NUMBER = 1;
   private long epoch_ = 0L;
   /**
@@ -220,6 +221,92 @@
     return fleetWork_.get(index);
   }
 
+  public static final int PROMPT_SEQUENCE_FIELD_NUMBER = 6;
+  private long promptSequence_ = 0L;
+  /**
+   * <pre>
+   * Prompt observations of all VMs that are newer than the query's sequence.
+   * </pre>
+   *
+   * <code>int64 prompt_sequence = 6;</code>
+   * @return The promptSequence.
+   */
+  @java.lang.Override
+  public long getPromptSequence() {
+    return promptSequence_;
+  }
+
+  public static final int PROMPTS_FIELD_NUMBER = 7;
+  private org.zinniaspan.peer.proto.PromptObservations prompts_;
+  /**
+   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   * @return Whether the prompts field is set.
+   */
+  @java.lang.Override
+  public boolean hasPrompts() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   * @return The prompts.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
+    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  }
+  /**
+   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
+    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  }
+
+  public static final int HELD_MS_FIELD_NUMBER = 8;
+  private long heldMs_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds from the arrival of the query to this reply.
+   * </pre>
+   *
+   * <code>int64 held_ms = 8;</code>
+   * @return The heldMs.
+   */
+  @java.lang.Override
+  public long getHeldMs() {
+    return heldMs_;
+  }
+
+  public static final int HEEDS_MIN_WAIT_FIELD_NUMBER = 9;
+  private boolean heedsMinWait_ = false;
+  /**
+   * <pre>
+   * Whether the sender heeds the minimum wait of queries.
+   * </pre>
+   *
+   * <code>bool heeds_min_wait = 9;</code>
+   * @return The heedsMinWait.
+   */
+  @java.lang.Override
+  public boolean getHeedsMinWait() {
+    return heedsMinWait_;
+  }
+
+  public static final int STOPPING_FIELD_NUMBER = 10;
+  private boolean stopping_ = false;
+  /**
+   * <pre>
+   * Whether the sender is about to shut down, so that another VM takes its role.
+   * </pre>
+   *
+   * <code>bool stopping = 10;</code>
+   * @return The stopping.
+   */
+  @java.lang.Override
+  public boolean getStopping() {
+    return stopping_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -249,6 +336,21 @@
     for (int i = 0; i < fleetWork_.size(); i++) {
       output.writeMessage(5, fleetWork_.get(i));
     }
+    if (promptSequence_ != 0L) {
+      output.writeInt64(6, promptSequence_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(7, getPrompts());
+    }
+    if (heldMs_ != 0L) {
+      output.writeInt64(8, heldMs_);
+    }
+    if (heedsMinWait_ != false) {
+      output.writeBool(9, heedsMinWait_);
+    }
+    if (stopping_ != false) {
+      output.writeBool(10, stopping_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -288,6 +390,26 @@
           }
           size += 1 * count;
         }
+    if (promptSequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, promptSequence_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, getPrompts());
+    }
+    if (heldMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, heldMs_);
+    }
+    if (heedsMinWait_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, heedsMinWait_);
+    }
+    if (stopping_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, stopping_);
+    }
     return size;
   }
   @java.lang.Override
@@ -322,6 +444,19 @@
         .equals(other.getZoneWorkList())) return false;
     if (!getFleetWorkList()
         .equals(other.getFleetWorkList())) return false;
+    if (getPromptSequence()
+        != other.getPromptSequence()) return false;
+    if (hasPrompts() != other.hasPrompts()) return false;
+    if (hasPrompts()) {
+      if (!getPrompts()
+          .equals(other.getPrompts())) return false;
+    }
+    if (getHeldMs()
+        != other.getHeldMs()) return false;
+    if (getHeedsMinWait()
+        != other.getHeedsMinWait()) return false;
+    if (getStopping()
+        != other.getStopping()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -351,6 +486,22 @@
       hash = (37 * hash) + FLEET_WORK_FIELD_NUMBER;
       hash = (53 * hash) + getFleetWorkList().hashCode();
     }
+    hash = (37 * hash) + PROMPT_SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPromptSequence());
+    if (hasPrompts()) {
+      hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPrompts().hashCode();
+    }
+    hash = (37 * hash) + HELD_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHeldMs());
+    hash = (37 * hash) + HEEDS_MIN_WAIT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHeedsMinWait());
+    hash = (37 * hash) + STOPPING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStopping());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -474,13 +625,22 @@
 
     // Construct using org.zinniaspan.peer.proto.EngineState.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetLoadsFieldBuilder();
+        internalGetZoneWorkFieldBuilder();
+        internalGetFleetWorkFieldBuilder();
+        internalGetPromptsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -509,6 +669,15 @@
         fleetWorkBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      promptSequence_ = 0L;
+      prompts_ = null;
+      if (promptsBuilder_ != null) {
+        promptsBuilder_.dispose();
+        promptsBuilder_ = null;
+      }
+      heldMs_ = 0L;
+      heedsMinWait_ = false;
+      stopping_ = false;
       return this;
     }
 
@@ -579,6 +748,26 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.sequence_ = sequence_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.promptSequence_ = promptSequence_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.prompts_ = promptsBuilder_ == null
+            ? prompts_
+            : promptsBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.heldMs_ = heldMs_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.heedsMinWait_ = heedsMinWait_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.stopping_ = stopping_;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -677,6 +866,21 @@
           }
         }
       }
+      if (other.getPromptSequence() != 0L) {
+        setPromptSequence(other.getPromptSequence());
+      }
+      if (other.hasPrompts()) {
+        mergePrompts(other.getPrompts());
+      }
+      if (other.getHeldMs() != 0L) {
+        setHeldMs(other.getHeldMs());
+      }
+      if (other.getHeedsMinWait() != false) {
+        setHeedsMinWait(other.getHeedsMinWait());
+      }
+      if (other.getStopping() != false) {
+        setStopping(other.getStopping());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -750,6 +954,33 @@
               }
               break;
             } // case 42
+            case 48: {
+              promptSequence_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 58: {
+              input.readMessage(
+                  internalGetPromptsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              heldMs_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              heedsMinWait_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              stopping_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1605,6 +1836,301 @@
       return fleetWorkBuilder_;
     }
 
+    private long promptSequence_ ;
+    /**
+     * <pre>
+     * Prompt observations of all VMs that are newer than the query's sequence.
+     * </pre>
+     *
+     * <code>int64 prompt_sequence = 6;</code>
+     * @return The promptSequence.
+     */
+    @java.lang.Override
+    public long getPromptSequence() {
+      return promptSequence_;
+    }
+    /**
+     * <pre>
+     * Prompt observations of all VMs that are newer than the query's sequence.
+     * </pre>
+     *
+     * <code>int64 prompt_sequence = 6;</code>
+     * @param value The promptSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptSequence(long value) {
+
+      promptSequence_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Prompt observations of all VMs that are newer than the query's sequence.
+     * </pre>
+     *
+     * <code>int64 prompt_sequence = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptSequence() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      promptSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private org.zinniaspan.peer.proto.PromptObservations prompts_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> promptsBuilder_;
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * @return Whether the prompts field is set.
+     */
+    public boolean hasPrompts() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * @return The prompts.
+     */
+    public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
+      if (promptsBuilder_ == null) {
+        return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+      } else {
+        return promptsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    public Builder setPrompts(org.zinniaspan.peer.proto.PromptObservations value) {
+      if (promptsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        prompts_ = value;
+      } else {
+        promptsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    public Builder setPrompts(
+        org.zinniaspan.peer.proto.PromptObservations.Builder builderForValue) {
+      if (promptsBuilder_ == null) {
+        prompts_ = builderForValue.build();
+      } else {
+        promptsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    public Builder mergePrompts(org.zinniaspan.peer.proto.PromptObservations value) {
+      if (promptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0) &&
+          prompts_ != null &&
+          prompts_ != org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance()) {
+          getPromptsBuilder().mergeFrom(value);
+        } else {
+          prompts_ = value;
+        }
+      } else {
+        promptsBuilder_.mergeFrom(value);
+      }
+      if (prompts_ != null) {
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    public Builder clearPrompts() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      prompts_ = null;
+      if (promptsBuilder_ != null) {
+        promptsBuilder_.dispose();
+        promptsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    public org.zinniaspan.peer.proto.PromptObservations.Builder getPromptsBuilder() {
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return internalGetPromptsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
+      if (promptsBuilder_ != null) {
+        return promptsBuilder_.getMessageOrBuilder();
+      } else {
+        return prompts_ == null ?
+            org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+      }
+    }
+    /**
+     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> 
+        internalGetPromptsFieldBuilder() {
+      if (promptsBuilder_ == null) {
+        promptsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder>(
+                getPrompts(),
+                getParentForChildren(),
+                isClean());
+        prompts_ = null;
+      }
+      return promptsBuilder_;
+    }
+
+    private long heldMs_ ;
+    /**
+     * <pre>
+     * Milliseconds from the arrival of the query to this reply.
+     * </pre>
+     *
+     * <code>int64 held_ms = 8;</code>
+     * @return The heldMs.
+     */
+    @java.lang.Override
+    public long getHeldMs() {
+      return heldMs_;
+    }
+    /**
+     * <pre>
+     * Milliseconds from the arrival of the query to this reply.
+     * </pre>
+     *
+     * <code>int64 held_ms = 8;</code>
+     * @param value The heldMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldMs(long value) {
+
+      heldMs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds from the arrival of the query to this reply.
+     * </pre>
+     *
+     * <code>int64 held_ms = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldMs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      heldMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean heedsMinWait_ ;
+    /**
+     * <pre>
+     * Whether the sender heeds the minimum wait of queries.
+     * </pre>
+     *
+     * <code>bool heeds_min_wait = 9;</code>
+     * @return The heedsMinWait.
+     */
+    @java.lang.Override
+    public boolean getHeedsMinWait() {
+      return heedsMinWait_;
+    }
+    /**
+     * <pre>
+     * Whether the sender heeds the minimum wait of queries.
+     * </pre>
+     *
+     * <code>bool heeds_min_wait = 9;</code>
+     * @param value The heedsMinWait to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeedsMinWait(boolean value) {
+
+      heedsMinWait_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender heeds the minimum wait of queries.
+     * </pre>
+     *
+     * <code>bool heeds_min_wait = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeedsMinWait() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      heedsMinWait_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean stopping_ ;
+    /**
+     * <pre>
+     * Whether the sender is about to shut down, so that another VM takes its role.
+     * </pre>
+     *
+     * <code>bool stopping = 10;</code>
+     * @return The stopping.
+     */
+    @java.lang.Override
+    public boolean getStopping() {
+      return stopping_;
+    }
+    /**
+     * <pre>
+     * Whether the sender is about to shut down, so that another VM takes its role.
+     * </pre>
+     *
+     * <code>bool stopping = 10;</code>
+     * @param value The stopping to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStopping(boolean value) {
+
+      stopping_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender is about to shut down, so that another VM takes its role.
+     * </pre>
+     *
+     * <code>bool stopping = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStopping() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      stopping_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.EngineState)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
@@ -113,4 +113,59 @@
    */
   org.zinniaspan.peer.proto.ServiceWorkOrBuilder getFleetWorkOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Prompt observations of all VMs that are newer than the query's sequence.
+   * </pre>
+   *
+   * <code>int64 prompt_sequence = 6;</code>
+   * @return The promptSequence.
+   */
+  long getPromptSequence();
+
+  /**
+   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   * @return Whether the prompts field is set.
+   */
+  boolean hasPrompts();
+  /**
+   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   * @return The prompts.
+   */
+  org.zinniaspan.peer.proto.PromptObservations getPrompts();
+  /**
+   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   */
+  org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder();
+
+  /**
+   * <pre>
+   * Milliseconds from the arrival of the query to this reply.
+   * </pre>
+   *
+   * <code>int64 held_ms = 8;</code>
+   * @return The heldMs.
+   */
+  long getHeldMs();
+
+  /**
+   * <pre>
+   * Whether the sender heeds the minimum wait of queries.
+   * </pre>
+   *
+   * <code>bool heeds_min_wait = 9;</code>
+   * @return The heedsMinWait.
+   */
+  boolean getHeedsMinWait();
+
+  /**
+   * <pre>
+   * Whether the sender is about to shut down, so that another VM takes its role.
+   * </pre>
+   *
+   * <code>bool stopping = 10;</code>
+   * @return The stopping.
+   */
+  boolean getStopping();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Optional;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -10,6 +11,7 @@
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.MeasuredEngineSpeed;
 import org.zinniaspan.forwarding.Prompt;
+import org.zinniaspan.forwarding.PromptCrash;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
@@ -49,6 +51,7 @@
   private long firstEventMs;
   private long lastBytesMs;
   private boolean promptDone;
+  private boolean answered;
   private boolean ended;
 
   EndpointAttempt(RequestSender sender, Selection selection, OutboundConnection connection) {
@@ -157,13 +160,31 @@
     onBytes();
     if (verdict == Verdict.STREAM) {
       if (events.add(head, part)) {
-        onPromptDone();
+        onEvents();
       }
     } else {
       content.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
     }
   }
 
+  private void onEvents() {
+    if (promptDone) {
+      recordAnswered();
+    }
+    onPromptDone();
+  }
+
+  /**
+   * Records that the prompt has crashed no endpoint; not at the first event, with which one that
+   * crashes may have begun.
+   */
+  private void recordAnswered() {
+    if (!answered) {
+      answered = true;
+      proxiedRequest.prompt().ifPresent(proxiedRequest.context().quarantine()::onAnswered);
+    }
+  }
+
   private void onPromptDone() {
     if (!promptDone) {
       promptDone = true;
@@ -186,6 +207,7 @@
     switch (verdict) {
       case STREAM -> {
         endpoint.onSuccess(now);
+        recordAnswered();
         proxiedRequest.context().backoff().onAnswered(endpoint.listed());
         recordStream(now);
         if (!proxiedRequest.toleratesPauses()) {
@@ -259,6 +281,7 @@
       }
     } else {
       endpoint.onSuccess(now);
+      recordAnswered();
       proxiedRequest.context().backoff().onAnswered(endpoint.listed());
       speed().onPlainCall(now - sentMs);
     }
@@ -280,9 +303,12 @@
                 .with("cause", cause.map(Exception::toString).orElse("closed"))
                 .with("answerBegun", head != null)
                 .with("firstEvent", hadFirstEvent)
-                .with("promptParts", RequestEvents.partIds(proxiedRequest.prompt()))
+                .with("promptParts", proxiedRequest.prompt().map(Prompt::partIds).orElse(List.of()))
                 .with("afterMs", proxiedRequest.context().clock().nowMs() - sentMs));
     if (opened) {
+      if (!hadFirstEvent) {
+        proxiedRequest.prompt().ifPresent(this::suspectPrompt);
+      }
       sender.onConnectionLost(cause);
     } else {
       reachability().onConnectFailed(endpoint.listed().id());
@@ -290,6 +316,20 @@
     }
   }
 
+  private void suspectPrompt(Prompt prompt) {
+    proxiedRequest
+        .context()
+        .crashWitness()
+        .onPromptLost(
+            endpoint.listed(),
+            new PromptCrash(
+                endpoint.listed().id(),
+                proxiedRequest.attemptId(),
+                prompt.partIds(),
+                head != null,
+                proxiedRequest.context().clock().nowMs()));
+  }
+
   private void finish() {
     ended = true;
     endpoint.onEnded();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -14,6 +14,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.transport.BufferingHttpClient;
@@ -46,6 +47,7 @@
       TableFreshness freshness,
       EndpointDirectory directory,
       StreamWork work,
+      PromptQuarantine quarantine,
       PlatformBounds bounds,
       Clock clock,
       Random random) {
@@ -54,7 +56,7 @@
     members = new FleetMembership(address, zone, seeds, peers, clock, random);
     catalogService = new CatalogService(follower, freshness, directory, clock, epoch);
     catalogSharing = new CatalogSharing(follower, freshness, bounds, members, peers, clock);
-    engineBoard = new EngineBoard(directory, work, clock, epoch);
+    engineBoard = new EngineBoard(directory, work, quarantine, clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins =
         StreamOriginComponents.create(members, directory, peers, clock, System::currentTimeMillis);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -14,6 +14,7 @@
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.VmLimits;
@@ -33,6 +34,8 @@
  * @param origins the software versions that began streams
  * @param backoff the endpoints that take no requests of this VM for a while
  * @param reachability whether this VM has a path to the endpoints
+ * @param quarantine the prompts that are not sent, as such prompts crashed endpoints
+ * @param crashWitness finds out whether endpoints crashed
  * @param relayTargets the VMs through which requests are relayed without such a path
  * @param connections connection pool for endpoints and other VMs
  * @param retryBudgets retry budget of each service, by the service's name
@@ -53,6 +56,8 @@
     StreamOriginComponents origins,
     EndpointBackoff backoff,
     EndpointReachability reachability,
+    PromptQuarantine quarantine,
+    CrashWitness crashWitness,
     RelayTargets relayTargets,
     EndpointConnectionPool connections,
     Map<String, ServiceRetryBudget> retryBudgets,
@@ -73,6 +78,7 @@
       StreamOriginComponents origins,
       EndpointBackoff backoff,
       EndpointReachability reachability,
+      PromptQuarantine quarantine,
       RelayTargets relayTargets,
       EndpointConnectionPool connections,
       PlatformBounds bounds,
@@ -90,6 +96,8 @@
         origins,
         backoff,
         reachability,
+        quarantine,
+        new CrashWitness(clock, quarantine, reachability, connections),
         relayTargets,
         connections,
         new HashMap<>(),
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -20,6 +20,7 @@
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.StreamWork;
@@ -75,6 +76,7 @@
             random);
     EngineSpeeds speeds = new EngineSpeeds();
     StreamWork work = new StreamWork(clock);
+    PromptQuarantine quarantine = new PromptQuarantine(clock);
     fleet =
         new FleetComponents(
             options.peerListen().map(Addresses::format).orElse(LONE_VM),
@@ -85,6 +87,7 @@
             tableFreshness,
             directory,
             work,
+            quarantine,
             options.bounds(),
             clock,
             random);
@@ -102,6 +105,7 @@
             fleet.origins(),
             new EndpointBackoff(clock, random, fleet.members()::estimatedCount),
             new EndpointReachability(clock, random, directory::size),
+            quarantine,
             new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
             new EndpointConnectionPool(reactor, clock),
             options.bounds(),
@@ -218,6 +222,10 @@
         "zinniaspan_endpoints_reachable",
         "0 while this VM reaches no endpoint, so that requests are relayed through other VMs.",
         () -> context.reachability().isLost() ? 0 : 1);
+    metrics.registerGauge(
+        "zinniaspan_prompt_quarantines",
+        "Combinations of prompt parts that are not sent, as such prompts crashed endpoints.",
+        () -> context.quarantine().size());
     metrics.registerGauge(
         "zinniaspan_ready", "1 if this VM takes requests.", () -> isReady() ? 1 : 0);
   }
@@ -239,6 +247,8 @@
     platformClient.tick();
     fleet.tick();
     context.directory().tick();
+    context.quarantine().tick();
+    context.crashWitness().tick();
     server.tick();
     reportSource.tick();
     reportPoller.tick();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
@@ -1,11 +1,7 @@
 package org.zinniaspan.proxy;
 
-import java.util.List;
-import java.util.Optional;
 import org.apache.hc.core5.http.HttpRequest;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
-import org.zinniaspan.forwarding.Prompt;
-import org.zinniaspan.forwarding.PromptPart;
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteDecision;
 import org.zinniaspan.forwarding.StreamResume;
@@ -58,11 +54,6 @@
         .with("vm", vm);
   }
 
-  /** Returns the ids of a prompt's parts, in order. */
-  static List<String> partIds(Optional<Prompt> prompt) {
-    return prompt.map(p -> p.parts().stream().map(PromptPart::id).toList()).orElse(List.of());
-  }
-
   /** Returns the event at the end of a request. */
   static EventLog ended(
       String id, long version, ForwardMetrics.CompletedRequest request, long longestPauseMs) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -11,6 +11,7 @@
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.OrganisationSpec;
+import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.Refusal;
 import org.zinniaspan.forwarding.RouteDecision;
 import org.zinniaspan.forwarding.RouteKind;
@@ -39,6 +40,9 @@
   /** Reason for refusing a request as no endpoint and no other VM is reachable. */
   private static final String NO_PATH = "no-path-to-endpoints";
 
+  /** Reason for refusing a request as prompts with the same parts crashed endpoints. */
+  private static final String PROMPT_QUARANTINED = "prompt-quarantined";
+
   /** Reason for refusing a request as all endpoints stated that they take none for a while. */
   private static final String ENDPOINTS_PAUSED = "endpoints-paused";
 
@@ -101,6 +105,9 @@
 
   /** Sends a request that waits for room, or whose endpoint is out of reach. */
   void tick(long nowMs) {
+    if (endIfQuarantined()) {
+      return;
+    }
     if (awaitingRoom) {
       send();
     } else if (context.reachability().isLost()) {
@@ -119,6 +126,9 @@
   /** Sends the request to an endpoint, or to another VM if this one reaches none that fits. */
   void send() {
     awaitingRoom = false;
+    if (endIfQuarantined()) {
+      return;
+    }
     SendDecision decision =
         SendDecision.of(candidates(), context.backoff(), context.reachability());
     if (decision instanceof SendDecision.ToEndpoint endpoints) {
@@ -132,6 +142,38 @@
     }
   }
 
+  /**
+   * Ends the request, also one that is in progress, if its prompt is likely to crash an endpoint. A
+   * stream that has begun has crashed none.
+   */
+  private boolean endIfQuarantined() {
+    if (request.delivery().isStarted()) {
+      return false;
+    }
+    Optional<PromptQuarantine.Quarantine> found =
+        request.prompt().flatMap(context.quarantine()::find);
+    found.ifPresent(
+        quarantine -> {
+          long remainingMs = quarantine.untilMs() - context.clock().nowMs();
+          request
+              .log()
+              .addFailure(
+                  EventLog.event(PROMPT_QUARANTINED)
+                      .with("id", request.attemptId())
+                      .with("parts", quarantine.parts())
+                      .with("crashes", quarantine.crashes())
+                      .with("remainingMs", remainingMs)
+                      .with("mayHaveRun", mayHaveRun()));
+          if (mayHaveRun()) {
+            request.fail(PROMPT_QUARANTINED);
+          } else {
+            cancel();
+            request.refuse(PROMPT_QUARANTINED, remainingMs);
+          }
+        });
+    return found.isPresent();
+  }
+
   /**
    * Waits for room at endpoints with a rejection limit, up to the latency target; otherwise refuses
    * the request until the first endpoint takes requests again, if it has not run.
