Count crashes with begun answers by endpoint, not by time

One VM knew the times with an error of some 10 ms, took both for one crash with a common cause, and sent a third such prompt, which crashed another endpoint (edge-quimper-odet-1 at 15.6 s).

Crashes within 100 ms now count once only for prompts that merely waited, where a rack that fails would accuse all of its prompts. Prompts whose answers had begun at two endpoints count twice whatever the time between, so that VMs agree. PromptQuarantineTest.areEnoughHoweverShortlyAfterEachOther replaces countAsOneIfTheirEndpointsCrashAtOnce, which required the fault; areNotQuarantinedIfManyEndpointsCrashAtOnce holds what it was for.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
@@ -26,8 +26,11 @@
  */
 final class CrashAnalysis {
 
-  /** Time within which crashes of several endpoints count as one, in milliseconds. */
-  private static final long SAME_CRASH_MS = 100;
+  /**
+   * Time within which crashes of several endpoints have a common cause, as with a rack, so that the
+   * prompts that only waited there count once, in milliseconds.
+   */
+  private static final long SAME_CAUSE_MS = 100;
 
   /** Time within which VMs notice the crash of one endpoint, in milliseconds. */
   private static final long SAME_ENDPOINT_MS = 1_000;
@@ -56,32 +59,26 @@
    */
   record Explanation(Set<String> parts, int crashes, long lastMs) {}
 
-  /** The prompts that waited when one endpoint, or several at once, crashed. */
+  /** A crash of an endpoint, with the prompts that waited there. */
   private static final class Incident {
+    private final String endpointId;
     private final long startMs;
     private final List<PromptCrash> observations = new ArrayList<>();
 
-    Incident(long startMs) {
-      this.startMs = startMs;
+    Incident(PromptCrash first) {
+      endpointId = first.endpointId();
+      startMs = first.atMs();
     }
 
     boolean includes(PromptCrash crash) {
-      long afterMs = crash.atMs() - startMs;
-      boolean sameEndpoint =
-          observations.stream().anyMatch(o -> o.endpointId().equals(crash.endpointId()));
-      if (sameEndpoint) {
-        return afterMs <= SAME_ENDPOINT_MS;
-      }
-      // A prompt that was sent again met a crash of its own.
-      return afterMs <= SAME_CRASH_MS
-          && observations.stream().noneMatch(o -> o.attemptId().equals(crash.attemptId()));
+      return endpointId.equals(crash.endpointId()) && crash.atMs() - startMs <= SAME_ENDPOINT_MS;
     }
   }
 
   /** A part's share in the crashes: the parts that all its prompts have in common, and weights. */
   private static final class Candidate {
     private final Set<String> common;
-    private final Map<Incident, Double> weights = new LinkedHashMap<>();
+    private final Map<Incident, Boolean> answerBegun = new LinkedHashMap<>();
 
     Candidate(PromptCrash first) {
       common = new LinkedHashSet<>(first.parts());
@@ -89,12 +86,22 @@
 
     void add(Incident incident, PromptCrash crash) {
       common.retainAll(crash.parts());
-      weights.merge(
-          incident, crash.answerBegun() ? BEGUN_WEIGHT : WAITING_WEIGHT, (a, b) -> Math.max(a, b));
+      answerBegun.merge(incident, crash.answerBegun(), Boolean::logicalOr);
     }
 
     double weight() {
-      return weights.values().stream().mapToDouble(w -> w).sum();
+      double weight = 0;
+      long lastWaitingMs = Long.MIN_VALUE / 2;
+      // Incidents are added in the order of their times.
+      for (Map.Entry<Incident, Boolean> entry : answerBegun.entrySet()) {
+        if (entry.getValue()) {
+          weight += BEGUN_WEIGHT;
+        } else if (entry.getKey().startMs - lastWaitingMs > SAME_CAUSE_MS) {
+          weight += WAITING_WEIGHT;
+          lastWaitingMs = entry.getKey().startMs;
+        }
+      }
+      return weight;
     }
 
     boolean isLessSpecificThan(Candidate other) {
@@ -102,8 +109,8 @@
     }
 
     Explanation explanation() {
-      long lastMs = weights.keySet().stream().mapToLong(i -> i.startMs).max().orElse(0);
-      return new Explanation(Set.copyOf(common), weights.size(), lastMs);
+      long lastMs = answerBegun.keySet().stream().mapToLong(i -> i.startMs).max().orElse(0);
+      return new Explanation(Set.copyOf(common), answerBegun.size(), lastMs);
     }
   }
 
@@ -120,7 +127,7 @@
     List<Candidate> best = best(incidents);
     while (!best.isEmpty()) {
       best.forEach(candidate -> explanations.add(candidate.explanation()));
-      best.forEach(candidate -> incidents.removeAll(candidate.weights.keySet()));
+      best.forEach(candidate -> incidents.removeAll(candidate.answerBegun.keySet()));
       best = best(incidents);
     }
     return explanations;
@@ -145,7 +152,7 @@
               .findFirst()
               .orElseGet(
                   () -> {
-                    Incident added = new Incident(crash.atMs());
+                    Incident added = new Incident(crash);
                     incidents.add(added);
                     return added;
                   });
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
@@ -82,11 +82,11 @@
     }
 
     @Test
-    void countAsOneIfTheirEndpointsCrashAtOnce() {
+    void areEnoughHoweverShortlyAfterEachOther() {
       crash("e1", "site", "subject", "dead", "own1");
-      nowMs += 50;
+      nowMs += 20;
       crash("e2", "site", "subject", "dead", "own2");
-      assertThat(isQuarantined("site", "subject", "dead", "own3")).isFalse();
+      assertThat(isQuarantined("site", "subject", "dead", "own3")).isTrue();
     }
   }
 
@@ -131,6 +131,15 @@
       assertThat(isQuarantined("site", "busy", "own")).isFalse();
     }
 
+    @Test
+    void areNotQuarantinedIfManyEndpointsCrashAtOnce() {
+      for (int i = 0; i < 20; i++) {
+        crash("e" + i, false, "site", "busy", "own" + i);
+        nowMs += 4;
+      }
+      assertThat(isQuarantined("site", "busy", "own")).isFalse();
+    }
+
     @Test
     void areNotQuarantinedIfTheirPartsAreAnsweredInBetween() {
       for (int i = 0; i < 8; i++) {
