--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -73,12 +75,14 @@
   private final RawServer server = new RawServer(this::handle);
   private final Map<String, List<Execution>> executions = new ConcurrentHashMap<>();
   private final AtomicInteger active = new AtomicInteger();
+  private final Queue<Long> arrivalsMs = new ConcurrentLinkedQueue<>();
   private final AtomicInteger crashes = new AtomicInteger();
   private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
   private final long delayMs;
   private volatile Fault fault = Fault.NONE;
   private volatile Optional<String> crashingPart = Optional.empty();
   private volatile long downMs;
+  private volatile Optional<Double> requestLimit = Optional.empty();
 
   /**
    * Starts an endpoint on a free port.
@@ -124,11 +128,25 @@
     crashingPart = part;
   }
 
+  /**
+   * Makes the endpoint state in its answers how many requests it takes from all VMs together.
+   *
+   * @param perSecond requests a second; empty to state none
+   */
+  public void setRequestLimit(Optional<Double> perSecond) {
+    requestLimit = perSecond;
+  }
+
   /** Returns the number of times that a prompt made the endpoint crash. */
   public int crashes() {
     return crashes.get();
   }
 
+  /** Returns when requests arrived, in milliseconds since the epoch, oldest first. */
+  public List<Long> arrivalsMs() {
+    return List.copyOf(arrivalsMs);
+  }
+
   /** Returns all executions, grouped by client attempt. */
   public List<Execution> executions() {
     return executions.values().stream().flatMap(Collection::stream).toList();
@@ -141,6 +159,7 @@
       RawServer.write(socket, RawServer.jsonResponse("200 OK", body));
       return true;
     }
+    arrivalsMs.add(System.currentTimeMillis());
     String attemptId = request.header("X-Zinniaspan-Attempt-Id");
     String expectedInstance = request.header("X-Zinniaspan-Expect-Instance");
     if (!expectedInstance.isEmpty() && !expectedInstance.equals(id)) {
@@ -245,7 +264,7 @@
     return true;
   }
 
-  private static String streamHead(String attemptId) {
+  private String streamHead(String attemptId) {
     return responseHead(
         "200 OK", attemptId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked");
   }
@@ -269,9 +288,10 @@
     return "id: " + number + "\ndata: " + attemptId + "-" + number + " " + software + "\n\n";
   }
 
-  private static String responseHead(String status, String attemptId, String fields) {
+  private String responseHead(String status, String attemptId, String fields) {
     return "HTTP/1.1 "
         + status
+        + requestLimit.map(limit -> "\r\nServer-Limit: " + limit).orElse("")
         + "\r\nX-Zinniaspan-Attempt-Id: "
         + attemptId
         + "\r\nX-Zinniaspan-Server-Stamp: stamp-"
