--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/RequestLimitTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/RequestLimitTest.java
@@ -96,13 +96,22 @@
 
   private List<SiteClient.RawResponse> callUntil(LocalSite.DaemonProcess daemon, long endMs)
       throws IOException {
+    return callUntil(daemon, "GET", "/safe/x", endMs);
+  }
+
+  private List<SiteClient.RawResponse> callUntil(
+      LocalSite.DaemonProcess daemon, String method, String path, long endMs) throws IOException {
     List<SiteClient.RawResponse> responses = new ArrayList<>();
     while (System.currentTimeMillis() < endMs) {
-      responses.add(client.call(daemon.callerAddress(), "GET", "/safe/x", ""));
+      responses.add(client.call(daemon.callerAddress(), method, path, ""));
     }
     return responses;
   }
 
+  private static long served(Future<List<SiteClient.RawResponse>> responses) throws Exception {
+    return responses.get().stream().filter(SiteClient.RawResponse::isCompleteSuccess).count();
+  }
+
   /** Returns the largest number of requests in a window after a time. */
   private static int mostInWindow(EndpointStandIn endpoint, long afterMs) {
     List<Long> arrivals =
@@ -143,6 +152,19 @@
         .forEach(response -> assertThat(response.text()).contains("Retry-After: "));
   }
 
+  @Test
+  void leavesTheRequestsThatItAllowsToTheMostUrgent() throws Exception {
+    site.endpoints().values().forEach(e -> e.setRequestLimit(Optional.of(PER_SECOND)));
+    callAll(CONTACT_MS);
+    LocalSite.DaemonProcess daemon = daemons.get(0);
+    long endMs = System.currentTimeMillis() + DURATION_MS;
+    Future<List<SiteClient.RawResponse>> lessUrgent =
+        threads.submit(() -> callUntil(daemon, "POST", "/unsafe/x", endMs));
+    Future<List<SiteClient.RawResponse>> urgent =
+        threads.submit(() -> callUntil(daemon, "POST", "/chat/x", endMs));
+    assertThat(served(urgent)).isAtLeast(2 * served(lessUrgent));
+  }
+
   @Test
   void endsOnceTheEndpointStatesNoneAnyMore() throws Exception {
     endpoint(1).setRequestLimit(Optional.of(PER_SECOND));
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
@@ -10,7 +10,6 @@
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.ListedEndpoint;
-import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.peer.proto.EngineLoad;
 import org.zinniaspan.peer.proto.EngineQuery;
@@ -18,10 +17,10 @@
 
 /**
  * The newest load report of each engine, numbered so that other VMs can ask for those that they
- * have not seen, the work of the streams at the engines, and prompts at crashed endpoints.
+ * have not seen, the work of the streams at the engines, and other observations of endpoints.
  *
  * <p>A query is held until there are new reports; those that arrive shortly after one another are
- * sent together. Prompts at crashed endpoints are sent at once. Not thread-safe.
+ * sent together. Other observations are sent at once. Not thread-safe.
  */
 public final class EngineBoard implements Ticking {
 
@@ -38,7 +37,7 @@
 
   private final EndpointDirectory directory;
   private final WorkExchange work;
-  private final PromptObservationExchange prompts;
+  private final ObservationExchange observations;
   private final Clock clock;
   private final long epoch;
   private final Map<String, Entry> entries = new HashMap<>();
@@ -52,18 +51,18 @@
    * Creates a board without reports.
    *
    * @param streamWork the work of this VM's streams
-   * @param quarantine what this VM knows of prompts at crashed endpoints
+   * @param observations what VMs tell each other besides load reports
    * @param epoch number of this process that no other one has
    */
   public EngineBoard(
       EndpointDirectory directory,
       StreamWork streamWork,
-      PromptQuarantine quarantine,
+      ObservationExchange observations,
       Clock clock,
       long epoch) {
     this.directory = directory;
     this.work = new WorkExchange(streamWork, clock);
-    this.prompts = new PromptObservationExchange(quarantine, clock);
+    this.observations = observations;
     this.clock = clock;
     this.epoch = epoch;
   }
@@ -93,9 +92,9 @@
     return work;
   }
 
-  /** Returns the exchange of prompts at crashed endpoints. */
-  PromptObservationExchange prompts() {
-    return prompts;
+  /** Returns the exchange of what VMs tell each other besides load reports. */
+  ObservationExchange observations() {
+    return observations;
   }
 
   /** Answers a query, now or later; the responder is called once. */
@@ -103,10 +102,10 @@
     if (query.getWorkCount() > 0) {
       work.onMember(query.getSender(), query.getWorkList());
     }
-    prompts.merge(query.getPrompts());
+    observations.merge(query.getObservations());
     HeldQuery entry = new HeldQuery(query, clock.nowMs(), responder);
     boolean isDue = hasNew(query) && query.getMinWaitMs() <= 0;
-    if (stopped || isDue || hasNewPrompts(query)) {
+    if (stopped || isDue || hasNewObservations(query)) {
       respond(entry);
     } else {
       held.add(entry);
@@ -132,7 +131,7 @@
                 entry ->
                     stopped
                         || isWaitOver(entry, now)
-                        || hasNewPrompts(entry.query())
+                        || hasNewObservations(entry.query())
                         || (isMinWaitOver(entry, now, batchComplete) && hasNew(entry.query())))
             .toList();
     held.removeAll(due);
@@ -156,13 +155,13 @@
     return entries.values().stream().anyMatch(entry -> isNew(entry, query));
   }
 
-  private boolean hasNewPrompts(EngineQuery query) {
-    return query.hasPromptSequence() && prompts.sequence() > promptSequence(query);
+  private boolean hasNewObservations(EngineQuery query) {
+    return query.hasObservationSequence() && observations.sequence() > observationSequence(query);
   }
 
   /** Returns the sequence up to which the sender of a query has this process's observations. */
-  private long promptSequence(EngineQuery query) {
-    return query.getEpoch() == epoch ? query.getPromptSequence() : 0;
+  private long observationSequence(EngineQuery query) {
+    return query.getEpoch() == epoch ? query.getObservationSequence() : 0;
   }
 
   private boolean isNew(Entry entry, EngineQuery query) {
@@ -187,10 +186,10 @@
             }
           });
     }
-    if (heldQuery.query().hasPromptSequence()) {
+    if (heldQuery.query().hasObservationSequence()) {
       state
-          .setPromptSequence(prompts.sequence())
-          .setPrompts(prompts.encodeAll(promptSequence(heldQuery.query())));
+          .setObservationSequence(observations.sequence())
+          .setObservations(observations.encodeAll(observationSequence(heldQuery.query())));
     }
     heldQuery.responder().accept(state.build());
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -30,18 +30,18 @@
 
   /**
    * Shortest time between two replies with load reports of one observer, in milliseconds. The
-   * observer waits that long, so that it holds a query at any time and can reply at once to tell of
-   * prompts at crashed endpoints; for one of a release that does not, this VM waits.
+   * observer waits that long, so that it holds a query at any time and can tell of other
+   * observations at once; for one of a release that does not, this VM waits.
    */
   private static final long MIN_INTERVAL_MS = 300;
 
   /**
    * Time that a query and its reply may take on the way, in milliseconds; if they take longer, the
-   * ages of prompt observations are inexact, and they are sent again.
+   * ages of observations are inexact, and they are sent again.
    */
   private static final long MAX_TRANSIT_MS = 50;
 
-  /** Shortest time between two reports of the same prompt observations, in milliseconds. */
+  /** Shortest time between two reports of the same observations, in milliseconds. */
   private static final long REPORT_INTERVAL_MS = 300;
 
   /** Rank of a VM that is not an observer for the engines of other zones. */
@@ -51,13 +51,13 @@
   private static final class Source {
     private long epoch;
     private long sequence;
-    private long promptSequence;
+    private long observationSequence;
     private boolean querying;
     private boolean reporting;
     private long nextQueryMs;
     private long nextReportMs;
 
-    /** Observer that has this VM's own prompt observations up to a sequence number. */
+    /** Observer that has this VM's own observations up to a sequence number. */
     private String reportedTo = "";
 
     private long reportedSequence;
@@ -135,7 +135,7 @@
     Source source = sourcesByZone.computeIfAbsent(observerZone, zone -> new Source());
     Optional<String> observer = holders.holder(observerZone);
     if (engineZone.isEmpty() && observer.isPresent()) {
-      reportPrompts(observer.get(), source);
+      reportObservations(observer.get(), source);
     }
     if (source.querying || observer.isEmpty() || clock.nowMs() < source.nextQueryMs) {
       return;
@@ -170,26 +170,27 @@
     return EngineQuery.newBuilder()
         .setEpoch(source.epoch)
         .setSequence(source.sequence)
-        .setPromptSequence(source.promptSequence)
+        .setObservationSequence(source.observationSequence)
         .setSender(members.self());
   }
 
   /**
-   * Sends what this VM itself observed of prompts to the zone's observer at once, as each endpoint
-   * that crashes meanwhile breaks streams of all VMs.
+   * Sends what this VM itself observed to the zone's observer at once, as endpoints crash or get
+   * too many requests until all VMs know.
    */
-  private void reportPrompts(String observer, Source source) {
+  private void reportObservations(String observer, Source source) {
     long since = source.reportedSequence(observer);
     long sentMs = clock.nowMs();
     if (source.reporting
         || sentMs < source.nextReportMs
-        || !board.prompts().hasReportSince(since)) {
+        || !board.observations().hasReportSince(since)) {
       return;
     }
     source.reporting = true;
-    long sequence = board.prompts().sequence();
+    long sequence = board.observations().sequence();
     long epoch = source.epoch;
-    EngineQuery query = newQuery(source).setPrompts(board.prompts().encodeReport(since)).build();
+    EngineQuery query =
+        newQuery(source).setObservations(board.observations().encodeReport(since)).build();
     peers.queryEngines(
         observer,
         query,
@@ -227,14 +228,14 @@
     }
     if (reply.get().getEpoch() != source.epoch) {
       source.reportedSequence = 0;
-      source.promptSequence = 0;
+      source.observationSequence = 0;
     }
     source.epoch = reply.get().getEpoch();
     source.sequence = reply.get().getSequence();
     if (isExact(sentMs, reply.get())) {
-      source.promptSequence = reply.get().getPromptSequence();
+      source.observationSequence = reply.get().getObservationSequence();
     }
-    board.prompts().merge(reply.get().getPrompts());
+    board.observations().merge(reply.get().getObservations());
     reply.get().getLoadsList().forEach(this::adopt);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/PromptObservationExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/ObservationExchange.java
@@ -4,53 +4,69 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.ChangeSequence;
 import org.zinniaspan.forwarding.PromptCrash;
 import org.zinniaspan.forwarding.PromptQuarantine;
+import org.zinniaspan.forwarding.RequestLimits;
 import org.zinniaspan.peer.proto.AnsweredPart;
 import org.zinniaspan.peer.proto.CrashedPrompt;
-import org.zinniaspan.peer.proto.PromptObservations;
+import org.zinniaspan.peer.proto.Observations;
+import org.zinniaspan.peer.proto.RequestLimit;
 
 /**
- * Encodes what this VM knows of prompts at crashed endpoints for other VMs, and adds what they
- * know. Messages state ages, as VMs have no common clock. Not thread-safe.
+ * Encodes what this VM knows of prompts at crashed endpoints and of endpoints' request limits for
+ * other VMs, and adds what they know. Messages state ages, as VMs have no common clock. Not
+ * thread-safe.
  */
-final class PromptObservationExchange {
+public final class ObservationExchange {
 
+  private final ChangeSequence sequence;
   private final PromptQuarantine quarantine;
+  private final RequestLimits limits;
   private final Clock clock;
 
-  PromptObservationExchange(PromptQuarantine quarantine, Clock clock) {
+  /**
+   * Creates an exchange.
+   *
+   * @param sequence numbers the observations of both components
+   */
+  ObservationExchange(
+      ChangeSequence sequence, PromptQuarantine quarantine, RequestLimits limits, Clock clock) {
+    this.sequence = sequence;
     this.quarantine = quarantine;
+    this.limits = limits;
     this.clock = clock;
   }
 
-  /** Returns a number that rises with each observation that other VMs may not know. */
+  /** Returns the number of the last observation that other VMs may not know. */
   long sequence() {
-    return quarantine.sequence();
+    return sequence.last();
   }
 
   /** Returns whether there is something to report since a sequence number; see the report. */
   boolean hasReportSince(long since) {
-    return (since == 0 ? quarantine.sequence() : quarantine.ownSequence()) > since;
+    return (since == 0 ? sequence.last() : sequence.lastOwn()) > since;
   }
 
   /**
    * Returns what this VM itself observed since a sequence number. A receiver that has nothing of
    * this VM yet gets all that it knows, since those who observed it may be gone.
    */
-  PromptObservations encodeReport(long since) {
-    return encode(quarantine.changesSince(since, since > 0));
+  Observations encodeReport(long since) {
+    return encode(since, since > 0);
   }
 
   /** Returns what all VMs observed since a sequence number, as far as this one knows. */
-  PromptObservations encodeAll(long since) {
-    return encode(quarantine.changesSince(since, false));
+  Observations encodeAll(long since) {
+    return encode(since, false);
   }
 
-  private PromptObservations encode(PromptQuarantine.Changes changes) {
+  private Observations encode(long since, boolean ownOnly) {
     long now = clock.nowMs();
-    PromptObservations.Builder observations = PromptObservations.newBuilder();
+    PromptQuarantine.Changes changes = quarantine.changesSince(since, ownOnly);
+    Observations.Builder observations = Observations.newBuilder();
     for (PromptCrash crash : changes.crashes()) {
       observations.addCrashed(
           CrashedPrompt.newBuilder()
@@ -66,11 +82,19 @@
             (part, ms) ->
                 observations.addAnswered(
                     AnsweredPart.newBuilder().setPart(part).setAgeMs(now - ms)));
+    for (RequestLimits.Statement limit : limits.changesSince(since, ownOnly)) {
+      observations.addLimits(
+          RequestLimit.newBuilder()
+              .setEndpoint(limit.endpointId())
+              .setStartedAtMs(limit.startedAtMs())
+              .setPerSecond(limit.requestsPerSecond().orElse(0.0))
+              .setAgeMs(now - limit.atMs()));
+    }
     return observations.build();
   }
 
   /** Adds what another VM knows. */
-  void merge(PromptObservations observations) {
+  void merge(Observations observations) {
     long now = clock.nowMs();
     List<PromptCrash> crashes = new ArrayList<>();
     for (CrashedPrompt crashed : observations.getCrashedList()) {
@@ -87,5 +111,15 @@
       answeredMs.put(answered.getPart(), now - Math.max(0, answered.getAgeMs()));
     }
     quarantine.merge(new PromptQuarantine.Changes(crashes, answeredMs));
+    List<RequestLimits.Statement> statements = new ArrayList<>();
+    for (RequestLimit limit : observations.getLimitsList()) {
+      statements.add(
+          new RequestLimits.Statement(
+              limit.getEndpoint(),
+              limit.getStartedAtMs(),
+              Optional.of(limit.getPerSecond()).filter(perSecond -> perSecond > 0),
+              now - Math.max(0, limit.getAgeMs())));
+    }
+    limits.merge(statements);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
@@ -139,12 +139,8 @@
     return endpoints.stream().anyMatch(e -> limiting(e.listed()).isPresent());
   }
 
-  /** Returns the time until the first of some endpoints takes requests again, in milliseconds. */
-  public long remainingMs(Collection<TrackedEndpoint> endpoints) {
-    return endpoints.stream().mapToLong(e -> remainingMs(e.listed())).min().orElse(0);
-  }
-
-  private long remainingMs(ListedEndpoint endpoint) {
+  /** Returns the time until an endpoint takes requests again, in milliseconds. */
+  public long remainingMs(ListedEndpoint endpoint) {
     Long until = pausedUntilMs.get(Incarnation.of(endpoint));
     return until == null ? 0 : Math.max(0, until - clock.nowMs());
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
@@ -78,6 +78,7 @@
   }
 
   private final Clock clock;
+  private final ChangeSequence sequence;
   private final Map<PromptCrash.Key, PromptCrash> unconfirmed = new HashMap<>();
   private final Map<PromptCrash.Key, Observed<PromptCrash>> confirmed = new HashMap<>();
   private final Map<String, Observed<Long>> answeredMs =
@@ -88,14 +89,17 @@
         }
       };
   private List<Quarantine> quarantines = List.of();
-  private long sequence;
-  private long ownSequence;
   private long nextExpiryMs;
   private boolean changed;
 
-  /** Creates a state without crashes. */
-  public PromptQuarantine(Clock clock) {
+  /**
+   * Creates a state without crashes.
+   *
+   * @param sequence numbers the observations that other VMs have to know
+   */
+  public PromptQuarantine(Clock clock, ChangeSequence sequence) {
     this.clock = clock;
+    this.sequence = sequence;
   }
 
   /** Records that a prompt waited at an endpoint whose connection was lost. */
@@ -143,7 +147,7 @@
     boolean isOwn = own || (known != null && known.own());
     // Times that passed through other VMs are late; the earliest one is the best.
     boolean isNews = known == null || known.value().atMs() - crash.atMs() >= MIN_TIME_CORRECTION_MS;
-    long announced = isNews ? next(own) : known.sequence();
+    long announced = isNews ? sequence.next(own) : known.sequence();
     confirmed.put(crash.key(), new Observed<>(crash, isOwn, announced));
     if (known == null) {
       crash.parts().forEach(part -> announceAnswer(part, crash));
@@ -160,7 +164,8 @@
   private void announceAnswer(String part, PromptCrash crash) {
     Observed<Long> answer = answeredMs.get(part);
     if (answer != null && answer.value() > crash.atMs()) {
-      answeredMs.put(part, new Observed<>(answer.value(), answer.own(), next(answer.own())));
+      answeredMs.put(
+          part, new Observed<>(answer.value(), answer.own(), sequence.next(answer.own())));
     }
   }
 
@@ -171,19 +176,11 @@
       return;
     }
     boolean acquits = isAcquitted(part, previousMs, ms);
-    long announced = acquits ? next(own) : known == null ? 0 : known.sequence();
+    long announced = acquits ? sequence.next(own) : known == null ? 0 : known.sequence();
     answeredMs.put(part, new Observed<>(ms, own, announced));
     changed |= acquits;
   }
 
-  private long next(boolean own) {
-    sequence++;
-    if (own) {
-      ownSequence = sequence;
-    }
-    return sequence;
-  }
-
   /** Returns whether a part waited at a crash in some span of time. */
   private boolean isAcquitted(String part, long afterMs, long untilMs) {
     for (Observed<PromptCrash> crash : confirmed.values()) {
@@ -214,16 +211,6 @@
     return quarantines.size();
   }
 
-  /** Returns a number that rises with each change that other VMs have to know. */
-  public long sequence() {
-    return sequence;
-  }
-
-  /** Returns the sequence number of the last change that this VM itself observed. */
-  public long ownSequence() {
-    return ownSequence;
-  }
-
   /**
    * Returns the observations since a sequence number.
    *
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
@@ -20,8 +20,7 @@
    * Nowhere at the moment, as no endpoint takes requests of this VM.
    *
    * @param remainingMs time until the first one does, in milliseconds; 0 if that is not known
-   * @param limited whether some of them state a rejection limit, so that there may be room at any
-   *     time
+   * @param limited whether some of them state a limit, so that there may be room at any time
    */
   record Paused(long remainingMs, boolean limited) implements SendDecision {}
 
@@ -33,13 +32,22 @@
   static SendDecision of(
       List<TrackedEndpoint> candidates,
       EndpointBackoff backoff,
+      RequestLimits limits,
       EndpointReachability reachability) {
     if (candidates.isEmpty()) {
       return new ToEndpoint(candidates);
     }
-    List<TrackedEndpoint> admitting = candidates.stream().filter(backoff::admits).toList();
+    List<TrackedEndpoint> admitting =
+        candidates.stream().filter(e -> backoff.admits(e) && limits.admits(e.listed())).toList();
     if (admitting.isEmpty()) {
-      return new Paused(backoff.remainingMs(candidates), backoff.isLimiting(candidates));
+      long remainingMs =
+          candidates.stream()
+              .mapToLong(
+                  e -> Math.max(backoff.remainingMs(e.listed()), limits.remainingMs(e.listed())))
+              .min()
+              .orElse(0);
+      return new Paused(
+          remainingMs, backoff.isLimiting(candidates) || limits.isLimiting(candidates));
     }
     List<TrackedEndpoint> reachable =
         admitting.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQuery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQuery.java
@@ -244,72 +244,72 @@
     return work_.get(index);
   }
 
-  public static final int PROMPT_SEQUENCE_FIELD_NUMBER = 7;
-  private long promptSequence_ = 0L;
+  public static final int OBSERVATION_SEQUENCE_FIELD_NUMBER = 7;
+  private long observationSequence_ = 0L;
   /**
    * <pre>
-   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * Observations that the sender has, as in the last reply; absent if it takes none.
    * </pre>
    *
-   * <code>optional int64 prompt_sequence = 7;</code>
-   * @return Whether the promptSequence field is set.
+   * <code>optional int64 observation_sequence = 7;</code>
+   * @return Whether the observationSequence field is set.
    */
   @java.lang.Override
-  public boolean hasPromptSequence() {
+  public boolean hasObservationSequence() {
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
    * <pre>
-   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * Observations that the sender has, as in the last reply; absent if it takes none.
    * </pre>
    *
-   * <code>optional int64 prompt_sequence = 7;</code>
-   * @return The promptSequence.
+   * <code>optional int64 observation_sequence = 7;</code>
+   * @return The observationSequence.
    */
   @java.lang.Override
-  public long getPromptSequence() {
-    return promptSequence_;
+  public long getObservationSequence() {
+    return observationSequence_;
   }
 
-  public static final int PROMPTS_FIELD_NUMBER = 8;
-  private org.zinniaspan.peer.proto.PromptObservations prompts_;
+  public static final int OBSERVATIONS_FIELD_NUMBER = 8;
+  private org.zinniaspan.peer.proto.Observations observations_;
   /**
    * <pre>
-   * What the sender itself observed of prompts since its last query that was answered; all that
-   * it knows if the receiver is new to it.
+   * What the sender itself observed since its last query that was answered; all that it knows if
+   * the receiver is new to it.
    * </pre>
    *
-   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
-   * @return Whether the prompts field is set.
+   * <code>.zinniaspan.peer.Observations observations = 8;</code>
+   * @return Whether the observations field is set.
    */
   @java.lang.Override
-  public boolean hasPrompts() {
+  public boolean hasObservations() {
     return ((bitField0_ & 0x00000002) != 0);
   }
   /**
    * <pre>
-   * What the sender itself observed of prompts since its last query that was answered; all that
-   * it knows if the receiver is new to it.
+   * What the sender itself observed since its last query that was answered; all that it knows if
+   * the receiver is new to it.
    * </pre>
    *
-   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
-   * @return The prompts.
+   * <code>.zinniaspan.peer.Observations observations = 8;</code>
+   * @return The observations.
    */
   @java.lang.Override
-  public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
-    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  public org.zinniaspan.peer.proto.Observations getObservations() {
+    return observations_ == null ? org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
   }
   /**
    * <pre>
-   * What the sender itself observed of prompts since its last query that was answered; all that
-   * it knows if the receiver is new to it.
+   * What the sender itself observed since its last query that was answered; all that it knows if
+   * the receiver is new to it.
    * </pre>
    *
-   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   * <code>.zinniaspan.peer.Observations observations = 8;</code>
    */
   @java.lang.Override
-  public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
-    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  public org.zinniaspan.peer.proto.ObservationsOrBuilder getObservationsOrBuilder() {
+    return observations_ == null ? org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
   }
 
   public static final int MIN_WAIT_MS_FIELD_NUMBER = 9;
@@ -360,10 +360,10 @@
       output.writeMessage(6, work_.get(i));
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeInt64(7, promptSequence_);
+      output.writeInt64(7, observationSequence_);
     }
     if (((bitField0_ & 0x00000002) != 0)) {
-      output.writeMessage(8, getPrompts());
+      output.writeMessage(8, getObservations());
     }
     if (minWaitMs_ != 0L) {
       output.writeInt64(9, minWaitMs_);
@@ -401,11 +401,11 @@
         }
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(7, promptSequence_);
+        .computeInt64Size(7, observationSequence_);
     }
     if (((bitField0_ & 0x00000002) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(8, getPrompts());
+        .computeMessageSize(8, getObservations());
     }
     if (minWaitMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
@@ -447,15 +447,15 @@
         .equals(other.getSender())) return false;
     if (!getWorkList()
         .equals(other.getWorkList())) return false;
-    if (hasPromptSequence() != other.hasPromptSequence()) return false;
-    if (hasPromptSequence()) {
-      if (getPromptSequence()
-          != other.getPromptSequence()) return false;
+    if (hasObservationSequence() != other.hasObservationSequence()) return false;
+    if (hasObservationSequence()) {
+      if (getObservationSequence()
+          != other.getObservationSequence()) return false;
     }
-    if (hasPrompts() != other.hasPrompts()) return false;
-    if (hasPrompts()) {
-      if (!getPrompts()
-          .equals(other.getPrompts())) return false;
+    if (hasObservations() != other.hasObservations()) return false;
+    if (hasObservations()) {
+      if (!getObservations()
+          .equals(other.getObservations())) return false;
     }
     if (getMinWaitMs()
         != other.getMinWaitMs()) return false;
@@ -487,14 +487,14 @@
       hash = (37 * hash) + WORK_FIELD_NUMBER;
       hash = (53 * hash) + getWorkList().hashCode();
     }
-    if (hasPromptSequence()) {
-      hash = (37 * hash) + PROMPT_SEQUENCE_FIELD_NUMBER;
+    if (hasObservationSequence()) {
+      hash = (37 * hash) + OBSERVATION_SEQUENCE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getPromptSequence());
+          getObservationSequence());
     }
-    if (hasPrompts()) {
-      hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
-      hash = (53 * hash) + getPrompts().hashCode();
+    if (hasObservations()) {
+      hash = (37 * hash) + OBSERVATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getObservations().hashCode();
     }
     hash = (37 * hash) + MIN_WAIT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
@@ -634,7 +634,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetWorkFieldBuilder();
-        internalGetPromptsFieldBuilder();
+        internalGetObservationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -653,11 +653,11 @@
         workBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
-      promptSequence_ = 0L;
-      prompts_ = null;
-      if (promptsBuilder_ != null) {
-        promptsBuilder_.dispose();
-        promptsBuilder_ = null;
+      observationSequence_ = 0L;
+      observations_ = null;
+      if (observationsBuilder_ != null) {
+        observationsBuilder_.dispose();
+        observationsBuilder_ = null;
       }
       minWaitMs_ = 0L;
       return this;
@@ -723,13 +723,13 @@
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.promptSequence_ = promptSequence_;
+        result.observationSequence_ = observationSequence_;
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.prompts_ = promptsBuilder_ == null
-            ? prompts_
-            : promptsBuilder_.build();
+        result.observations_ = observationsBuilder_ == null
+            ? observations_
+            : observationsBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
       if (((from_bitField0_ & 0x00000100) != 0)) {
@@ -795,11 +795,11 @@
           }
         }
       }
-      if (other.hasPromptSequence()) {
-        setPromptSequence(other.getPromptSequence());
+      if (other.hasObservationSequence()) {
+        setObservationSequence(other.getObservationSequence());
       }
-      if (other.hasPrompts()) {
-        mergePrompts(other.getPrompts());
+      if (other.hasObservations()) {
+        mergeObservations(other.getObservations());
       }
       if (other.getMinWaitMs() != 0L) {
         setMinWaitMs(other.getMinWaitMs());
@@ -867,13 +867,13 @@
               break;
             } // case 50
             case 56: {
-              promptSequence_ = input.readInt64();
+              observationSequence_ = input.readInt64();
               bitField0_ |= 0x00000040;
               break;
             } // case 56
             case 66: {
               input.readMessage(
-                  internalGetPromptsFieldBuilder().getBuilder(),
+                  internalGetObservationsFieldBuilder().getBuilder(),
                   extensionRegistry);
               bitField0_ |= 0x00000080;
               break;
@@ -1486,107 +1486,107 @@
       return workBuilder_;
     }
 
-    private long promptSequence_ ;
+    private long observationSequence_ ;
     /**
      * <pre>
-     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * Observations that the sender has, as in the last reply; absent if it takes none.
      * </pre>
      *
-     * <code>optional int64 prompt_sequence = 7;</code>
-     * @return Whether the promptSequence field is set.
+     * <code>optional int64 observation_sequence = 7;</code>
+     * @return Whether the observationSequence field is set.
      */
     @java.lang.Override
-    public boolean hasPromptSequence() {
+    public boolean hasObservationSequence() {
       return ((bitField0_ & 0x00000040) != 0);
     }
     /**
      * <pre>
-     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * Observations that the sender has, as in the last reply; absent if it takes none.
      * </pre>
      *
-     * <code>optional int64 prompt_sequence = 7;</code>
-     * @return The promptSequence.
+     * <code>optional int64 observation_sequence = 7;</code>
+     * @return The observationSequence.
      */
     @java.lang.Override
-    public long getPromptSequence() {
-      return promptSequence_;
+    public long getObservationSequence() {
+      return observationSequence_;
     }
     /**
      * <pre>
-     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * Observations that the sender has, as in the last reply; absent if it takes none.
      * </pre>
      *
-     * <code>optional int64 prompt_sequence = 7;</code>
-     * @param value The promptSequence to set.
+     * <code>optional int64 observation_sequence = 7;</code>
+     * @param value The observationSequence to set.
      * @return This builder for chaining.
      */
-    public Builder setPromptSequence(long value) {
+    public Builder setObservationSequence(long value) {
 
-      promptSequence_ = value;
+      observationSequence_ = value;
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+     * Observations that the sender has, as in the last reply; absent if it takes none.
      * </pre>
      *
-     * <code>optional int64 prompt_sequence = 7;</code>
+     * <code>optional int64 observation_sequence = 7;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPromptSequence() {
+    public Builder clearObservationSequence() {
       bitField0_ = (bitField0_ & ~0x00000040);
-      promptSequence_ = 0L;
+      observationSequence_ = 0L;
       onChanged();
       return this;
     }
 
-    private org.zinniaspan.peer.proto.PromptObservations prompts_;
+    private org.zinniaspan.peer.proto.Observations observations_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> promptsBuilder_;
+        org.zinniaspan.peer.proto.Observations, org.zinniaspan.peer.proto.Observations.Builder, org.zinniaspan.peer.proto.ObservationsOrBuilder> observationsBuilder_;
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
-     * @return Whether the prompts field is set.
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
+     * @return Whether the observations field is set.
      */
-    public boolean hasPrompts() {
+    public boolean hasObservations() {
       return ((bitField0_ & 0x00000080) != 0);
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
-     * @return The prompts.
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
+     * @return The observations.
      */
-    public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
-      if (promptsBuilder_ == null) {
-        return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+    public org.zinniaspan.peer.proto.Observations getObservations() {
+      if (observationsBuilder_ == null) {
+        return observations_ == null ? org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
       } else {
-        return promptsBuilder_.getMessage();
+        return observationsBuilder_.getMessage();
       }
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
-    public Builder setPrompts(org.zinniaspan.peer.proto.PromptObservations value) {
-      if (promptsBuilder_ == null) {
+    public Builder setObservations(org.zinniaspan.peer.proto.Observations value) {
+      if (observationsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        prompts_ = value;
+        observations_ = value;
       } else {
-        promptsBuilder_.setMessage(value);
+        observationsBuilder_.setMessage(value);
       }
       bitField0_ |= 0x00000080;
       onChanged();
@@ -1594,18 +1594,18 @@
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
-    public Builder setPrompts(
-        org.zinniaspan.peer.proto.PromptObservations.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        prompts_ = builderForValue.build();
+    public Builder setObservations(
+        org.zinniaspan.peer.proto.Observations.Builder builderForValue) {
+      if (observationsBuilder_ == null) {
+        observations_ = builderForValue.build();
       } else {
-        promptsBuilder_.setMessage(builderForValue.build());
+        observationsBuilder_.setMessage(builderForValue.build());
       }
       bitField0_ |= 0x00000080;
       onChanged();
@@ -1613,25 +1613,25 @@
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
-    public Builder mergePrompts(org.zinniaspan.peer.proto.PromptObservations value) {
-      if (promptsBuilder_ == null) {
+    public Builder mergeObservations(org.zinniaspan.peer.proto.Observations value) {
+      if (observationsBuilder_ == null) {
         if (((bitField0_ & 0x00000080) != 0) &&
-          prompts_ != null &&
-          prompts_ != org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance()) {
-          getPromptsBuilder().mergeFrom(value);
+          observations_ != null &&
+          observations_ != org.zinniaspan.peer.proto.Observations.getDefaultInstance()) {
+          getObservationsBuilder().mergeFrom(value);
         } else {
-          prompts_ = value;
+          observations_ = value;
         }
       } else {
-        promptsBuilder_.mergeFrom(value);
+        observationsBuilder_.mergeFrom(value);
       }
-      if (prompts_ != null) {
+      if (observations_ != null) {
         bitField0_ |= 0x00000080;
         onChanged();
       }
@@ -1639,71 +1639,71 @@
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
-    public Builder clearPrompts() {
+    public Builder clearObservations() {
       bitField0_ = (bitField0_ & ~0x00000080);
-      prompts_ = null;
-      if (promptsBuilder_ != null) {
-        promptsBuilder_.dispose();
-        promptsBuilder_ = null;
+      observations_ = null;
+      if (observationsBuilder_ != null) {
+        observationsBuilder_.dispose();
+        observationsBuilder_ = null;
       }
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
-    public org.zinniaspan.peer.proto.PromptObservations.Builder getPromptsBuilder() {
+    public org.zinniaspan.peer.proto.Observations.Builder getObservationsBuilder() {
       bitField0_ |= 0x00000080;
       onChanged();
-      return internalGetPromptsFieldBuilder().getBuilder();
+      return internalGetObservationsFieldBuilder().getBuilder();
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
-    public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
-      if (promptsBuilder_ != null) {
-        return promptsBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.ObservationsOrBuilder getObservationsOrBuilder() {
+      if (observationsBuilder_ != null) {
+        return observationsBuilder_.getMessageOrBuilder();
       } else {
-        return prompts_ == null ?
-            org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+        return observations_ == null ?
+            org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
       }
     }
     /**
      * <pre>
-     * What the sender itself observed of prompts since its last query that was answered; all that
-     * it knows if the receiver is new to it.
+     * What the sender itself observed since its last query that was answered; all that it knows if
+     * the receiver is new to it.
      * </pre>
      *
-     * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+     * <code>.zinniaspan.peer.Observations observations = 8;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> 
-        internalGetPromptsFieldBuilder() {
-      if (promptsBuilder_ == null) {
-        promptsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder>(
-                getPrompts(),
+        org.zinniaspan.peer.proto.Observations, org.zinniaspan.peer.proto.Observations.Builder, org.zinniaspan.peer.proto.ObservationsOrBuilder> 
+        internalGetObservationsFieldBuilder() {
+      if (observationsBuilder_ == null) {
+        observationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.Observations, org.zinniaspan.peer.proto.Observations.Builder, org.zinniaspan.peer.proto.ObservationsOrBuilder>(
+                getObservations(),
                 getParentForChildren(),
                 isClean());
-        prompts_ = null;
+        observations_ = null;
       }
-      return promptsBuilder_;
+      return observationsBuilder_;
     }
 
     private long minWaitMs_ ;
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQueryOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQueryOrBuilder.java
@@ -114,52 +114,52 @@
 
   /**
    * <pre>
-   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * Observations that the sender has, as in the last reply; absent if it takes none.
    * </pre>
    *
-   * <code>optional int64 prompt_sequence = 7;</code>
-   * @return Whether the promptSequence field is set.
+   * <code>optional int64 observation_sequence = 7;</code>
+   * @return Whether the observationSequence field is set.
    */
-  boolean hasPromptSequence();
+  boolean hasObservationSequence();
   /**
    * <pre>
-   * Prompt observations that the sender has, as in the last reply; absent if it takes none.
+   * Observations that the sender has, as in the last reply; absent if it takes none.
    * </pre>
    *
-   * <code>optional int64 prompt_sequence = 7;</code>
-   * @return The promptSequence.
+   * <code>optional int64 observation_sequence = 7;</code>
+   * @return The observationSequence.
    */
-  long getPromptSequence();
+  long getObservationSequence();
 
   /**
    * <pre>
-   * What the sender itself observed of prompts since its last query that was answered; all that
-   * it knows if the receiver is new to it.
+   * What the sender itself observed since its last query that was answered; all that it knows if
+   * the receiver is new to it.
    * </pre>
    *
-   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
-   * @return Whether the prompts field is set.
+   * <code>.zinniaspan.peer.Observations observations = 8;</code>
+   * @return Whether the observations field is set.
    */
-  boolean hasPrompts();
+  boolean hasObservations();
   /**
    * <pre>
-   * What the sender itself observed of prompts since its last query that was answered; all that
-   * it knows if the receiver is new to it.
+   * What the sender itself observed since its last query that was answered; all that it knows if
+   * the receiver is new to it.
    * </pre>
    *
-   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
-   * @return The prompts.
+   * <code>.zinniaspan.peer.Observations observations = 8;</code>
+   * @return The observations.
    */
-  org.zinniaspan.peer.proto.PromptObservations getPrompts();
+  org.zinniaspan.peer.proto.Observations getObservations();
   /**
    * <pre>
-   * What the sender itself observed of prompts since its last query that was answered; all that
-   * it knows if the receiver is new to it.
+   * What the sender itself observed since its last query that was answered; all that it knows if
+   * the receiver is new to it.
    * </pre>
    *
-   * <code>.zinniaspan.peer.PromptObservations prompts = 8;</code>
+   * <code>.zinniaspan.peer.Observations observations = 8;</code>
    */
-  org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder();
+  org.zinniaspan.peer.proto.ObservationsOrBuilder getObservationsOrBuilder();
 
   /**
    * <pre>
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
@@ -221,45 +221,45 @@
     return fleetWork_.get(index);
   }
 
-  public static final int PROMPT_SEQUENCE_FIELD_NUMBER = 6;
-  private long promptSequence_ = 0L;
+  public static final int OBSERVATION_SEQUENCE_FIELD_NUMBER = 6;
+  private long observationSequence_ = 0L;
   /**
    * <pre>
-   * Prompt observations of all VMs that are newer than the query's sequence.
+   * Observations of all VMs that are newer than the query's sequence.
    * </pre>
    *
-   * <code>int64 prompt_sequence = 6;</code>
-   * @return The promptSequence.
+   * <code>int64 observation_sequence = 6;</code>
+   * @return The observationSequence.
    */
   @java.lang.Override
-  public long getPromptSequence() {
-    return promptSequence_;
+  public long getObservationSequence() {
+    return observationSequence_;
   }
 
-  public static final int PROMPTS_FIELD_NUMBER = 7;
-  private org.zinniaspan.peer.proto.PromptObservations prompts_;
+  public static final int OBSERVATIONS_FIELD_NUMBER = 7;
+  private org.zinniaspan.peer.proto.Observations observations_;
   /**
-   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
-   * @return Whether the prompts field is set.
+   * <code>.zinniaspan.peer.Observations observations = 7;</code>
+   * @return Whether the observations field is set.
    */
   @java.lang.Override
-  public boolean hasPrompts() {
+  public boolean hasObservations() {
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
-   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
-   * @return The prompts.
+   * <code>.zinniaspan.peer.Observations observations = 7;</code>
+   * @return The observations.
    */
   @java.lang.Override
-  public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
-    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  public org.zinniaspan.peer.proto.Observations getObservations() {
+    return observations_ == null ? org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
   }
   /**
-   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   * <code>.zinniaspan.peer.Observations observations = 7;</code>
    */
   @java.lang.Override
-  public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
-    return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+  public org.zinniaspan.peer.proto.ObservationsOrBuilder getObservationsOrBuilder() {
+    return observations_ == null ? org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
   }
 
   public static final int HELD_MS_FIELD_NUMBER = 8;
@@ -336,11 +336,11 @@
     for (int i = 0; i < fleetWork_.size(); i++) {
       output.writeMessage(5, fleetWork_.get(i));
     }
-    if (promptSequence_ != 0L) {
-      output.writeInt64(6, promptSequence_);
+    if (observationSequence_ != 0L) {
+      output.writeInt64(6, observationSequence_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(7, getPrompts());
+      output.writeMessage(7, getObservations());
     }
     if (heldMs_ != 0L) {
       output.writeInt64(8, heldMs_);
@@ -390,13 +390,13 @@
           }
           size += 1 * count;
         }
-    if (promptSequence_ != 0L) {
+    if (observationSequence_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(6, promptSequence_);
+        .computeInt64Size(6, observationSequence_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(7, getPrompts());
+        .computeMessageSize(7, getObservations());
     }
     if (heldMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
@@ -444,12 +444,12 @@
         .equals(other.getZoneWorkList())) return false;
     if (!getFleetWorkList()
         .equals(other.getFleetWorkList())) return false;
-    if (getPromptSequence()
-        != other.getPromptSequence()) return false;
-    if (hasPrompts() != other.hasPrompts()) return false;
-    if (hasPrompts()) {
-      if (!getPrompts()
-          .equals(other.getPrompts())) return false;
+    if (getObservationSequence()
+        != other.getObservationSequence()) return false;
+    if (hasObservations() != other.hasObservations()) return false;
+    if (hasObservations()) {
+      if (!getObservations()
+          .equals(other.getObservations())) return false;
     }
     if (getHeldMs()
         != other.getHeldMs()) return false;
@@ -486,12 +486,12 @@
       hash = (37 * hash) + FLEET_WORK_FIELD_NUMBER;
       hash = (53 * hash) + getFleetWorkList().hashCode();
     }
-    hash = (37 * hash) + PROMPT_SEQUENCE_FIELD_NUMBER;
+    hash = (37 * hash) + OBSERVATION_SEQUENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getPromptSequence());
-    if (hasPrompts()) {
-      hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
-      hash = (53 * hash) + getPrompts().hashCode();
+        getObservationSequence());
+    if (hasObservations()) {
+      hash = (37 * hash) + OBSERVATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getObservations().hashCode();
     }
     hash = (37 * hash) + HELD_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
@@ -639,7 +639,7 @@
         internalGetLoadsFieldBuilder();
         internalGetZoneWorkFieldBuilder();
         internalGetFleetWorkFieldBuilder();
-        internalGetPromptsFieldBuilder();
+        internalGetObservationsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -669,11 +669,11 @@
         fleetWorkBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
-      promptSequence_ = 0L;
-      prompts_ = null;
-      if (promptsBuilder_ != null) {
-        promptsBuilder_.dispose();
-        promptsBuilder_ = null;
+      observationSequence_ = 0L;
+      observations_ = null;
+      if (observationsBuilder_ != null) {
+        observationsBuilder_.dispose();
+        observationsBuilder_ = null;
       }
       heldMs_ = 0L;
       heedsMinWait_ = false;
@@ -749,13 +749,13 @@
         result.sequence_ = sequence_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.promptSequence_ = promptSequence_;
+        result.observationSequence_ = observationSequence_;
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.prompts_ = promptsBuilder_ == null
-            ? prompts_
-            : promptsBuilder_.build();
+        result.observations_ = observationsBuilder_ == null
+            ? observations_
+            : observationsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
@@ -866,11 +866,11 @@
           }
         }
       }
-      if (other.getPromptSequence() != 0L) {
-        setPromptSequence(other.getPromptSequence());
+      if (other.getObservationSequence() != 0L) {
+        setObservationSequence(other.getObservationSequence());
       }
-      if (other.hasPrompts()) {
-        mergePrompts(other.getPrompts());
+      if (other.hasObservations()) {
+        mergeObservations(other.getObservations());
       }
       if (other.getHeldMs() != 0L) {
         setHeldMs(other.getHeldMs());
@@ -955,13 +955,13 @@
               break;
             } // case 42
             case 48: {
-              promptSequence_ = input.readInt64();
+              observationSequence_ = input.readInt64();
               bitField0_ |= 0x00000020;
               break;
             } // case 48
             case 58: {
               input.readMessage(
-                  internalGetPromptsFieldBuilder().getBuilder(),
+                  internalGetObservationsFieldBuilder().getBuilder(),
                   extensionRegistry);
               bitField0_ |= 0x00000040;
               break;
@@ -1836,167 +1836,167 @@
       return fleetWorkBuilder_;
     }
 
-    private long promptSequence_ ;
+    private long observationSequence_ ;
     /**
      * <pre>
-     * Prompt observations of all VMs that are newer than the query's sequence.
+     * Observations of all VMs that are newer than the query's sequence.
      * </pre>
      *
-     * <code>int64 prompt_sequence = 6;</code>
-     * @return The promptSequence.
+     * <code>int64 observation_sequence = 6;</code>
+     * @return The observationSequence.
      */
     @java.lang.Override
-    public long getPromptSequence() {
-      return promptSequence_;
+    public long getObservationSequence() {
+      return observationSequence_;
     }
     /**
      * <pre>
-     * Prompt observations of all VMs that are newer than the query's sequence.
+     * Observations of all VMs that are newer than the query's sequence.
      * </pre>
      *
-     * <code>int64 prompt_sequence = 6;</code>
-     * @param value The promptSequence to set.
+     * <code>int64 observation_sequence = 6;</code>
+     * @param value The observationSequence to set.
      * @return This builder for chaining.
      */
-    public Builder setPromptSequence(long value) {
+    public Builder setObservationSequence(long value) {
 
-      promptSequence_ = value;
+      observationSequence_ = value;
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Prompt observations of all VMs that are newer than the query's sequence.
+     * Observations of all VMs that are newer than the query's sequence.
      * </pre>
      *
-     * <code>int64 prompt_sequence = 6;</code>
+     * <code>int64 observation_sequence = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPromptSequence() {
+    public Builder clearObservationSequence() {
       bitField0_ = (bitField0_ & ~0x00000020);
-      promptSequence_ = 0L;
+      observationSequence_ = 0L;
       onChanged();
       return this;
     }
 
-    private org.zinniaspan.peer.proto.PromptObservations prompts_;
+    private org.zinniaspan.peer.proto.Observations observations_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> promptsBuilder_;
+        org.zinniaspan.peer.proto.Observations, org.zinniaspan.peer.proto.Observations.Builder, org.zinniaspan.peer.proto.ObservationsOrBuilder> observationsBuilder_;
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
-     * @return Whether the prompts field is set.
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
+     * @return Whether the observations field is set.
      */
-    public boolean hasPrompts() {
+    public boolean hasObservations() {
       return ((bitField0_ & 0x00000040) != 0);
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
-     * @return The prompts.
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
+     * @return The observations.
      */
-    public org.zinniaspan.peer.proto.PromptObservations getPrompts() {
-      if (promptsBuilder_ == null) {
-        return prompts_ == null ? org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+    public org.zinniaspan.peer.proto.Observations getObservations() {
+      if (observationsBuilder_ == null) {
+        return observations_ == null ? org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
       } else {
-        return promptsBuilder_.getMessage();
+        return observationsBuilder_.getMessage();
       }
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
-    public Builder setPrompts(org.zinniaspan.peer.proto.PromptObservations value) {
-      if (promptsBuilder_ == null) {
+    public Builder setObservations(org.zinniaspan.peer.proto.Observations value) {
+      if (observationsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        prompts_ = value;
+        observations_ = value;
       } else {
-        promptsBuilder_.setMessage(value);
+        observationsBuilder_.setMessage(value);
       }
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
-    public Builder setPrompts(
-        org.zinniaspan.peer.proto.PromptObservations.Builder builderForValue) {
-      if (promptsBuilder_ == null) {
-        prompts_ = builderForValue.build();
+    public Builder setObservations(
+        org.zinniaspan.peer.proto.Observations.Builder builderForValue) {
+      if (observationsBuilder_ == null) {
+        observations_ = builderForValue.build();
       } else {
-        promptsBuilder_.setMessage(builderForValue.build());
+        observationsBuilder_.setMessage(builderForValue.build());
       }
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
-    public Builder mergePrompts(org.zinniaspan.peer.proto.PromptObservations value) {
-      if (promptsBuilder_ == null) {
+    public Builder mergeObservations(org.zinniaspan.peer.proto.Observations value) {
+      if (observationsBuilder_ == null) {
         if (((bitField0_ & 0x00000040) != 0) &&
-          prompts_ != null &&
-          prompts_ != org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance()) {
-          getPromptsBuilder().mergeFrom(value);
+          observations_ != null &&
+          observations_ != org.zinniaspan.peer.proto.Observations.getDefaultInstance()) {
+          getObservationsBuilder().mergeFrom(value);
         } else {
-          prompts_ = value;
+          observations_ = value;
         }
       } else {
-        promptsBuilder_.mergeFrom(value);
+        observationsBuilder_.mergeFrom(value);
       }
-      if (prompts_ != null) {
+      if (observations_ != null) {
         bitField0_ |= 0x00000040;
         onChanged();
       }
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
-    public Builder clearPrompts() {
+    public Builder clearObservations() {
       bitField0_ = (bitField0_ & ~0x00000040);
-      prompts_ = null;
-      if (promptsBuilder_ != null) {
-        promptsBuilder_.dispose();
-        promptsBuilder_ = null;
+      observations_ = null;
+      if (observationsBuilder_ != null) {
+        observationsBuilder_.dispose();
+        observationsBuilder_ = null;
       }
       onChanged();
       return this;
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
-    public org.zinniaspan.peer.proto.PromptObservations.Builder getPromptsBuilder() {
+    public org.zinniaspan.peer.proto.Observations.Builder getObservationsBuilder() {
       bitField0_ |= 0x00000040;
       onChanged();
-      return internalGetPromptsFieldBuilder().getBuilder();
+      return internalGetObservationsFieldBuilder().getBuilder();
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
-    public org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder() {
-      if (promptsBuilder_ != null) {
-        return promptsBuilder_.getMessageOrBuilder();
+    public org.zinniaspan.peer.proto.ObservationsOrBuilder getObservationsOrBuilder() {
+      if (observationsBuilder_ != null) {
+        return observationsBuilder_.getMessageOrBuilder();
       } else {
-        return prompts_ == null ?
-            org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance() : prompts_;
+        return observations_ == null ?
+            org.zinniaspan.peer.proto.Observations.getDefaultInstance() : observations_;
       }
     }
     /**
-     * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+     * <code>.zinniaspan.peer.Observations observations = 7;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder> 
-        internalGetPromptsFieldBuilder() {
-      if (promptsBuilder_ == null) {
-        promptsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.zinniaspan.peer.proto.PromptObservations, org.zinniaspan.peer.proto.PromptObservations.Builder, org.zinniaspan.peer.proto.PromptObservationsOrBuilder>(
-                getPrompts(),
+        org.zinniaspan.peer.proto.Observations, org.zinniaspan.peer.proto.Observations.Builder, org.zinniaspan.peer.proto.ObservationsOrBuilder> 
+        internalGetObservationsFieldBuilder() {
+      if (observationsBuilder_ == null) {
+        observationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.Observations, org.zinniaspan.peer.proto.Observations.Builder, org.zinniaspan.peer.proto.ObservationsOrBuilder>(
+                getObservations(),
                 getParentForChildren(),
                 isClean());
-        prompts_ = null;
+        observations_ = null;
       }
-      return promptsBuilder_;
+      return observationsBuilder_;
     }
 
     private long heldMs_ ;
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
@@ -116,28 +116,28 @@
 
   /**
    * <pre>
-   * Prompt observations of all VMs that are newer than the query's sequence.
+   * Observations of all VMs that are newer than the query's sequence.
    * </pre>
    *
-   * <code>int64 prompt_sequence = 6;</code>
-   * @return The promptSequence.
+   * <code>int64 observation_sequence = 6;</code>
+   * @return The observationSequence.
    */
-  long getPromptSequence();
+  long getObservationSequence();
 
   /**
-   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
-   * @return Whether the prompts field is set.
+   * <code>.zinniaspan.peer.Observations observations = 7;</code>
+   * @return Whether the observations field is set.
    */
-  boolean hasPrompts();
+  boolean hasObservations();
   /**
-   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
-   * @return The prompts.
+   * <code>.zinniaspan.peer.Observations observations = 7;</code>
+   * @return The observations.
    */
-  org.zinniaspan.peer.proto.PromptObservations getPrompts();
+  org.zinniaspan.peer.proto.Observations getObservations();
   /**
-   * <code>.zinniaspan.peer.PromptObservations prompts = 7;</code>
+   * <code>.zinniaspan.peer.Observations observations = 7;</code>
    */
-  org.zinniaspan.peer.proto.PromptObservationsOrBuilder getPromptsOrBuilder();
+  org.zinniaspan.peer.proto.ObservationsOrBuilder getObservationsOrBuilder();
 
   /**
    * <pre>
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -72,10 +72,15 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_EngineLoad_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_zinniaspan_peer_PromptObservations_descriptor;
+    internal_static_zinniaspan_peer_Observations_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_zinniaspan_peer_PromptObservations_fieldAccessorTable;
+      internal_static_zinniaspan_peer_Observations_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_RequestLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_RequestLimit_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_zinniaspan_peer_CrashedPrompt_descriptor;
   static final 
@@ -138,44 +143,48 @@
       "Endpoint\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n" +
       "\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 " +
       "\001(\005\022\020\n\010draining\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007" +
-      " \001(\003\022\030\n\020software_version\030\010 \001(\t\"\206\002\n\013Engin" +
+      " \001(\003\022\030\n\020software_version\030\010 \001(\t\"\217\002\n\013Engin" +
       "eQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022" +
       "\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender" +
       "\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.S" +
-      "erviceWork\022\034\n\017prompt_sequence\030\007 \001(\003H\000\210\001\001" +
-      "\0224\n\007prompts\030\010 \001(\0132#.zinniaspan.peer.Prom" +
-      "ptObservations\022\023\n\013min_wait_ms\030\t \001(\003B\022\n\020_" +
-      "prompt_sequence\"@\n\013ServiceWork\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(" +
-      "\001\"\307\002\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequ" +
-      "ence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.p" +
-      "eer.EngineLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinn" +
-      "iaspan.peer.ServiceWork\0220\n\nfleet_work\030\005 " +
-      "\003(\0132\034.zinniaspan.peer.ServiceWork\022\027\n\017pro" +
-      "mpt_sequence\030\006 \001(\003\0224\n\007prompts\030\007 \001(\0132#.zi" +
-      "nniaspan.peer.PromptObservations\022\017\n\007held" +
-      "_ms\030\010 \001(\003\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010sto" +
-      "pping\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 " +
-      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001" +
-      "(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005\"v\n\022Pr" +
-      "omptObservations\022/\n\007crashed\030\001 \003(\0132\036.zinn" +
-      "iaspan.peer.CrashedPrompt\022/\n\010answered\030\002 " +
-      "\003(\0132\035.zinniaspan.peer.AnsweredPart\"j\n\rCr" +
-      "ashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattempt" +
-      "_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begun" +
-      "\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022\014" +
-      "\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamOr" +
-      "iginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n\014rema" +
-      "ining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n\007" +
-      "origins\030\001 \003(\0132\".zinniaspan.peer.StreamOr" +
-      "iginEntry\"\025\n\023StreamOriginReceipt\"K\n\021Stre" +
-      "amOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007ser" +
-      "vice\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021StreamO" +
-      "riginReply\0222\n\006origin\030\001 \001(\0132\".zinniaspan." +
-      "peer.StreamOriginEntry\022\027\n\017recent_version" +
-      "s\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003B\035\n\031org.zinn" +
-      "iaspan.peer.protoP\001b\006proto3"
+      "erviceWork\022!\n\024observation_sequence\030\007 \001(\003" +
+      "H\000\210\001\001\0223\n\014observations\030\010 \001(\0132\035.zinniaspan" +
+      ".peer.Observations\022\023\n\013min_wait_ms\030\t \001(\003B" +
+      "\027\n\025_observation_sequence\"@\n\013ServiceWork\022" +
+      "\017\n\007service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006st" +
+      "rict\030\003 \001(\001\"\313\002\n\013EngineState\022\r\n\005epoch\030\001 \001(" +
+      "\003\022\020\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zin" +
+      "niaspan.peer.EngineLoad\022/\n\tzone_work\030\004 \003" +
+      "(\0132\034.zinniaspan.peer.ServiceWork\0220\n\nflee" +
+      "t_work\030\005 \003(\0132\034.zinniaspan.peer.ServiceWo" +
+      "rk\022\034\n\024observation_sequence\030\006 \001(\003\0223\n\014obse" +
+      "rvations\030\007 \001(\0132\035.zinniaspan.peer.Observa" +
+      "tions\022\017\n\007held_ms\030\010 \001(\003\022\026\n\016heeds_min_wait" +
+      "\030\t \001(\010\022\020\n\010stopping\030\n \001(\010\"e\n\nEngineLoad\022\020" +
+      "\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022" +
+      "\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006activ" +
+      "e\030\005 \001(\005\"\237\001\n\014Observations\022/\n\007crashed\030\001 \003(" +
+      "\0132\036.zinniaspan.peer.CrashedPrompt\022/\n\010ans" +
+      "wered\030\002 \003(\0132\035.zinniaspan.peer.AnsweredPa" +
+      "rt\022-\n\006limits\030\003 \003(\0132\035.zinniaspan.peer.Req" +
+      "uestLimit\"[\n\014RequestLimit\022\020\n\010endpoint\030\001 " +
+      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\nper_second" +
+      "\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"j\n\rCrashedPrompt\022" +
+      "\020\n\010endpoint\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n" +
+      "\005parts\030\003 \003(\t\022\024\n\014answer_begun\030\004 \001(\010\022\016\n\006ag" +
+      "e_ms\030\005 \001(\003\",\n\014AnsweredPart\022\014\n\004part\030\001 \001(\t" +
+      "\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamOriginEntry\022\022\n" +
+      "\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020so" +
+      "ftware_version\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001" +
+      "(\003\"I\n\022StreamOriginUpdate\0223\n\007origins\030\001 \003(" +
+      "\0132\".zinniaspan.peer.StreamOriginEntry\"\025\n" +
+      "\023StreamOriginReceipt\"K\n\021StreamOriginQuer" +
+      "y\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021" +
+      "\n\tzone_wide\030\003 \001(\010\"u\n\021StreamOriginReply\0222" +
+      "\n\006origin\030\001 \001(\0132\".zinniaspan.peer.StreamO" +
+      "riginEntry\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013o" +
+      "bserved_ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer." +
+      "protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -216,7 +225,7 @@
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineQuery_descriptor,
-        new java.lang.String[] { "Epoch", "Sequence", "WaitMs", "Zone", "Sender", "Work", "PromptSequence", "Prompts", "MinWaitMs", });
+        new java.lang.String[] { "Epoch", "Sequence", "WaitMs", "Zone", "Sender", "Work", "ObservationSequence", "Observations", "MinWaitMs", });
     internal_static_zinniaspan_peer_ServiceWork_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_zinniaspan_peer_ServiceWork_fieldAccessorTable = new
@@ -228,57 +237,63 @@
     internal_static_zinniaspan_peer_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineState_descriptor,
-        new java.lang.String[] { "Epoch", "Sequence", "Loads", "ZoneWork", "FleetWork", "PromptSequence", "Prompts", "HeldMs", "HeedsMinWait", "Stopping", });
+        new java.lang.String[] { "Epoch", "Sequence", "Loads", "ZoneWork", "FleetWork", "ObservationSequence", "Observations", "HeldMs", "HeedsMinWait", "Stopping", });
     internal_static_zinniaspan_peer_EngineLoad_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_zinniaspan_peer_EngineLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineLoad_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", "Queued", "Active", });
-    internal_static_zinniaspan_peer_PromptObservations_descriptor =
+    internal_static_zinniaspan_peer_Observations_descriptor =
       getDescriptor().getMessageType(9);
-    internal_static_zinniaspan_peer_PromptObservations_fieldAccessorTable = new
+    internal_static_zinniaspan_peer_Observations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_zinniaspan_peer_PromptObservations_descriptor,
-        new java.lang.String[] { "Crashed", "Answered", });
-    internal_static_zinniaspan_peer_CrashedPrompt_descriptor =
+        internal_static_zinniaspan_peer_Observations_descriptor,
+        new java.lang.String[] { "Crashed", "Answered", "Limits", });
+    internal_static_zinniaspan_peer_RequestLimit_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_zinniaspan_peer_RequestLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_RequestLimit_descriptor,
+        new java.lang.String[] { "Endpoint", "StartedAtMs", "PerSecond", "AgeMs", });
+    internal_static_zinniaspan_peer_CrashedPrompt_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_zinniaspan_peer_CrashedPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CrashedPrompt_descriptor,
         new java.lang.String[] { "Endpoint", "AttemptId", "Parts", "AnswerBegun", "AgeMs", });
     internal_static_zinniaspan_peer_AnsweredPart_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_zinniaspan_peer_AnsweredPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_AnsweredPart_descriptor,
         new java.lang.String[] { "Part", "AgeMs", });
     internal_static_zinniaspan_peer_StreamOriginEntry_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_zinniaspan_peer_StreamOriginEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginEntry_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "SoftwareVersion", "RemainingMs", });
     internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_zinniaspan_peer_StreamOriginUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor,
         new java.lang.String[] { "Origins", });
     internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_zinniaspan_peer_StreamOriginReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor,
         new java.lang.String[] { });
     internal_static_zinniaspan_peer_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_zinniaspan_peer_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginQuery_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "ZoneWide", });
     internal_static_zinniaspan_peer_StreamOriginReply_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReply_descriptor,
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/PromptObservations.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Observations.java
@@ -7,16 +7,16 @@
 
 /**
  * <pre>
- * Prompts that waited for answers when endpoints crashed, and prompt parts that were answered.
+ * What VMs tell each other of endpoints besides load reports.
  * </pre>
  *
- * Protobuf type {@code zinniaspan.peer.PromptObservations}
+ * Protobuf type {@code zinniaspan.peer.Observations}
  */
 @com.google.protobuf.Generated
-public final class PromptObservations extends
+public final class Observations extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:zinniaspan.peer.PromptObservations)
-    PromptObservationsOrBuilder {
+    // @@protoc_insertion_point(message_implements:zinniaspan.peer.Observations)
+    ObservationsOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -25,39 +25,44 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "PromptObservations");
+      "Observations");
   }
-  // Use PromptObservations.newBuilder() to construct.
-  private PromptObservations(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use Observations.newBuilder() to construct.
+  private Observations(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private PromptObservations() {
+  private Observations() {
     crashed_ = java.util.Collections.emptyList();
     answered_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_PromptObservations_descriptor;
+    return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_Observations_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_PromptObservations_descriptor;
+    return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_Observations_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_PromptObservations_fieldAccessorTable
+    return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_Observations_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.zinniaspan.peer.proto.PromptObservations.class, org.zinniaspan.peer.proto.PromptObservations.Builder.class);
+            org.zinniaspan.peer.proto.Observations.class, org.zinniaspan.peer.proto.Observations.Builder.class);
   }
 
   public static final int CRASHED_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.zinniaspan.peer.proto.CrashedPrompt> crashed_;
   /**
+   * <pre>
+   * Prompts that waited for answers when endpoints crashed.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
    */
   @java.lang.Override
@@ -65,6 +70,10 @@
     return crashed_;
   }
   /**
+   * <pre>
+   * Prompts that waited for answers when endpoints crashed.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
    */
   @java.lang.Override
@@ -73,6 +82,10 @@
     return crashed_;
   }
   /**
+   * <pre>
+   * Prompts that waited for answers when endpoints crashed.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
    */
   @java.lang.Override
@@ -80,6 +93,10 @@
     return crashed_.size();
   }
   /**
+   * <pre>
+   * Prompts that waited for answers when endpoints crashed.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
    */
   @java.lang.Override
@@ -87,6 +104,10 @@
     return crashed_.get(index);
   }
   /**
+   * <pre>
+   * Prompts that waited for answers when endpoints crashed.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
    */
   @java.lang.Override
@@ -99,6 +120,10 @@
   @SuppressWarnings("serial")
   private java.util.List<org.zinniaspan.peer.proto.AnsweredPart> answered_;
   /**
+   * <pre>
+   * Prompt parts that were answered.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
    */
   @java.lang.Override
@@ -106,6 +131,10 @@
     return answered_;
   }
   /**
+   * <pre>
+   * Prompt parts that were answered.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
    */
   @java.lang.Override
@@ -114,6 +143,10 @@
     return answered_;
   }
   /**
+   * <pre>
+   * Prompt parts that were answered.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
    */
   @java.lang.Override
@@ -121,6 +154,10 @@
     return answered_.size();
   }
   /**
+   * <pre>
+   * Prompt parts that were answered.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
    */
   @java.lang.Override
@@ -128,6 +165,10 @@
     return answered_.get(index);
   }
   /**
+   * <pre>
+   * Prompt parts that were answered.
+   * </pre>
+   *
    * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
    */
   @java.lang.Override
@@ -136,6 +177,67 @@
     return answered_.get(index);
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.RequestLimit> limits_;
+  /**
+   * <pre>
+   * Request limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.RequestLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Request limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.RequestLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * Request limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * Request limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.RequestLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * Request limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.RequestLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +258,9 @@
     for (int i = 0; i < answered_.size(); i++) {
       output.writeMessage(2, answered_.get(i));
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(3, limits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -178,6 +283,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -197,15 +311,17 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.zinniaspan.peer.proto.PromptObservations)) {
+    if (!(obj instanceof org.zinniaspan.peer.proto.Observations)) {
       return super.equals(obj);
     }
-    org.zinniaspan.peer.proto.PromptObservations other = (org.zinniaspan.peer.proto.PromptObservations) obj;
+    org.zinniaspan.peer.proto.Observations other = (org.zinniaspan.peer.proto.Observations) obj;
 
     if (!getCrashedList()
         .equals(other.getCrashedList())) return false;
     if (!getAnsweredList()
         .equals(other.getAnsweredList())) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -225,49 +341,53 @@
       hash = (37 * hash) + ANSWERED_FIELD_NUMBER;
       hash = (53 * hash) + getAnsweredList().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(byte[] data)
+  public static org.zinniaspan.peer.proto.Observations parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(java.io.InputStream input)
+  public static org.zinniaspan.peer.proto.Observations parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -275,26 +395,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.zinniaspan.peer.proto.PromptObservations parseDelimitedFrom(java.io.InputStream input)
+  public static org.zinniaspan.peer.proto.Observations parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.zinniaspan.peer.proto.PromptObservations parseDelimitedFrom(
+  public static org.zinniaspan.peer.proto.Observations parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.zinniaspan.peer.proto.PromptObservations parseFrom(
+  public static org.zinniaspan.peer.proto.Observations parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -307,7 +427,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.zinniaspan.peer.proto.PromptObservations prototype) {
+  public static Builder newBuilder(org.zinniaspan.peer.proto.Observations prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -324,29 +444,29 @@
   }
   /**
    * <pre>
-   * Prompts that waited for answers when endpoints crashed, and prompt parts that were answered.
+   * What VMs tell each other of endpoints besides load reports.
    * </pre>
    *
-   * Protobuf type {@code zinniaspan.peer.PromptObservations}
+   * Protobuf type {@code zinniaspan.peer.Observations}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:zinniaspan.peer.PromptObservations)
-      org.zinniaspan.peer.proto.PromptObservationsOrBuilder {
+      // @@protoc_insertion_point(builder_implements:zinniaspan.peer.Observations)
+      org.zinniaspan.peer.proto.ObservationsOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_PromptObservations_descriptor;
+      return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_Observations_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_PromptObservations_fieldAccessorTable
+      return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_Observations_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.zinniaspan.peer.proto.PromptObservations.class, org.zinniaspan.peer.proto.PromptObservations.Builder.class);
+              org.zinniaspan.peer.proto.Observations.class, org.zinniaspan.peer.proto.Observations.Builder.class);
     }
 
-    // Construct using org.zinniaspan.peer.proto.PromptObservations.newBuilder()
+    // Construct using org.zinniaspan.peer.proto.Observations.newBuilder()
     private Builder() {
 
     }
@@ -374,23 +494,30 @@
         answeredBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_PromptObservations_descriptor;
+      return org.zinniaspan.peer.proto.Fleet.internal_static_zinniaspan_peer_Observations_descriptor;
     }
 
     @java.lang.Override
-    public org.zinniaspan.peer.proto.PromptObservations getDefaultInstanceForType() {
-      return org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance();
+    public org.zinniaspan.peer.proto.Observations getDefaultInstanceForType() {
+      return org.zinniaspan.peer.proto.Observations.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.zinniaspan.peer.proto.PromptObservations build() {
-      org.zinniaspan.peer.proto.PromptObservations result = buildPartial();
+    public org.zinniaspan.peer.proto.Observations build() {
+      org.zinniaspan.peer.proto.Observations result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -398,15 +525,15 @@
     }
 
     @java.lang.Override
-    public org.zinniaspan.peer.proto.PromptObservations buildPartial() {
-      org.zinniaspan.peer.proto.PromptObservations result = new org.zinniaspan.peer.proto.PromptObservations(this);
+    public org.zinniaspan.peer.proto.Observations buildPartial() {
+      org.zinniaspan.peer.proto.Observations result = new org.zinniaspan.peer.proto.Observations(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.zinniaspan.peer.proto.PromptObservations result) {
+    private void buildPartialRepeatedFields(org.zinniaspan.peer.proto.Observations result) {
       if (crashedBuilder_ == null) {
         if (((bitField0_ & 0x00000001) != 0)) {
           crashed_ = java.util.Collections.unmodifiableList(crashed_);
@@ -425,24 +552,33 @@
       } else {
         result.answered_ = answeredBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
-    private void buildPartial0(org.zinniaspan.peer.proto.PromptObservations result) {
+    private void buildPartial0(org.zinniaspan.peer.proto.Observations result) {
       int from_bitField0_ = bitField0_;
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.zinniaspan.peer.proto.PromptObservations) {
-        return mergeFrom((org.zinniaspan.peer.proto.PromptObservations)other);
+      if (other instanceof org.zinniaspan.peer.proto.Observations) {
+        return mergeFrom((org.zinniaspan.peer.proto.Observations)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.zinniaspan.peer.proto.PromptObservations other) {
-      if (other == org.zinniaspan.peer.proto.PromptObservations.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.zinniaspan.peer.proto.Observations other) {
+      if (other == org.zinniaspan.peer.proto.Observations.getDefaultInstance()) return this;
       if (crashedBuilder_ == null) {
         if (!other.crashed_.isEmpty()) {
           if (crashed_.isEmpty()) {
@@ -495,6 +631,32 @@
           }
         }
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -545,6 +707,19 @@
               }
               break;
             } // case 18
+            case 26: {
+              org.zinniaspan.peer.proto.RequestLimit m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.RequestLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -575,6 +750,10 @@
         org.zinniaspan.peer.proto.CrashedPrompt, org.zinniaspan.peer.proto.CrashedPrompt.Builder, org.zinniaspan.peer.proto.CrashedPromptOrBuilder> crashedBuilder_;
 
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.CrashedPrompt> getCrashedList() {
@@ -585,6 +764,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public int getCrashedCount() {
@@ -595,6 +778,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public org.zinniaspan.peer.proto.CrashedPrompt getCrashed(int index) {
@@ -605,6 +792,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder setCrashed(
@@ -620,6 +811,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder setCrashed(
@@ -634,6 +829,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder addCrashed(org.zinniaspan.peer.proto.CrashedPrompt value) {
@@ -648,6 +847,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder addCrashed(
@@ -663,6 +866,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder addCrashed(
@@ -677,6 +884,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder addCrashed(
@@ -691,6 +902,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder addAllCrashed(
@@ -706,6 +921,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder clearCrashed() {
@@ -719,6 +938,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public Builder removeCrashed(int index) {
@@ -732,6 +955,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public org.zinniaspan.peer.proto.CrashedPrompt.Builder getCrashedBuilder(
@@ -739,6 +966,10 @@
       return internalGetCrashedFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public org.zinniaspan.peer.proto.CrashedPromptOrBuilder getCrashedOrBuilder(
@@ -749,6 +980,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public java.util.List<? extends org.zinniaspan.peer.proto.CrashedPromptOrBuilder> 
@@ -760,6 +995,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public org.zinniaspan.peer.proto.CrashedPrompt.Builder addCrashedBuilder() {
@@ -767,6 +1006,10 @@
           org.zinniaspan.peer.proto.CrashedPrompt.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public org.zinniaspan.peer.proto.CrashedPrompt.Builder addCrashedBuilder(
@@ -775,6 +1018,10 @@
           index, org.zinniaspan.peer.proto.CrashedPrompt.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Prompts that waited for answers when endpoints crashed.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.CrashedPrompt crashed = 1;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.CrashedPrompt.Builder> 
@@ -809,6 +1056,10 @@
         org.zinniaspan.peer.proto.AnsweredPart, org.zinniaspan.peer.proto.AnsweredPart.Builder, org.zinniaspan.peer.proto.AnsweredPartOrBuilder> answeredBuilder_;
 
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.AnsweredPart> getAnsweredList() {
@@ -819,6 +1070,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public int getAnsweredCount() {
@@ -829,6 +1084,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public org.zinniaspan.peer.proto.AnsweredPart getAnswered(int index) {
@@ -839,6 +1098,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder setAnswered(
@@ -854,6 +1117,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder setAnswered(
@@ -868,6 +1135,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder addAnswered(org.zinniaspan.peer.proto.AnsweredPart value) {
@@ -882,6 +1153,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder addAnswered(
@@ -897,6 +1172,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder addAnswered(
@@ -911,6 +1190,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder addAnswered(
@@ -925,6 +1208,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder addAllAnswered(
@@ -940,6 +1227,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder clearAnswered() {
@@ -953,6 +1244,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public Builder removeAnswered(int index) {
@@ -966,6 +1261,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public org.zinniaspan.peer.proto.AnsweredPart.Builder getAnsweredBuilder(
@@ -973,6 +1272,10 @@
       return internalGetAnsweredFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public org.zinniaspan.peer.proto.AnsweredPartOrBuilder getAnsweredOrBuilder(
@@ -983,6 +1286,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public java.util.List<? extends org.zinniaspan.peer.proto.AnsweredPartOrBuilder> 
@@ -994,6 +1301,10 @@
       }
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public org.zinniaspan.peer.proto.AnsweredPart.Builder addAnsweredBuilder() {
@@ -1001,6 +1312,10 @@
           org.zinniaspan.peer.proto.AnsweredPart.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public org.zinniaspan.peer.proto.AnsweredPart.Builder addAnsweredBuilder(
@@ -1009,6 +1324,10 @@
           index, org.zinniaspan.peer.proto.AnsweredPart.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Prompt parts that were answered.
+     * </pre>
+     *
      * <code>repeated .zinniaspan.peer.AnsweredPart answered = 2;</code>
      */
     public java.util.List<org.zinniaspan.peer.proto.AnsweredPart.Builder> 
@@ -1030,23 +1349,329 @@
       return answeredBuilder_;
     }
 
-    // @@protoc_insertion_point(builder_scope:zinniaspan.peer.PromptObservations)
+    private java.util.List<org.zinniaspan.peer.proto.RequestLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        limits_ = new java.util.ArrayList<org.zinniaspan.peer.proto.RequestLimit>(limits_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.RequestLimit, org.zinniaspan.peer.proto.RequestLimit.Builder, org.zinniaspan.peer.proto.RequestLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.RequestLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public org.zinniaspan.peer.proto.RequestLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder setLimits(
+        int index, org.zinniaspan.peer.proto.RequestLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder setLimits(
+        int index, org.zinniaspan.peer.proto.RequestLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder addLimits(org.zinniaspan.peer.proto.RequestLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder addLimits(
+        int index, org.zinniaspan.peer.proto.RequestLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder addLimits(
+        org.zinniaspan.peer.proto.RequestLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder addLimits(
+        int index, org.zinniaspan.peer.proto.RequestLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.RequestLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public org.zinniaspan.peer.proto.RequestLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public org.zinniaspan.peer.proto.RequestLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.RequestLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public org.zinniaspan.peer.proto.RequestLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.RequestLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public org.zinniaspan.peer.proto.RequestLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.RequestLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Request limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RequestLimit limits = 3;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.RequestLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.RequestLimit, org.zinniaspan.peer.proto.RequestLimit.Builder, org.zinniaspan.peer.proto.RequestLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.RequestLimit, org.zinniaspan.peer.proto.RequestLimit.Builder, org.zinniaspan.peer.proto.RequestLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
+    // @@protoc_insertion_point(builder_scope:zinniaspan.peer.Observations)
   }
 
-  // @@protoc_insertion_point(class_scope:zinniaspan.peer.PromptObservations)
-  private static final org.zinniaspan.peer.proto.PromptObservations DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:zinniaspan.peer.Observations)
+  private static final org.zinniaspan.peer.proto.Observations DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.zinniaspan.peer.proto.PromptObservations();
+    DEFAULT_INSTANCE = new org.zinniaspan.peer.proto.Observations();
   }
 
-  public static org.zinniaspan.peer.proto.PromptObservations getDefaultInstance() {
+  public static org.zinniaspan.peer.proto.Observations getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<PromptObservations>
-      PARSER = new com.google.protobuf.AbstractParser<PromptObservations>() {
+  private static final com.google.protobuf.Parser<Observations>
+      PARSER = new com.google.protobuf.AbstractParser<Observations>() {
     @java.lang.Override
-    public PromptObservations parsePartialFrom(
+    public Observations parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1065,17 +1690,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<PromptObservations> parser() {
+  public static com.google.protobuf.Parser<Observations> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<PromptObservations> getParserForType() {
+  public com.google.protobuf.Parser<Observations> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.zinniaspan.peer.proto.PromptObservations getDefaultInstanceForType() {
+  public org.zinniaspan.peer.proto.Observations getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -72,5 +72,11 @@
    */
   static final String SERVER_BRITTLE = "Server-Brittle";
 
+  /**
+   * Requests a second that an endpoint takes from all VMs together, as a decimal number; present
+   * for as long as it states such a limit.
+   */
+  static final String SERVER_LIMIT = "Server-Limit";
+
   private HeaderNames() {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -143,7 +143,8 @@
         head.containsHeader(HeaderNames.SERVER_LEAVING),
         headerValue(head, HeaderNames.SERVER_BRITTLE)
             .flatMap(HttpDialect::wholeNumber)
-            .map(Long::intValue));
+            .map(Long::intValue),
+        headerValue(head, HeaderNames.SERVER_LIMIT).flatMap(HttpDialect::decimalNumber));
   }
 
   @Override
@@ -221,8 +222,12 @@
   }
 
   private static Optional<Long> secondsInMs(String text) {
+    return decimalNumber(text).map(seconds -> Math.round(seconds * MS_PER_SECOND));
+  }
+
+  private static Optional<Double> decimalNumber(String text) {
     return text.matches("[0-9]{1,6}([.][0-9]{1,6})?")
-        ? Optional.of(Math.round(Double.parseDouble(text) * MS_PER_SECOND))
+        ? Optional.of(Double.parseDouble(text))
         : Optional.empty();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -74,6 +74,8 @@
    * @param draining whether the endpoint states that it is about to shut down
    * @param rejectionsPerSecond number of rejections in a second beyond which the endpoint fails, if
    *     it states such a limit
+   * @param requestsPerSecond requests a second that the endpoint takes from all VMs together, if it
+   *     states such a limit
    */
   record ResponseFacts(
       Optional<String> attemptId,
@@ -82,5 +84,6 @@
       boolean encoded,
       Optional<Long> retryAfterMs,
       boolean draining,
-      Optional<Integer> rejectionsPerSecond) {}
+      Optional<Integer> rejectionsPerSecond,
+      Optional<Double> requestsPerSecond) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -72,6 +72,7 @@
     endpoint.onSent(selection.uncachedTokens(), now);
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
     reachability().onSent();
+    proxiedRequest.context().limits().onSent(endpoint.listed());
     connection.whenOpened(() -> reachability().onConnected(endpoint.listed().id()));
     connection.send(request, body, this);
   }
@@ -241,6 +242,7 @@
       proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
     }
     proxiedRequest.context().backoff().onResponse(endpoint.listed(), facts.rejectionsPerSecond());
+    proxiedRequest.context().limits().onResponse(endpoint.listed(), facts.requestsPerSecond());
   }
 
   private void recordRejection() {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Function;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.fleet.CatalogService;
 import org.zinniaspan.fleet.CatalogSharing;
+import org.zinniaspan.fleet.EndpointObservations;
 import org.zinniaspan.fleet.EngineBoard;
 import org.zinniaspan.fleet.EngineSharing;
 import org.zinniaspan.fleet.FleetMembership;
@@ -14,7 +16,6 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.PlatformBounds;
-import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.transport.BufferingHttpClient;
@@ -28,6 +29,7 @@
   private final CatalogService catalogService;
   private final EngineSharing engineSharing;
   private final EngineBoard engineBoard;
+  private final EndpointObservations endpoints;
   private final StreamOriginComponents origins;
 
   /**
@@ -35,19 +37,20 @@
    *
    * @param address peer address of this VM, as host:port
    * @param zone its availability zone
+   * @param zones all availability zones
    * @param seeds peer addresses of a few VMs
    * @param httpClientFactory creates the HTTP client for an address
    */
   FleetComponents(
       String address,
       String zone,
+      Set<String> zones,
       List<String> seeds,
       Function<String, BufferingHttpClient> httpClientFactory,
       CatalogFollower follower,
       TableFreshness freshness,
       EndpointDirectory directory,
       StreamWork work,
-      PromptQuarantine quarantine,
       PlatformBounds bounds,
       Clock clock,
       Random random) {
@@ -56,7 +59,8 @@
     members = new FleetMembership(address, zone, seeds, peers, clock, random);
     catalogService = new CatalogService(follower, freshness, directory, clock, epoch);
     catalogSharing = new CatalogSharing(follower, freshness, bounds, members, peers, clock);
-    engineBoard = new EngineBoard(directory, work, quarantine, clock, epoch);
+    endpoints = EndpointObservations.create(members, zones, clock, System::currentTimeMillis);
+    engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins =
         StreamOriginComponents.create(members, directory, peers, clock, System::currentTimeMillis);
@@ -72,6 +76,11 @@
     return origins;
   }
 
+  /** Returns what the VMs tell each other of endpoints besides load reports. */
+  EndpointObservations endpoints() {
+    return endpoints;
+  }
+
   FleetMembership members() {
     return members;
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -20,7 +20,6 @@
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
-import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.StreamWork;
@@ -76,18 +75,17 @@
             random);
     EngineSpeeds speeds = new EngineSpeeds();
     StreamWork work = new StreamWork(clock);
-    PromptQuarantine quarantine = new PromptQuarantine(clock);
     fleet =
         new FleetComponents(
             options.peerListen().map(Addresses::format).orElse(LONE_VM),
             options.zoneCosts().zone(),
+            options.zoneCosts().regions().keySet(),
             options.seeds(),
             address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)),
             follower,
             tableFreshness,
             directory,
             work,
-            quarantine,
             options.bounds(),
             clock,
             random);
@@ -104,8 +102,9 @@
             new AdmissionControl(clock, random),
             fleet.origins(),
             new EndpointBackoff(clock, random, fleet.members()::estimatedCount),
+            fleet.endpoints().limits(),
             new EndpointReachability(clock, random, directory::size),
-            quarantine,
+            fleet.endpoints().quarantine(),
             new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
             new EndpointConnectionPool(reactor, clock),
             options.bounds(),
@@ -226,6 +225,10 @@
         "zinniaspan_prompt_quarantines",
         "Combinations of prompt parts that are not sent, as such prompts crashed endpoints.",
         () -> context.quarantine().size());
+    metrics.registerGauge(
+        "zinniaspan_limited_endpoints",
+        "Endpoints that state how many requests a second they take.",
+        () -> context.limits().size());
     metrics.registerGauge(
         "zinniaspan_ready", "1 if this VM takes requests.", () -> isReady() ? 1 : 0);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -1,6 +1,7 @@
 package org.zinniaspan.proxy;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -113,7 +114,7 @@
   public void tick() {
     long now = clock.nowMs();
     probeEndpoints();
-    for (Map.Entry<InboundConnection, ProxiedRequest> entry : List.copyOf(requests.entrySet())) {
+    for (Map.Entry<InboundConnection, ProxiedRequest> entry : inOrderOfUrgency()) {
       entry.getValue().tick(now);
       removeIfFinished(entry.getKey(), entry.getValue());
     }
@@ -127,6 +128,20 @@
     }
   }
 
+  /** Returns all requests; if some wait for room, the most urgent ones first. */
+  private List<Map.Entry<InboundConnection, ProxiedRequest>> inOrderOfUrgency() {
+    List<Map.Entry<InboundConnection, ProxiedRequest>> entries =
+        new ArrayList<>(requests.entrySet());
+    if (requests.values().stream().anyMatch(ProxiedRequest::isAwaitingRoom)) {
+      entries.sort(
+          Comparator.comparing(
+              Map.Entry::getValue,
+              Comparator.comparingInt(ProxiedRequest::rank)
+                  .thenComparingLong(ProxiedRequest::arrivalMs)));
+    }
+    return entries;
+  }
+
   private void probeEndpoints() {
     EndpointReachability reachability = context.reachability();
     for (ListedEndpoint endpoint : reachability.nextProbes(context.directory()::entries)) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -145,6 +145,18 @@
     return routed.orElseThrow().service();
   }
 
+  /** Returns whether the request waits until an endpoint takes it. */
+  boolean isAwaitingRoom() {
+    return !finished && sender.isAwaitingRoom();
+  }
+
+  /**
+   * Returns the rank of the request at endpoints, 0 for the most urgent; the last before routing.
+   */
+  int rank() {
+    return routed.map(RouteDecision.Routed::rank).orElse(Integer.MAX_VALUE);
+  }
+
   /** Returns the longest pause between two events of the stream so far, in milliseconds. */
   long longestPauseMs() {
     return delivery.longestPauseMs();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -93,6 +93,11 @@
     return mayHaveRun || (attempt != null && attempt.mayHaveRun());
   }
 
+  /** Returns whether the request waits until an endpoint takes it. */
+  boolean isAwaitingRoom() {
+    return awaitingRoom;
+  }
+
   /** Returns the software version of the endpoint that responds. */
   String softwareVersion() {
     return attempt.softwareVersion();
@@ -130,7 +135,7 @@
       return;
     }
     SendDecision decision =
-        SendDecision.of(candidates(), context.backoff(), context.reachability());
+        SendDecision.of(candidates(), context.backoff(), context.limits(), context.reachability());
     if (decision instanceof SendDecision.ToEndpoint endpoints) {
       sendToEndpoint(endpoints.candidates());
     } else if (decision instanceof SendDecision.Paused paused) {
@@ -175,8 +180,8 @@
   }
 
   /**
-   * Waits for room at endpoints with a rejection limit, up to the latency target; otherwise refuses
-   * the request until the first endpoint takes requests again, if it has not run.
+   * Waits for room at endpoints with a limit, up to the latency target; otherwise refuses the
+   * request until the first endpoint takes requests again, if it has not run.
    */
   private void awaitRoom(SendDecision.Paused paused) {
     long waitedMs = context.clock().nowMs() - request.arrivalMs();
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -150,6 +150,7 @@
     final CatalogSharing sharing;
     final CatalogService service;
     final StreamWork work;
+    final EndpointObservations endpoints;
     final PromptQuarantine quarantine;
     final EngineBoard board;
     final EngineSharing engines;
@@ -178,9 +179,12 @@
       sharing = new CatalogSharing(follower, freshness, bounds, members, this, this::steadyMs);
       long epoch = own.nextLong();
       work = new StreamWork(this::steadyMs);
-      quarantine = new PromptQuarantine(this::steadyMs);
+      endpoints =
+          EndpointObservations.create(
+              members, List.of("zone-0", "zone-1", "zone-2"), this::steadyMs, this::timeOfDayMs);
+      quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
-      board = new EngineBoard(directory, work, quarantine, this::steadyMs, epoch);
+      board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
       engines = new EngineSharing(directory, board, members, this, this::steadyMs);
       poller =
           new ReportPoller(
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/PromptSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/PromptSharingTest.java
@@ -246,6 +246,6 @@
     start(9);
     fleet.vms.values().forEach(vm -> vm.quarantine.onAnswered(prompt("site", "subject", "own")));
     fleet.advance(5_000);
-    fleet.vms.values().forEach(vm -> assertThat(vm.quarantine.sequence()).isEqualTo(0));
+    fleet.vms.values().forEach(vm -> assertThat(vm.endpoints.exchange().sequence()).isEqualTo(0));
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointBackoffTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointBackoffTest.java
@@ -32,7 +32,7 @@
     void pausesTheEndpointForItsTime() {
       backoff.onRejected(endpoint.listed(), 0, Optional.of(1_500L));
       assertThat(backoff.admits(endpoint)).isFalse();
-      assertThat(backoff.remainingMs(List.of(endpoint))).isEqualTo(1_500);
+      assertThat(backoff.remainingMs(endpoint.listed())).isEqualTo(1_500);
       nowMs += 1_500;
       assertThat(backoff.admits(endpoint)).isTrue();
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
@@ -12,7 +12,8 @@
 class PromptQuarantineTest {
 
   private long nowMs = 10_000_000;
-  private final PromptQuarantine quarantine = new PromptQuarantine(() -> nowMs);
+  private final ChangeSequence sequence = new ChangeSequence();
+  private final PromptQuarantine quarantine = new PromptQuarantine(() -> nowMs, sequence);
   private int attempts;
 
   private static Prompt prompt(String... parts) {
@@ -233,19 +234,19 @@
   @Nested
   class Exchange {
 
-    private final PromptQuarantine other = new PromptQuarantine(() -> nowMs);
+    private final PromptQuarantine other = new PromptQuarantine(() -> nowMs, new ChangeSequence());
 
     @Test
     void bringsVmsToTheSameDecisionInAnyOrder() {
       Random random = new Random(7);
       List<PromptQuarantine.Changes> changes = new ArrayList<>();
-      long sequence = 0;
+      long known = 0;
       for (int i = 0; i < 6; i++) {
         crash("e" + i, random.nextBoolean(), "site", "s" + i % 2, "dead", "own" + i);
         nowMs += 1_000;
         quarantine.onAnswered(prompt("site", "s" + random.nextInt(2), "own-" + i));
-        changes.add(quarantine.changesSince(sequence, true));
-        sequence = quarantine.sequence();
+        changes.add(quarantine.changesSince(known, true));
+        known = sequence.last();
         nowMs += 1_000;
       }
       java.util.Collections.shuffle(changes, random);
@@ -263,7 +264,7 @@
       for (int i = 0; i < 100; i++) {
         quarantine.onAnswered(prompt("site", "s" + i));
       }
-      assertThat(quarantine.sequence()).isEqualTo(0);
+      assertThat(sequence.last()).isEqualTo(0);
       assertThat(quarantine.changesSince(0, false).isEmpty()).isTrue();
     }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
@@ -12,6 +12,9 @@
   private final TrackedEndpoint first = tracked("e1");
   private final TrackedEndpoint second = tracked("e2");
   private final EndpointBackoff backoff = new EndpointBackoff(() -> 1_000, new Random(1), () -> 3);
+  private final RequestLimits limits =
+      new RequestLimits(
+          () -> 1_000, () -> 1_000_100, new ChangeSequence(), () -> new PermitShare(0, 1, 0, 1));
   private final EndpointReachability reachability =
       new EndpointReachability(() -> 1_000, new Random(1), () -> 9);
 
@@ -21,7 +24,7 @@
   }
 
   private SendDecision decide() {
-    return SendDecision.of(List.of(first, second), backoff, reachability);
+    return SendDecision.of(List.of(first, second), backoff, limits, reachability);
   }
 
   @Test
@@ -47,9 +50,23 @@
     assertThat(decide()).isEqualTo(new SendDecision.Paused(500, false));
   }
 
+  @Test
+  void waitsForTheNextSlotOfEndpointsWithRequestLimit() {
+    for (TrackedEndpoint endpoint : List.of(first, second)) {
+      limits.onResponse(endpoint.listed(), Optional.of(0.5));
+    }
+    limits.onSent(first.listed());
+    assertThat(decide()).isEqualTo(new SendDecision.ToEndpoint(List.of(second)));
+    limits.onSent(second.listed());
+    SendDecision.Paused paused = (SendDecision.Paused) decide();
+    assertThat(paused.limited()).isTrue();
+    assertThat(paused.remainingMs()).isGreaterThan(0);
+    assertThat(paused.remainingMs()).isAtMost(2_000);
+  }
+
   @Test
   void findsNoEndpointIfThereIsNone() {
-    assertThat(SendDecision.of(List.of(), backoff, reachability))
+    assertThat(SendDecision.of(List.of(), backoff, limits, reachability))
         .isEqualTo(new SendDecision.ToEndpoint(List.of()));
   }
 }
