Treat streams that end inside an event as broken off

Clients got streams that ended as complete in the middle of an event, and empty ones, when an endpoint without length or chunks closed its connection in an orderly way, or ended its chunks there.

Cause: the end of the framing was taken for the end of the stream, and the bytes after the last event were passed on. Such a stream now goes on at another endpoint, or is cut where it may not. A stream without framing that has no event has not begun.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
@@ -202,6 +203,11 @@
 
   @Override
   public void onEnd() {
+    if (verdict == Verdict.STREAM && endsTooEarly()) {
+      connection.close();
+      onConnectionLost(true, Optional.empty());
+      return;
+    }
     finish();
     proxiedRequest.context().connections().release(endpoint.listed(), connection);
     long now = proxiedRequest.context().clock().nowMs();
@@ -214,7 +220,7 @@
         if (!proxiedRequest.toleratesPauses()) {
           endpoint.onPause(proxiedRequest.longestPauseMs(), now);
         }
-        proxiedRequest.onStreamEnd(head, events.incompleteEvent());
+        proxiedRequest.onStreamEnd(head);
       }
       case WHOLE -> onWholeResponse(now);
       case NOT_RUN -> {
@@ -236,6 +242,17 @@
     }
   }
 
+  /**
+   * Returns whether a stream was broken off although its framing is complete: inside an event, or,
+   * if the end of the connection is its end, before the first one.
+   */
+  private boolean endsTooEarly() {
+    boolean framed =
+        head.containsHeader(HttpHeaders.CONTENT_LENGTH)
+            || head.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+    return events.hasIncompleteEvent() || (!framed && !promptDone);
+  }
+
   /** Records what an endpoint states of itself in each response. */
   private void recordStatements(Dialect.ResponseFacts facts) {
     if (facts.draining()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EventForwarder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EventForwarder.java
@@ -33,8 +33,8 @@
     return !events.isEmpty();
   }
 
-  /** Returns the bytes after the last complete event. */
-  byte[] incompleteEvent() {
-    return splitter.incompleteEvent();
+  /** Returns whether bytes follow the last complete event. */
+  boolean hasIncompleteEvent() {
+    return splitter.incompleteBytes() > 0;
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -384,12 +384,12 @@
     client.flushResponse();
   }
 
-  /** Passes the rest of a stream on and ends the response. */
-  void onStreamEnd(HttpResponse response, byte[] incompleteEvent) {
+  /** Ends the response after the last event of a stream. */
+  void onStreamEnd(HttpResponse response) {
     sender.onResponded();
     delivery.start(response);
     finish("streamed", response.getCode());
-    delivery.end(incompleteEvent);
+    delivery.end();
   }
 
   /** Fails the request as this VM cannot send it on, though another one may. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -109,10 +109,16 @@
 
   @Override
   public void onEnd() {
+    if (verdict == Verdict.STREAM && events.hasIncompleteEvent()) {
+      // A VM of an earlier release ends a stream that its endpoint broke off.
+      connection.close();
+      onConnectionLost(true, Optional.empty());
+      return;
+    }
     ended = true;
     proxiedRequest.context().connections().release(vm, connection);
     switch (verdict) {
-      case STREAM -> proxiedRequest.onStreamEnd(head, events.incompleteEvent());
+      case STREAM -> proxiedRequest.onStreamEnd(head);
       case WHOLE -> {
         if (!sender.tryRetryAfterError(head.getCode())) {
           proxiedRequest.onWholeResponse(head, content.toByteArray());
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/SseSplitter.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/SseSplitter.java
@@ -41,9 +41,9 @@
     return events;
   }
 
-  /** Returns the bytes received after the last complete event. */
-  byte[] incompleteEvent() {
-    return incompleteEvent.toByteArray();
+  /** Returns the number of bytes received after the last complete event. */
+  int incompleteBytes() {
+    return incompleteEvent.size();
   }
 
   private static Optional<String> eventId(byte[] bytes) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
@@ -76,9 +76,8 @@
     client.writeBody(ByteBuffer.wrap(event.bytes()));
   }
 
-  /** Ends the response after the bytes that follow the last complete event. */
-  void end(byte[] rest) {
-    client.writeBody(ByteBuffer.wrap(rest));
+  /** Ends the response. */
+  void end() {
     client.finishResponse();
   }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/proxy/SseSplitterTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/proxy/SseSplitterTest.java
@@ -35,8 +35,11 @@
   @Test
   void keepsIncompleteEvent() {
     assertThat(add("id: 1\nda")).isEmpty();
-    assertThat(new String(splitter.incompleteEvent(), StandardCharsets.US_ASCII))
-        .isEqualTo("id: 1\nda");
+    assertThat(splitter.incompleteBytes()).isEqualTo("id: 1\nda".length());
+    List<SseSplitter.Event> events = add("ta: a\n\n");
+    assertThat(new String(events.get(0).bytes(), StandardCharsets.US_ASCII))
+        .isEqualTo("id: 1\ndata: a\n\n");
+    assertThat(splitter.incompleteBytes()).isEqualTo(0);
   }
 
   @Test
