Bound the bytes that endpoints may send without end

An endpoint that sent bytes without end filled the memory of the VM, whose process ended (the test's process did), or held a safe request until its timeout.

Cause: bodies were buffered without a limit: answers, events, the trailers of chunks, responses to other requests, and those of the store, of reports and of VMs. Heads had limits, but reading paused at the same size at which a line was too long, so that an endless line was never found, and informational responses were not counted.

Now a buffered body ends at 4 MiB and an event at 1 MiB; a longer one counts as broken.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -1,6 +1,6 @@
 package org.zinniaspan.proxy;
 
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +17,7 @@
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.OutboundConnection;
+import org.zinniaspan.transport.ResponseBody;
 import org.zinniaspan.transport.ResponseHandler;
 
 /** One send of a request to one endpoint: reads the response and classifies it. */
@@ -44,7 +45,7 @@
   private final TrackedEndpoint endpoint;
   private final String softwareVersion;
   private final long sentMs;
-  private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+  private final ResponseBody content = new ResponseBody();
   private final EventForwarder events;
   private HttpResponse head;
   private Verdict verdict = Verdict.UNUSABLE;
@@ -164,11 +165,20 @@
       if (events.add(head, part)) {
         onEvents();
       }
-    } else {
-      content.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+      if (!ended && events.isTooLong()) {
+        abandon();
+      }
+    } else if (!content.add(part)) {
+      abandon();
     }
   }
 
+  /** Ends the connection to an endpoint that sends bytes without end. */
+  private void abandon() {
+    connection.reset();
+    onConnectionLost(true, Optional.of(new IOException("the answer is too long")));
+  }
+
   private void onEvents() {
     if (promptDone) {
       recordAnswered();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EventForwarder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EventForwarder.java
@@ -10,6 +10,9 @@
  */
 final class EventForwarder {
 
+  /** Largest event that is passed on, in bytes. */
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
   private final ProxiedRequest request;
   private final SseSplitter splitter = new SseSplitter();
 
@@ -33,6 +36,11 @@
     return !events.isEmpty();
   }
 
+  /** Returns whether the bytes after the last complete event are more than any event has. */
+  boolean isTooLong() {
+    return splitter.incompleteBytes() > MAX_EVENT_BYTES;
+  }
+
   /** Returns whether bytes follow the last complete event. */
   boolean hasIncompleteEvent() {
     return splitter.incompleteBytes() > 0;
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -1,6 +1,6 @@
 package org.zinniaspan.proxy;
 
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.apache.hc.core5.http.HttpRequest;
@@ -9,6 +9,7 @@
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.OutboundConnection;
+import org.zinniaspan.transport.ResponseBody;
 import org.zinniaspan.transport.ResponseHandler;
 
 /** One send of a request through another VM, which chooses the endpoint. */
@@ -35,7 +36,7 @@
   private final ProxiedRequest proxiedRequest;
   private final String vm;
   private final OutboundConnection connection;
-  private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+  private final ResponseBody content = new ResponseBody();
   private final EventForwarder events;
   private HttpResponse head;
   private Verdict verdict = Verdict.FAILED;
@@ -100,11 +101,17 @@
 
   @Override
   public void onBody(ByteBuffer part) {
-    if (verdict != Verdict.STREAM) {
-      content.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
-      return;
+    boolean tooLong;
+    if (verdict == Verdict.STREAM) {
+      events.add(head, part);
+      tooLong = events.isTooLong();
+    } else {
+      tooLong = !content.add(part);
+    }
+    if (tooLong && !ended) {
+      connection.reset();
+      onConnectionLost(true, Optional.of(new IOException("the answer is too long")));
     }
-    events.add(head, part);
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
 import org.apache.hc.core5.http.impl.nio.IdentityDecoder;
@@ -18,6 +19,10 @@
 /** Determines how the body of an HTTP/1.1 message is delimited, and rejects ambiguous framing. */
 final class BodyFraming {
 
+  /** Limits on the trailers of a chunked body. */
+  private static final Http1Config CHUNK_LIMITS =
+      Http1Config.custom().setMaxHeaderCount(100).setMaxLineLength(16 * 1024).build();
+
   private BodyFraming() {}
 
   /**
@@ -35,7 +40,7 @@
         throw new ProtocolException(
             "both Transfer-Encoding and Content-Length are present; only one is allowed");
       }
-      return Optional.of(new ChunkDecoder(channel, received, new BasicHttpTransportMetrics()));
+      return Optional.of(chunked(channel, received));
     }
     return length
         .filter(bytes -> bytes > 0)
@@ -59,7 +64,7 @@
     }
     Optional<Long> length = contentLength(head);
     if (isChunked(head)) {
-      return Optional.of(new ChunkDecoder(channel, received, new BasicHttpTransportMetrics()));
+      return Optional.of(chunked(channel, received));
     }
     if (length.isEmpty()) {
       return Optional.of(new IdentityDecoder(channel, received, new BasicHttpTransportMetrics()));
@@ -69,6 +74,10 @@
         .map(bytes -> lengthDelimited(channel, received, bytes));
   }
 
+  private static ContentDecoder chunked(ReadableByteChannel channel, SessionInputBuffer received) {
+    return new ChunkDecoder(channel, received, CHUNK_LIMITS, new BasicHttpTransportMetrics());
+  }
+
   private static ContentDecoder lengthDelimited(
       ReadableByteChannel channel, SessionInputBuffer received, long bytes) {
     return new LengthDelimitedDecoder(channel, received, new BasicHttpTransportMetrics(), bytes);
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -19,7 +18,7 @@
 /**
  * An HTTP client for one address that buffers whole responses and reuses idle connections.
  *
- * <p>Meant for short responses, since the size of a body is not limited.
+ * <p>Meant for short responses; a body above {@value ResponseBody#MAX_BYTES} bytes is an error.
  */
 public final class BufferingHttpClient implements Ticking {
 
@@ -112,7 +111,7 @@
     private final OutboundConnection connection;
     private final long deadlineMs;
     private final Consumer<Result> callback;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body = new ResponseBody();
     private HttpResponse responseHead;
 
     Call(OutboundConnection connection, long deadlineMs, Consumer<Result> callback) {
@@ -129,7 +128,10 @@
 
     @Override
     public void onBody(ByteBuffer part) {
-      body.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
+      if (!body.add(part)) {
+        connection.reset();
+        finish(new Result.Failed("the response exceeds " + ResponseBody.MAX_BYTES + " bytes"));
+      }
     }
 
     @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriter;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseFactory;
@@ -31,6 +32,7 @@
   private static final int READ_BUFFER_BYTES = 16 * 1024;
   private static final int MAX_LINE_BYTES = 64 * 1024;
   private static final int MAX_HEADERS = 100;
+  private static final int MAX_INFORMATIONAL_HEADS = 10;
 
   private final Consumer<OutboundConnection> onIdleClose;
   private final DefaultHttpResponseParser<HttpResponse> parser =
@@ -45,6 +47,8 @@
   private ContentDecoder decoder;
   private boolean opened;
   private boolean skippingResponse;
+  private int informationalHeads;
+  private long skippedBytes;
   private boolean reusable = true;
   private Optional<Long> keepAliveMs = Optional.empty();
 
@@ -146,12 +150,20 @@
   private boolean parseHead() throws IOException, HttpException {
     HttpResponse head = parser.parse(received, inputEnded());
     if (head == null) {
+      // The parser may have taken lines, so that there is room for the rest of the next one.
+      resumeReading();
       return false;
     }
     parser.reset();
     if (head.getCode() < HttpStatus.SC_OK) {
+      informationalHeads++;
+      if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
+        throw new ProtocolException(
+            "more than " + MAX_INFORMATIONAL_HEADS + " informational responses to a request");
+      }
       return true;
     }
+    informationalHeads = 0;
     if (unsent.hasData() || announcesClose(head)) {
       // After an early response, or one that announces a close, the connection is not reused: the
       // rest of the request body must not be read as a new request.
@@ -187,6 +199,12 @@
     if (!isOpen()) {
       return false;
     }
+    if (skippingResponse) {
+      skippedBytes += part.remaining();
+      if (skippedBytes > ResponseBody.MAX_BYTES) {
+        throw new IOException("the response of another request does not end");
+      }
+    }
     resumeReading();
     if (decoder.isCompleted()) {
       endResponse();
@@ -199,6 +217,7 @@
     decoder = null;
     if (skippingResponse) {
       skippingResponse = false;
+      skippedBytes = 0;
       return;
     }
     ResponseHandler done = handler;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -89,7 +89,8 @@
       end++;
     }
     boolean found = end < bytes.limit();
-    if (end - bytes.position() > maxLineBytes) {
+    int length = end - bytes.position();
+    if (length > maxLineBytes || (!found && length >= maxLineBytes)) {
       throw new MessageConstraintException(
           "a line exceeds the limit of " + maxLineBytes + " bytes");
     }
