--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestLimits.java
@@ -117,6 +117,9 @@
   }
 
   private void put(Statement statement, boolean own) {
+    if (!states.containsKey(statement.incarnation())) {
+      states.values().removeIf(known -> isOutdated(known.statement));
+    }
     State state = states.computeIfAbsent(statement.incarnation(), key -> new State());
     Statement known = state.statement;
     if (known != null && known.atMs() >= statement.atMs()) {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/RequestLimitsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/RequestLimitsTest.java
@@ -147,6 +147,15 @@
       assertThat(limits.admits(endpoint)).isTrue();
     }
 
+    @Test
+    void areForgottenOnceOutdated() {
+      for (int i = 0; i < 100; i++) {
+        limits.onResponse(listed(i), Optional.of(1.0));
+        nowMs += RequestLimits.MAX_AGE_MS / 10;
+      }
+      assertThat(limits.changesSince(0, false).size()).isAtMost(11);
+    }
+
     @Test
     void limitNothingIfNoneWasMade() {
       limits.onResponse(endpoint, Optional.empty());
