Let the soak crash endpoints by prompts, limit requests and end answers oddly

Endpoints crash on a prompt part, state request limits, stream without framing, end streams inside an event and send bytes without end; once all faults have ended, the soak checks the two new guarantees by their rules. The choices come from random numbers of their own, so that earlier seeds keep theirs. The proxies refuse connections while their endpoints do, as daemons tell crashes by that.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -47,8 +47,12 @@
     HANG,
     /** The request is executed, and the same response is sent twice; a stream is sent once. */
     EXTRA,
-    /** The request is executed, and closing the connection marks the end of its text response. */
-    UNFRAMED
+    /** The request is executed, and closing the connection marks the end of its response. */
+    UNFRAMED,
+    /** The request is executed, and its stream ends inside an event, as if it were complete. */
+    END_IN_EVENT,
+    /** The request is executed, and its response has no end. */
+    ENDLESS
   }
 
   /**
@@ -70,6 +74,11 @@
 
   private static final long NANOS_PER_MS = 1_000_000;
 
+  /** Bytes after which an endless response is given up, as its receiver should have done. */
+  private static final long MAX_ENDLESS_BYTES = 64L << 20;
+
+  private static final String ENDLESS_PART = "x".repeat(16 * 1024);
+
   private final String id;
   private final String software;
   private final RawServer server = new RawServer(this::handle);
@@ -147,6 +156,25 @@
     return List.copyOf(arrivalsMs);
   }
 
+  /**
+   * Returns the largest number of requests that arrived in a span of time.
+   *
+   * @param spanMs length of the span, in milliseconds
+   * @param afterMs time from which requests count, in milliseconds since the epoch
+   */
+  public int mostArrivals(long spanMs, long afterMs) {
+    List<Long> arrivals = arrivalsMs.stream().filter(ms -> ms >= afterMs).sorted().toList();
+    int most = 0;
+    int first = 0;
+    for (int last = 0; last < arrivals.size(); last++) {
+      while (arrivals.get(last) - arrivals.get(first) >= spanMs) {
+        first++;
+      }
+      most = Math.max(most, last - first + 1);
+    }
+    return most;
+  }
+
   /** Returns all executions, grouped by client attempt. */
   public List<Execution> executions() {
     return executions.values().stream().flatMap(Collection::stream).toList();
@@ -240,6 +268,7 @@
       case UNFRAMED ->
           RawServer.write(socket, responseHead("200 OK", attemptId, "Connection: close") + body);
       case EXTRA -> RawServer.write(socket, response + response);
+      case ENDLESS -> writeForever(responseHead("200 OK", attemptId, "Connection: close"), socket);
       default -> RawServer.write(socket, response);
     }
     return currentFault == Fault.NONE || currentFault == Fault.EXTRA;
@@ -247,23 +276,51 @@
 
   private boolean writeStreamResponse(
       String attemptId, int lastEventId, Fault currentFault, Socket socket) throws IOException {
-    RawServer.write(socket, streamHead(attemptId));
+    boolean chunked = currentFault != Fault.UNFRAMED;
+    RawServer.write(socket, chunked ? streamHead(attemptId) : unframedStreamHead(attemptId));
     List<String> events = new ArrayList<>();
     for (int number = lastEventId + 1; number <= EVENT_COUNT; number++) {
       events.add(responseEvent(attemptId, number, software));
     }
-    int eventsSent = currentFault == Fault.CUT ? events.size() / 2 : events.size();
-    for (String event : events.subList(0, eventsSent)) {
+    boolean whole =
+        currentFault != Fault.CUT
+            && currentFault != Fault.END_IN_EVENT
+            && currentFault != Fault.ENDLESS;
+    for (String event : events.subList(0, whole ? events.size() : events.size() / 2)) {
       pause();
-      RawServer.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+      RawServer.write(socket, chunked ? chunk(event) : event);
     }
-    if (currentFault == Fault.CUT) {
-      return false;
+    switch (currentFault) {
+      case CUT, UNFRAMED -> {
+        return false;
+      }
+      case END_IN_EVENT -> RawServer.write(socket, chunk("id: " + EVENT_COUNT + "\nda"));
+      case ENDLESS -> writeForever(Integer.toHexString(Integer.MAX_VALUE) + "\r\n", socket);
+      default -> {
+        // The stream is complete.
+      }
     }
     RawServer.write(socket, "0\r\n\r\n");
     return true;
   }
 
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  /** Writes bytes after a text until the connection is closed. */
+  private static void writeForever(String begin, Socket socket) throws IOException {
+    RawServer.write(socket, begin);
+    for (long written = 0; written < MAX_ENDLESS_BYTES; written += ENDLESS_PART.length()) {
+      RawServer.write(socket, ENDLESS_PART);
+    }
+  }
+
+  private String unframedStreamHead(String attemptId) {
+    return responseHead(
+        "200 OK", attemptId, "Content-Type: text/event-stream\r\nConnection: close");
+  }
+
   private String streamHead(String attemptId) {
     return responseHead(
         "200 OK", attemptId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked");
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjectingProxy.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjectingProxy.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -17,7 +18,8 @@
  *
  * <p>Once bytes of a direction have been dropped, all later bytes of that direction are dropped
  * too, also after the mode has changed, as the receiver would read the remainder as another
- * message. Example: {@code proxy.setMode(Mode.SILENT); ... proxy.setMode(Mode.PASS);}
+ * message. While the server refuses connections, so does the proxy. Example: {@code
+ * proxy.setMode(Mode.SILENT); ... proxy.setMode(Mode.PASS);}
  */
 final class FaultInjectingProxy implements AutoCloseable {
 
@@ -40,6 +42,7 @@
   private static final long DELAY_MS = 120;
   private static final long NANOS_PER_MS = 1_000_000;
   private static final int BUFFER_BYTES = 8 * 1024;
+  private static final long TARGET_CHECK_INTERVAL_MS = 50;
   private static final int BACKLOG = 200;
 
   /** Differs from 127.0.0.1, where an outgoing connection could take the port of a partition. */
@@ -51,6 +54,7 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private ServerSocket listener;
   private volatile Mode mode = Mode.PASS;
+  private volatile boolean closed;
 
   /** Starts a proxy on a free port that forwards to the target. */
   FaultInjectingProxy(InetSocketAddress target) throws IOException {
@@ -107,16 +111,67 @@
       return;
     }
     try {
-      Socket serverSocket = new Socket(target.getHostString(), target.getPort());
+      Socket serverSocket = connectToTarget();
       sockets.add(clientSocket);
       sockets.add(serverSocket);
       threads.execute(() -> copyBytes(serverSocket, clientSocket, true));
       copyBytes(clientSocket, serverSocket, false);
     } catch (IOException e) {
+      refuseWhileTargetDoes();
       reset(clientSocket);
     }
   }
 
+  private Socket connectToTarget() throws IOException {
+    return new Socket(target.getHostString(), target.getPort());
+  }
+
+  /** Stops accepting connections until the server accepts some, unless it does now. */
+  private void refuseWhileTargetDoes() {
+    if (targetAccepts()) {
+      return;
+    }
+    synchronized (this) {
+      if (closed || listener.isClosed()) {
+        return;
+      }
+      closeListener();
+    }
+    threads.execute(
+        () -> {
+          while (!closed && !targetAccepts()) {
+            LockSupport.parkNanos(TARGET_CHECK_INTERVAL_MS * NANOS_PER_MS);
+          }
+          resumeAccepting();
+        });
+  }
+
+  private boolean targetAccepts() {
+    try (Socket probe = connectToTarget()) {
+      return probe.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private synchronized void closeListener() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      // The listener is closed already.
+    }
+  }
+
+  private synchronized void resumeAccepting() {
+    try {
+      if (!closed && mode != Mode.PARTITION && listener.isClosed()) {
+        listen(port);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private void copyBytes(Socket from, Socket to, boolean isResponse) {
     boolean droppedBytes = false;
     byte[] bytes = new byte[BUFFER_BYTES];
@@ -139,6 +194,9 @@
       }
     } catch (IOException e) {
       // One side has closed its connection; close the other side too.
+      if (isResponse) {
+        refuseWhileTargetDoes();
+      }
       reset(to);
     } finally {
       sockets.remove(from);
@@ -160,6 +218,7 @@
 
   @Override
   public synchronized void close() throws IOException {
+    closed = true;
     listener.close();
     sockets.forEach(FaultInjectingProxy::reset);
     threads.shutdownNow();
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/FaultInjector.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -35,6 +36,12 @@
   /** Upper limit of the time between the starts of two faults. */
   private static final int MAX_FAULT_INTERVAL_MS = 700;
 
+  /** Upper limit of the time between two changes of what endpoints state or crash on. */
+  private static final int MAX_STATEMENT_INTERVAL_MS = 4_000;
+
+  /** Time for which an endpoint is down after a crash. */
+  private static final long ENDPOINT_DOWN_MS = 1_000;
+
   /** Number of keys that are never revoked, so that some calls carry a valid key at any time. */
   private static final int MIN_VALID_KEYS = 3;
 
@@ -56,11 +63,18 @@
   private int validKeyCount = SoakRun.ORGANISATION_COUNT;
   private long nextFaultMs;
 
+  /** Separate from the other choices, which seeds of earlier failures depend on. */
+  private final Random statements;
+
+  private long nextStatementMs;
+
   FaultInjector(
       LocalSite site,
       List<SoakDaemon> daemons,
       Map<String, FaultInjectingProxy> endpointProxies,
-      Random random) {
+      Random random,
+      Random statements) {
+    this.statements = statements;
     this.site = site;
     this.daemons = daemons;
     this.endpointProxies = endpointProxies;
@@ -84,6 +98,32 @@
       nextFaultMs = nowMs + random.nextInt(MAX_FAULT_INTERVAL_MS);
       beginFault(nowMs);
     }
+    if (nowMs >= nextStatementMs) {
+      nextStatementMs = nowMs + statements.nextInt(MAX_STATEMENT_INTERVAL_MS);
+      changeEndpointBehaviour(nowMs);
+    }
+  }
+
+  /** Lets prompts crash all endpoints, or one endpoint state a request limit, for a while. */
+  private void changeEndpointBehaviour(long nowMs) {
+    List<EndpointStandIn> endpoints = List.copyOf(site.endpoints().values());
+    if (statements.nextBoolean()) {
+      Optional<String> part = Optional.of(SoakClient.CRASHING_PART);
+      endpoints.forEach(endpoint -> endpoint.setCrashingPart(part, ENDPOINT_DOWN_MS));
+      scheduleEnd(
+          nowMs,
+          statements,
+          "crashing prompts",
+          () -> endpoints.forEach(e -> e.setCrashingPart(Optional.empty(), ENDPOINT_DOWN_MS)));
+    } else {
+      EndpointStandIn endpoint = endpoints.get(statements.nextInt(endpoints.size()));
+      endpoint.setRequestLimit(Optional.of(1 + 4 * statements.nextDouble()));
+      scheduleEnd(
+          nowMs,
+          statements,
+          "limit of " + endpoint.id(),
+          () -> endpoint.setRequestLimit(Optional.empty()));
+    }
   }
 
   /** Ends all active faults. */
@@ -188,8 +228,12 @@
   }
 
   private void scheduleEnd(long nowMs, String target, FaultAction action) {
-    int maxMs = random.nextInt(FAULTS_PER_LONG_FAULT) == 0 ? MAX_LONG_FAULT_MS : MAX_SHORT_FAULT_MS;
-    long durationMs = MIN_FAULT_MS + random.nextInt(maxMs - MIN_FAULT_MS);
+    scheduleEnd(nowMs, random, target, action);
+  }
+
+  private void scheduleEnd(long nowMs, Random source, String target, FaultAction action) {
+    int maxMs = source.nextInt(FAULTS_PER_LONG_FAULT) == 0 ? MAX_LONG_FAULT_MS : MAX_SHORT_FAULT_MS;
+    long durationMs = MIN_FAULT_MS + source.nextInt(maxMs - MIN_FAULT_MS);
     EventLog.event("soak-fault").with("target", target).with("lastsMs", durationMs).info();
     scheduledEnds.add(new ScheduledEnd(nowMs + durationMs, target, action));
   }
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakClient.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakClient.java
@@ -46,8 +46,18 @@
 
   private static final List<String> PATHS = List.of("/unsafe/x", "/safe/x", "/chat/x");
 
+  /** Id of the prompt part that crashes endpoints while the fault is active. */
+  static final String CRASHING_PART = "dead";
+
+  private static final int SUBJECT_COUNT = 5;
+  private static final int PROMPTS_PER_CRASHING_ONE = 40;
+
   private final String attemptIdPrefix;
   private final Random random;
+
+  /** Separate from the other choices, which seeds of earlier failures depend on. */
+  private final Random prompts;
+
   private final Supplier<List<InetSocketAddress>> daemons;
   private final Consumer<ObservedCall> observer;
   private volatile boolean stopped;
@@ -68,6 +78,7 @@
       Consumer<ObservedCall> observer) {
     this.attemptIdPrefix = attemptIdPrefix;
     this.random = random;
+    this.prompts = new Random(attemptIdPrefix.hashCode());
     this.daemons = daemons;
     this.observer = observer;
   }
@@ -113,6 +124,10 @@
             .setHttpHost(new HttpHost(daemon.getHostString(), daemon.getPort()))
             .setHeader("X-Zinniaspan-Attempt-Id", attemptId)
             .setHeader("Authorization", "Bearer key-" + organisation);
+    if (path.startsWith("/chat/")) {
+      request.setHeader("X-Zinniaspan-Token-Usage", "320,30");
+      request.setHeader("X-Zinniaspan-Prefix-Hash", nextPrompt(attemptId));
+    }
     Result result = execute(connection, request);
     ObservedCall observed =
         result.toObservedCall(attemptId, attemptId, path, "org-key-" + organisation);
@@ -123,6 +138,13 @@
     return result.open();
   }
 
+  /** Returns the parts of a prompt; few have the one that crashes endpoints while that is set. */
+  private String nextPrompt(String attemptId) {
+    String shared = "common:200,subject" + prompts.nextInt(SUBJECT_COUNT) + ":100,";
+    boolean crashing = prompts.nextInt(PROMPTS_PER_CRASHING_ONE) == 0;
+    return shared + (crashing ? CRASHING_PART + ":50," : "") + attemptId + ":20";
+  }
+
   private String nextAttemptId() {
     attemptCount++;
     return attemptIdPrefix + '-' + attemptCount;
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakRun.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakRun.java
@@ -107,10 +107,12 @@
         daemons.add(closer.add(new SoakDaemon(site, "vm-" + number, zone)));
       }
       daemons.forEach(SoakDaemon::awaitReady);
-      FaultInjector faults = new FaultInjector(site, daemons, proxies, new Random(seed));
+      FaultInjector faults =
+          new FaultInjector(site, daemons, proxies, new Random(seed), new Random(~seed));
       List<String> violations = new ArrayList<>();
       runWithFaults(daemons, faults);
       violations.addAll(checkRecovery(daemons, faults.revokedMs()));
+      violations.addAll(new EndpointProtectionCheck(site, daemons).violations());
       List<EndpointStandIn.Execution> executions =
           site.endpoints().values().stream().flatMap(e -> e.executions().stream()).toList();
       violations.addAll(new SoakChecks(calls, executions, faults.revokedMs()).violations());
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/RequestLimitTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/RequestLimitTest.java
@@ -112,18 +112,8 @@
     return responses.get().stream().filter(SiteClient.RawResponse::isCompleteSuccess).count();
   }
 
-  /** Returns the largest number of requests in a window after a time. */
   private static int mostInWindow(EndpointStandIn endpoint, long afterMs) {
-    List<Long> arrivals =
-        endpoint.arrivalsMs().stream().filter(ms -> ms >= afterMs).sorted().toList();
-    int most = 0;
-    for (int first = 0, last = 0; last < arrivals.size(); last++) {
-      while (arrivals.get(last) - arrivals.get(first) >= WINDOW_MS) {
-        first++;
-      }
-      most = Math.max(most, last - first + 1);
-    }
-    return most;
+    return endpoint.mostArrivals(WINDOW_MS, afterMs);
   }
 
   @Test
