Return from HttpListener.close once the address is free

The kernel keeps the listening socket until the thread that is blocked in accept has run, so that close returned too early on a busy machine.

--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpListener.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ExceptionListener;
 import org.apache.hc.core5.http.HttpConnection;
@@ -36,6 +39,8 @@
   public static final int MAX_HEADERS = 100;
 
   private static final long CLOSE_TIMEOUT_MS = 3_000;
+  private static final int RELEASE_TIMEOUT_MS = 1_000;
+  private static final long RELEASE_CHECK_INTERVAL_MS = 2;
   private static final int MAX_PENDING_CONNECTIONS = 1_024;
   private static final int BUFFER_BYTES = 4 * 1024;
 
@@ -117,9 +122,14 @@
     return CallerConnection.callerConnectionCloser();
   }
 
-  /** Closes idle connections gracefully, then the others by force after a timeout. */
+  /**
+   * Closes idle connections gracefully, then the others by force after a timeout; returns once the
+   * address can be bound again.
+   */
   @Override
   public void close() {
+    final InetSocketAddress address =
+        new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
     try {
       openConnections.closeIdleAndAwait(CLOSE_TIMEOUT_MS);
       server.initiateShutdown();
@@ -128,6 +138,27 @@
       Thread.currentThread().interrupt();
     }
     server.close(CloseMode.IMMEDIATE);
+    awaitReleased(address);
+  }
+
+  /**
+   * Waits until an address refuses connections: the kernel keeps a closed listening socket until
+   * the thread that is blocked in accept has run.
+   */
+  private static void awaitReleased(InetSocketAddress address) {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RELEASE_TIMEOUT_MS);
+    while (acceptsConnections(address) && System.nanoTime() < endNanos) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RELEASE_CHECK_INTERVAL_MS));
+    }
+  }
+
+  private static boolean acceptsConnections(InetSocketAddress address) {
+    try (Socket probe = new Socket()) {
+      probe.connect(address, RELEASE_TIMEOUT_MS);
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
   }
 
   /** Logs errors other than closed connections, read timeouts and socket errors. */
