--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -177,7 +177,7 @@
       follower = new CatalogFollower(this, this::steadyMs, freshness, directory, bounds, own);
       members = new FleetMembership(address, zone, seeds, this, this::steadyMs, own);
       sharing = new CatalogSharing(follower, freshness, bounds, members, this, this::steadyMs);
-      long epoch = own.nextLong();
+      final long epoch = own.nextLong();
       work = new StreamWork(this::steadyMs);
       endpoints =
           EndpointObservations.create(
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/RequestLimitsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/RequestLimitsTest.java
@@ -191,7 +191,7 @@
     @Test
     void letsTheNewestStatementCount() {
       one.onResponse(endpoint, Optional.of(1.0));
-      List<RequestLimits.Statement> older = one.changesSince(0, true);
+      final List<RequestLimits.Statement> older = one.changesSince(0, true);
       nowMs += 100;
       one.onResponse(endpoint, Optional.empty());
       List<RequestLimits.Statement> newer = one.changesSince(0, true);
@@ -202,7 +202,7 @@
     }
 
     @Test
-    void repeatsAStatementBeforeOthersTakeItForOutdated() {
+    void repeatsStatementsBeforeOthersTakeThemForOutdated() {
       one.onResponse(endpoint, Optional.of(1.0));
       other.merge(one.changesSince(0, true));
       for (int i = 0; i < 100; i++) {
