--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndlessAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndlessAnswerTest.java
@@ -78,10 +78,8 @@
   @Test
   void endStreamsWithAnEventWithoutEnd() throws IOException {
     answerForever(HEAD + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x");
-    daemon.second.setHandler(
-        always(
-            HEAD
-                + "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: b\n\n"));
+    String streamHead = HEAD + "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n";
+    daemon.second.setHandler(always(streamHead + "id: 1\ndata: b\n\n"));
     String response = daemon.call(request("POST", "/chat/x", "", "b"));
     assertThat(written.get()).isAtMost(MAX_BYTES);
     assertThat(response).contains("data: b\n");
