--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointBackoff.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.function.IntSupplier;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.log.EventLog;
 
 /**
  * Keeps requests from endpoints that reject some for lack of room.
@@ -87,6 +88,13 @@
       state = new LimitedUse();
       state.cap = Math.max(1, (double) endpoint.slots() / vms());
       limitedUse.put(key, state);
+      EventLog.event("endpoint-rejection-limited")
+          .with("endpoint", endpoint.id())
+          .with("service", endpoint.service())
+          .with("startedAtMs", endpoint.startedAtMs())
+          .with("rejectionsPerSecond", rejectionsPerSecond.get())
+          .with("vms", vms())
+          .info();
     }
     state.rejectionsPerSecond = Math.max(1, rejectionsPerSecond.get());
     state.statedMs = clock.nowMs();
@@ -145,6 +153,11 @@
     return until == null ? 0 : Math.max(0, until - clock.nowMs());
   }
 
+  /** Returns whether an endpoint is known to state a rejection limit. */
+  public boolean isLimited(ListedEndpoint endpoint) {
+    return limiting(endpoint).isPresent();
+  }
+
   private Optional<LimitedUse> limiting(ListedEndpoint endpoint) {
     return Optional.ofNullable(limitedUse.get(Incarnation.of(endpoint)))
         .filter(state -> !isOutdated(state));
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -50,6 +50,7 @@
   private HttpResponse head;
   private Verdict verdict = Verdict.UNUSABLE;
   private boolean unloaded;
+  private boolean rejectionLimitKnown;
   private long firstEventMs;
   private long lastBytesMs;
   private boolean promptDone;
@@ -71,6 +72,7 @@
   void send(HttpRequest request, byte[] body) {
     long now = proxiedRequest.context().clock().nowMs();
     unloaded = endpoint.isUnloaded(now);
+    rejectionLimitKnown = proxiedRequest.context().backoff().isLimited(endpoint.listed());
     endpoint.onSent(selection.uncachedTokens(), now);
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
     reachability().onSent();
@@ -273,12 +275,25 @@
   }
 
   private void recordRejection() {
-    Optional<Long> retryAfterMs =
-        proxiedRequest.context().dialect().responseFacts(head).retryAfterMs();
+    Dialect.ResponseFacts facts = proxiedRequest.context().dialect().responseFacts(head);
+    Optional<Long> retryAfterMs = facts.retryAfterMs();
     proxiedRequest
         .context()
         .backoff()
         .onRejected(endpoint.listed(), endpoint.inFlight(), retryAfterMs);
+    facts
+        .rejectionsPerSecond()
+        .ifPresent(
+            limit ->
+                proxiedRequest
+                    .log()
+                    .addFailure(
+                        EventLog.event("endpoint-rejected")
+                            .with("id", proxiedRequest.attemptId())
+                            .with("endpoint", endpoint.listed().id())
+                            .with("rejectionsPerSecond", limit)
+                            .with("limitKnown", rejectionLimitKnown)
+                            .with("inFlight", endpoint.inFlight())));
     retryAfterMs.ifPresent(
         ms ->
             proxiedRequest
