--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 /**
  * A stand-in for an endpoint that records each request it executes and can inject a fault.
@@ -79,7 +80,7 @@
 
   private static final String ENDLESS_PART = "x".repeat(16 * 1024);
 
-  private final String id;
+  private final String name;
   private final String software;
   private final RawServer server = new RawServer(this::handle);
   private final Map<String, List<Execution>> executions = new ConcurrentHashMap<>();
@@ -92,6 +93,9 @@
   private volatile Optional<String> crashingPart = Optional.empty();
   private volatile long downMs;
   private volatile Optional<Double> requestLimit = Optional.empty();
+  private volatile Optional<EndpointRoom> room = Optional.empty();
+  private volatile Consumer<String> returnListener = previousId -> {};
+  private volatile String id;
 
   /**
    * Starts an endpoint on a free port.
@@ -101,6 +105,7 @@
    * @param delayMs delay before a response and before each event of a stream, in milliseconds
    */
   public EndpointStandIn(String id, String software, long delayMs) throws IOException {
+    this.name = id;
     this.id = id;
     this.software = software;
     this.delayMs = delayMs;
@@ -111,7 +116,7 @@
     return server.address();
   }
 
-  /** Returns the id of this endpoint. */
+  /** Returns the id of this endpoint; each incarnation has its own. */
   public String id() {
     return id;
   }
@@ -146,7 +151,24 @@
     requestLimit = perSecond;
   }
 
-  /** Returns the number of times that a prompt made the endpoint crash. */
+  /**
+   * Limits how many requests the endpoint takes at a time. Once it has to reject too many, it
+   * fails, and returns as another incarnation.
+   *
+   * @param value its slots and queue; empty to take all requests
+   * @param forMs time after which it accepts connections again, in milliseconds
+   */
+  public void setRoom(Optional<EndpointRoom> value, long forMs) {
+    downMs = forMs;
+    room = value;
+  }
+
+  /** Sets what is called with the previous id when the endpoint returns under another one. */
+  void setReturnListener(Consumer<String> listener) {
+    returnListener = listener;
+  }
+
+  /** Returns the number of times that the endpoint crashed. */
   public int crashes() {
     return crashes.get();
   }
@@ -195,19 +217,55 @@
           socket, responseHead("421 Misdirected Request", attemptId, "Content-Length: 0"));
       return true;
     }
-    Fault currentFault = fault;
-    if (currentFault == Fault.REJECT) {
-      RawServer.write(
-          socket,
-          responseHead(
-              "503 Service Unavailable",
-              attemptId,
-              "X-Zinniaspan-Not-Executed: 1\r\nContent-Length: 0"));
+    if (fault == Fault.REJECT) {
+      reject(attemptId, socket);
       return true;
     }
+    return room.isPresent()
+        ? executeInRoom(request, attemptId, room.get(), socket)
+        : executeActive(request, attemptId, socket);
+  }
+
+  private boolean executeInRoom(
+      RawServer.Request request, String attemptId, EndpointRoom limited, Socket socket)
+      throws IOException {
+    EndpointRoom.Arrival arrival = limited.arrive(System.currentTimeMillis());
+    if (arrival == EndpointRoom.Arrival.ADMITTED) {
+      limited.takeSlot();
+      try {
+        return executeActive(request, attemptId, socket);
+      } finally {
+        limited.leave();
+      }
+    }
+    reject(attemptId, socket);
+    if (arrival == EndpointRoom.Arrival.FAILING) {
+      String previousId = id;
+      crash(
+          () -> {
+            limited.onReturn();
+            id = name + '.' + crashes.get();
+            returnListener.accept(previousId);
+          });
+      return false;
+    }
+    return true;
+  }
+
+  private void reject(String attemptId, Socket socket) throws IOException {
+    RawServer.write(
+        socket,
+        responseHead(
+            "503 Service Unavailable",
+            attemptId,
+            "X-Zinniaspan-Not-Executed: 1\r\nContent-Length: 0"));
+  }
+
+  private boolean executeActive(RawServer.Request request, String attemptId, Socket socket)
+      throws IOException {
     active.incrementAndGet();
     try {
-      return execute(request, attemptId, currentFault, socket);
+      return execute(request, attemptId, fault, socket);
     } finally {
       active.decrementAndGet();
     }
@@ -234,7 +292,7 @@
     }
     if (makesCrash(request)) {
       RawServer.write(socket, streamHead(attemptId));
-      crash();
+      crash(() -> {});
       return false;
     }
     return request.line().contains(" /chat/")
@@ -247,11 +305,12 @@
     return crashingPart.map(part -> parts.contains(',' + part + ':')).orElse(false);
   }
 
-  private void crash() throws IOException {
+  private void crash(Runnable beforeRestart) throws IOException {
     crashes.incrementAndGet();
     server.crash();
     restarts.schedule(
         () -> {
+          beforeRestart.run();
           server.restart();
           return null;
         },
@@ -349,6 +408,7 @@
     return "HTTP/1.1 "
         + status
         + requestLimit.map(limit -> "\r\nServer-Limit: " + limit).orElse("")
+        + room.map(limited -> "\r\nServer-Brittle: " + limited.rejectionsPerSecond()).orElse("")
         + "\r\nX-Zinniaspan-Attempt-Id: "
         + attemptId
         + "\r\nX-Zinniaspan-Server-Stamp: stamp-"
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -41,7 +41,7 @@
   static final String LISTEN_HOST = "127.0.0.2";
 
   private static final String SERVICE = "app";
-  private static final int SLOTS_PER_ENDPOINT = 32;
+  private static final int DEFAULT_SLOTS = 32;
   private static final int KV_CAPACITY_TOKENS = 400_000;
   private static final int MAX_CONNECTIONS = 200;
 
@@ -95,6 +95,7 @@
   private final Map<String, EndpointLocation> locations = new LinkedHashMap<>();
   private final List<String> peerAddresses = new ArrayList<>();
   private int configurationVersion;
+  private int slots = DEFAULT_SLOTS;
 
   /** Starts the store; daemons write their logs to the given directory. */
   public LocalSite(Path logDirectory) throws IOException {
@@ -111,6 +112,11 @@
     return endpoints;
   }
 
+  /** Sets the number of slots that the endpoints state; called before they are added. */
+  public void setSlots(int perEndpoint) {
+    slots = perEndpoint;
+  }
+
   /** Starts an endpoint with the default software and registers it in the store as ready. */
   public EndpointStandIn addEndpoint(String id, String zone, long delayMs) throws IOException {
     return addEndpoint(id, zone, EndpointStandIn.DEFAULT_SOFTWARE, delayMs);
@@ -122,6 +128,11 @@
     EndpointStandIn endpoint = closer.add(new EndpointStandIn(id, software, delayMs));
     endpoints.put(id, endpoint);
     locations.put(id, new EndpointLocation(endpoint.address(), zone));
+    endpoint.setReturnListener(
+        previousId -> {
+          store.delete("servers/" + previousId);
+          putEndpointEntry(id, "ready");
+        });
     putEndpointEntry(id, "ready");
     return endpoint;
   }
@@ -145,13 +156,13 @@
   /** Writes an endpoint's entry in the store with the given state. */
   public void putEndpointEntry(String id, String state) {
     store.put(
-        "servers/" + id,
+        "servers/" + endpoints.get(id).id(),
         json.createObjectNode()
             .put("service", SERVICE)
             .put("address", locations.get(id).address())
             .put("zone", locations.get(id).zone())
             .put("version", endpoints.get(id).software())
-            .put("slots", SLOTS_PER_ENDPOINT)
+            .put("slots", slots)
             .put("state", state)
             .put("born", 1)
             .toString());
@@ -175,14 +186,14 @@
             .toString());
   }
 
-  private static Map<String, Object> serviceConfiguration() {
+  private Map<String, Object> serviceConfiguration() {
     return Map.of(
         "name",
         SERVICE,
         "max_connections",
         MAX_CONNECTIONS,
         "engine",
-        Map.of("slots", SLOTS_PER_ENDPOINT, "kv_capacity", KV_CAPACITY_TOKENS));
+        Map.of("slots", slots, "kv_capacity", KV_CAPACITY_TOKENS));
   }
 
   /** Starts a daemon that connects to the store directly. */
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.IntStream;
 import org.zinniaspan.forwarding.Catalog;
 import org.zinniaspan.forwarding.CatalogChanges;
 import org.zinniaspan.forwarding.CatalogFollower;
@@ -58,8 +60,13 @@
   /** Delay of a message on a link that is cut, after which it arrives or is lost. */
   private static final long HELD_UP_MS = 3_000;
 
+  private static final int DEFAULT_ZONES = 3;
+
   final PlatformBounds bounds;
   final Random random;
+  final List<String> zones;
+  Function<ListedEndpoint, EngineReport> reports =
+      engine -> new EngineReport(1, 10, engine.startedAtMs());
   final Map<String, Vm> vms = new TreeMap<>();
   long nowMs = START_MS;
   final SimulatedStore store = new SimulatedStore(() -> nowMs);
@@ -72,11 +79,16 @@
   private record Event(long atMs, long number, Runnable action) {}
 
   FleetSimulation(long seed, PlatformBounds bounds) {
+    this(seed, bounds, DEFAULT_ZONES);
+  }
+
+  private FleetSimulation(long seed, PlatformBounds bounds, int zones) {
     this.random = new Random(seed);
     this.bounds = bounds;
+    this.zones = IntStream.range(0, zones).mapToObj(zone -> "zone-" + zone).toList();
   }
 
-  private void at(long delayMs, Runnable action) {
+  void at(long delayMs, Runnable action) {
     events.add(new Event(nowMs + delayMs, eventCount++, action));
   }
 
@@ -179,9 +191,7 @@
       sharing = new CatalogSharing(follower, freshness, bounds, members, this, this::steadyMs);
       final long epoch = own.nextLong();
       work = new StreamWork(this::steadyMs);
-      endpoints =
-          EndpointObservations.create(
-              members, List.of("zone-0", "zone-1", "zone-2"), this::steadyMs, this::timeOfDayMs);
+      endpoints = EndpointObservations.create(members, zones, this::steadyMs, this::timeOfDayMs);
       quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
       board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
@@ -203,13 +213,7 @@
       @Override
       public void read(ListedEndpoint engine, Consumer<Optional<EngineReport>> callback) {
         polls++;
-        at(
-            2,
-            () ->
-                Vm.this.run(
-                    () ->
-                        callback.accept(
-                            Optional.of(new EngineReport(1, 10, engine.startedAtMs())))));
+        at(2, () -> Vm.this.run(() -> callback.accept(Optional.ofNullable(reports.apply(engine)))));
       }
 
       @Override
@@ -218,6 +222,10 @@
       }
     }
 
+    PlatformBounds bounds() {
+      return bounds;
+    }
+
     long steadyMs() {
       return nowMs - suspendedMs - (suspending ? nowMs - pausedSinceMs : 0);
     }
@@ -452,7 +460,7 @@
 
   /** Starts a fleet of VMs, spread over zones, with three seeds in the first zones. */
   static FleetSimulation fleet(long seed, PlatformBounds bounds, int vms, int zones) {
-    FleetSimulation simulation = new FleetSimulation(seed, bounds);
+    FleetSimulation simulation = new FleetSimulation(seed, bounds, Math.max(DEFAULT_ZONES, zones));
     List<String> seeds = List.of("vm-000", "vm-001", "vm-002");
     for (int i = 0; i < vms; i++) {
       simulation.start(String.format("vm-%03d", i), "zone-" + i % zones, seeds);
