--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/MixedReleaseTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/soak/MixedReleaseTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.standins.fleet.LocalFleet;
+import org.zinniaspan.standins.site.EndpointRoom;
 import org.zinniaspan.standins.site.EndpointStandIn;
 import org.zinniaspan.standins.site.LocalSite;
 import org.zinniaspan.standins.site.SiteClient;
@@ -145,6 +146,7 @@
     startAll(2);
     EndpointStandIn limited = site.endpoints().get("i-1");
     limited.setRequestLimit(Optional.of(2.0));
+    site.endpoints().get("i-2").setRoom(Optional.of(new EndpointRoom(32, 32, 5)), 1_500);
     site.endpoints().values().forEach(e -> e.setCrashingPart(Optional.of("dead"), 1_500));
     for (int i = 0; i < 3; i++) {
       for (LocalSite.DaemonProcess daemon : daemons.subList(2, VMS)) {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/ObservationExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/ObservationExchange.java
@@ -7,33 +7,36 @@
 import java.util.Optional;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.forwarding.ChangeSequence;
+import org.zinniaspan.forwarding.EndpointStatement;
 import org.zinniaspan.forwarding.PromptCrash;
 import org.zinniaspan.forwarding.PromptQuarantine;
-import org.zinniaspan.forwarding.RequestLimits;
+import org.zinniaspan.forwarding.RejectionLimits;
+import org.zinniaspan.forwarding.SendLimits;
 import org.zinniaspan.peer.proto.AnsweredPart;
 import org.zinniaspan.peer.proto.CrashedPrompt;
 import org.zinniaspan.peer.proto.Observations;
+import org.zinniaspan.peer.proto.Rejection;
+import org.zinniaspan.peer.proto.RejectionLimit;
 import org.zinniaspan.peer.proto.RequestLimit;
 
 /**
- * Encodes what this VM knows of prompts at crashed endpoints and of endpoints' request limits for
- * other VMs, and adds what they know. Messages state ages, as VMs have no common clock. Not
- * thread-safe.
+ * Encodes what this VM knows of prompts at crashed endpoints and of endpoints' limits for other
+ * VMs, and adds what they know. Messages state ages, as VMs have no common clock. Not thread-safe.
  */
 public final class ObservationExchange {
 
   private final ChangeSequence sequence;
   private final PromptQuarantine quarantine;
-  private final RequestLimits limits;
+  private final SendLimits limits;
   private final Clock clock;
 
   /**
    * Creates an exchange.
    *
-   * @param sequence numbers the observations of both components
+   * @param sequence numbers the observations of all components
    */
   ObservationExchange(
-      ChangeSequence sequence, PromptQuarantine quarantine, RequestLimits limits, Clock clock) {
+      ChangeSequence sequence, PromptQuarantine quarantine, SendLimits limits, Clock clock) {
     this.sequence = sequence;
     this.quarantine = quarantine;
     this.limits = limits;
@@ -82,15 +85,39 @@
             (part, ms) ->
                 observations.addAnswered(
                     AnsweredPart.newBuilder().setPart(part).setAgeMs(now - ms)));
-    for (RequestLimits.Statement limit : limits.changesSince(since, ownOnly)) {
+    encodeLimits(since, ownOnly, observations);
+    return observations.build();
+  }
+
+  private void encodeLimits(long since, boolean ownOnly, Observations.Builder observations) {
+    long now = clock.nowMs();
+    for (EndpointStatement<Optional<Double>> limit :
+        limits.requests().changesSince(since, ownOnly)) {
       observations.addLimits(
           RequestLimit.newBuilder()
               .setEndpoint(limit.endpointId())
               .setStartedAtMs(limit.startedAtMs())
-              .setPerSecond(limit.requestsPerSecond().orElse(0.0))
+              .setPerSecond(limit.value().orElse(0.0))
               .setAgeMs(now - limit.atMs()));
     }
-    return observations.build();
+    RejectionLimits rejections = limits.rejections();
+    for (EndpointStatement<RejectionLimits.Limit> limit : rejections.limitsSince(since, ownOnly)) {
+      RejectionLimit.Builder entry =
+          RejectionLimit.newBuilder()
+              .setEndpoint(limit.endpointId())
+              .setStartedAtMs(limit.startedAtMs())
+              .setService(limit.value().service())
+              .setAgeMs(now - limit.atMs());
+      limit.value().perSecond().ifPresent(entry::setPerSecond);
+      observations.addRejectionLimits(entry);
+    }
+    for (EndpointStatement<Boolean> rejection : rejections.rejectionsSince(since, ownOnly)) {
+      observations.addRejections(
+          Rejection.newBuilder()
+              .setEndpoint(rejection.endpointId())
+              .setStartedAtMs(rejection.startedAtMs())
+              .setAgeMs(now - rejection.atMs()));
+    }
   }
 
   /** Adds what another VM knows. */
@@ -111,15 +138,50 @@
       answeredMs.put(answered.getPart(), now - Math.max(0, answered.getAgeMs()));
     }
     quarantine.merge(new PromptQuarantine.Changes(crashes, answeredMs));
-    List<RequestLimits.Statement> statements = new ArrayList<>();
-    for (RequestLimit limit : observations.getLimitsList()) {
-      statements.add(
-          new RequestLimits.Statement(
-              limit.getEndpoint(),
-              limit.getStartedAtMs(),
-              Optional.of(limit.getPerSecond()).filter(perSecond -> perSecond > 0),
-              now - Math.max(0, limit.getAgeMs())));
-    }
-    limits.merge(statements);
+    mergeLimits(observations);
+  }
+
+  private void mergeLimits(Observations observations) {
+    long now = clock.nowMs();
+    limits
+        .requests()
+        .merge(
+            observations.getLimitsList().stream()
+                .map(
+                    limit ->
+                        new EndpointStatement<>(
+                            limit.getEndpoint(),
+                            limit.getStartedAtMs(),
+                            Optional.of(limit.getPerSecond()).filter(perSecond -> perSecond > 0),
+                            now - Math.max(0, limit.getAgeMs())))
+                .toList());
+    limits
+        .rejections()
+        .mergeLimits(
+            observations.getRejectionLimitsList().stream()
+                .map(
+                    limit ->
+                        new EndpointStatement<>(
+                            limit.getEndpoint(),
+                            limit.getStartedAtMs(),
+                            new RejectionLimits.Limit(
+                                limit.getService(),
+                                limit.hasPerSecond()
+                                    ? Optional.of(limit.getPerSecond())
+                                    : Optional.empty()),
+                            now - Math.max(0, limit.getAgeMs())))
+                .toList());
+    limits
+        .rejections()
+        .mergeRejections(
+            observations.getRejectionsList().stream()
+                .map(
+                    rejection ->
+                        new EndpointStatement<>(
+                            rejection.getEndpoint(),
+                            rejection.getStartedAtMs(),
+                            true,
+                            now - Math.max(0, rejection.getAgeMs())))
+                .toList());
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/MeasuredEngineSpeed.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/MeasuredEngineSpeed.java
@@ -51,6 +51,8 @@
   private double plainCallMs = PRIOR_PLAIN_CALL_MS;
   private double streamSlotMs = PRIOR_STREAM_SLOT_MS;
   private double outputTokenMs = PRIOR_OUTPUT_TOKEN_MS;
+  private double slotMs = PRIOR_STREAM_SLOT_MS;
+  private int slotSamples;
 
   /**
    * Records the time to the first event of a prompt at an engine on which no other prompt waited.
@@ -64,6 +66,14 @@
   /** Records the time of a plain request. */
   public void onPlainCall(double elapsedMs) {
     plainCallMs = mean(plainCallMs, plausible(elapsedMs, plainCallMs));
+    onSlotFreed(elapsedMs);
+  }
+
+  /** Records the time of any request; the first ones weigh more than the assumed time. */
+  private void onSlotFreed(double elapsedMs) {
+    slotSamples++;
+    double weight = Math.max(MEAN_WEIGHT, 1.0 / slotSamples);
+    slotMs += weight * (Math.min(MAX_CALL_MS, elapsedMs) - slotMs);
   }
 
   /**
@@ -76,6 +86,7 @@
    */
   public void onStream(double slotMs, double outputMs, long outputTokens, int slots) {
     streamSlotMs = mean(streamSlotMs, plausible(slotMs, streamSlotMs));
+    onSlotFreed(slotMs);
     if (outputTokens > 0) {
       double tokenMs = outputMs / outputTokens / Math.max(1, slots);
       outputTokenMs = mean(outputTokenMs, plausible(tokenMs, outputTokenMs));
@@ -110,6 +121,11 @@
     return streamSlotMs;
   }
 
+  /** Returns the mean time of the requests of all kinds, in milliseconds. */
+  public double slotMs() {
+    return slotMs;
+  }
+
   @Override
   public double plainCallMs() {
     return plainCallMs;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PermitSchedule.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PermitSchedule.java
@@ -13,12 +13,10 @@
  */
 final class PermitSchedule {
 
-  /** Time after the begin of a slot in which its owner may use it, in milliseconds. */
-  static final long VALIDITY_MS = 1_000;
-
   private static final double MS_PER_SECOND = 1_000;
 
   private final double slotMs;
+  private final double validityMs;
   private final long offset;
   private final PermitShare share;
 
@@ -26,15 +24,22 @@
    * Creates the schedule of one VM for one endpoint.
    *
    * @param requestsPerSecond the endpoint's limit, above 0
+   * @param validityMs time after the begin of a slot in which its owner may use it, in milliseconds
    * @param offset shifts the slots, so that not all endpoints' slots belong to the same VM at a
    *     time
    */
-  PermitSchedule(double requestsPerSecond, long offset, PermitShare share) {
+  PermitSchedule(double requestsPerSecond, long validityMs, long offset, PermitShare share) {
     this.slotMs = MS_PER_SECOND / requestsPerSecond;
+    this.validityMs = Math.max(validityMs, slotMs);
     this.offset = Math.floorMod(offset, share.period());
     this.share = share;
   }
 
+  /** Returns the time from one slot to the next, whichever VM owns it, in milliseconds. */
+  double slotMs() {
+    return slotMs;
+  }
+
   /**
    * Returns the begin of the first slot of this VM that is usable now or later, in milliseconds.
    *
@@ -42,7 +47,7 @@
    * @param usedMs begin of the last slot that was used; slots up to it are not usable
    */
   long nextMs(long timeOfDayMs, long usedMs) {
-    double firstMs = Math.max(timeOfDayMs - Math.max(VALIDITY_MS, slotMs), usedMs + slotMs / 2);
+    double firstMs = Math.max(timeOfDayMs - validityMs, usedMs + slotMs / 2);
     long slot = (long) Math.ceil(firstMs / slotMs);
     long ahead = Math.floorMod(share.remainder() - (slot + offset), share.period());
     return (long) Math.ceil((slot + ahead) * slotMs);
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.forwarding;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** Where a request is sent next. */
@@ -32,22 +33,24 @@
   static SendDecision of(
       List<TrackedEndpoint> candidates,
       EndpointBackoff backoff,
-      RequestLimits limits,
+      SendLimits limits,
       EndpointReachability reachability) {
     if (candidates.isEmpty()) {
       return new ToEndpoint(candidates);
     }
-    List<TrackedEndpoint> admitting =
-        candidates.stream().filter(e -> backoff.admits(e) && limits.admits(e.listed())).toList();
+    List<TrackedEndpoint> admitting = new ArrayList<>();
+    long remainingMs = Long.MAX_VALUE;
+    for (TrackedEndpoint candidate : candidates) {
+      long pausedMs =
+          Math.max(backoff.remainingMs(candidate.listed()), limits.remainingMs(candidate));
+      remainingMs = Math.min(remainingMs, pausedMs);
+      if (pausedMs <= 0) {
+        admitting.add(candidate);
+      }
+    }
     if (admitting.isEmpty()) {
-      long remainingMs =
-          candidates.stream()
-              .mapToLong(
-                  e -> Math.max(backoff.remainingMs(e.listed()), limits.remainingMs(e.listed())))
-              .min()
-              .orElse(0);
-      return new Paused(
-          remainingMs, backoff.isLimiting(candidates) || limits.isLimiting(candidates));
+      boolean limited = candidates.stream().anyMatch(e -> limits.applyTo(e.listed()));
+      return new Paused(remainingMs, limited);
     }
     List<TrackedEndpoint> reachable =
         admitting.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
@@ -0,0 +1,14 @@
+package org.zinniaspan.forwarding;
+
+/** Bounds what all VMs together send to an endpoint, by what endpoints state. */
+interface SendLimit {
+
+  /** Returns whether it bounds the requests to an endpoint. */
+  boolean appliesTo(ListedEndpoint endpoint);
+
+  /** Returns the time until this VM may send to an endpoint, in milliseconds. */
+  long remainingMs(TrackedEndpoint endpoint);
+
+  /** Records that a request is sent to an endpoint. */
+  void onSent(ListedEndpoint endpoint);
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -81,6 +81,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_RequestLimit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_RejectionLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_RejectionLimit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_Rejection_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_Rejection_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_zinniaspan_peer_CrashedPrompt_descriptor;
   static final 
@@ -163,28 +173,36 @@
       "\030\t \001(\010\022\020\n\010stopping\030\n \001(\010\"e\n\nEngineLoad\022\020" +
       "\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022" +
       "\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006activ" +
-      "e\030\005 \001(\005\"\237\001\n\014Observations\022/\n\007crashed\030\001 \003(" +
+      "e\030\005 \001(\005\"\212\002\n\014Observations\022/\n\007crashed\030\001 \003(" +
       "\0132\036.zinniaspan.peer.CrashedPrompt\022/\n\010ans" +
       "wered\030\002 \003(\0132\035.zinniaspan.peer.AnsweredPa" +
       "rt\022-\n\006limits\030\003 \003(\0132\035.zinniaspan.peer.Req" +
-      "uestLimit\"[\n\014RequestLimit\022\020\n\010endpoint\030\001 " +
-      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\nper_second" +
-      "\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"j\n\rCrashedPrompt\022" +
-      "\020\n\010endpoint\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n" +
-      "\005parts\030\003 \003(\t\022\024\n\014answer_begun\030\004 \001(\010\022\016\n\006ag" +
-      "e_ms\030\005 \001(\003\",\n\014AnsweredPart\022\014\n\004part\030\001 \001(\t" +
-      "\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamOriginEntry\022\022\n" +
-      "\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020so" +
-      "ftware_version\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001" +
-      "(\003\"I\n\022StreamOriginUpdate\0223\n\007origins\030\001 \003(" +
-      "\0132\".zinniaspan.peer.StreamOriginEntry\"\025\n" +
-      "\023StreamOriginReceipt\"K\n\021StreamOriginQuer" +
-      "y\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021" +
-      "\n\tzone_wide\030\003 \001(\010\"u\n\021StreamOriginReply\0222" +
-      "\n\006origin\030\001 \001(\0132\".zinniaspan.peer.StreamO" +
-      "riginEntry\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013o" +
-      "bserved_ms\030\003 \001(\003B\035\n\031org.zinniaspan.peer." +
-      "protoP\001b\006proto3"
+      "uestLimit\0229\n\020rejection_limits\030\004 \003(\0132\037.zi" +
+      "nniaspan.peer.RejectionLimit\022.\n\nrejectio" +
+      "ns\030\005 \003(\0132\032.zinniaspan.peer.Rejection\"[\n\014" +
+      "RequestLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarte" +
+      "d_at_ms\030\002 \001(\003\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age" +
+      "_ms\030\004 \001(\003\"\202\001\n\016RejectionLimit\022\020\n\010endpoint" +
+      "\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\017\n\007service" +
+      "\030\003 \001(\t\022\027\n\nper_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_m" +
+      "s\030\005 \001(\003B\r\n\013_per_second\"D\n\tRejection\022\020\n\010e" +
+      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006" +
+      "age_ms\030\003 \001(\003\"j\n\rCrashedPrompt\022\020\n\010endpoin" +
+      "t\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003" +
+      "(\t\022\024\n\014answer_begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003" +
+      "\",\n\014AnsweredPart\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms" +
+      "\030\002 \001(\003\"h\n\021StreamOriginEntry\022\022\n\nattempt_i" +
+      "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ver" +
+      "sion\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022Stre" +
+      "amOriginUpdate\0223\n\007origins\030\001 \003(\0132\".zinnia" +
+      "span.peer.StreamOriginEntry\"\025\n\023StreamOri" +
+      "ginReceipt\"K\n\021StreamOriginQuery\022\022\n\nattem" +
+      "pt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_wid" +
+      "e\030\003 \001(\010\"u\n\021StreamOriginReply\0222\n\006origin\030\001" +
+      " \001(\0132\".zinniaspan.peer.StreamOriginEntry" +
+      "\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013observed_ms" +
+      "\030\003 \001(\003B\035\n\031org.zinniaspan.peer.protoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -249,51 +267,63 @@
     internal_static_zinniaspan_peer_Observations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Observations_descriptor,
-        new java.lang.String[] { "Crashed", "Answered", "Limits", });
+        new java.lang.String[] { "Crashed", "Answered", "Limits", "RejectionLimits", "Rejections", });
     internal_static_zinniaspan_peer_RequestLimit_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_zinniaspan_peer_RequestLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_RequestLimit_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "PerSecond", "AgeMs", });
-    internal_static_zinniaspan_peer_CrashedPrompt_descriptor =
+    internal_static_zinniaspan_peer_RejectionLimit_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_zinniaspan_peer_RejectionLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_RejectionLimit_descriptor,
+        new java.lang.String[] { "Endpoint", "StartedAtMs", "Service", "PerSecond", "AgeMs", });
+    internal_static_zinniaspan_peer_Rejection_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_zinniaspan_peer_Rejection_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_Rejection_descriptor,
+        new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", });
+    internal_static_zinniaspan_peer_CrashedPrompt_descriptor =
+      getDescriptor().getMessageType(13);
     internal_static_zinniaspan_peer_CrashedPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CrashedPrompt_descriptor,
         new java.lang.String[] { "Endpoint", "AttemptId", "Parts", "AnswerBegun", "AgeMs", });
     internal_static_zinniaspan_peer_AnsweredPart_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_zinniaspan_peer_AnsweredPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_AnsweredPart_descriptor,
         new java.lang.String[] { "Part", "AgeMs", });
     internal_static_zinniaspan_peer_StreamOriginEntry_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_zinniaspan_peer_StreamOriginEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginEntry_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "SoftwareVersion", "RemainingMs", });
     internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_zinniaspan_peer_StreamOriginUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor,
         new java.lang.String[] { "Origins", });
     internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_zinniaspan_peer_StreamOriginReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor,
         new java.lang.String[] { });
     internal_static_zinniaspan_peer_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_zinniaspan_peer_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginQuery_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "ZoneWide", });
     internal_static_zinniaspan_peer_StreamOriginReply_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReply_descriptor,
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Observations.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Observations.java
@@ -35,6 +35,8 @@
     crashed_ = java.util.Collections.emptyList();
     answered_ = java.util.Collections.emptyList();
     limits_ = java.util.Collections.emptyList();
+    rejectionLimits_ = java.util.Collections.emptyList();
+    rejections_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -238,6 +240,128 @@
     return limits_.get(index);
   }
 
+  public static final int REJECTION_LIMITS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.RejectionLimit> rejectionLimits_;
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.RejectionLimit> getRejectionLimitsList() {
+    return rejectionLimits_;
+  }
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.RejectionLimitOrBuilder> 
+      getRejectionLimitsOrBuilderList() {
+    return rejectionLimits_;
+  }
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  @java.lang.Override
+  public int getRejectionLimitsCount() {
+    return rejectionLimits_.size();
+  }
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.RejectionLimit getRejectionLimits(int index) {
+    return rejectionLimits_.get(index);
+  }
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.RejectionLimitOrBuilder getRejectionLimitsOrBuilder(
+      int index) {
+    return rejectionLimits_.get(index);
+  }
+
+  public static final int REJECTIONS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.Rejection> rejections_;
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.Rejection> getRejectionsList() {
+    return rejections_;
+  }
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.RejectionOrBuilder> 
+      getRejectionsOrBuilderList() {
+    return rejections_;
+  }
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  @java.lang.Override
+  public int getRejectionsCount() {
+    return rejections_.size();
+  }
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.Rejection getRejections(int index) {
+    return rejections_.get(index);
+  }
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.RejectionOrBuilder getRejectionsOrBuilder(
+      int index) {
+    return rejections_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -261,6 +385,12 @@
     for (int i = 0; i < limits_.size(); i++) {
       output.writeMessage(3, limits_.get(i));
     }
+    for (int i = 0; i < rejectionLimits_.size(); i++) {
+      output.writeMessage(4, rejectionLimits_.get(i));
+    }
+    for (int i = 0; i < rejections_.size(); i++) {
+      output.writeMessage(5, rejections_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -292,6 +422,24 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = rejectionLimits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(rejectionLimits_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = rejections_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(rejections_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -322,6 +470,10 @@
         .equals(other.getAnsweredList())) return false;
     if (!getLimitsList()
         .equals(other.getLimitsList())) return false;
+    if (!getRejectionLimitsList()
+        .equals(other.getRejectionLimitsList())) return false;
+    if (!getRejectionsList()
+        .equals(other.getRejectionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -345,6 +497,14 @@
       hash = (37 * hash) + LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getLimitsList().hashCode();
     }
+    if (getRejectionLimitsCount() > 0) {
+      hash = (37 * hash) + REJECTION_LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getRejectionLimitsList().hashCode();
+    }
+    if (getRejectionsCount() > 0) {
+      hash = (37 * hash) + REJECTIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getRejectionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -501,6 +661,20 @@
         limitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      if (rejectionLimitsBuilder_ == null) {
+        rejectionLimits_ = java.util.Collections.emptyList();
+      } else {
+        rejectionLimits_ = null;
+        rejectionLimitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      if (rejectionsBuilder_ == null) {
+        rejections_ = java.util.Collections.emptyList();
+      } else {
+        rejections_ = null;
+        rejectionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -561,6 +735,24 @@
       } else {
         result.limits_ = limitsBuilder_.build();
       }
+      if (rejectionLimitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          rejectionLimits_ = java.util.Collections.unmodifiableList(rejectionLimits_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.rejectionLimits_ = rejectionLimits_;
+      } else {
+        result.rejectionLimits_ = rejectionLimitsBuilder_.build();
+      }
+      if (rejectionsBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          rejections_ = java.util.Collections.unmodifiableList(rejections_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.rejections_ = rejections_;
+      } else {
+        result.rejections_ = rejectionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.zinniaspan.peer.proto.Observations result) {
@@ -657,6 +849,58 @@
           }
         }
       }
+      if (rejectionLimitsBuilder_ == null) {
+        if (!other.rejectionLimits_.isEmpty()) {
+          if (rejectionLimits_.isEmpty()) {
+            rejectionLimits_ = other.rejectionLimits_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureRejectionLimitsIsMutable();
+            rejectionLimits_.addAll(other.rejectionLimits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.rejectionLimits_.isEmpty()) {
+          if (rejectionLimitsBuilder_.isEmpty()) {
+            rejectionLimitsBuilder_.dispose();
+            rejectionLimitsBuilder_ = null;
+            rejectionLimits_ = other.rejectionLimits_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            rejectionLimitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRejectionLimitsFieldBuilder() : null;
+          } else {
+            rejectionLimitsBuilder_.addAllMessages(other.rejectionLimits_);
+          }
+        }
+      }
+      if (rejectionsBuilder_ == null) {
+        if (!other.rejections_.isEmpty()) {
+          if (rejections_.isEmpty()) {
+            rejections_ = other.rejections_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureRejectionsIsMutable();
+            rejections_.addAll(other.rejections_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.rejections_.isEmpty()) {
+          if (rejectionsBuilder_.isEmpty()) {
+            rejectionsBuilder_.dispose();
+            rejectionsBuilder_ = null;
+            rejections_ = other.rejections_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            rejectionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRejectionsFieldBuilder() : null;
+          } else {
+            rejectionsBuilder_.addAllMessages(other.rejections_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -720,6 +964,32 @@
               }
               break;
             } // case 26
+            case 34: {
+              org.zinniaspan.peer.proto.RejectionLimit m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.RejectionLimit.parser(),
+                      extensionRegistry);
+              if (rejectionLimitsBuilder_ == null) {
+                ensureRejectionLimitsIsMutable();
+                rejectionLimits_.add(m);
+              } else {
+                rejectionLimitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 42: {
+              org.zinniaspan.peer.proto.Rejection m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.Rejection.parser(),
+                      extensionRegistry);
+              if (rejectionsBuilder_ == null) {
+                ensureRejectionsIsMutable();
+                rejections_.add(m);
+              } else {
+                rejectionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1655,6 +1925,618 @@
       return limitsBuilder_;
     }
 
+    private java.util.List<org.zinniaspan.peer.proto.RejectionLimit> rejectionLimits_ =
+      java.util.Collections.emptyList();
+    private void ensureRejectionLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        rejectionLimits_ = new java.util.ArrayList<org.zinniaspan.peer.proto.RejectionLimit>(rejectionLimits_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.RejectionLimit, org.zinniaspan.peer.proto.RejectionLimit.Builder, org.zinniaspan.peer.proto.RejectionLimitOrBuilder> rejectionLimitsBuilder_;
+
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.RejectionLimit> getRejectionLimitsList() {
+      if (rejectionLimitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(rejectionLimits_);
+      } else {
+        return rejectionLimitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public int getRejectionLimitsCount() {
+      if (rejectionLimitsBuilder_ == null) {
+        return rejectionLimits_.size();
+      } else {
+        return rejectionLimitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public org.zinniaspan.peer.proto.RejectionLimit getRejectionLimits(int index) {
+      if (rejectionLimitsBuilder_ == null) {
+        return rejectionLimits_.get(index);
+      } else {
+        return rejectionLimitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder setRejectionLimits(
+        int index, org.zinniaspan.peer.proto.RejectionLimit value) {
+      if (rejectionLimitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.set(index, value);
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder setRejectionLimits(
+        int index, org.zinniaspan.peer.proto.RejectionLimit.Builder builderForValue) {
+      if (rejectionLimitsBuilder_ == null) {
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder addRejectionLimits(org.zinniaspan.peer.proto.RejectionLimit value) {
+      if (rejectionLimitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.add(value);
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder addRejectionLimits(
+        int index, org.zinniaspan.peer.proto.RejectionLimit value) {
+      if (rejectionLimitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.add(index, value);
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder addRejectionLimits(
+        org.zinniaspan.peer.proto.RejectionLimit.Builder builderForValue) {
+      if (rejectionLimitsBuilder_ == null) {
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder addRejectionLimits(
+        int index, org.zinniaspan.peer.proto.RejectionLimit.Builder builderForValue) {
+      if (rejectionLimitsBuilder_ == null) {
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder addAllRejectionLimits(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.RejectionLimit> values) {
+      if (rejectionLimitsBuilder_ == null) {
+        ensureRejectionLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, rejectionLimits_);
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder clearRejectionLimits() {
+      if (rejectionLimitsBuilder_ == null) {
+        rejectionLimits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public Builder removeRejectionLimits(int index) {
+      if (rejectionLimitsBuilder_ == null) {
+        ensureRejectionLimitsIsMutable();
+        rejectionLimits_.remove(index);
+        onChanged();
+      } else {
+        rejectionLimitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public org.zinniaspan.peer.proto.RejectionLimit.Builder getRejectionLimitsBuilder(
+        int index) {
+      return internalGetRejectionLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public org.zinniaspan.peer.proto.RejectionLimitOrBuilder getRejectionLimitsOrBuilder(
+        int index) {
+      if (rejectionLimitsBuilder_ == null) {
+        return rejectionLimits_.get(index);  } else {
+        return rejectionLimitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.RejectionLimitOrBuilder> 
+         getRejectionLimitsOrBuilderList() {
+      if (rejectionLimitsBuilder_ != null) {
+        return rejectionLimitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(rejectionLimits_);
+      }
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public org.zinniaspan.peer.proto.RejectionLimit.Builder addRejectionLimitsBuilder() {
+      return internalGetRejectionLimitsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.RejectionLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public org.zinniaspan.peer.proto.RejectionLimit.Builder addRejectionLimitsBuilder(
+        int index) {
+      return internalGetRejectionLimitsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.RejectionLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Rejection limits that endpoints stated.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.RejectionLimit.Builder> 
+         getRejectionLimitsBuilderList() {
+      return internalGetRejectionLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.RejectionLimit, org.zinniaspan.peer.proto.RejectionLimit.Builder, org.zinniaspan.peer.proto.RejectionLimitOrBuilder> 
+        internalGetRejectionLimitsFieldBuilder() {
+      if (rejectionLimitsBuilder_ == null) {
+        rejectionLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.RejectionLimit, org.zinniaspan.peer.proto.RejectionLimit.Builder, org.zinniaspan.peer.proto.RejectionLimitOrBuilder>(
+                rejectionLimits_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        rejectionLimits_ = null;
+      }
+      return rejectionLimitsBuilder_;
+    }
+
+    private java.util.List<org.zinniaspan.peer.proto.Rejection> rejections_ =
+      java.util.Collections.emptyList();
+    private void ensureRejectionsIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        rejections_ = new java.util.ArrayList<org.zinniaspan.peer.proto.Rejection>(rejections_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.Rejection, org.zinniaspan.peer.proto.Rejection.Builder, org.zinniaspan.peer.proto.RejectionOrBuilder> rejectionsBuilder_;
+
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.Rejection> getRejectionsList() {
+      if (rejectionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(rejections_);
+      } else {
+        return rejectionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public int getRejectionsCount() {
+      if (rejectionsBuilder_ == null) {
+        return rejections_.size();
+      } else {
+        return rejectionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public org.zinniaspan.peer.proto.Rejection getRejections(int index) {
+      if (rejectionsBuilder_ == null) {
+        return rejections_.get(index);
+      } else {
+        return rejectionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder setRejections(
+        int index, org.zinniaspan.peer.proto.Rejection value) {
+      if (rejectionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRejectionsIsMutable();
+        rejections_.set(index, value);
+        onChanged();
+      } else {
+        rejectionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder setRejections(
+        int index, org.zinniaspan.peer.proto.Rejection.Builder builderForValue) {
+      if (rejectionsBuilder_ == null) {
+        ensureRejectionsIsMutable();
+        rejections_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        rejectionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder addRejections(org.zinniaspan.peer.proto.Rejection value) {
+      if (rejectionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRejectionsIsMutable();
+        rejections_.add(value);
+        onChanged();
+      } else {
+        rejectionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder addRejections(
+        int index, org.zinniaspan.peer.proto.Rejection value) {
+      if (rejectionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureRejectionsIsMutable();
+        rejections_.add(index, value);
+        onChanged();
+      } else {
+        rejectionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder addRejections(
+        org.zinniaspan.peer.proto.Rejection.Builder builderForValue) {
+      if (rejectionsBuilder_ == null) {
+        ensureRejectionsIsMutable();
+        rejections_.add(builderForValue.build());
+        onChanged();
+      } else {
+        rejectionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder addRejections(
+        int index, org.zinniaspan.peer.proto.Rejection.Builder builderForValue) {
+      if (rejectionsBuilder_ == null) {
+        ensureRejectionsIsMutable();
+        rejections_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        rejectionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder addAllRejections(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.Rejection> values) {
+      if (rejectionsBuilder_ == null) {
+        ensureRejectionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, rejections_);
+        onChanged();
+      } else {
+        rejectionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder clearRejections() {
+      if (rejectionsBuilder_ == null) {
+        rejections_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        rejectionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public Builder removeRejections(int index) {
+      if (rejectionsBuilder_ == null) {
+        ensureRejectionsIsMutable();
+        rejections_.remove(index);
+        onChanged();
+      } else {
+        rejectionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public org.zinniaspan.peer.proto.Rejection.Builder getRejectionsBuilder(
+        int index) {
+      return internalGetRejectionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public org.zinniaspan.peer.proto.RejectionOrBuilder getRejectionsOrBuilder(
+        int index) {
+      if (rejectionsBuilder_ == null) {
+        return rejections_.get(index);  } else {
+        return rejectionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.RejectionOrBuilder> 
+         getRejectionsOrBuilderList() {
+      if (rejectionsBuilder_ != null) {
+        return rejectionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(rejections_);
+      }
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public org.zinniaspan.peer.proto.Rejection.Builder addRejectionsBuilder() {
+      return internalGetRejectionsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.Rejection.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public org.zinniaspan.peer.proto.Rejection.Builder addRejectionsBuilder(
+        int index) {
+      return internalGetRejectionsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.Rejection.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Last rejections for lack of room by endpoints with such a limit.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.Rejection.Builder> 
+         getRejectionsBuilderList() {
+      return internalGetRejectionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.Rejection, org.zinniaspan.peer.proto.Rejection.Builder, org.zinniaspan.peer.proto.RejectionOrBuilder> 
+        internalGetRejectionsFieldBuilder() {
+      if (rejectionsBuilder_ == null) {
+        rejectionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.Rejection, org.zinniaspan.peer.proto.Rejection.Builder, org.zinniaspan.peer.proto.RejectionOrBuilder>(
+                rejections_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        rejections_ = null;
+      }
+      return rejectionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.Observations)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ObservationsOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/ObservationsOrBuilder.java
@@ -141,4 +141,92 @@
    */
   org.zinniaspan.peer.proto.RequestLimitOrBuilder getLimitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.RejectionLimit> 
+      getRejectionLimitsList();
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  org.zinniaspan.peer.proto.RejectionLimit getRejectionLimits(int index);
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  int getRejectionLimitsCount();
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.RejectionLimitOrBuilder> 
+      getRejectionLimitsOrBuilderList();
+  /**
+   * <pre>
+   * Rejection limits that endpoints stated.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.RejectionLimit rejection_limits = 4;</code>
+   */
+  org.zinniaspan.peer.proto.RejectionLimitOrBuilder getRejectionLimitsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.Rejection> 
+      getRejectionsList();
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  org.zinniaspan.peer.proto.Rejection getRejections(int index);
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  int getRejectionsCount();
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.RejectionOrBuilder> 
+      getRejectionsOrBuilderList();
+  /**
+   * <pre>
+   * Last rejections for lack of room by endpoints with such a limit.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.Rejection rejections = 5;</code>
+   */
+  org.zinniaspan.peer.proto.RejectionOrBuilder getRejectionsOrBuilder(
+      int index);
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -14,6 +14,7 @@
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptCrash;
 import org.zinniaspan.forwarding.RouteKind;
+import org.zinniaspan.forwarding.SendLimits;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.OutboundConnection;
@@ -72,11 +73,11 @@
   void send(HttpRequest request, byte[] body) {
     long now = proxiedRequest.context().clock().nowMs();
     unloaded = endpoint.isUnloaded(now);
-    rejectionLimitKnown = proxiedRequest.context().backoff().isLimited(endpoint.listed());
+    rejectionLimitKnown = limits().rejections().appliesTo(endpoint.listed());
     endpoint.onSent(selection.uncachedTokens(), now);
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
     reachability().onSent();
-    proxiedRequest.context().limits().onSent(endpoint.listed());
+    limits().onSent(endpoint.listed());
     connection.whenOpened(() -> reachability().onConnected(endpoint.listed().id()));
     connection.send(request, body, this);
   }
@@ -109,6 +110,10 @@
     return proxiedRequest.context().reachability();
   }
 
+  private SendLimits limits() {
+    return proxiedRequest.context().limits();
+  }
+
   private void onBytes() {
     lastBytesMs = proxiedRequest.context().clock().nowMs();
     reachability().onBytes();
@@ -227,7 +232,6 @@
       case STREAM -> {
         endpoint.onSuccess(now);
         recordAnswered();
-        proxiedRequest.context().backoff().onAnswered(endpoint.listed());
         recordStream(now);
         if (!proxiedRequest.toleratesPauses()) {
           endpoint.onPause(proxiedRequest.longestPauseMs(), now);
@@ -270,17 +274,12 @@
     if (facts.draining()) {
       proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
     }
-    proxiedRequest.context().backoff().onResponse(endpoint.listed(), facts.rejectionsPerSecond());
-    proxiedRequest.context().limits().onResponse(endpoint.listed(), facts.requestsPerSecond());
+    limits().onResponse(endpoint.listed(), facts.requestsPerSecond(), facts.rejectionsPerSecond());
   }
 
   private void recordRejection() {
     Dialect.ResponseFacts facts = proxiedRequest.context().dialect().responseFacts(head);
-    Optional<Long> retryAfterMs = facts.retryAfterMs();
-    proxiedRequest
-        .context()
-        .backoff()
-        .onRejected(endpoint.listed(), endpoint.inFlight(), retryAfterMs);
+    limits().rejections().onRejected(endpoint.listed());
     facts
         .rejectionsPerSecond()
         .ifPresent(
@@ -294,15 +293,18 @@
                             .with("rejectionsPerSecond", limit)
                             .with("limitKnown", rejectionLimitKnown)
                             .with("inFlight", endpoint.inFlight())));
-    retryAfterMs.ifPresent(
-        ms ->
-            proxiedRequest
-                .log()
-                .addFailure(
-                    EventLog.event("endpoint-paused")
-                        .with("id", proxiedRequest.attemptId())
-                        .with("endpoint", endpoint.listed().id())
-                        .with("retryAfterMs", ms)));
+    facts.retryAfterMs().ifPresent(this::pauseEndpoint);
+  }
+
+  private void pauseEndpoint(long retryAfterMs) {
+    proxiedRequest.context().backoff().onRejected(endpoint.listed(), retryAfterMs);
+    proxiedRequest
+        .log()
+        .addFailure(
+            EventLog.event("endpoint-paused")
+                .with("id", proxiedRequest.attemptId())
+                .with("endpoint", endpoint.listed().id())
+                .with("retryAfterMs", retryAfterMs));
   }
 
   private MeasuredEngineSpeed speed() {
@@ -326,7 +328,6 @@
     } else {
       endpoint.onSuccess(now);
       recordAnswered();
-      proxiedRequest.context().backoff().onAnswered(endpoint.listed());
       speed().onPlainCall(now - sentMs);
     }
     proxiedRequest.onWholeResponse(head, content.toByteArray());
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.fleet.CatalogService;
@@ -40,6 +41,8 @@
    * @param zones all availability zones
    * @param seeds peer addresses of a few VMs
    * @param httpClientFactory creates the HTTP client for an address
+   * @param slotMs returns the mean time for which a request occupies a slot of an endpoint, in
+   *     milliseconds, by the service's name
    */
   FleetComponents(
       String address,
@@ -51,6 +54,7 @@
       TableFreshness freshness,
       EndpointDirectory directory,
       StreamWork work,
+      ToDoubleFunction<String> slotMs,
       PlatformBounds bounds,
       Clock clock,
       Random random) {
@@ -59,7 +63,8 @@
     members = new FleetMembership(address, zone, seeds, peers, clock, random);
     catalogService = new CatalogService(follower, freshness, directory, clock, epoch);
     catalogSharing = new CatalogSharing(follower, freshness, bounds, members, peers, clock);
-    endpoints = EndpointObservations.create(members, zones, clock, System::currentTimeMillis);
+    endpoints =
+        EndpointObservations.create(members, zones, clock, System::currentTimeMillis, slotMs);
     engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins =
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -15,7 +15,7 @@
 import org.zinniaspan.forwarding.EngineSpeeds;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.PromptQuarantine;
-import org.zinniaspan.forwarding.RequestLimits;
+import org.zinniaspan.forwarding.SendLimits;
 import org.zinniaspan.forwarding.ServiceRetryBudget;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.VmLimits;
@@ -34,7 +34,7 @@
  * @param admission refuses requests whose response would come too late
  * @param origins the software versions that began streams
  * @param backoff the endpoints that take no requests of this VM for a while
- * @param limits the request limits that endpoints state
+ * @param limits the limits that endpoints state on what all VMs send together
  * @param reachability whether this VM has a path to the endpoints
  * @param quarantine the prompts that are not sent, as such prompts crashed endpoints
  * @param crashWitness finds out whether endpoints crashed
@@ -57,7 +57,7 @@
     AdmissionControl admission,
     StreamOriginComponents origins,
     EndpointBackoff backoff,
-    RequestLimits limits,
+    SendLimits limits,
     EndpointReachability reachability,
     PromptQuarantine quarantine,
     CrashWitness crashWitness,
@@ -80,7 +80,7 @@
       AdmissionControl admission,
       StreamOriginComponents origins,
       EndpointBackoff backoff,
-      RequestLimits limits,
+      SendLimits limits,
       EndpointReachability reachability,
       PromptQuarantine quarantine,
       RelayTargets relayTargets,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -86,6 +86,7 @@
             tableFreshness,
             directory,
             work,
+            service -> speeds.of(service).slotMs(),
             options.bounds(),
             clock,
             random);
@@ -101,7 +102,7 @@
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
             new AdmissionControl(clock, random),
             fleet.origins(),
-            new EndpointBackoff(clock, random, fleet.members()::estimatedCount),
+            new EndpointBackoff(clock),
             fleet.endpoints().limits(),
             new EndpointReachability(clock, random, directory::size),
             fleet.endpoints().quarantine(),
@@ -228,7 +229,11 @@
     metrics.registerGauge(
         "zinniaspan_limited_endpoints",
         "Endpoints that state how many requests a second they take.",
-        () -> context.limits().size());
+        () -> context.limits().requests().size());
+    metrics.registerGauge(
+        "zinniaspan_rejection_limited_endpoints",
+        "Endpoints that state how many requests they can reject in a second.",
+        () -> context.limits().rejections().size());
     metrics.registerGauge(
         "zinniaspan_ready", "1 if this VM takes requests.", () -> isReady() ? 1 : 0);
   }
