--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/EndpointStandIn.java
@@ -91,6 +91,7 @@
   private final long delayMs;
   private volatile Fault fault = Fault.NONE;
   private volatile Optional<String> crashingPart = Optional.empty();
+  private volatile Optional<String> crashingPath = Optional.empty();
   private volatile long downMs;
   private volatile Optional<Double> requestLimit = Optional.empty();
   private volatile Optional<EndpointRoom> room = Optional.empty();
@@ -142,6 +143,17 @@
     crashingPart = part;
   }
 
+  /**
+   * Makes the endpoint crash when it runs a request to a path, before it answers.
+   *
+   * @param path end of the path; empty to answer all requests
+   * @param forMs time after which it accepts connections again, in milliseconds
+   */
+  public void setCrashingPath(Optional<String> path, long forMs) {
+    downMs = forMs;
+    crashingPath = path;
+  }
+
   /**
    * Makes the endpoint state in its answers how many requests it takes from all VMs together.
    *
@@ -290,6 +302,10 @@
           socket, responseHead("500 Internal Server Error", attemptId, "Content-Length: 0"));
       return true;
     }
+    if (crashingPath.map(path -> request.line().contains(path + " ")).orElse(false)) {
+      crash(() -> {});
+      return false;
+    }
     if (makesCrash(request)) {
       RawServer.write(socket, streamHead(attemptId));
       crash(() -> {});
