Refuse requests that crashed endpoints before, also without a prompt

Cause: requests were known by the parts of their prompts only. A plain one has none; a sound one with the same parts was refused with a crashing one.

Change: the fingerprint of a request (path, host, caller, body) counts like one more part of its prompt; an answer acquits it. Three crashes of the same request are enough.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
@@ -12,7 +12,8 @@
 import java.util.function.ToLongFunction;
 
 /**
- * Finds the combinations of prompt parts that explain why endpoints crashed.
+ * Finds the combinations of prompt parts, or the single requests, that explain why endpoints
+ * crashed. The fingerprint of a request counts like a part of its prompt.
  *
  * <p>When an endpoint crashes, several prompts wait there for their answers, and one of them may be
  * the cause. A combination of parts explains the crashes at which a prompt with all of them waited.
@@ -44,6 +45,12 @@
   /** Sum of weights from which crashes are explained. */
   private static final double MIN_WEIGHT = 2;
 
+  /**
+   * The same for a single request that is sent again and again, which seldom waits at several
+   * crashes without being answered in between.
+   */
+  private static final double MIN_SINGLE_REQUEST_WEIGHT = 1.5;
+
   /** Sum of weights from which all of several equal explanations are accepted. */
   private static final double MIN_AMBIGUOUS_WEIGHT = 4;
 
@@ -75,7 +82,9 @@
     }
   }
 
-  /** A part's share in the crashes: the parts that all its prompts have in common, and weights. */
+  /**
+   * A trait's share in the crashes: the traits that all its requests have in common, and weights.
+   */
   private static final class Candidate {
     private final Set<String> common;
     private final Map<Incident, Boolean> answerBegun = new LinkedHashMap<>();
@@ -104,6 +113,11 @@
       return weight;
     }
 
+    boolean isEnough() {
+      boolean single = common.stream().anyMatch(RequestFingerprint::isFingerprint);
+      return weight() >= (single ? MIN_SINGLE_REQUEST_WEIGHT : MIN_WEIGHT);
+    }
+
     boolean isLessSpecificThan(Candidate other) {
       return common.size() < other.common.size() && other.common.containsAll(common);
     }
@@ -169,8 +183,7 @@
 
   /** Returns the best candidate; several if they are equal; none if no one explains enough. */
   private static List<Candidate> best(List<Incident> incidents) {
-    List<Candidate> enough =
-        candidates(incidents).stream().filter(c -> c.weight() >= MIN_WEIGHT).toList();
+    List<Candidate> enough = candidates(incidents).stream().filter(Candidate::isEnough).toList();
     double most = enough.stream().mapToDouble(Candidate::weight).max().orElse(0);
     List<Candidate> near =
         enough.stream().filter(c -> c.weight() > most - SPECIFIC_MARGIN).toList();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptCrash.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptCrash.java
@@ -3,11 +3,11 @@
 import java.util.List;
 
 /**
- * A prompt that an endpoint had not answered yet when it crashed.
+ * A request that an endpoint had not answered yet when it crashed.
  *
  * @param endpointId id of the endpoint
  * @param attemptId id of the client attempt
- * @param parts ids of the prompt's parts, in order
+ * @param parts ids of the prompt's parts, in order, and the request's fingerprint
  * @param answerBegun whether the head of the answer had arrived, but no event
  * @param atMs time at which the connection was lost, in milliseconds
  */
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
@@ -1,6 +1,7 @@
 package org.zinniaspan.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -8,18 +9,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.log.EventLog;
 
 /**
- * Decides which prompts are not sent to endpoints, as prompts with the same parts crashed some.
+ * Decides which requests are not sent to endpoints, as the same request, or prompts with the same
+ * parts, crashed some.
  *
- * <p>It collects the prompts that waited at endpoints that crashed, and the parts that were
- * answered since, as this VM and others observed them. Both are only ever added, so that VMs agree
- * once they have exchanged them, in any order. A quarantine ends some time after the last crash;
- * the time doubles with each crash, so that a part that is still harmful crashes few endpoints when
- * it is tried again. Not thread-safe.
+ * <p>A request has traits: the parts of its prompt, if it has one, and its fingerprint. It collects
+ * the requests that waited at endpoints that crashed, and the parts that were answered since, as
+ * this VM and others observed them. Both are only ever added, so that VMs agree once they have
+ * exchanged them, in any order. A quarantine ends some time after the last crash; the time doubles
+ * with each crash, so that a part that is still harmful crashes few endpoints when it is tried
+ * again. Not thread-safe.
  *
  * <p>Example: {@code quarantine.suspect(crash); ... quarantine.confirm(crash.key());}
  */
@@ -54,7 +58,7 @@
   /**
    * Prompts that are not sent.
    *
-   * @param parts ids of the parts that a prompt must have to be concerned
+   * @param parts the traits that a request must have to be concerned
    * @param crashes number of crashes that they explain
    * @param untilMs time until which they are not sent, in milliseconds
    */
@@ -102,7 +106,7 @@
     this.sequence = sequence;
   }
 
-  /** Records that a prompt waited at an endpoint whose connection was lost. */
+  /** Records that a request waited at an endpoint whose connection was lost. */
   public void suspect(PromptCrash crash) {
     if (!confirmed.containsKey(crash.key())) {
       unconfirmed.put(crash.key(), crash);
@@ -125,10 +129,14 @@
     }
   }
 
-  /** Records that a prompt was answered, so that its parts caused none of the crashes before. */
-  public void onAnswered(Prompt prompt) {
+  /**
+   * Records that a request was answered, so that its traits caused none of the crashes before.
+   *
+   * @param traits ids of the parts of its prompt, and its fingerprint
+   */
+  public void onAnswered(Collection<String> traits) {
     long now = clock.nowMs();
-    prompt.partIds().forEach(part -> putAnswered(part, now, true));
+    traits.forEach(trait -> putAnswered(trait, now, true));
   }
 
   /** Adds what other VMs observed. */
@@ -192,13 +200,17 @@
     return false;
   }
 
-  /** Returns the quarantine that keeps a prompt from being sent, if there is one. */
-  public Optional<Quarantine> find(Prompt prompt) {
+  /**
+   * Returns the quarantine that keeps a request from being sent, if there is one.
+   *
+   * @param traits supplies the ids of the parts of its prompt, and its fingerprint
+   */
+  public Optional<Quarantine> find(Supplier<Collection<String>> traits) {
     update();
     if (quarantines.isEmpty()) {
       return Optional.empty();
     }
-    Set<String> parts = Set.copyOf(prompt.partIds());
+    Set<String> parts = Set.copyOf(traits.get());
     long now = clock.nowMs();
     return quarantines.stream()
         .filter(q -> q.untilMs() > now && parts.containsAll(q.parts()))
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -194,13 +194,13 @@
   }
 
   /**
-   * Records that the prompt has crashed no endpoint; not at the first event, with which one that
+   * Records that the request has crashed no endpoint; not at the first event, with which one that
    * crashes may have begun.
    */
   private void recordAnswered() {
     if (!answered) {
       answered = true;
-      proxiedRequest.prompt().ifPresent(proxiedRequest.context().quarantine()::onAnswered);
+      proxiedRequest.context().quarantine().onAnswered(proxiedRequest.traits());
     }
   }
 
@@ -349,10 +349,11 @@
                 .with("answerBegun", head != null)
                 .with("firstEvent", hadFirstEvent)
                 .with("promptParts", proxiedRequest.prompt().map(Prompt::partIds).orElse(List.of()))
+                .with("request", proxiedRequest.fingerprint())
                 .with("afterMs", proxiedRequest.context().clock().nowMs() - sentMs));
     if (opened) {
       if (!hadFirstEvent) {
-        proxiedRequest.prompt().ifPresent(this::suspectPrompt);
+        suspectRequest();
       }
       sender.onConnectionLost(cause);
     } else {
@@ -361,16 +362,16 @@
     }
   }
 
-  private void suspectPrompt(Prompt prompt) {
+  private void suspectRequest() {
     proxiedRequest
         .context()
         .crashWitness()
-        .onPromptLost(
+        .onRequestLost(
             endpoint.listed(),
             new PromptCrash(
                 endpoint.listed().id(),
                 proxiedRequest.attemptId(),
-                prompt.partIds(),
+                proxiedRequest.traits(),
                 head != null,
                 proxiedRequest.context().clock().nowMs()));
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -1,6 +1,8 @@
 package org.zinniaspan.proxy;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -8,6 +10,7 @@
 import org.zinniaspan.fleet.StreamOriginResult;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.RequestFacts;
+import org.zinniaspan.forwarding.RequestFingerprint;
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteDecision;
 import org.zinniaspan.forwarding.RouteKind;
@@ -60,6 +63,7 @@
   private Optional<RouteDecision.Routed> routed = Optional.empty();
   private long version;
   private long deadlineMs = Long.MAX_VALUE;
+  private List<String> traits = List.of();
   private boolean finished;
   private boolean refusedByVm;
   private boolean awaitingConfirmation;
@@ -136,6 +140,22 @@
     return facts.prompt();
   }
 
+  /** Returns the fingerprint of the request. */
+  String fingerprint() {
+    return RequestFingerprint.of(
+        head.getMethod(), facts.host(), head.getPath(), facts.apiKey(), body);
+  }
+
+  /** Returns what may make the request crash endpoints: its prompt's parts, and its fingerprint. */
+  List<String> traits() {
+    if (traits.isEmpty()) {
+      List<String> all = new ArrayList<>(prompt().map(Prompt::partIds).orElse(List.of()));
+      all.add(fingerprint());
+      traits = List.copyOf(all);
+    }
+    return traits;
+  }
+
   /** Returns the route; there is one once the request was sent to an endpoint. */
   Route route() {
     return routed.orElseThrow().route();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -43,6 +43,9 @@
   /** Reason for refusing a request as prompts with the same parts crashed endpoints. */
   private static final String PROMPT_QUARANTINED = "prompt-quarantined";
 
+  /** Reason for refusing a request without a prompt as it crashed endpoints. */
+  private static final String REQUEST_QUARANTINED = "request-quarantined";
+
   /** Reason for refusing a request as all endpoints stated that they take none for a while. */
   private static final String ENDPOINTS_PAUSED = "endpoints-paused";
 
@@ -148,32 +151,32 @@
   }
 
   /**
-   * Ends the request, also one that is in progress, if its prompt is likely to crash an endpoint. A
-   * stream that has begun has crashed none.
+   * Ends the request, also one that is in progress, if it is likely to crash an endpoint. A stream
+   * that has begun has crashed none.
    */
   private boolean endIfQuarantined() {
     if (request.delivery().isStarted()) {
       return false;
     }
-    Optional<PromptQuarantine.Quarantine> found =
-        request.prompt().flatMap(context.quarantine()::find);
+    Optional<PromptQuarantine.Quarantine> found = context.quarantine().find(request::traits);
+    String reason = request.prompt().isPresent() ? PROMPT_QUARANTINED : REQUEST_QUARANTINED;
     found.ifPresent(
         quarantine -> {
           long remainingMs = quarantine.untilMs() - context.clock().nowMs();
           request
               .log()
               .addFailure(
-                  EventLog.event(PROMPT_QUARANTINED)
+                  EventLog.event(reason)
                       .with("id", request.attemptId())
                       .with("parts", quarantine.parts())
                       .with("crashes", quarantine.crashes())
                       .with("remainingMs", remainingMs)
                       .with("mayHaveRun", mayHaveRun()));
           if (mayHaveRun()) {
-            request.fail(PROMPT_QUARANTINED);
+            request.fail(reason);
           } else {
             cancel();
-            request.refuse(PROMPT_QUARANTINED, remainingMs);
+            request.refuse(reason, remainingMs);
           }
         });
     return found.isPresent();
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/PromptSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/PromptSharingTest.java
@@ -61,7 +61,7 @@
   }
 
   private static boolean isQuarantined(FleetSimulation.Vm vm) {
-    return vm.quarantine.find(prompt("site", "subject", "dead", "next")).isPresent();
+    return vm.quarantine.find(prompt("site", "subject", "dead", "next")::partIds).isPresent();
   }
 
   private void assertAllQuarantine() {
@@ -217,7 +217,7 @@
       fleet.advance(700);
       crash(vm(1), 1);
       fleet.advance(CONTACT_MS);
-      vm(5).quarantine.onAnswered(prompt("site", "subject", "dead", "sound"));
+      vm(5).quarantine.onAnswered(prompt("site", "subject", "dead", "sound").partIds());
       fleet.advance(CONTACT_MS);
       fleet
           .vms
@@ -244,7 +244,10 @@
   @Test
   void costNothingWithoutCrashes() {
     start(9);
-    fleet.vms.values().forEach(vm -> vm.quarantine.onAnswered(prompt("site", "subject", "own")));
+    fleet
+        .vms
+        .values()
+        .forEach(vm -> vm.quarantine.onAnswered(prompt("site", "subject", "own").partIds()));
     fleet.advance(5_000);
     fleet.vms.values().forEach(vm -> assertThat(vm.endpoints.exchange().sequence()).isEqualTo(0));
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,7 @@
   }
 
   private boolean isQuarantined(String... parts) {
-    return quarantine.find(prompt(parts)).isPresent();
+    return quarantine.find(prompt(parts)::partIds).isPresent();
   }
 
   @Nested
@@ -67,7 +68,7 @@
       nowMs += 2_000;
       crash("e2", "site", "subject", "dead", "own2");
       nowMs += 10;
-      quarantine.onAnswered(prompt("site", "subject", "own3"));
+      quarantine.onAnswered(prompt("site", "subject", "own3").partIds());
       assertThat(isQuarantined("elsewhere", "dead", "own4")).isTrue();
     }
 
@@ -76,7 +77,7 @@
       crash("e1", "site", "one", "dead", "own1");
       nowMs += 2_000;
       crash("e2", "site", "two", "dead", "own2");
-      quarantine.onAnswered(prompt("site", "three", "own3"));
+      quarantine.onAnswered(prompt("site", "three", "own3").partIds());
       nowMs += 10;
       assertThat(isQuarantined("site", "three", "dead", "own4")).isTrue();
       assertThat(isQuarantined("site", "two", "own5")).isFalse();
@@ -146,7 +147,7 @@
       for (int i = 0; i < 8; i++) {
         crash("e" + i, true, "site", "busy", "own" + i);
         nowMs += 500;
-        quarantine.onAnswered(prompt("site", "busy", "own-" + i));
+        quarantine.onAnswered(prompt("site", "busy", "own-" + i).partIds());
         nowMs += 500;
       }
       assertThat(isQuarantined("site", "busy", "own")).isFalse();
@@ -217,7 +218,7 @@
     void whenAllItsPartsWereAnswered() {
       crashTimes(2);
       nowMs += 1;
-      quarantine.onAnswered(prompt("site", "dead", "own-"));
+      quarantine.onAnswered(prompt("site", "dead", "own-").partIds());
       assertThat(isQuarantined("site", "dead", "own")).isFalse();
       assertThat(quarantine.size()).isEqualTo(0);
     }
@@ -244,7 +245,7 @@
       for (int i = 0; i < 6; i++) {
         crash("e" + i, random.nextBoolean(), "site", "s" + i % 2, "dead", "own" + i);
         nowMs += 1_000;
-        quarantine.onAnswered(prompt("site", "s" + random.nextInt(2), "own-" + i));
+        quarantine.onAnswered(prompt("site", "s" + random.nextInt(2), "own-" + i).partIds());
         changes.add(quarantine.changesSince(known, true));
         known = sequence.last();
         nowMs += 1_000;
@@ -254,15 +255,15 @@
       changes.forEach(other::merge);
       for (Prompt prompt :
           List.of(prompt("site", "s0", "dead", "x"), prompt("site", "s0", "x"), prompt("dead"))) {
-        assertThat(other.find(prompt)).isEqualTo(quarantine.find(prompt));
+        assertThat(other.find(prompt::partIds)).isEqualTo(quarantine.find(prompt::partIds));
       }
-      assertThat(other.find(prompt("site", "s1", "dead", "x"))).isPresent();
+      assertThat(other.find(prompt("site", "s1", "dead", "x")::partIds)).isPresent();
     }
 
     @Test
     void tellsOthersOnlyWhatIsOfUse() {
       for (int i = 0; i < 100; i++) {
-        quarantine.onAnswered(prompt("site", "s" + i));
+        quarantine.onAnswered(prompt("site", "s" + i).partIds());
       }
       assertThat(sequence.last()).isEqualTo(0);
       assertThat(quarantine.changesSince(0, false).isEmpty()).isTrue();
@@ -288,4 +289,73 @@
       assertThat(quarantine.changesSince(0, false).crashes().size()).isAtMost(256);
     }
   }
+
+  /** Requests that crash whichever endpoint runs them, without a prompt. */
+  @Nested
+  class SingleRequests {
+
+    private final String dead =
+        RequestFingerprint.of("GET", "a", "/dead", Optional.of("key"), new byte[0]);
+    private final String sound =
+        RequestFingerprint.of("GET", "a", "/often", Optional.of("key"), new byte[0]);
+    private int attempts;
+
+    private void crash(String endpoint, String... fingerprints) {
+      for (String fingerprint : fingerprints) {
+        PromptCrash crash =
+            new PromptCrash(endpoint, "r" + attempts++, List.of(fingerprint), false, nowMs);
+        quarantine.suspect(crash);
+        quarantine.confirm(crash.key());
+      }
+      nowMs += 200;
+    }
+
+    private boolean isRefused(String fingerprint) {
+      return quarantine.find(() -> List.of(fingerprint)).isPresent();
+    }
+
+    @Test
+    void areRefusedAfterThreeCrashes() {
+      crash("e1", dead);
+      crash("e2", dead);
+      assertThat(isRefused(dead)).isFalse();
+      crash("e3", dead);
+      assertThat(isRefused(dead)).isTrue();
+      assertThat(isRefused(sound)).isFalse();
+    }
+
+    @Test
+    void areNotRefusedIfTheyWereAnsweredInBetween() {
+      for (int i = 0; i < 6; i++) {
+        crash("e" + i, dead, sound);
+        quarantine.onAnswered(List.of(sound));
+      }
+      assertThat(isRefused(dead)).isTrue();
+      assertThat(isRefused(sound)).isFalse();
+    }
+
+    @Test
+    void areNotRefusedIfTheyWaitedAtTheSameCrashesAsTheCause() {
+      crash("e1", dead, sound);
+      crash("e2", dead, sound);
+      crash("e3", dead, sound);
+      assertThat(isRefused(sound)).isFalse();
+      crash("e4", dead);
+      assertThat(isRefused(dead)).isTrue();
+      assertThat(isRefused(sound)).isFalse();
+    }
+
+    @Test
+    void differByPathCallerAndBody() {
+      byte[] none = new byte[0];
+      assertThat(RequestFingerprint.of("GET", "a", "/dead", Optional.of("key"), none))
+          .isEqualTo(dead);
+      assertThat(RequestFingerprint.of("GET", "a", "/dead?x", Optional.of("key"), none))
+          .isNotEqualTo(dead);
+      assertThat(RequestFingerprint.of("GET", "a", "/dead", Optional.of("other"), none))
+          .isNotEqualTo(dead);
+      assertThat(RequestFingerprint.of("GET", "a", "/dead", Optional.of("key"), new byte[1]))
+          .isNotEqualTo(dead);
+    }
+  }
 }
