--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
@@ -105,7 +105,7 @@
       for (Map.Entry<Incident, Boolean> entry : answerBegun.entrySet()) {
         if (entry.getValue()) {
           weight += BEGUN_WEIGHT;
-        } else if (entry.getKey().startMs - lastWaitingMs > SAME_CAUSE_MS) {
+        } else if (isSingleRequest() || entry.getKey().startMs - lastWaitingMs > SAME_CAUSE_MS) {
           weight += WAITING_WEIGHT;
           lastWaitingMs = entry.getKey().startMs;
         }
@@ -113,9 +113,13 @@
       return weight;
     }
 
+    /** Returns whether it is one request that was sent again, from one endpoint to the next. */
+    boolean isSingleRequest() {
+      return common.stream().anyMatch(RequestFingerprint::isFingerprint);
+    }
+
     boolean isEnough() {
-      boolean single = common.stream().anyMatch(RequestFingerprint::isFingerprint);
-      return weight() >= (single ? MIN_SINGLE_REQUEST_WEIGHT : MIN_WEIGHT);
+      return weight() >= (isSingleRequest() ? MIN_SINGLE_REQUEST_WEIGHT : MIN_WEIGHT);
     }
 
     boolean isLessSpecificThan(Candidate other) {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
@@ -324,6 +324,16 @@
       assertThat(isRefused(sound)).isFalse();
     }
 
+    @Test
+    void areRefusedIfTheyCrashOneEndpointRightAfterTheOther() {
+      crash("e1", dead);
+      nowMs -= 150;
+      crash("e2", dead);
+      nowMs -= 150;
+      crash("e3", dead);
+      assertThat(isRefused(dead)).isTrue();
+    }
+
     @Test
     void areNotRefusedIfTheyWereAnsweredInBetween() {
       for (int i = 0; i < 6; i++) {
