--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
@@ -66,6 +66,15 @@
       new Kind("lookup", PLAIN, 31.3, 2, true, false, true, 393, 3_057, 0, 0, 0, 85.7);
   static final List<Kind> KINDS = List.of(LONG, CHAT, FLAG, CHARGE, LOOKUP);
 
+  /** Kinds of a deployment whose plain requests are short and have strict targets. */
+  static final List<Kind> SHORT_CALL_KINDS =
+      List.of(
+          LONG,
+          CHAT,
+          FLAG,
+          new Kind("deploy", PLAIN, 78.2, 2, false, false, false, 150, 800, 0, 0, 0, 15),
+          new Kind("status", PLAIN, 31.3, 2, true, false, true, 150, 800, 0, 0, 0, 15));
+
   /** What callers got of one kind of request, and the work of its requests. */
   static final class Tally {
     int asked;
@@ -77,6 +86,7 @@
 
   final FleetSimulation fleet;
   final Random random;
+  final List<Kind> kinds;
   final List<OverloadedEndpoint> endpoints = new ArrayList<>();
   final Map<Kind, Tally> tallies = new HashMap<>();
 
@@ -88,14 +98,20 @@
   private final Map<Kind, Double> bursts = new HashMap<>();
   private final double scale;
   private int requestCount;
+  private String zoneWithoutLoad = "";
 
   OverloadedFleet(long seed, int vms, int modelEndpoints, int plainEndpoints) {
+    this(seed, vms, modelEndpoints, plainEndpoints, KINDS);
+  }
+
+  OverloadedFleet(long seed, int vms, int modelEndpoints, int plainEndpoints, List<Kind> kinds) {
+    this.kinds = kinds;
     fleet = FleetSimulation.fleet(seed, BOUNDS, vms, ZONES);
     random = new Random(seed);
     scale = modelEndpoints / 78.0;
     add(MODEL, modelEndpoints, MODEL_SLOTS);
     add(PLAIN, plainEndpoints, PLAIN_SLOTS);
-    KINDS.forEach(kind -> tallies.put(kind, new Tally()));
+    kinds.forEach(kind -> tallies.put(kind, new Tally()));
     fleet.reports =
         engine ->
             endpoints.stream()
@@ -118,6 +134,16 @@
     bursts.put(kind, factor);
   }
 
+  /** Multiplies the rates of all kinds from now on. */
+  void burstAll(double factor) {
+    kinds.forEach(kind -> burst(kind, factor));
+  }
+
+  /** Lets the VMs of a zone get no clients' requests from now on. */
+  void withoutLoad(String zone) {
+    zoneWithoutLoad = zone;
+  }
+
   /** Lets all endpoints of a service state a rejection limit from now on, or none. */
   void state(String service, Optional<Integer> rejectionsPerSecond) {
     of(service).forEach(endpoint -> endpoint.state(rejectionsPerSecond));
@@ -147,7 +173,7 @@
     fleet.advance(
         ms,
         () -> {
-          KINDS.forEach(this::arrive);
+          kinds.forEach(this::arrive);
           fleet.vms.values().stream().filter(vm -> !vm.isPaused()).forEach(vm -> router(vm).tick());
         });
   }
@@ -167,7 +193,8 @@
 
   /** Hands a client's request to a random VM. */
   void submit(SimulatedRouter.Request request) {
-    List<FleetSimulation.Vm> vms = List.copyOf(fleet.vms.values());
+    List<FleetSimulation.Vm> vms =
+        fleet.vms.values().stream().filter(vm -> !vm.zone.equals(zoneWithoutLoad)).toList();
     FleetSimulation.Vm vm = vms.get(random.nextInt(vms.size()));
     router(vm).accept(request);
   }
@@ -216,7 +243,7 @@
   /** Returns what callers got, and how endpoints failed. */
   String summary() {
     StringBuilder text = new StringBuilder();
-    for (Kind kind : KINDS) {
+    for (Kind kind : kinds) {
       Tally tally = tallies.get(kind);
       text.append(
           String.format(
