--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -23,6 +23,9 @@
   private static final long ENDPOINT_DELAY_MS = 1;
 
   /** Enough for the daemon to find out that it reaches no endpoint, and to relay some. */
+  /** Time in which slots become required and are assigned, in milliseconds. */
+  private static final long SLOT_REQUESTS_MS = 3_500;
+
   private static final int REQUESTS_WITHOUT_ENDPOINTS = 6;
 
   private static final long STOP_TIMEOUT_S = 10;
@@ -104,7 +107,7 @@
       metrics.readAll();
     }
     for (String path :
-        List.of("members", "catalog", "engines", "stream-origins", "stream-origin")) {
+        List.of("members", "catalog", "engines", "stream-origins", "stream-origin", "slots")) {
       try (RawClient peer = new RawClient(daemon.peerAddress())) {
         peer.send(
             "POST /fleet/"
@@ -115,6 +118,7 @@
       }
     }
     site.store().restore(site.store().copy());
+    sendRequestsThatNeedSlots(site, daemon);
     sendPromptsThatCrashEndpoints(site, daemon);
     sendRequestsWithoutEndpoints(site, daemon);
     site.putEndpointEntry("i-2", "draining");
@@ -139,6 +143,21 @@
     }
   }
 
+  /** Lets endpoints state a rejection limit until VMs assign each other their slots. */
+  private static void sendRequestsThatNeedSlots(LocalSite site, LocalSite.DaemonProcess daemon)
+      throws IOException {
+    for (EndpointStandIn endpoint : site.endpoints().values()) {
+      endpoint.setRoom(Optional.of(new EndpointRoom(1, 1, 1)), ENDPOINT_DOWN_MS);
+    }
+    long endMs = System.currentTimeMillis() + SLOT_REQUESTS_MS;
+    while (System.currentTimeMillis() < endMs) {
+      sendRequest(daemon, "GET", "/safe/x", "");
+      sendRequest(daemon, "POST", "/chat/x", PROMPT_HEADERS);
+    }
+    site.endpoints().values().forEach(e -> e.setRoom(Optional.empty(), ENDPOINT_DOWN_MS));
+    sendRequest(daemon, "GET", "/safe/x", "");
+  }
+
   /** Lets endpoints crash until the daemon refuses the prompt. */
   private static void sendPromptsThatCrashEndpoints(LocalSite site, LocalSite.DaemonProcess daemon)
       throws IOException {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EndpointObservations.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EndpointObservations.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.function.ToDoubleFunction;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.AssignedSlots;
 import org.zinniaspan.forwarding.ChangeSequence;
 import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.RejectionLimits;
@@ -43,4 +44,9 @@
     return new EndpointObservations(
         quarantine, limits, new ObservationExchange(sequence, quarantine, limits, clock));
   }
+
+  /** Returns these components with limits that also heed the slots that VMs assign each other. */
+  public EndpointObservations withSlots(AssignedSlots slots) {
+    return new EndpointObservations(quarantine, limits.withSlots(slots), exchange);
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
@@ -62,6 +62,7 @@
   private static final class Row {
     private final String zone;
     private long heardMs;
+    private boolean assignsSlots;
 
     Row(String zone, long heardMs) {
       this.zone = zone;
@@ -83,6 +84,7 @@
   private int nextSeed;
   private long lastTickMs;
   private boolean leaving;
+  private boolean assignsSlots;
 
   /**
    * Creates a membership that knows only this VM.
@@ -130,6 +132,30 @@
     return live;
   }
 
+  /** Announces that this VM can assign the slots of endpoints, which earlier releases cannot. */
+  void announceSlotAssignment() {
+    assignsSlots = true;
+  }
+
+  /** Returns whether a VM is known to be able to assign the slots of endpoints. */
+  boolean canAssignSlots(String address) {
+    if (address.equals(self)) {
+      return assignsSlots;
+    }
+    return Optional.ofNullable(rows.get(address)).map(row -> row.assignsSlots).orElse(false);
+  }
+
+  /** Returns the share of the known live VMs that can assign slots, this one included. */
+  double slotAssignmentShare() {
+    long able = rows.values().stream().filter(row -> isLive(row) && row.assignsSlots).count();
+    return (double) (able + (assignsSlots ? 1 : 0)) / liveCount();
+  }
+
+  /** Adds a VM that can assign slots, of which this VM heard in another way. */
+  void addSlotAssigner(String address, String ofZone) {
+    put(FleetMember.newBuilder().setAddress(address).setZone(ofZone).setAssignsSlots(true).build());
+  }
+
   /** Returns the zones of the live VMs, in order, that of this VM included. */
   public List<String> zones() {
     List<String> zones = new ArrayList<>();
@@ -243,6 +269,8 @@
 
   private void merge(FleetMembers message) {
     put(message.getSender());
+    Optional.ofNullable(rows.get(message.getSender().getAddress()))
+        .ifPresent(row -> row.assignsSlots = message.getSender().getAssignsSlots());
     message.getMembersList().forEach(this::put);
   }
 
@@ -261,13 +289,16 @@
     } else {
       row.heardMs = Math.max(row.heardMs, heardMs);
     }
+    // VMs of earlier releases pass members on without this.
+    rows.get(member.getAddress()).assignsSlots |= member.getAssignsSlots();
   }
 
   /** Returns the message to a VM of the given zone. */
   private FleetMembers message(String receiverZone) {
     FleetMembers.Builder message = FleetMembers.newBuilder();
     if (!leaving) {
-      message.setSender(FleetMember.newBuilder().setAddress(self).setZone(zone));
+      message.setSender(
+          FleetMember.newBuilder().setAddress(self).setZone(zone).setAssignsSlots(assignsSlots));
     } else {
       message.setSender(FleetMember.newBuilder().setZone(zone).setAgeMs(LIVE_MS + 1));
     }
@@ -288,6 +319,7 @@
         .setAddress(address)
         .setZone(row.zone)
         .setAgeMs(Math.max(0, clock.nowMs() - row.heardMs))
+        .setAssignsSlots(row.assignsSlots)
         .build();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/PeerClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/PeerClient.java
@@ -7,6 +7,8 @@
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.SlotAssignment;
+import org.zinniaspan.peer.proto.SlotAssignmentQuery;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
 import org.zinniaspan.peer.proto.StreamOriginReceipt;
 import org.zinniaspan.peer.proto.StreamOriginReply;
@@ -51,4 +53,11 @@
       StreamOriginQuery query,
       long timeoutMs,
       Consumer<Optional<StreamOriginReply>> callback);
+
+  /** States which slots of endpoints this VM holds, and asks for more. */
+  void querySlots(
+      String address,
+      SlotAssignmentQuery query,
+      long timeoutMs,
+      Consumer<Optional<SlotAssignment>> callback);
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SuspectVms.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SuspectVms.java
@@ -21,6 +21,11 @@
     untilMs.put(address, now + forMs);
   }
 
+  /** Passes a VM over no longer. */
+  void remove(String address) {
+    untilMs.remove(address);
+  }
+
   /** Returns whether a VM is passed over now. */
   boolean contains(String address) {
     return untilMs.getOrDefault(address, Long.MIN_VALUE) > clock.nowMs();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RejectionLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RejectionLimits.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.log.EventLog;
 
@@ -211,8 +213,8 @@
     return Math.max(fullMs, Math.max(pausedMs(listed), permitMs));
   }
 
-  /** Returns the time until the pause after an endpoint's last rejection ends. */
-  private long pausedMs(ListedEndpoint endpoint) {
+  /** Returns the time until the pause after an endpoint's last rejection ends, in milliseconds. */
+  public long pausedMs(ListedEndpoint endpoint) {
     return rejections
         .find(EndpointIncarnation.of(endpoint))
         .map(rejection -> rejection.atMs() + pauseMs(endpoint) - clock.nowMs())
@@ -277,6 +279,21 @@
     return next < known * RATE_STEP && known < next * RATE_STEP;
   }
 
+  /** Returns when an endpoint last rejected a request, in milliseconds; empty if it did not. */
+  public Optional<Long> rejectedMs(ListedEndpoint endpoint) {
+    return rejections.find(EndpointIncarnation.of(endpoint)).map(EndpointStatement::atMs);
+  }
+
+  /** Returns the services whose endpoints state a rejection limit. */
+  public Set<String> services() {
+    long now = clock.nowMs();
+    return newestByService.entrySet().stream()
+        .filter(entry -> now - entry.getValue().atMs() <= StatementBoard.MAX_AGE_MS)
+        .filter(entry -> entry.getValue().value().perSecond().isPresent())
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the number of endpoints that state a rejection limit. */
   public int size() {
     return (int) limits.all().stream().filter(s -> s.value().perSecond().isPresent()).count();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
@@ -8,8 +8,19 @@
  *
  * @param requests the request limits that endpoints state
  * @param rejections the rejection limits that endpoints state
+ * @param slots slots of endpoints with a rejection limit
  */
-public record SendLimits(RequestLimits requests, RejectionLimits rejections) {
+public record SendLimits(RequestLimits requests, RejectionLimits rejections, AssignedSlots slots) {
+
+  /** Creates limits without assigned slots. */
+  public SendLimits(RequestLimits requests, RejectionLimits rejections) {
+    this(requests, rejections, AssignedSlots.NONE);
+  }
+
+  /** Returns these limits with other assigned slots. */
+  public SendLimits withSlots(AssignedSlots other) {
+    return new SendLimits(requests, rejections, other);
+  }
 
   private List<SendLimit> all() {
     return List.of(requests, rejections);
@@ -36,7 +47,14 @@
 
   /** Returns the time until this VM may send to an endpoint, in milliseconds. */
   public long remainingMs(TrackedEndpoint endpoint) {
-    return all().stream().mapToLong(limit -> limit.remainingMs(endpoint)).max().orElse(0);
+    return Math.max(requests.remainingMs(endpoint), rejectionRemainingMs(endpoint));
+  }
+
+  private long rejectionRemainingMs(TrackedEndpoint endpoint) {
+    ListedEndpoint listed = endpoint.listed();
+    return slots.areRequired(listed)
+        ? Math.max(rejections.pausedMs(listed), slots.remainingMs(listed))
+        : rejections.remainingMs(endpoint);
   }
 
   /** Returns whether an endpoint has a limit, so that there may be room at any time. */
@@ -47,5 +65,6 @@
   /** Records that a request is sent to an endpoint. */
   public void onSent(ListedEndpoint endpoint) {
     all().forEach(limit -> limit.onSent(endpoint));
+    slots.onSent(endpoint);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -57,6 +57,7 @@
   private final Deque<Long> sendTimesMs = new ArrayDeque<>();
   private double meanPromptTokens = INITIAL_MEAN_TOKENS;
   private int inFlight;
+  private final Deque<Long> abandonedUntilMs = new ArrayDeque<>();
   private long ownWaitingTokens;
   private final DecayingValue strictDelayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
   private final DecayingValue tolerantDelayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
@@ -135,6 +136,23 @@
     ownWaitingTokens -= promptTokens;
   }
 
+  /**
+   * Records that this VM gave up a request, which may occupy a slot for some more time.
+   *
+   * @param untilMs end of that time, in milliseconds
+   */
+  public void onAbandoned(long untilMs) {
+    abandonedUntilMs.addLast(untilMs);
+  }
+
+  /** Returns the number of slots that this VM's requests may occupy. */
+  public int occupiedSlots(long nowMs) {
+    if (!abandonedUntilMs.isEmpty()) {
+      abandonedUntilMs.removeIf(ms -> ms <= nowMs);
+    }
+    return inFlight + abandonedUntilMs.size();
+  }
+
   /** Records that a request ended. */
   public void onEnded() {
     inFlight--;
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -126,6 +126,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_SlotAssignmentQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_HeldSlots_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_HeldSlots_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_SlotAssignment_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_SlotAssignment_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -135,74 +150,84 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013fleet.proto\022\017zinniaspan.peer\"<\n\013FleetM" +
+      "\n\013fleet.proto\022\017zinniaspan.peer\"S\n\013FleetM" +
       "ember\022\017\n\007address\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\016\n\006" +
-      "age_ms\030\003 \001(\003\"k\n\014FleetMembers\022,\n\006sender\030\001" +
-      " \001(\0132\034.zinniaspan.peer.FleetMember\022-\n\007me" +
-      "mbers\030\002 \003(\0132\034.zinniaspan.peer.FleetMembe" +
-      "r\"[\n\014CatalogQuery\022\017\n\007version\030\001 \001(\003\022\022\n\nli" +
-      "st_epoch\030\002 \001(\003\022\025\n\rlist_sequence\030\003 \001(\003\022\017\n" +
-      "\007wait_ms\030\004 \001(\003\"\243\002\n\014CatalogState\022\017\n\007versi" +
-      "on\030\001 \001(\003\022\021\n\tconfirmed\030\002 \001(\010\022\033\n\023confirmat" +
-      "ion_age_ms\030\003 \001(\003\022\017\n\007held_ms\030\004 \001(\003\022\020\n\010rev" +
-      "ision\030\005 \001(\003\022\022\n\nlist_epoch\030\006 \001(\003\022\025\n\rlist_" +
-      "sequence\030\007 \001(\003\022\025\n\rlist_included\030\010 \001(\010\0223\n" +
-      "\tendpoints\030\t \003(\0132 .zinniaspan.peer.Catal" +
-      "ogEndpoint\022\r\n\005table\030\n \001(\014\022\023\n\013store_epoch" +
-      "\030\013 \001(\003\022\024\n\014list_current\030\014 \001(\010\"\237\001\n\017Catalog" +
-      "Endpoint\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n" +
-      "\007address\030\003 \001(\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 " +
-      "\001(\005\022\020\n\010draining\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007" +
-      " \001(\003\022\030\n\020software_version\030\010 \001(\t\"\217\002\n\013Engin" +
-      "eQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022" +
-      "\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender" +
-      "\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.S" +
-      "erviceWork\022!\n\024observation_sequence\030\007 \001(\003" +
-      "H\000\210\001\001\0223\n\014observations\030\010 \001(\0132\035.zinniaspan" +
-      ".peer.Observations\022\023\n\013min_wait_ms\030\t \001(\003B" +
-      "\027\n\025_observation_sequence\"@\n\013ServiceWork\022" +
-      "\017\n\007service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006st" +
-      "rict\030\003 \001(\001\"\313\002\n\013EngineState\022\r\n\005epoch\030\001 \001(" +
-      "\003\022\020\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zin" +
-      "niaspan.peer.EngineLoad\022/\n\tzone_work\030\004 \003" +
-      "(\0132\034.zinniaspan.peer.ServiceWork\0220\n\nflee" +
-      "t_work\030\005 \003(\0132\034.zinniaspan.peer.ServiceWo" +
-      "rk\022\034\n\024observation_sequence\030\006 \001(\003\0223\n\014obse" +
-      "rvations\030\007 \001(\0132\035.zinniaspan.peer.Observa" +
-      "tions\022\017\n\007held_ms\030\010 \001(\003\022\026\n\016heeds_min_wait" +
-      "\030\t \001(\010\022\020\n\010stopping\030\n \001(\010\"e\n\nEngineLoad\022\020" +
-      "\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022" +
-      "\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006activ" +
-      "e\030\005 \001(\005\"\212\002\n\014Observations\022/\n\007crashed\030\001 \003(" +
-      "\0132\036.zinniaspan.peer.CrashedPrompt\022/\n\010ans" +
-      "wered\030\002 \003(\0132\035.zinniaspan.peer.AnsweredPa" +
-      "rt\022-\n\006limits\030\003 \003(\0132\035.zinniaspan.peer.Req" +
-      "uestLimit\0229\n\020rejection_limits\030\004 \003(\0132\037.zi" +
-      "nniaspan.peer.RejectionLimit\022.\n\nrejectio" +
-      "ns\030\005 \003(\0132\032.zinniaspan.peer.Rejection\"[\n\014" +
-      "RequestLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarte" +
-      "d_at_ms\030\002 \001(\003\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age" +
-      "_ms\030\004 \001(\003\"\202\001\n\016RejectionLimit\022\020\n\010endpoint" +
-      "\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\017\n\007service" +
-      "\030\003 \001(\t\022\027\n\nper_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_m" +
-      "s\030\005 \001(\003B\r\n\013_per_second\"D\n\tRejection\022\020\n\010e" +
-      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006" +
-      "age_ms\030\003 \001(\003\"j\n\rCrashedPrompt\022\020\n\010endpoin" +
-      "t\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003" +
-      "(\t\022\024\n\014answer_begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003" +
-      "\",\n\014AnsweredPart\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms" +
-      "\030\002 \001(\003\"h\n\021StreamOriginEntry\022\022\n\nattempt_i" +
-      "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ver" +
-      "sion\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022Stre" +
-      "amOriginUpdate\0223\n\007origins\030\001 \003(\0132\".zinnia" +
-      "span.peer.StreamOriginEntry\"\025\n\023StreamOri" +
-      "ginReceipt\"K\n\021StreamOriginQuery\022\022\n\nattem" +
-      "pt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_wid" +
-      "e\030\003 \001(\010\"u\n\021StreamOriginReply\0222\n\006origin\030\001" +
-      " \001(\0132\".zinniaspan.peer.StreamOriginEntry" +
-      "\022\027\n\017recent_versions\030\002 \003(\t\022\023\n\013observed_ms" +
-      "\030\003 \001(\003B\035\n\031org.zinniaspan.peer.protoP\001b\006p" +
-      "roto3"
+      "age_ms\030\003 \001(\003\022\025\n\rassigns_slots\030\004 \001(\010\"k\n\014F" +
+      "leetMembers\022,\n\006sender\030\001 \001(\0132\034.zinniaspan" +
+      ".peer.FleetMember\022-\n\007members\030\002 \003(\0132\034.zin" +
+      "niaspan.peer.FleetMember\"[\n\014CatalogQuery" +
+      "\022\017\n\007version\030\001 \001(\003\022\022\n\nlist_epoch\030\002 \001(\003\022\025\n" +
+      "\rlist_sequence\030\003 \001(\003\022\017\n\007wait_ms\030\004 \001(\003\"\243\002" +
+      "\n\014CatalogState\022\017\n\007version\030\001 \001(\003\022\021\n\tconfi" +
+      "rmed\030\002 \001(\010\022\033\n\023confirmation_age_ms\030\003 \001(\003\022" +
+      "\017\n\007held_ms\030\004 \001(\003\022\020\n\010revision\030\005 \001(\003\022\022\n\nli" +
+      "st_epoch\030\006 \001(\003\022\025\n\rlist_sequence\030\007 \001(\003\022\025\n" +
+      "\rlist_included\030\010 \001(\010\0223\n\tendpoints\030\t \003(\0132" +
+      " .zinniaspan.peer.CatalogEndpoint\022\r\n\005tab" +
+      "le\030\n \001(\014\022\023\n\013store_epoch\030\013 \001(\003\022\024\n\014list_cu" +
+      "rrent\030\014 \001(\010\"\237\001\n\017CatalogEndpoint\022\n\n\002id\030\001 " +
+      "\001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n" +
+      "\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draining\030\006" +
+      " \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020software_" +
+      "version\030\010 \001(\t\"\217\002\n\013EngineQuery\022\r\n\005epoch\030\001" +
+      " \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007wait_ms\030\003 \001(\003\022" +
+      "\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001(\t\022*\n\004work\030\006 " +
+      "\003(\0132\034.zinniaspan.peer.ServiceWork\022!\n\024obs" +
+      "ervation_sequence\030\007 \001(\003H\000\210\001\001\0223\n\014observat" +
+      "ions\030\010 \001(\0132\035.zinniaspan.peer.Observation" +
+      "s\022\023\n\013min_wait_ms\030\t \001(\003B\027\n\025_observation_s" +
+      "equence\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022" +
+      "\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\313\002\n\013En" +
+      "gineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001" +
+      "(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.Engi" +
+      "neLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan.p" +
+      "eer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132\034.zi" +
+      "nniaspan.peer.ServiceWork\022\034\n\024observation" +
+      "_sequence\030\006 \001(\003\0223\n\014observations\030\007 \001(\0132\035." +
+      "zinniaspan.peer.Observations\022\017\n\007held_ms\030" +
+      "\010 \001(\003\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010stoppin" +
+      "g\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022" +
+      "\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016" +
+      "\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005\"\212\002\n\014Obser" +
+      "vations\022/\n\007crashed\030\001 \003(\0132\036.zinniaspan.pe" +
+      "er.CrashedPrompt\022/\n\010answered\030\002 \003(\0132\035.zin" +
+      "niaspan.peer.AnsweredPart\022-\n\006limits\030\003 \003(" +
+      "\0132\035.zinniaspan.peer.RequestLimit\0229\n\020reje" +
+      "ction_limits\030\004 \003(\0132\037.zinniaspan.peer.Rej" +
+      "ectionLimit\022.\n\nrejections\030\005 \003(\0132\032.zinnia" +
+      "span.peer.Rejection\"[\n\014RequestLimit\022\020\n\010e" +
+      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\n" +
+      "per_second\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n\016Rej" +
+      "ectionLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted" +
+      "_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper_sec" +
+      "ond\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_per_s" +
+      "econd\"D\n\tRejection\022\020\n\010endpoint\030\001 \001(\t\022\025\n\r" +
+      "started_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"j\n\rC" +
+      "rashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattemp" +
+      "t_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begu" +
+      "n\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022" +
+      "\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamO" +
+      "riginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n\014rem" +
+      "aining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n" +
+      "\007origins\030\001 \003(\0132\".zinniaspan.peer.StreamO" +
+      "riginEntry\"\025\n\023StreamOriginReceipt\"K\n\021Str" +
+      "eamOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007se" +
+      "rvice\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021Stream" +
+      "OriginReply\0222\n\006origin\030\001 \001(\0132\".zinniaspan" +
+      ".peer.StreamOriginEntry\022\027\n\017recent_versio" +
+      "ns\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003\"\372\001\n\023SlotAs" +
+      "signmentQuery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epoch\030\002" +
+      " \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunanswered\030\004 \003(\003" +
+      "\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zinnia" +
+      "span.peer.HeldSlots\022\016\n\006wanted\030\007 \001(\005\022\014\n\004r" +
+      "ank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusable\030\n" +
+      " \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\twithdraws\030\014 \001" +
+      "(\010\",\n\tHeldSlots\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005cou" +
+      "nt\030\002 \001(\005\"`\n\016SlotAssignment\022\017\n\007assigns\030\001 " +
+      "\001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020expected_wait_" +
+      "ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035\n\031org.zinnia" +
+      "span.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -213,7 +238,7 @@
     internal_static_zinniaspan_peer_FleetMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_FleetMember_descriptor,
-        new java.lang.String[] { "Address", "Zone", "AgeMs", });
+        new java.lang.String[] { "Address", "Zone", "AgeMs", "AssignsSlots", });
     internal_static_zinniaspan_peer_FleetMembers_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_zinniaspan_peer_FleetMembers_fieldAccessorTable = new
@@ -328,6 +353,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReply_descriptor,
         new java.lang.String[] { "Origin", "RecentVersions", "ObservedMs", });
+    internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_zinniaspan_peer_SlotAssignmentQuery_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor,
+        new java.lang.String[] { "Sender", "Epoch", "Number", "Unanswered", "Service", "Held", "Wanted", "Rank", "WaitMs", "Unusable", "Announces", "Withdraws", });
+    internal_static_zinniaspan_peer_HeldSlots_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_zinniaspan_peer_HeldSlots_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_HeldSlots_descriptor,
+        new java.lang.String[] { "Endpoint", "Count", });
+    internal_static_zinniaspan_peer_SlotAssignment_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_zinniaspan_peer_SlotAssignment_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_SlotAssignment_descriptor,
+        new java.lang.String[] { "Assigns", "Endpoints", "ExpectedWaitMs", "Assigner", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/FleetMember.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/FleetMember.java
@@ -155,6 +155,21 @@
     return ageMs_;
   }
 
+  public static final int ASSIGNS_SLOTS_FIELD_NUMBER = 4;
+  private boolean assignsSlots_ = false;
+  /**
+   * <pre>
+   * Whether the VM assigns the slots of endpoints.
+   * </pre>
+   *
+   * <code>bool assigns_slots = 4;</code>
+   * @return The assignsSlots.
+   */
+  @java.lang.Override
+  public boolean getAssignsSlots() {
+    return assignsSlots_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -178,6 +193,9 @@
     if (ageMs_ != 0L) {
       output.writeInt64(3, ageMs_);
     }
+    if (assignsSlots_ != false) {
+      output.writeBool(4, assignsSlots_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -192,6 +210,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, ageMs_);
     }
+    if (assignsSlots_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, assignsSlots_);
+    }
     return size;
   }
   @java.lang.Override
@@ -222,6 +244,8 @@
         .equals(other.getZone())) return false;
     if (getAgeMs()
         != other.getAgeMs()) return false;
+    if (getAssignsSlots()
+        != other.getAssignsSlots()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -240,6 +264,9 @@
     hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMs());
+    hash = (37 * hash) + ASSIGNS_SLOTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAssignsSlots());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -378,6 +405,7 @@
       address_ = "";
       zone_ = "";
       ageMs_ = 0L;
+      assignsSlots_ = false;
       return this;
     }
 
@@ -420,6 +448,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.ageMs_ = ageMs_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.assignsSlots_ = assignsSlots_;
+      }
     }
 
     @java.lang.Override
@@ -447,6 +478,9 @@
       if (other.getAgeMs() != 0L) {
         setAgeMs(other.getAgeMs());
       }
+      if (other.getAssignsSlots() != false) {
+        setAssignsSlots(other.getAssignsSlots());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -486,6 +520,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              assignsSlots_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -711,6 +750,50 @@
       return this;
     }
 
+    private boolean assignsSlots_ ;
+    /**
+     * <pre>
+     * Whether the VM assigns the slots of endpoints.
+     * </pre>
+     *
+     * <code>bool assigns_slots = 4;</code>
+     * @return The assignsSlots.
+     */
+    @java.lang.Override
+    public boolean getAssignsSlots() {
+      return assignsSlots_;
+    }
+    /**
+     * <pre>
+     * Whether the VM assigns the slots of endpoints.
+     * </pre>
+     *
+     * <code>bool assigns_slots = 4;</code>
+     * @param value The assignsSlots to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAssignsSlots(boolean value) {
+
+      assignsSlots_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the VM assigns the slots of endpoints.
+     * </pre>
+     *
+     * <code>bool assigns_slots = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAssignsSlots() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      assignsSlots_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.FleetMember)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/FleetMemberOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/FleetMemberOrBuilder.java
@@ -51,4 +51,14 @@
    * @return The ageMs.
    */
   long getAgeMs();
+
+  /**
+   * <pre>
+   * Whether the VM assigns the slots of endpoints.
+   * </pre>
+   *
+   * <code>bool assigns_slots = 4;</code>
+   * @return The assignsSlots.
+   */
+  boolean getAssignsSlots();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -102,6 +102,8 @@
   public void cancel() {
     if (!ended) {
       finish();
+      double slotMs = speed().slotMs();
+      endpoint.onAbandoned(proxiedRequest.context().clock().nowMs() + Math.round(slotMs));
       connection.reset();
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -13,6 +13,7 @@
 import org.zinniaspan.fleet.EngineBoard;
 import org.zinniaspan.fleet.EngineSharing;
 import org.zinniaspan.fleet.FleetMembership;
+import org.zinniaspan.fleet.SlotSharing;
 import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
@@ -31,6 +32,7 @@
   private final EngineSharing engineSharing;
   private final EngineBoard engineBoard;
   private final EndpointObservations endpoints;
+  private final SlotSharing slots;
   private final StreamOriginComponents origins;
 
   /**
@@ -63,8 +65,19 @@
     members = new FleetMembership(address, zone, seeds, peers, clock, random);
     catalogService = new CatalogService(follower, freshness, directory, clock, epoch);
     catalogSharing = new CatalogSharing(follower, freshness, bounds, members, peers, clock);
-    endpoints =
+    EndpointObservations observations =
         EndpointObservations.create(members, zones, clock, System::currentTimeMillis, slotMs);
+    slots =
+        SlotSharing.create(
+            members,
+            directory,
+            observations.limits().rejections(),
+            peers,
+            clock,
+            System::currentTimeMillis,
+            slotMs,
+            random);
+    endpoints = observations.withSlots(slots);
     engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins =
@@ -73,7 +86,13 @@
 
   FleetServer server(RelayReceiver relays) {
     return new FleetServer(
-        members, catalogService, engineBoard, origins.sharing(), origins.lookup(), relays);
+        members,
+        catalogService,
+        engineBoard,
+        origins.sharing(),
+        origins.lookup(),
+        slots.assigner(),
+        relays);
   }
 
   /** Returns the origins of streams. */
@@ -86,6 +105,11 @@
     return endpoints;
   }
 
+  /** Returns the slots that VMs assign each other. */
+  SlotSharing slots() {
+    return slots;
+  }
+
   FleetMembership members() {
     return members;
   }
@@ -111,6 +135,10 @@
         "zinniaspan_engine_observer",
         "1 if this VM polls engines for others.",
         () -> engineSharing.isObserver() ? 1 : 0);
+    metrics.registerGauge(
+        "zinniaspan_slot_assigner",
+        "Services for whose endpoints this VM assigns slots.",
+        slots.assigner()::size);
     metrics.registerGauge(
         "zinniaspan_fleet_sent_bytes",
         "Bytes of the queries sent to other VMs since the start.",
@@ -136,6 +164,7 @@
     catalogService.tick();
     engineSharing.tick();
     engineBoard.tick();
+    slots.tick();
     origins.sharing().tick();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
@@ -8,6 +8,7 @@
 import org.zinniaspan.fleet.CatalogService;
 import org.zinniaspan.fleet.EngineBoard;
 import org.zinniaspan.fleet.FleetMembership;
+import org.zinniaspan.fleet.SlotAssigner;
 import org.zinniaspan.fleet.StreamOriginLookup;
 import org.zinniaspan.fleet.StreamOriginSharing;
 import org.zinniaspan.forwarding.InboundLimits;
@@ -15,6 +16,7 @@
 import org.zinniaspan.peer.proto.CatalogQuery;
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.SlotAssignmentQuery;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
 import org.zinniaspan.peer.proto.StreamOriginUpdate;
 import org.zinniaspan.transport.InboundConnection;
@@ -41,6 +43,9 @@
   /** Path of queries for the origin of a stream. */
   static final String ORIGIN_QUERIES_PATH = "/fleet/stream-origin";
 
+  /** Path of queries for the slots of endpoints. */
+  static final String SLOTS_PATH = "/fleet/slots";
+
   /** Largest size of the headers that a VM adds to a request that it relays, in bytes. */
   private static final int RELAY_HEADER_BYTES = 1_024;
 
@@ -49,6 +54,7 @@
   private final EngineBoard engines;
   private final StreamOriginSharing originSharing;
   private final StreamOriginLookup originLookup;
+  private final SlotAssigner slots;
   private final RelayReceiver relays;
 
   FleetServer(
@@ -57,12 +63,14 @@
       EngineBoard engines,
       StreamOriginSharing originSharing,
       StreamOriginLookup originLookup,
+      SlotAssigner slots,
       RelayReceiver relays) {
     this.members = members;
     this.catalog = catalog;
     this.engines = engines;
     this.originSharing = originSharing;
     this.originLookup = originLookup;
+    this.slots = slots;
     this.relays = relays;
   }
 
@@ -100,6 +108,8 @@
         case ORIGIN_QUERIES_PATH ->
             originLookup.onQuery(
                 StreamOriginQuery.parseFrom(body), reply -> respond(connection, reply));
+        case SLOTS_PATH ->
+            slots.onQuery(SlotAssignmentQuery.parseFrom(body), reply -> respond(connection, reply));
         default -> respond(connection, HttpStatus.SC_NOT_FOUND, new byte[0]);
       }
     } catch (InvalidProtocolBufferException e) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -111,6 +111,7 @@
             options.bounds(),
             options.vmLimits());
     server = new ForwardServer(context, shutdown);
+    fleet.slots().whenAssigned(server::sendWaiting);
     reportSource =
         options
             .reportSourceFactory()
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -142,6 +142,17 @@
     return entries;
   }
 
+  /** Sends the requests that wait for room, the most urgent ones first. */
+  void sendWaiting() {
+    long now = clock.nowMs();
+    for (Map.Entry<InboundConnection, ProxiedRequest> entry : inOrderOfUrgency()) {
+      if (entry.getValue().isAwaitingRoom()) {
+        entry.getValue().tick(now);
+        removeIfFinished(entry.getKey(), entry.getValue());
+      }
+    }
+  }
+
   private void probeEndpoints() {
     EndpointReachability reachability = context.reachability();
     for (ListedEndpoint endpoint : reachability.nextProbes(context.directory()::entries)) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
@@ -20,6 +20,8 @@
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.SlotAssignment;
+import org.zinniaspan.peer.proto.SlotAssignmentQuery;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
 import org.zinniaspan.peer.proto.StreamOriginReceipt;
 import org.zinniaspan.peer.proto.StreamOriginReply;
@@ -96,6 +98,16 @@
     call(address, request, query, StreamOriginReply.parser(), timeoutMs, callback);
   }
 
+  @Override
+  public void querySlots(
+      String address,
+      SlotAssignmentQuery query,
+      long timeoutMs,
+      Consumer<Optional<SlotAssignment>> callback) {
+    HttpRequest request = new BasicHttpRequest("POST", FleetServer.SLOTS_PATH);
+    call(address, request, query, SlotAssignment.parser(), timeoutMs, callback);
+  }
+
   @Override
   public void tick() {
     clientsByAddress.values().forEach(BufferingHttpClient::tick);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -183,14 +183,18 @@
   }
 
   /**
-   * Waits for room at endpoints with a limit, up to the latency target; otherwise refuses the
-   * request until the first endpoint takes requests again, if it has not run.
+   * Waits for room at endpoints with a limit while the latency target can be met; otherwise refuses
+   * the request until the first endpoint takes requests again, if it has not run.
    */
   private void awaitRoom(SendDecision.Paused paused) {
     long waitedMs = context.clock().nowMs() - request.arrivalMs();
+    double callMs =
+        request.prompt().isPresent() ? 0 : context.speeds().of(request.service()).plainCallMs();
     awaitingRoom =
-        paused.limited() && waitedMs + paused.remainingMs() < request.route().targetLatencyMs();
+        paused.limited()
+            && waitedMs + paused.remainingMs() + callMs < request.route().targetLatencyMs();
     if (awaitingRoom) {
+      context.limits().slots().onWaiting(request, request.service(), request.rank());
       return;
     }
     if (request.delivery().isStarted() || mayHaveRun) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.zinniaspan.forwarding.Catalog;
 import org.zinniaspan.forwarding.CatalogChanges;
@@ -40,6 +41,8 @@
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
 import org.zinniaspan.peer.proto.FleetMembers;
+import org.zinniaspan.peer.proto.SlotAssignment;
+import org.zinniaspan.peer.proto.SlotAssignmentQuery;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
 import org.zinniaspan.peer.proto.StreamOriginReceipt;
 import org.zinniaspan.peer.proto.StreamOriginReply;
@@ -72,6 +75,10 @@
   long nowMs = START_MS;
   final SimulatedStore store = new SimulatedStore(() -> nowMs);
   double lossRate;
+
+  /** Whether a VM that is started later assigns slots; those of earlier releases do not. */
+  Predicate<String> assignsSlots = address -> true;
+
   private final Set<String> cutLinks = new HashSet<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
@@ -172,9 +179,11 @@
     final EngineBoard board;
     final EngineSharing engines;
     final ReportPoller poller;
+    final Optional<SlotSharing> slots;
     final StreamOriginComponents origins;
     long polls;
     long originUpdates;
+    long slotQueries;
     long stepMs;
     private long suspendedMs;
     private long pausedSinceMs = -1;
@@ -196,13 +205,27 @@
       sharing = new CatalogSharing(follower, freshness, bounds, members, this, this::steadyMs);
       final long epoch = own.nextLong();
       work = new StreamWork(this::steadyMs);
-      endpoints =
+      EndpointObservations observations =
           EndpointObservations.create(
               members,
               zones,
               this::steadyMs,
               this::timeOfDayMs,
               service -> speeds.of(service).slotMs());
+      slots =
+          assignsSlots.test(address)
+              ? Optional.of(
+                  SlotSharing.create(
+                      members,
+                      directory,
+                      observations.limits().rejections(),
+                      this,
+                      this::steadyMs,
+                      this::timeOfDayMs,
+                      service -> speeds.of(service).slotMs(),
+                      own))
+              : Optional.empty();
+      endpoints = slots.map(observations::withSlots).orElse(observations);
       quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
       board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
@@ -293,6 +316,7 @@
       service.tick();
       engines.tick();
       board.tick();
+      slots.ifPresent(SlotSharing::tick);
       directory.tick();
       quarantine.tick();
       origins.sharing().tick();
@@ -455,6 +479,21 @@
           (target, reply) -> target.origins.lookup().onQuery(query, reply));
     }
 
+    @Override
+    public void querySlots(
+        String peer,
+        SlotAssignmentQuery query,
+        long timeoutMs,
+        Consumer<Optional<SlotAssignment>> callback) {
+      slotQueries++;
+      callPeer(
+          peer,
+          timeoutMs,
+          callback,
+          (target, reply) ->
+              target.slots.ifPresent(other -> other.assigner().onQuery(query, reply)));
+    }
+
     long version() {
       return follower.table().map(RoutingTable::version).orElse(-1L);
     }
@@ -471,7 +510,18 @@
 
   /** Starts a fleet of VMs, spread over zones, with three seeds in the first zones. */
   static FleetSimulation fleet(long seed, PlatformBounds bounds, int vms, int zones) {
+    return fleet(seed, bounds, vms, zones, address -> true);
+  }
+
+  /**
+   * Starts a fleet of VMs of which some are of the previous release.
+   *
+   * @param assignsSlots whether a VM is of this release
+   */
+  static FleetSimulation fleet(
+      long seed, PlatformBounds bounds, int vms, int zones, Predicate<String> assignsSlots) {
     FleetSimulation simulation = new FleetSimulation(seed, bounds, Math.max(DEFAULT_ZONES, zones));
+    simulation.assignsSlots = assignsSlots;
     List<String> seeds = List.of("vm-000", "vm-001", "vm-002");
     for (int i = 0; i < vms; i++) {
       simulation.start(String.format("vm-%03d", i), "zone-" + i % zones, seeds);
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Predicate;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptPart;
@@ -105,8 +106,23 @@
   }
 
   OverloadedFleet(long seed, int vms, int modelEndpoints, int plainEndpoints, List<Kind> kinds) {
+    this(seed, vms, modelEndpoints, plainEndpoints, kinds, address -> true);
+  }
+
+  /**
+   * Creates a fleet of which some VMs are of the previous release.
+   *
+   * @param ofThisRelease whether a VM is of this release, by its address
+   */
+  OverloadedFleet(
+      long seed,
+      int vms,
+      int modelEndpoints,
+      int plainEndpoints,
+      List<Kind> kinds,
+      Predicate<String> ofThisRelease) {
     this.kinds = kinds;
-    fleet = FleetSimulation.fleet(seed, BOUNDS, vms, ZONES);
+    fleet = FleetSimulation.fleet(seed, BOUNDS, vms, ZONES, ofThisRelease);
     random = new Random(seed);
     scale = modelEndpoints / 78.0;
     add(MODEL, modelEndpoints, MODEL_SLOTS);
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/RejectionLimitLargeFleetTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/RejectionLimitLargeFleetTest.java
@@ -4,10 +4,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -16,6 +19,7 @@
  * Endpoints of a large fleet must not fail from rejections while all kinds of requests increase at
  * once, whatever rejection limit they state.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class RejectionLimitLargeFleetTest {
 
   static {
@@ -33,7 +37,16 @@
   private OverloadedFleet world;
 
   private void start(long seed, int vms, int limit, List<OverloadedFleet.Kind> kinds) {
-    world = new OverloadedFleet(seed, vms, MODEL_ENDPOINTS, PLAIN_ENDPOINTS, kinds);
+    start(seed, vms, limit, kinds, address -> true);
+  }
+
+  private void start(
+      long seed,
+      int vms,
+      int limit,
+      List<OverloadedFleet.Kind> kinds,
+      Predicate<String> ofThisRelease) {
+    world = new OverloadedFleet(seed, vms, MODEL_ENDPOINTS, PLAIN_ENDPOINTS, kinds, ofThisRelease);
     world.advance(4_000);
     for (String service : List.of(OverloadedFleet.MODEL, OverloadedFleet.PLAIN)) {
       world.state(service, Optional.of(limit));
@@ -151,4 +164,18 @@
       assertFewFailures();
     }
   }
+
+  /** While VMs are replaced, some of the previous release send within their shares of a rate. */
+  @ParameterizedTest
+  @CsvSource({"43, 1, 1", "44, 5, 5"})
+  void keepsEndpointsUpBesideVmsOfThePreviousRelease(long seed, int tenthsOfPrevious, int limit) {
+    start(
+        seed,
+        VMS,
+        limit,
+        OverloadedFleet.KINDS,
+        address -> Integer.parseInt(address.substring(3)) % 10 >= tenthsOfPrevious);
+    overload(2.6);
+    assertFewFailures();
+  }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
@@ -88,6 +88,7 @@
         new TimeToFirstByteSelector(
             vm::steadyMs, new ZoneCosts(vm.zone, regions), vm.work, vm.speeds::of, random);
     admission = new AdmissionControl(vm::steadyMs, random);
+    vm.slots.ifPresent(slots -> slots.whenAssigned(this::sendWaiting));
   }
 
   private ServiceRetryBudget budget(String service) {
@@ -110,6 +111,10 @@
         reachability.onConnected(probed.id());
       }
     }
+    sendWaiting();
+  }
+
+  private void sendWaiting() {
     List<Request> due = new ArrayList<>(waiting);
     waiting.clear();
     due.sort(
@@ -140,8 +145,11 @@
 
   private void awaitRoom(Request request, SendDecision.Paused paused) {
     long waitedMs = vm.steadyMs() - request.arrivalMs;
-    if (paused.limited() && waitedMs + paused.remainingMs() < request.kind.targetMs()) {
+    double callMs =
+        request.prompt.isEmpty() ? vm.speeds.of(request.kind.service()).plainCallMs() : 0;
+    if (paused.limited() && waitedMs + paused.remainingMs() + callMs < request.kind.targetMs()) {
       waiting.add(request);
+      vm.endpoints.limits().slots().onWaiting(request, request.kind.service(), request.kind.rank());
     } else {
       refuse(request, Math.max(NOT_RUN_RETRY_AFTER_MS, paused.remainingMs()));
     }
