--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
@@ -273,10 +273,10 @@
   /** Asks the assigner of this VM's zone; returns whether slots can still be expected at once. */
   private boolean askOwnZone(
       String service, Map<String, List<TrackedEndpoint>> byZone, int need, int rank) {
-    long now = clock.nowMs();
     Source source = source(service, members.zone());
     int wanted = Math.min(MAX_WANTED, need);
     boolean more = wanted > source.askedWanted || rank < source.askedRank;
+    long now = clock.nowMs();
     if (now >= source.nextAskMs && (!source.isAsking() || more)) {
       boolean asked = ask(service, members.zone(), byZone, wanted, rank, WAIT_MS);
       return asked && (source.isAsking() || unusedOf(byZone.get(members.zone())) > 0);
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SlotSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SlotSharingTest.java
@@ -90,10 +90,10 @@
   }
 
   private void send(FleetSimulation.Vm vm, TrackedEndpoint endpoint) {
-    String id = endpoint.listed().id();
     limits(vm).onSent(endpoint.listed());
     endpoint.onSent(0, vm.steadyMs());
     started++;
+    String id = endpoint.listed().id();
     most = Math.max(most, inProgress.merge(id, 1, Integer::sum));
     fleet.at(
         WORK_MS,
