--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
@@ -290,13 +290,13 @@
 
   private void askOtherZone(
       String service, Map<String, List<TrackedEndpoint>> byZone, int need, int rank) {
-    long now = clock.nowMs();
     List<String> zones = new ArrayList<>(byZone.keySet());
     zones.remove(members.zone());
     if (zones.stream().anyMatch(zone -> source(service, zone).isAsking())) {
       return;
     }
     Collections.shuffle(zones, random);
+    long now = clock.nowMs();
     for (String zone : zones) {
       if (now >= source(service, zone).nextAskMs
           && ask(service, zone, byZone, Math.min(MAX_WANTED_ELSEWHERE, need), rank, 0)) {
