--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/ArchiveClassesCommand.java
@@ -19,13 +19,13 @@
 @Parameters(commandDescription = "Write the class data sharing archive from which a daemon starts.")
 public final class ArchiveClassesCommand implements StandinCommand {
 
+  /** Time in which slots become required and are assigned, in milliseconds. */
+  private static final long SLOT_REQUESTS_MS = 3_500;
+
   /** Delay of each response and event: short, as only the order of events matters here. */
   private static final long ENDPOINT_DELAY_MS = 1;
 
   /** Enough for the daemon to find out that it reaches no endpoint, and to relay some. */
-  /** Time in which slots become required and are assigned, in milliseconds. */
-  private static final long SLOT_REQUESTS_MS = 3_500;
-
   private static final int REQUESTS_WITHOUT_ENDPOINTS = 6;
 
   private static final long STOP_TIMEOUT_S = 10;
