Follow Retry-After whatever the rest of the response is like

Callers saw requests sent to an endpoint that had asked for rest, which answered them 503 again; others waited until their timeout for the body of a 503 response.

Cause: Retry-After was read only from complete responses that also state that the request did not run. It stands in the head, and holds whatever follows.

A response that states that the request did not run is now taken as such although its body is cut off or does not come.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -39,6 +39,12 @@
     UNUSABLE
   }
 
+  /**
+   * Time that the body of a response may take if its head states that the request did not run, in
+   * milliseconds.
+   */
+  private static final long MAX_REJECTION_BODY_MS = 100;
+
   private final RequestSender sender;
   private final ProxiedRequest proxiedRequest;
   private final Selection selection;
@@ -84,7 +90,7 @@
 
   @Override
   public boolean mayHaveRun() {
-    return connection.wasOpened();
+    return connection.wasOpened() && verdict != Verdict.NOT_RUN;
   }
 
   /** Returns the software version that the endpoint had when the request was sent. */
@@ -102,12 +108,22 @@
   public void cancel() {
     if (!ended) {
       finish();
-      double slotMs = speed().slotMs();
-      endpoint.onAbandoned(proxiedRequest.context().clock().nowMs() + Math.round(slotMs));
+      if (mayHaveRun()) {
+        double slotMs = speed().slotMs();
+        endpoint.onAbandoned(proxiedRequest.context().clock().nowMs() + Math.round(slotMs));
+      }
       connection.reset();
     }
   }
 
+  /** Ends a rejection whose body does not come. */
+  void endRejection(long nowMs) {
+    if (!ended && verdict == Verdict.NOT_RUN && silentMs(nowMs) >= MAX_REJECTION_BODY_MS) {
+      connection.reset();
+      onRejected();
+    }
+  }
+
   private EndpointReachability reachability() {
     return proxiedRequest.context().reachability();
   }
@@ -124,7 +140,8 @@
   @Override
   public boolean onHead(HttpResponse response) {
     onBytes();
-    recordStatements(proxiedRequest.context().dialect().responseFacts(response));
+    recordStatements(
+        response.getCode(), proxiedRequest.context().dialect().responseFacts(response));
     if (!proxiedRequest.matchesAttempt(response)) {
       proxiedRequest
           .log()
@@ -227,7 +244,9 @@
       onConnectionLost(true, Optional.empty());
       return;
     }
-    finish();
+    if (verdict != Verdict.NOT_RUN) {
+      finish();
+    }
     proxiedRequest.context().connections().release(endpoint.listed(), connection);
     long now = proxiedRequest.context().clock().nowMs();
     switch (verdict) {
@@ -241,11 +260,7 @@
         proxiedRequest.onStreamEnd(head);
       }
       case WHOLE -> onWholeResponse(now);
-      case NOT_RUN -> {
-        endpoint.onFailure(now);
-        recordRejection();
-        sender.onNotRun(head.getCode());
-      }
+      case NOT_RUN -> onRejected();
       default -> {
         endpoint.onFailure(now);
         proxiedRequest
@@ -271,12 +286,26 @@
     return events.hasIncompleteEvent() || (!framed && !promptDone);
   }
 
-  /** Records what an endpoint states of itself in each response. */
-  private void recordStatements(Dialect.ResponseFacts facts) {
+  /**
+   * Records what an endpoint states of itself in the head of each response, whatever the rest of
+   * the response is like.
+   */
+  private void recordStatements(int status, Dialect.ResponseFacts facts) {
     if (facts.draining()) {
       proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
     }
     limits().onResponse(endpoint.listed(), facts.requestsPerSecond(), facts.rejectionsPerSecond());
+    if (facts.notRun() || status == HttpStatus.SC_SERVICE_UNAVAILABLE) {
+      facts.retryAfterMs().ifPresent(this::pauseEndpoint);
+    }
+  }
+
+  /** Called when the endpoint has stated that it did not run the request. */
+  private void onRejected() {
+    finish();
+    endpoint.onFailure(proxiedRequest.context().clock().nowMs());
+    recordRejection();
+    sender.onNotRun(head.getCode());
   }
 
   private void recordRejection() {
@@ -295,7 +324,6 @@
                             .with("rejectionsPerSecond", limit)
                             .with("limitKnown", rejectionLimitKnown)
                             .with("inFlight", endpoint.inFlight())));
-    facts.retryAfterMs().ifPresent(this::pauseEndpoint);
   }
 
   private void pauseEndpoint(long retryAfterMs) {
@@ -337,6 +365,10 @@
 
   @Override
   public void onConnectionLost(boolean opened, Optional<Exception> cause) {
+    if (verdict == Verdict.NOT_RUN) {
+      onRejected();
+      return;
+    }
     final boolean hadFirstEvent = promptDone;
     finish();
     endpoint.onFailure(proxiedRequest.context().clock().nowMs());
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -116,6 +116,9 @@
     if (endIfQuarantined()) {
       return;
     }
+    if (attempt instanceof EndpointAttempt direct) {
+      direct.endRejection(nowMs);
+    }
     if (awaitingRoom) {
       send();
     } else if (context.reachability().isLost()) {
