--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/RelayRejectionTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/RelayRejectionTest.java
@@ -3,9 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -31,6 +33,7 @@
   private RawServer otherVm;
   private volatile String answer = "404 Not Found";
   private InetSocketAddress daemon;
+  private Path daemonLog;
 
   @BeforeEach
   void start() throws IOException {
@@ -51,6 +54,7 @@
                 .body()
                 .contains("zinniaspan_fleet_vms 2.0"));
     daemon = process.callerAddress();
+    daemonLog = process.logFile();
   }
 
   @AfterEach
@@ -106,6 +110,23 @@
     assertThat(statusOfRelayedCall()).isEqualTo(502);
   }
 
+  @Test
+  void ofDrainingEndpointKeepsThisVmFromTheEndpoint() {
+    answer =
+        "200 OK\r\nX-Zinniaspan-Server-Stamp: s1\r\nServer-Leaving: 1\r\n"
+            + "Zinniaspan-Relay-Endpoint: i-2";
+    assertThat(statusOfRelayedCall()).isEqualTo(200);
+    LocalFleet.await("endpoint-stated-draining", () -> logContains("endpoint-stated-draining"));
+  }
+
+  private boolean logContains(String text) {
+    try {
+      return Files.readString(daemonLog).contains(text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private SiteClient.RawResponse call() {
     try {
       return client.call(daemon, "POST", "/unsafe/x", "");
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -46,6 +46,46 @@
     assertThat(ready()).containsExactly("a");
   }
 
+  /** An endpoint whose own statement that it is draining must outlast its entry in the list. */
+  @Nested
+  class StatedDraining {
+
+    private void stateDraining() {
+      directory.replaceAll(List.of(endpoint("a", false, 1), endpoint("b", false, 1)));
+      directory.onStatedDraining(endpoint("a", false, 1));
+    }
+
+    @Test
+    void excludesEndpointAtOnce() {
+      stateDraining();
+      assertThat(ready()).containsExactly("b");
+    }
+
+    @Test
+    void holdsAfterEntryWasRemovedAndListedAgain() {
+      stateDraining();
+      directory.replaceAll(List.of(endpoint("b", false, 1)));
+      nowMs += 10_000;
+      directory.replaceAll(List.of(endpoint("a", false, 1), endpoint("b", false, 1)));
+      assertThat(ready()).containsExactly("b");
+    }
+
+    @Test
+    void holdsIfEntryIsNotListedAtTheTime() {
+      directory.replaceAll(List.of(endpoint("b", false, 1)));
+      directory.onStatedDraining(endpoint("a", false, 1));
+      directory.replaceAll(List.of(endpoint("a", false, 1), endpoint("b", false, 1)));
+      assertThat(ready()).containsExactly("b");
+    }
+
+    @Test
+    void endsWithIncarnation() {
+      stateDraining();
+      directory.replaceAll(List.of(endpoint("a", false, 2), endpoint("b", false, 1)));
+      assertThat(ready()).containsExactly("a", "b");
+    }
+  }
+
   @Nested
   class Removal {
 
