Keep endpoints' statements that they drain when their entries are listed again

Cause: the statement was a field of the entry's tracker, which is new when the entry was removed and is listed again, or was not listed at the time, though the statement concerns the incarnation. It is kept by incarnation now.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -1,9 +1,11 @@
 package org.zinniaspan.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,7 +38,18 @@
   /** Gap between two ticks that is taken for a pause of this process, in milliseconds. */
   private static final long MAX_TICK_GAP_MS = 1_000;
 
+  /** Number of incarnations whose statements that they are draining are kept. */
+  private static final int MAX_STATED_DRAINING = 5_000;
+
   private final Clock clock;
+  private final Set<EndpointIncarnation> statedDraining =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Boolean> eldest) {
+              return size() > MAX_STATED_DRAINING;
+            }
+          });
   private final Map<String, TrackedEndpoint> endpoints = new HashMap<>();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
   private final VersionHistory versions;
@@ -99,9 +112,10 @@
 
   /**
    * Records that an endpoint stated itself that it is draining, which the list may state later; it
-   * holds for this incarnation.
+   * holds for this incarnation, also while it is not listed.
    */
   public void onStatedDraining(ListedEndpoint entry) {
+    statedDraining.add(EndpointIncarnation.of(entry));
     TrackedEndpoint known = endpoints.get(entry.id());
     if (known != null
         && known.listed().startedAtMs() == entry.startedAtMs()
@@ -193,7 +207,7 @@
     pendingRemovals.remove(entry.id());
     TrackedEndpoint known = endpoints.get(entry.id());
     if (known == null) {
-      endpoints.put(entry.id(), new TrackedEndpoint(entry));
+      endpoints.put(entry.id(), track(entry));
       versions.onListed(entry);
       onChange("endpoint-added", entry);
     } else if (!known.listed().equals(entry) && !isOutdated(entry, known.listed())) {
@@ -204,6 +218,14 @@
     }
   }
 
+  private TrackedEndpoint track(ListedEndpoint entry) {
+    TrackedEndpoint endpoint = new TrackedEndpoint(entry);
+    if (statedDraining.contains(EndpointIncarnation.of(entry))) {
+      endpoint.stateDraining();
+    }
+    return endpoint;
+  }
+
   /**
    * Returns whether an entry is older than the known one: no incarnation returns from draining, but
    * a store that was restored from a copy shows it as it was until it is written again.
