Tell a VM that relays which endpoint stated that it drains

A VM that relays a request passed Server-Leaving on to its caller without knowing whose it was, and could send to that endpoint once its path was back. The VM that sends names the endpoint in a header between VMs; earlier releases ignore it, and send none.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -373,7 +373,11 @@
       return;
     }
     finish("answered", response.getCode());
-    client.sendResponse(context.dialect().clientResponse(response), content);
+    HttpResponse clientResponse = context.dialect().clientResponse(response);
+    if (relayed) {
+      clientResponse.setHeader(RelayHeaders.ENDPOINT, sender.receiver());
+    }
+    client.sendResponse(clientResponse, content);
   }
 
   /** Passes an event of a stream on to the client; the head is sent before the first event. */
@@ -384,7 +388,7 @@
       context.origins().sharing().record(attemptId(), service(), softwareVersion, leftMs());
     }
     if (relayed) {
-      delivery.stateSoftwareVersion(softwareVersion);
+      delivery.stateEndpoint(sender.receiver(), softwareVersion);
     }
     delivery.add(response, event);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -6,6 +6,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.RouteKind;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.OutboundConnection;
@@ -79,9 +80,20 @@
     }
     head = response;
     verdict = classify(response);
+    recordDraining(response);
     return true;
   }
 
+  /** Records that the endpoint of the response is draining, if it states so. */
+  private void recordDraining(HttpResponse response) {
+    EndpointDirectory directory = proxiedRequest.context().directory();
+    if (proxiedRequest.context().dialect().responseFacts(response).draining()) {
+      RelayHeaders.value(response, RelayHeaders.ENDPOINT)
+          .flatMap(directory::endpoint)
+          .ifPresent(endpoint -> directory.onStatedDraining(endpoint.listed()));
+    }
+  }
+
   private Verdict classify(HttpResponse response) {
     Dialect.ResponseFacts facts = proxiedRequest.context().dialect().responseFacts(response);
     if (facts.signed()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayHeaders.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayHeaders.java
@@ -23,6 +23,9 @@
    */
   static final String SOFTWARE_VERSION = "Zinniaspan-Relay-Software-Version";
 
+  /** In a response, the id of the endpoint that created it. */
+  static final String ENDPOINT = "Zinniaspan-Relay-Endpoint";
+
   /** Present in a response if the VM cannot take the request, but another one may. */
   static final String REFUSED_BY_VM = "Zinniaspan-Relay-Refused-By-Vm";
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
@@ -17,6 +17,7 @@
   private final InboundConnection client;
   private final Dialect dialect;
   private final Clock clock;
+  private Optional<String> endpoint = Optional.empty();
   private Optional<String> softwareVersion = Optional.empty();
   private Optional<String> lastEventId = Optional.empty();
   private boolean started;
@@ -50,8 +51,9 @@
     return lastEventId;
   }
 
-  /** Sets the software version that the head states to a VM that relays the request. */
-  void stateSoftwareVersion(String version) {
+  /** Sets the endpoint that the head states to a VM that relays the request, and its version. */
+  void stateEndpoint(String endpointId, String version) {
+    endpoint = Optional.of(endpointId);
     softwareVersion = Optional.of(version);
   }
 
@@ -61,6 +63,7 @@
       started = true;
       startedAtMs = clock.nowMs();
       HttpResponse response = dialect.clientResponse(endpointHead);
+      endpoint.ifPresent(id -> response.setHeader(RelayHeaders.ENDPOINT, id));
       softwareVersion.ifPresent(v -> response.setHeader(RelayHeaders.SOFTWARE_VERSION, v));
       client.startChunked(response);
     }
