--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotAssigner.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotAssigner.java
@@ -40,10 +40,10 @@
   private static final long HOLDER_SILENCE_MS = 5_000;
 
   /** Interval between two messages to the VMs that could assign slots too, in milliseconds. */
-  private static final long RIVAL_INTERVAL_MS = 500;
+  private static final long CANDIDATE_INTERVAL_MS = 500;
 
   /** Timeout of these messages, in milliseconds. */
-  private static final long RIVAL_TIMEOUT_MS = 400;
+  private static final long CANDIDATE_TIMEOUT_MS = 400;
 
   /** Gap between two ticks that is taken for a pause of this process, in milliseconds. */
   private static final long MAX_TICK_GAP_MS = 500;
@@ -71,8 +71,11 @@
     private final Set<String> informed = new HashSet<>();
     private boolean assigning;
     private long assigningSinceMs;
-    private long nextRivalMs;
-    private double sharedPart = 1;
+    private long nextCandidateQueryMs;
+
+    /** Share of the VMs that take part; those of earlier releases do not. */
+    private double participatingShare = 1;
+
     private double usableShare = 1;
     private long usableShareMs;
     private long rejectionSeenMs = Long.MIN_VALUE;
@@ -194,7 +197,7 @@
     if (self) {
       service.assigning = true;
       service.assigningSinceMs = clock.nowMs();
-      service.nextRivalMs = 0;
+      service.nextCandidateQueryMs = 0;
       service.informed.clear();
       service.ledger.clear();
     } else {
@@ -221,7 +224,7 @@
         (name, service) -> {
           updateRole(name, service);
           if (service.assigning) {
-            informRivals(name, service);
+            informCandidates(name, service);
             service.ledger.removeSilentSince(clock.nowMs() - HOLDER_SILENCE_MS);
             serve(name, service);
             endWaits(name, service);
@@ -235,19 +238,19 @@
    * Tells the other candidates that this VM assigns, and yields to those before it in rank that
    * reply.
    */
-  private void informRivals(String name, Service service) {
+  private void informCandidates(String name, Service service) {
     long now = clock.nowMs();
-    if (now < service.nextRivalMs) {
+    if (now < service.nextCandidateQueryMs) {
       return;
     }
-    service.nextRivalMs = now + RIVAL_INTERVAL_MS;
+    service.nextCandidateQueryMs = now + CANDIDATE_INTERVAL_MS;
     List<String> ranked = role.ranked(members.zone(), name);
     int own = ranked.indexOf(members.self());
-    for (String rival : ranked) {
-      if (ranked.indexOf(rival) < own) {
-        query(rival, name, false);
-      } else if (!rival.equals(members.self()) && service.informed.add(rival)) {
-        query(rival, name, true);
+    for (String candidate : ranked) {
+      if (ranked.indexOf(candidate) < own) {
+        query(candidate, name, false);
+      } else if (!candidate.equals(members.self()) && service.informed.add(candidate)) {
+        query(candidate, name, true);
       }
     }
   }
@@ -255,13 +258,14 @@
   /** Checks that the VM that this one takes for the assigner is one. */
   private void checkFirstInRank(String name, Service service) {
     long now = clock.nowMs();
-    if (now >= service.nextRivalMs && role.ranked(members.zone(), name).contains(members.self())) {
-      service.nextRivalMs = now + RIVAL_INTERVAL_MS;
+    if (now >= service.nextCandidateQueryMs
+        && role.ranked(members.zone(), name).contains(members.self())) {
+      service.nextCandidateQueryMs = now + CANDIDATE_INTERVAL_MS;
       role.assigner(members.zone(), name).ifPresent(vm -> query(vm, name, false));
     }
   }
 
-  private void query(String rival, String name, boolean announces) {
+  private void query(String candidate, String name, boolean announces) {
     SlotAssignmentQuery query =
         SlotAssignmentQuery.newBuilder()
             .setSender(members.self())
@@ -271,18 +275,18 @@
             .setAnnounces(announces)
             .build();
     peers.querySlots(
-        rival,
+        candidate,
         query,
-        RIVAL_TIMEOUT_MS,
+        CANDIDATE_TIMEOUT_MS,
         reply -> {
           if (announces) {
             if (reply.isEmpty() && services.containsKey(name)) {
-              services.get(name).informed.remove(rival);
+              services.get(name).informed.remove(candidate);
             }
           } else if (reply.map(SlotAssignment::getAssigns).orElse(false)) {
-            role.trust(rival, members.zone());
+            role.trust(candidate, members.zone());
           } else {
-            role.suspect(rival);
+            role.suspect(candidate);
           }
         });
   }
@@ -293,31 +297,13 @@
       return;
     }
     updateUsableShare(name, service);
-    service.sharedPart = members.slotAssignmentShare();
+    service.participatingShare = members.slotAssignmentShare();
     service.waiting.sort(
         Comparator.<Waiting>comparingInt(w -> w.query().getRank())
             .thenComparingLong(Waiting::arrivedMs));
     List<ListedEndpoint> usable = usableEndpoints(name);
     for (Waiting waiting : List.copyOf(service.waiting)) {
-      List<String> assigned = new ArrayList<>();
-      while (assigned.size() < Math.min(MAX_ASSIGNED, waiting.query().getWanted())) {
-        ListedEndpoint freest = null;
-        double mostFree = 0;
-        for (ListedEndpoint endpoint : usable) {
-          int taken = service.ledger.taken(endpoint.id()) + count(assigned, endpoint.id());
-          double free = usableSlots(service, endpoint) - taken;
-          if (free >= 1
-              && free / endpoint.slots() > mostFree
-              && !waiting.query().getUnusableList().contains(endpoint.id())) {
-            freest = endpoint;
-            mostFree = free / endpoint.slots();
-          }
-        }
-        if (freest == null) {
-          break;
-        }
-        assigned.add(freest.id());
-      }
+      List<String> assigned = pickSlots(service, usable, waiting.query());
       if (!assigned.isEmpty()) {
         service.waiting.remove(waiting);
         service.ledger.assign(waiting.query().getSender(), waiting.query().getNumber(), assigned);
@@ -326,12 +312,37 @@
     }
   }
 
+  /** Returns the ids of the endpoints with the largest shares of free slots, one for each slot. */
+  private List<String> pickSlots(
+      Service service, List<ListedEndpoint> endpoints, SlotAssignmentQuery query) {
+    List<ListedEndpoint> candidates =
+        endpoints.stream().filter(e -> !query.getUnusableList().contains(e.id())).toList();
+    List<String> picked = new ArrayList<>();
+    while (picked.size() < Math.min(MAX_ASSIGNED, query.getWanted())) {
+      ListedEndpoint freest = null;
+      double largestShare = 0;
+      for (ListedEndpoint endpoint : candidates) {
+        int taken = service.ledger.taken(endpoint.id()) + count(picked, endpoint.id());
+        double free = usableSlots(service, endpoint) - taken;
+        if (free >= 1 && free / endpoint.slots() > largestShare) {
+          freest = endpoint;
+          largestShare = free / endpoint.slots();
+        }
+      }
+      if (freest == null) {
+        return picked;
+      }
+      picked.add(freest.id());
+    }
+    return picked;
+  }
+
   private boolean isAssignedHere(ListedEndpoint endpoint) {
     return role.assigningZone(endpoint.zone()).equals(Optional.of(members.zone()));
   }
 
-  private static int count(List<String> assigned, String id) {
-    return (int) assigned.stream().filter(id::equals).count();
+  private static int count(List<String> ids, String id) {
+    return (int) ids.stream().filter(id::equals).count();
   }
 
   private List<ListedEndpoint> usableEndpoints(String service) {
@@ -346,7 +357,7 @@
   /** Returns the slots of an endpoint that may be assigned; VMs of earlier releases use others. */
   private double usableSlots(Service service, ListedEndpoint endpoint) {
     int slots = Math.max(1, endpoint.slots());
-    double otherShare = 1 - service.sharedPart;
+    double otherShare = 1 - service.participatingShare;
     double others = otherShare > 0 ? 1 + Math.ceil(slots * otherShare) : 0;
     return Math.max(1, Math.floor((slots - others) * service.usableShare));
   }
