Test slots of replies that are read after a pause, which fails

Nine VMs pause for 6 s with queries under way: 6 requests in progress at an endpoint with 4 slots. Also tests half of the VMs of the previous release at a limit of 1, which passes.

--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/RejectionLimitLargeFleetTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/RejectionLimitLargeFleetTest.java
@@ -165,6 +165,18 @@
     }
   }
 
+  @Test
+  void keepsEndpointsWithLimitOf1UpBesideHalfOfTheVmsOfThePreviousRelease() {
+    start(
+        41,
+        VMS,
+        1,
+        OverloadedFleet.KINDS,
+        address -> Integer.parseInt(address.substring(3)) % 10 >= 5);
+    overload(2.6);
+    assertFewFailures();
+  }
+
   /** While VMs are replaced, some of the previous release send within their shares of a rate. */
   @ParameterizedTest
   @CsvSource({"43, 1, 1", "44, 5, 5"})
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SlotSharingTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SlotSharingTest.java
@@ -176,6 +176,19 @@
     assertThat(most).isEqualTo(SLOTS);
   }
 
+  @Test
+  void doesNotUseSlotsOfRepliesFromBeforePause() {
+    advance(1_000);
+    List<FleetSimulation.Vm> others =
+        fleet.vms.values().stream()
+            .filter(vm -> !vm.slots.orElseThrow().assigner().assigns("service"))
+            .toList();
+    // Longer than silent VMs keep their slots, so that these are assigned to others meanwhile.
+    others.forEach(vm -> vm.pause(6_000, true));
+    advance(10_000);
+    assertThat(most).isAtMost(SLOTS);
+  }
+
   @Nested
   class LostAssigner {
 
