Drop slots of replies that are read after a pause

A reply that was read after a pause of the VM counted as new, though its slots had been assigned to another VM meanwhile. Replies later than their timeout by either clock count as lost.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
@@ -413,17 +413,23 @@
       return;
     }
     long sentMs = clock.nowMs();
+    long sentTimeOfDayMs = timeOfDay.nowMs();
+    long timeoutMs = query.getWaitMs() + TIMEOUT_MS;
     peers.querySlots(
         vm,
         query,
-        query.getWaitMs() + TIMEOUT_MS,
+        timeoutMs,
         reply -> {
           if (reply.isPresent()) {
             source.heardMs = clock.nowMs();
           } else if (source.heardMs < sentMs) {
             role.suspect(vm);
           }
-          onReply(vm, zone, source, query, reply);
+          // After a pause, the slots of a reply may have been assigned to another VM.
+          boolean timely =
+              clock.nowMs() - sentMs <= timeoutMs
+                  && Math.abs(timeOfDay.nowMs() - sentTimeOfDayMs) <= timeoutMs;
+          onReply(vm, zone, source, query, reply.filter(r -> timely));
         });
   }
 
