--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -96,6 +96,7 @@
           sleep(115_000);
           System.err.println("the case took too long");
           Daemon.killAll();
+          deleteFolders();
           Runtime.getRuntime().halt(2);
         });
     int code;
@@ -110,6 +111,7 @@
     record.write();
     System.out.println("result " + code);
     Daemon.killAll();
+    deleteFolders();
     Runtime.getRuntime().halt(code);
   }
 
@@ -639,8 +641,22 @@
     }
   }
 
-  /** Returns a folder for logs outside the repository. */
+  private static final List<Path> FOLDERS = new CopyOnWriteArrayList<>();
+
+  /** Returns a folder for logs outside the repository; it is deleted at the end. */
   static Path temporaryFolder() throws IOException {
-    return Files.createTempDirectory("review");
+    Path folder = Files.createTempDirectory("review");
+    FOLDERS.add(folder);
+    return folder;
+  }
+
+  private static void deleteFolders() {
+    for (Path folder : FOLDERS) {
+      java.io.File[] files = folder.toFile().listFiles();
+      for (java.io.File file : files == null ? new java.io.File[0] : files) {
+        file.delete();
+      }
+      folder.toFile().delete();
+    }
   }
 }
--- a/review/kit/Site.java
+++ b/review/kit/Site.java
@@ -141,6 +141,13 @@
     return version;
   }
 
+  /** Writes down each request that a server began to work on. */
+  void recordRuns() {
+    for (Run run : runs) {
+      record.add("ran: %s at %s from %d ms, %s, %d bytes of body", run.id(), run.server(), run.atMs(), run.request().line(), run.request().body().length);
+    }
+  }
+
   Kit.Daemon addDaemon(String name, int zone, String storeAddress) throws IOException {
     Kit.Daemon daemon = new Kit.Daemon(name, ZONES[zone], storeAddress, peers, logs);
     peers.add(daemon.peer);
