--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -68,10 +68,12 @@
                             Kit.request(read ? "GET" : "POST", (read ? "/leitura/" : "/cobranca/") + i, id, 2_000,
                                 Site.KEY, "", read ? new byte[0] : new byte[600]),
                             3_000);
+                    record.add("sent: %s %s; answered: %s", read ? "GET" : "POST", id, answer);
                     if (!answer.complete || answer.header("Connection").equals("close")) {
                       client.close();
                       client = null;
                     }
+                    Kit.sleep(20);
                     if (answer.status / 100 != 2) {
                       failed.incrementAndGet();
                       continue;
@@ -98,6 +100,7 @@
     for (Thread thread : threads) {
       thread.join();
     }
+    site.recordRuns();
     record.add("answers of the faulty server: %d, of which broken off: %d", answers.get(), cuts.get());
     record.add("requests answered 2xx: %d, others: %d", served.get(), failed.get());
     record.add("2xx that were not the server's whole answer: %d", broken.size());
