--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -31,12 +31,15 @@
 
   private Kit() {}
 
-  /** Host of the daemons; differs from 127.0.0.1, whose ports outgoing connections take. */
-  static final String DAEMON_HOST = "127.0.0.2";
+  /** Loopback network of this script, so that scripts that run side by side share no ports. */
+  private static final String NETWORK =
+      "127." + (1 + ProcessHandle.current().pid() / 250 % 250) + "." + ProcessHandle.current().pid() % 250 + ".";
 
-  static final String STORE_HOST = "127.0.0.3";
-  static final String SERVER_HOST = "127.0.0.4";
-  static final String PROXY_HOST = "127.0.0.5";
+  /** Hosts other than 127.0.0.1, whose ports outgoing connections take. */
+  static final String DAEMON_HOST = NETWORK + "2";
+
+  static final String STORE_HOST = NETWORK + "3";
+  static final String SERVER_HOST = NETWORK + "4";
   static final String ROUTE_HOST = "site.example";
 
   private static final long START_NANOS = System.nanoTime();
@@ -607,7 +610,7 @@
     /** Waits until the readiness check succeeds. */
     void awaitReady(long waitMs) throws IOException {
       long endMs = now() + waitMs;
-      while (now() < endMs) {
+      while (now() < endMs && process.isAlive()) {
         if (isReady(500)) {
           return;
         }
@@ -628,8 +631,9 @@
       return process.isAlive();
     }
 
-    void signal(String name) throws IOException, InterruptedException {
-      new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor(5, TimeUnit.SECONDS);
+    /** Kills the process (SIGKILL) and waits for its end. */
+    void kill() throws InterruptedException {
+      process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
     }
 
     String log() throws IOException {
