--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -11,7 +11,9 @@
   private static final int ANSWERS_PER_CUT = 50;
 
   /** Where the answers are cut in turn: at the end of one of these texts. */
-  private static final String[] CUT_AFTER = {"Content-Type: application/oct", "answer to ", "HTTP/1.1 20"};
+  private static final String[] CUT_AFTER = {
+    "Content-Type: application/oct", "answer to ", "HTTP/1.1 20"
+  };
 
   public static void main(String[] args) throws Exception {
     Kit.main(args, Case2::play);
@@ -40,8 +42,14 @@
           String place = CUT_AFTER[cuts.getAndIncrement() % CUT_AFTER.length];
           int length = whole.indexOf(place) + place.length();
           String sent = whole.substring(0, length);
-          cutAnswers.put(request.id(), length + " of " + whole.length() + " bytes, ending in '"
-              + sent.substring(Math.max(0, length - 24)).replace("\r\n", "\\r\\n") + "'");
+          cutAnswers.put(
+              request.id(),
+              length
+                  + " of "
+                  + whole.length()
+                  + " bytes, ending in '"
+                  + sent.substring(Math.max(0, length - 24)).replace("\r\n", "\\r\\n")
+                  + "'");
           socket.getOutputStream().write(Kit.bytes(sent));
           return false;
         });
@@ -65,8 +73,14 @@
                     boolean read = i % 2 == 0;
                     Kit.Answer answer =
                         client.call(
-                            Kit.request(read ? "GET" : "POST", (read ? "/leitura/" : "/cobranca/") + i, id, 2_000,
-                                Site.KEY, "", read ? new byte[0] : new byte[600]),
+                            Kit.request(
+                                read ? "GET" : "POST",
+                                (read ? "/leitura/" : "/cobranca/") + i,
+                                id,
+                                2_000,
+                                Site.KEY,
+                                "",
+                                read ? new byte[0] : new byte[600]),
                             3_000);
                     record.add("sent: %s %s; answered: %s", read ? "GET" : "POST", id, answer);
                     if (!answer.complete || answer.header("Connection").equals("close")) {
@@ -81,10 +95,16 @@
                     served.incrementAndGet();
                     boolean stamped =
                         site.servers.values().stream()
-                            .anyMatch(s -> s.stamp(id).equals(answer.header("X-Zinniaspan-Server-Stamp")));
+                            .anyMatch(
+                                s ->
+                                    s.stamp(id).equals(answer.header("X-Zinniaspan-Server-Stamp")));
                     if (answer.complete && (!stamped || !answer.text().equals(Site.body(id)))) {
                       String line =
-                          (read ? "GET " : "POST ") + id + ": client got " + answer + "; the server had sent "
+                          (read ? "GET " : "POST ")
+                              + id
+                              + ": client got "
+                              + answer
+                              + "; the server had sent "
                               + cutAnswers.getOrDefault(id, "a whole answer");
                       synchronized (broken) {
                         broken.add(line);
@@ -101,7 +121,8 @@
       thread.join();
     }
     site.recordRuns();
-    record.add("answers of the faulty server: %d, of which broken off: %d", answers.get(), cuts.get());
+    record.add(
+        "answers of the faulty server: %d, of which broken off: %d", answers.get(), cuts.get());
     record.add("requests answered 2xx: %d, others: %d", served.get(), failed.get());
     record.add("2xx that were not the server's whole answer: %d", broken.size());
     broken.forEach(line -> record.add("MIXED %s", line));
--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -4,13 +4,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A packet with the store's list of servers is lost and sent again, while a server reports that it leaves. */
+/**
+ * A packet with the store's list of servers is lost and sent again, while a server reports that it
+ * leaves.
+ */
 public final class Case5 {
 
   private static final long DRAIN_MS = 2_500;
   private static final long CONTACT_MS = 3_000;
 
-  /** Delay of an answer of which one packet is lost: the shortest retransmission timeout, and some. */
+  /**
+   * Delay of an answer of which one packet is lost: the shortest retransmission timeout, and some.
+   */
   private static final long LOST_PACKET_MS = 250;
 
   /** Requests come in groups, as at night. */
@@ -59,7 +64,8 @@
           }
           // The list was read already; what is stored from now on is not in it.
           lostMs.set(Kit.now());
-          record.add("second list read at the store%s", trouble ? "; a packet of its answer is lost" : "");
+          record.add(
+              "second list read at the store%s", trouble ? "; a packet of its answer is lost" : "");
           Kit.spawn(
               () -> {
                 Kit.sleep(60);
@@ -73,7 +79,9 @@
     int groupsAfter = 0;
     long nextMs = Kit.now();
     while (groupsAfter < 3 && Kit.now() < 70_000) {
-      boolean quiet = Kit.now() > lostMs.get() - 100 && Kit.now() < lostMs.get() + LOST_PACKET_MS + CONTACT_MS + 200;
+      boolean quiet =
+          Kit.now() > lostMs.get() - 100
+              && Kit.now() < lostMs.get() + LOST_PACKET_MS + CONTACT_MS + 200;
       if (quiet || Kit.now() < nextMs) {
         Kit.sleep(20);
         continue;
@@ -87,7 +95,9 @@
             Kit.spawn(
                 () -> {
                   try (Kit.Client client = new Kit.Client(daemon.frontend)) {
-                    byte[] request = Kit.request("POST", "/cobranca/" + id, id, 2_000, Site.KEY, "", new byte[600]);
+                    byte[] request =
+                        Kit.request(
+                            "POST", "/cobranca/" + id, id, 2_000, Site.KEY, "", new byte[600]);
                     record.add("sent: POST %s; answered: %s", id, client.call(request, 2_500));
                   } catch (IOException e) {
                     record.add("%s", e);
@@ -101,13 +111,32 @@
     List<Site.Run> late =
         site.runs.stream()
             .filter(run -> run.server().equals("i-app-1"))
-            .filter(run -> run.atMs() > leavingMs.get() + DRAIN_MS && run.atMs() > lostMs.get() + LOST_PACKET_MS + CONTACT_MS)
+            .filter(
+                run ->
+                    run.atMs() > leavingMs.get() + DRAIN_MS
+                        && run.atMs() > lostMs.get() + LOST_PACKET_MS + CONTACT_MS)
             .toList();
     site.recordRuns();
     record.add("requests: %d, runs: %d", number, site.runs.size());
-    record.add("requests that reached i-app-1 later than drain_ms after the acknowledgement, from a machine in touch: %d", late.size());
-    late.forEach(run -> record.add("DRAIN %s at %d ms, %d ms after the acknowledgement", run.id(), run.atMs(), run.atMs() - leavingMs.get()));
-    daemon.log().lines().filter(l -> l.contains("i-app-1") && (l.contains("endpoint-draining") || l.contains("endpoint-changed") || l.contains("endpoint-stated"))).forEach(l -> record.add("log: %s", l));
+    record.add(
+        "requests that reached i-app-1 later than drain_ms after the acknowledgement, from a"
+            + " machine in touch: %d",
+        late.size());
+    late.forEach(
+        run ->
+            record.add(
+                "DRAIN %s at %d ms, %d ms after the acknowledgement",
+                run.id(), run.atMs(), run.atMs() - leavingMs.get()));
+    daemon
+        .log()
+        .lines()
+        .filter(
+            l ->
+                l.contains("i-app-1")
+                    && (l.contains("endpoint-draining")
+                        || l.contains("endpoint-changed")
+                        || l.contains("endpoint-stated")))
+        .forEach(l -> record.add("log: %s", l));
     return leavingMs.get() == Long.MAX_VALUE || groupsAfter < 3 ? 2 : late.isEmpty() ? 0 : 1;
   }
 }
--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -3,7 +3,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -26,14 +25,20 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Stand-ins and helpers that the review scripts share: store, servers, clients, daemons, record. */
+/**
+ * Stand-ins and helpers that the review scripts share: store, servers, clients, daemons, record.
+ */
 public final class Kit {
 
   private Kit() {}
 
   /** Loopback network of this script, so that scripts that run side by side share no ports. */
   private static final String NETWORK =
-      "127." + (1 + ProcessHandle.current().pid() / 250 % 250) + "." + ProcessHandle.current().pid() % 250 + ".";
+      "127."
+          + (1 + ProcessHandle.current().pid() / 250 % 250)
+          + "."
+          + ProcessHandle.current().pid() % 250
+          + ".";
 
   /** Hosts other than 127.0.0.1, whose ports outgoing connections take. */
   static final String DAEMON_HOST = NETWORK + "2";
@@ -74,7 +79,9 @@
     }
 
     void add(String format, Object... values) {
-      lines.add(String.format(Locale.ROOT, "%7d ms  ", now()) + String.format(Locale.ROOT, format, values));
+      lines.add(
+          String.format(Locale.ROOT, "%7d ms  ", now())
+              + String.format(Locale.ROOT, format, values));
     }
 
     void write() throws IOException {
@@ -178,7 +185,8 @@
         return headers;
       }
       int colon = field.indexOf(':');
-      headers.put(field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
+      headers.put(
+          field.substring(0, colon).toLowerCase(Locale.ROOT), field.substring(colon + 1).trim());
     }
   }
 
@@ -282,9 +290,18 @@
 
     @Override
     public String toString() {
-      return "status " + status + (complete ? " complete" : " incomplete") + ", " + body.length
-          + " bytes, stamp '" + header("X-Zinniaspan-Server-Stamp") + "'" + (error.isEmpty() ? "" : ", " + error)
-          + ", " + (endMs - sentMs) + " ms";
+      return "status "
+          + status
+          + (complete ? " complete" : " incomplete")
+          + ", "
+          + body.length
+          + " bytes, stamp '"
+          + header("X-Zinniaspan-Server-Stamp")
+          + "'"
+          + (error.isEmpty() ? "" : ", " + error)
+          + ", "
+          + (endMs - sentMs)
+          + " ms";
     }
   }
 
@@ -297,14 +314,19 @@
       this(address, 0);
     }
 
-    /** @param receiveBytes size of the receive buffer; 0 for the default */
+    /**
+     * @param receiveBytes size of the receive buffer; 0 for the default
+     */
     Client(InetSocketAddress address, int receiveBytes) throws IOException {
       if (receiveBytes > 0) {
         socket.setReceiveBufferSize(receiveBytes);
       }
       socket.connect(address, 1_000);
       socket.setTcpNoDelay(true);
-      in = receiveBytes > 0 ? socket.getInputStream() : new BufferedInputStream(socket.getInputStream());
+      in =
+          receiveBytes > 0
+              ? socket.getInputStream()
+              : new BufferedInputStream(socket.getInputStream());
     }
 
     void send(byte[] request) throws IOException {
@@ -398,12 +420,30 @@
   }
 
   /** Returns the bytes of a client's request. */
-  static byte[] request(String method, String path, String id, long deadlineMs, String key, String more, byte[] body) {
+  static byte[] request(
+      String method,
+      String path,
+      String id,
+      long deadlineMs,
+      String key,
+      String more,
+      byte[] body) {
     String head =
-        method + " " + path + " HTTP/1.1\r\nHost: " + ROUTE_HOST + "\r\nX-Zinniaspan-Attempt-Id: " + id
-            + "\r\n" + more + "X-Zinniaspan-Deadline-Ms: " + deadlineMs + "\r\n"
+        method
+            + " "
+            + path
+            + " HTTP/1.1\r\nHost: "
+            + ROUTE_HOST
+            + "\r\nX-Zinniaspan-Attempt-Id: "
+            + id
+            + "\r\n"
+            + more
+            + "X-Zinniaspan-Deadline-Ms: "
+            + deadlineMs
+            + "\r\n"
             + (key.isEmpty() ? "" : "Authorization: Bearer " + key + "\r\n")
-            + (method.equals("GET") ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n";
+            + (method.equals("GET") ? "" : "Content-Length: " + body.length + "\r\n")
+            + "\r\n";
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     bytes.writeBytes(bytes(head));
     bytes.writeBytes(body);
@@ -452,7 +492,8 @@
       Map<String, String> query = new HashMap<>();
       for (String field : target.replaceFirst("^[^?]*\\??", "").split("&")) {
         String[] parts = field.split("=", 2);
-        query.put(parts[0], parts.length < 2 ? "" : URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
+        query.put(
+            parts[0], parts.length < 2 ? "" : URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
       }
       String answer;
       if (target.startsWith("/kv-watch")) {
@@ -477,11 +518,13 @@
       }
       List<Map.Entry<String, Item>> events = new ArrayList<>();
       items.entrySet().stream()
-          .filter(e -> e.getValue().revision() > after && e.getKey().startsWith(query.get("prefix")))
+          .filter(
+              e -> e.getValue().revision() > after && e.getKey().startsWith(query.get("prefix")))
           .sorted((a, b) -> Long.compare(a.getValue().revision(), b.getValue().revision()))
           .forEach(events::add);
       List<String> texts = events.stream().map(e -> json(e.getKey(), e.getValue(), -1)).toList();
-      return response("200 OK", "{\"events\":[" + String.join(",", texts) + "],\"at\":" + revision + "}");
+      return response(
+          "200 OK", "{\"events\":[" + String.join(",", texts) + "],\"at\":" + revision + "}");
     }
 
     private synchronized String read(boolean one, Map<String, String> query) {
@@ -494,13 +537,19 @@
       List<String> found = new ArrayList<>();
       items.forEach(
           (key, item) -> {
-            if (key.startsWith(query.get("prefix")) && item.value() != null
+            if (key.startsWith(query.get("prefix"))
+                && item.value() != null
                 && key.compareTo(query.getOrDefault("after", "")) > 0) {
               found.add(json(key, item, -1));
             }
           });
       return response(
-          "200 OK", "{\"items\":[" + String.join(",", found) + "],\"has_more\":false,\"at\":" + revision + "}");
+          "200 OK",
+          "{\"items\":["
+              + String.join(",", found)
+              + "],\"has_more\":false,\"at\":"
+              + revision
+              + "}");
     }
 
     private static String json(String key, Item item, long at) {
@@ -508,22 +557,41 @@
       text +=
           item.value() == null
               ? ",\"deleted\":true"
-              : ",\"created\":" + item.revision() + ",\"lease\":0,\"value\":\""
-                  + Base64.getEncoder().encodeToString(item.value().getBytes(StandardCharsets.UTF_8)) + "\"";
+              : ",\"created\":"
+                  + item.revision()
+                  + ",\"lease\":0,\"value\":\""
+                  + Base64.getEncoder()
+                      .encodeToString(item.value().getBytes(StandardCharsets.UTF_8))
+                  + "\"";
       return text + (at < 0 ? "" : ",\"at\":" + at) + "}";
     }
 
     private static String response(String status, String body) {
-      return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
-          + body.length() + "\r\n\r\n" + body;
+      return "HTTP/1.1 "
+          + status
+          + "\r\nContent-Type: application/json\r\nContent-Length: "
+          + body.length()
+          + "\r\n\r\n"
+          + body;
     }
   }
 
   /** Returns the entry of a server in the store. */
-  static String serverEntry(String service, String address, String zone, int slots, String state, long born) {
-    return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
-        + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-        + "\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":" + born + "}";
+  static String serverEntry(
+      String service, String address, String zone, int slots, String state, long born) {
+    return "{\"service\":\""
+        + service
+        + "\",\"address\":\""
+        + address
+        + "\",\"zone\":\""
+        + zone
+        + "\",\"version\":\"v1\",\"slots\":"
+        + slots
+        + ",\"state\":\""
+        + state
+        + "\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":"
+        + born
+        + "}";
   }
 
   // ---------------------------------------------------------------- daemons
@@ -540,7 +608,8 @@
     private Process process;
 
     /** Prepares a daemon of a small deployment; its figures are those of the site file. */
-    Daemon(String name, String zone, String storeAddress, List<String> peers, Path logs) throws IOException {
+    Daemon(String name, String zone, String storeAddress, List<String> peers, Path logs)
+        throws IOException {
       frontend = freeAddress();
       readiness = freeAddress();
       InetSocketAddress peerAddress = freeAddress();
@@ -550,7 +619,9 @@
       seeds.add(peer);
       Map<String, String> values = new HashMap<>();
       values.put("zone", zone);
-      values.put("zones", "{\"recife-a\":\"recife\",\"fortaleza-a\":\"fortaleza\",\"recife-b\":\"recife\"}");
+      values.put(
+          "zones",
+          "{\"recife-a\":\"recife\",\"fortaleza-a\":\"fortaleza\",\"recife-b\":\"recife\"}");
       values.put("listen.frontend", text(frontend));
       values.put("listen.readiness", text(readiness));
       values.put("listen.control_plane", peer);
@@ -576,7 +647,8 @@
 
     private static String runCommand() throws IOException {
       Matcher matcher =
-          Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/system.toml")));
+          Pattern.compile("(?m)^run = \"(.*)\"$")
+              .matcher(Files.readString(Path.of("deploy/system.toml")));
       if (!matcher.find()) {
         throw new IOException("deploy/system.toml has no run command");
       }
@@ -601,7 +673,9 @@
 
     void start() throws IOException {
       ProcessBuilder builder = new ProcessBuilder(command);
-      builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+      builder
+          .redirectErrorStream(true)
+          .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
       builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
       process = builder.start();
       ALL.add(process);
--- a/review/kit/Site.java
+++ b/review/kit/Site.java
@@ -42,18 +42,33 @@
     private boolean handle(Kit.Request request, Socket socket) throws IOException {
       OutputStream out = socket.getOutputStream();
       if (request.target().equals("/report")) {
-        String body = "{\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":689187,\"handles\":0,\"sequence\":1,\"busy\":false,\"stage\":\"mixed\"}";
-        out.write(Kit.bytes("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
+        String body =
+            "{\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":689187,\"handles\":0,\"sequence\":1,\"busy\":false,\"stage\":\"mixed\"}";
+        out.write(
+            Kit.bytes(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                    + body.length()
+                    + "\r\n\r\n"
+                    + body));
         return true;
       }
       if (request.target().equals("/healthz")) {
-        out.write(Kit.bytes("HTTP/1.1 200 OK\r\nX-Zinniaspan-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"));
+        out.write(
+            Kit.bytes(
+                "HTTP/1.1 200 OK\r\nX-Zinniaspan-Instance-Id: "
+                    + id
+                    + "\r\nContent-Length: 0\r\n\r\n"));
         return true;
       }
       String expected = request.header("X-Zinniaspan-Expect-Instance");
       if (!expected.isEmpty() && !expected.equals(id)) {
-        out.write(Kit.bytes("HTTP/1.1 421 Misdirected Request\r\nX-Zinniaspan-Instance-Id: " + id
-            + "\r\nX-Zinniaspan-Attempt-Id: " + request.id() + "\r\nContent-Length: 0\r\n\r\n"));
+        out.write(
+            Kit.bytes(
+                "HTTP/1.1 421 Misdirected Request\r\nX-Zinniaspan-Instance-Id: "
+                    + id
+                    + "\r\nX-Zinniaspan-Attempt-Id: "
+                    + request.id()
+                    + "\r\nContent-Length: 0\r\n\r\n"));
         return true;
       }
       runs.add(new Run(id, request.id(), Kit.now(), request));
@@ -66,8 +81,13 @@
 
     /** Returns the head of an answer with a length. */
     String head(String attemptId, int length) {
-      return "HTTP/1.1 200 OK\r\nX-Zinniaspan-Attempt-Id: " + attemptId + "\r\nX-Zinniaspan-Server-Stamp: "
-          + stamp(attemptId) + "\r\nContent-Type: application/octet-stream\r\nContent-Length: " + length + "\r\n\r\n";
+      return "HTTP/1.1 200 OK\r\nX-Zinniaspan-Attempt-Id: "
+          + attemptId
+          + "\r\nX-Zinniaspan-Server-Stamp: "
+          + stamp(attemptId)
+          + "\r\nContent-Type: application/octet-stream\r\nContent-Length: "
+          + length
+          + "\r\n\r\n";
     }
   }
 
@@ -101,7 +121,8 @@
     };
   }
 
-  Server addServer(String id, String service, int zone, int slots, Server.Work work) throws IOException {
+  Server addServer(String id, String service, int zone, int slots, Server.Work work)
+      throws IOException {
     Server server = new Server(id, runs, work);
     servers.put(id, server);
     putEntry(server, service, zone, slots, "ready");
@@ -111,13 +132,41 @@
   void putEntry(Server server, String service, int zone, int slots, String state) {
     store.put(
         "servers/" + server.id,
-        Kit.serverEntry(service, server.http.address(), ZONES[zone], slots, state, 1_700_000_000_000L));
+        Kit.serverEntry(
+            service, server.http.address(), ZONES[zone], slots, state, 1_700_000_000_000L));
   }
 
-  private static String route(String name, String prefix, String kind, long timeoutMs, long targetMs, int priority, String service, int attempts, String more) {
-    return "{\"name\":\"" + name + "\",\"host\":\"" + Kit.ROUTE_HOST + "\",\"prefix\":\"" + prefix + "\",\"route_kind\":\"" + kind
-        + "\",\"timeout_ms\":" + timeoutMs + ",\"target_latency_ms\":" + targetMs + ",\"priority\":" + priority
-        + ",\"service\":\"" + service + "\",\"max_attempts\":" + attempts + ",\"anonymous\":false" + more + "}";
+  private static String route(
+      String name,
+      String prefix,
+      String kind,
+      long timeoutMs,
+      long targetMs,
+      int priority,
+      String service,
+      int attempts,
+      String more) {
+    return "{\"name\":\""
+        + name
+        + "\",\"host\":\""
+        + Kit.ROUTE_HOST
+        + "\",\"prefix\":\""
+        + prefix
+        + "\",\"route_kind\":\""
+        + kind
+        + "\",\"timeout_ms\":"
+        + timeoutMs
+        + ",\"target_latency_ms\":"
+        + targetMs
+        + ",\"priority\":"
+        + priority
+        + ",\"service\":\""
+        + service
+        + "\",\"max_attempts\":"
+        + attempts
+        + ",\"anonymous\":false"
+        + more
+        + "}";
   }
 
   /** Writes the next configuration: the routes of the sheet, and those that a case adds. */
@@ -126,25 +175,61 @@
     List<String> routes = new ArrayList<>();
     routes.add(route("cobranca-consulta", "/cobranca/", "unsafe", 2_000, 243, 2, CONSOLE, 1, ""));
     routes.add(route("leitura-laudo", "/leitura/", "safe", 2_000, 243, 2, CONSOLE, 2, ""));
-    routes.add(route("pergunta-balcao", "/pergunta/", "streaming", 15_000, 300, 0, MODELS, 2, ",\"sticky\":true,\"resumable\":true,\"gap_target_ms\":200"));
-    routes.add(route("dossie-completo", "/dossie/", "streaming", 15_000, 2_000, 2, MODELS, 1, ",\"sticky\":true,\"resumable\":false,\"gap_target_ms\":800"));
+    routes.add(
+        route(
+            "pergunta-balcao",
+            "/pergunta/",
+            "streaming",
+            15_000,
+            300,
+            0,
+            MODELS,
+            2,
+            ",\"sticky\":true,\"resumable\":true,\"gap_target_ms\":200"));
+    routes.add(
+        route(
+            "dossie-completo",
+            "/dossie/",
+            "streaming",
+            15_000,
+            2_000,
+            2,
+            MODELS,
+            1,
+            ",\"sticky\":true,\"resumable\":false,\"gap_target_ms\":800"));
     routes.addAll(extraRoutes);
-    String engine = "{\"slots\":64,\"kv_capacity\":689187,\"kv_bytes\":163840,\"link_mbps\":180000.0}";
+    String engine =
+        "{\"slots\":64,\"kv_capacity\":689187,\"kv_bytes\":163840,\"link_mbps\":180000.0}";
     store.put(
         "op/config",
-        "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
-            + "{\"name\":\"" + MODELS + "\",\"health_path\":\"/healthz\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":" + engine + "},"
-            + "{\"name\":\"" + CONSOLE + "\",\"health_path\":\"/healthz\",\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+        "{\"version\":"
+            + version
+            + ",\"routes\":["
+            + String.join(",", routes)
+            + "],\"services\":["
+            + "{\"name\":\""
+            + MODELS
+            + "\",\"health_path\":\"/healthz\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":"
+            + engine
+            + "},"
+            + "{\"name\":\""
+            + CONSOLE
+            + "\",\"health_path\":\"/healthz\",\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}],"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-            + "\"tenants\":[{\"name\":\"" + TENANT + "\",\"api_keys\":["
-            + String.join(",", keys.stream().map(k -> "\"" + k + "\"").toList()) + "],\"priority\":1}]}");
+            + "\"tenants\":[{\"name\":\""
+            + TENANT
+            + "\",\"api_keys\":["
+            + String.join(",", keys.stream().map(k -> "\"" + k + "\"").toList())
+            + "],\"priority\":1}]}");
     return version;
   }
 
   /** Writes down each request that a server began to work on. */
   void recordRuns() {
     for (Run run : runs) {
-      record.add("ran: %s at %s from %d ms, %s, %d bytes of body", run.id(), run.server(), run.atMs(), run.request().line(), run.request().body().length);
+      record.add(
+          "ran: %s at %s from %d ms, %s, %d bytes of body",
+          run.id(), run.server(), run.atMs(), run.request().line(), run.request().body().length);
     }
   }
 
