--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -10,6 +10,11 @@
   /** The page's dose of broken answers: one in fifty of those of the faulty server. */
   private static final int ANSWERS_PER_CUT = 50;
 
+  /** The server is faulty for some seconds, and sound for two, again and again. */
+  private static final long TROUBLE_MS = 6_000;
+
+  private static final long PERIOD_MS = 8_000;
+
   /** Where the answers are cut in turn: at the end of one of these texts. */
   private static final String[] CUT_AFTER = {
     "Content-Type: application/oct", "answer to ", "HTTP/1.1 20"
@@ -35,7 +40,8 @@
           Kit.sleep(10);
           String body = Site.body(request.id());
           String whole = server.head(request.id(), body.length()) + body;
-          if (!trouble || answers.incrementAndGet() % ANSWERS_PER_CUT != 0) {
+          boolean faulty = trouble && Kit.now() % PERIOD_MS < TROUBLE_MS;
+          if (!faulty || answers.incrementAndGet() % ANSWERS_PER_CUT != 0) {
             socket.getOutputStream().write(Kit.bytes(whole));
             return true;
           }
@@ -122,7 +128,8 @@
     }
     site.recordRuns();
     record.add(
-        "answers of the faulty server: %d, of which broken off: %d", answers.get(), cuts.get());
+        "answers of the server while it was faulty: %d, of which broken off: %d",
+        answers.get(), cuts.get());
     record.add("requests answered 2xx: %d, others: %d", served.get(), failed.get());
     record.add("2xx that were not the server's whole answer: %d", broken.size());
     broken.forEach(line -> record.add("MIXED %s", line));
--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -31,12 +31,12 @@
     Site site = new Site(record);
     AtomicLong leavingMs = new AtomicLong(Long.MAX_VALUE);
     AtomicLong lostMs = new AtomicLong(Long.MAX_VALUE);
-    for (int i = 1; i <= 3; i++) {
+    for (int i = 1; i <= 4; i++) {
       boolean leaves = i == 1;
       site.addServer(
           "i-app-" + i,
           Site.CONSOLE,
-          i - 1,
+          (i - 1) % 3 + i / 4,
           6,
           (server, request, socket) -> {
             Kit.sleep(43);
@@ -57,15 +57,19 @@
           record.add("store accepted: i-app-1 is draining");
         };
     AtomicInteger lists = new AtomicInteger();
+    AtomicLong steadyMs = new AtomicLong(Long.MAX_VALUE);
     site.store.setDelay(
         target -> {
-          if (!target.startsWith("/kv-range") || lists.incrementAndGet() != 2) {
+          if (!target.startsWith("/kv-range")
+              || Kit.now() < steadyMs.get()
+              || lists.incrementAndGet() != 1) {
             return 4;
           }
           // The list was read already; what is stored from now on is not in it.
           lostMs.set(Kit.now());
           record.add(
-              "second list read at the store%s", trouble ? "; a packet of its answer is lost" : "");
+              "first list read in steady state at the store%s",
+              trouble ? "; a packet of its answer is lost" : "");
           Kit.spawn(
               () -> {
                 Kit.sleep(60);
@@ -75,6 +79,7 @@
         });
     site.publish(List.of(Site.KEY));
     Kit.Daemon daemon = site.startDaemon();
+    steadyMs.set(Kit.now() + 10_000);
     long number = 0;
     int groupsAfter = 0;
     long nextMs = Kit.now();
--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -21,7 +21,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -98,7 +102,7 @@
   /** Runs a case, writes its record, ends its processes and exits with its result. */
   static void main(String[] args, Case scripted) throws Exception {
     Record record = new Record(Path.of(args[0]));
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean trouble = !"0".equals(System.getProperty("trouble"));
     record.add("TROUBLE=%d", trouble ? 1 : 0);
     Runtime.getRuntime().addShutdownHook(new Thread(Daemon::killAll));
     spawn(
@@ -305,6 +309,14 @@
     }
   }
 
+  private static final ScheduledExecutorService TIMERS =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            return thread;
+          });
+
   /** A connection of a client, which is kept for several requests. */
   static final class Client implements AutoCloseable {
     final Socket socket = new Socket();
@@ -338,15 +350,27 @@
     Answer call(byte[] request, int waitMs) {
       Answer answer = new Answer();
       answer.sentMs = now();
+      AtomicBoolean expired = new AtomicBoolean();
+      // A read timeout alone would not end a write that the other side doesn't take.
+      ScheduledFuture<?> timer =
+          TIMERS.schedule(
+              () -> {
+                expired.set(true);
+                close();
+              },
+              waitMs,
+              TimeUnit.MILLISECONDS);
       try {
         send(request);
-        socket.setSoTimeout(waitMs);
         read(answer, 0);
-      } catch (java.net.SocketTimeoutException e) {
-        answer.error = "no complete answer in " + waitMs + " ms";
       } catch (IOException e) {
-        answer.error = String.valueOf(e.getMessage());
-        answer.closedByPeer = true;
+        answer.closedByPeer = !expired.get();
+        answer.error =
+            expired.get()
+                ? "no complete answer in " + waitMs + " ms"
+                : String.valueOf(e.getMessage());
+      } finally {
+        timer.cancel(false);
       }
       answer.endMs = now();
       return answer;
