Take a message whose head is cut off for incomplete

Cause: both parseHead methods told HttpCore's parser that the input had ended, which completes the head, and ReceiveBuffer.readLine returned the unfinished line. Without its Content-Length the message had no body. The chunk decoder treated the last chunk and its trailers alike, and answers of the store were read through the same parser: a cut one counted as an empty list, as no changes, or as a confirmation of the configuration.

Change: a line ends only with its line feed, a head with its empty line, and a chunked body with the empty line after its last chunk. The connection is lost otherwise: a request that may have run is answered 502 and is not sent again unless it is idempotent.

--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.transport;
 
+import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.Optional;
 import org.apache.hc.core5.http.Header;
@@ -40,7 +41,7 @@
         throw new ProtocolException(
             "both Transfer-Encoding and Content-Length are present; only one is allowed");
       }
-      return Optional.of(chunked(channel, received));
+      return Optional.of(chunked(received));
     }
     return length
         .filter(bytes -> bytes > 0)
@@ -64,7 +65,7 @@
     }
     Optional<Long> length = contentLength(head);
     if (isChunked(head)) {
-      return Optional.of(chunked(channel, received));
+      return Optional.of(chunked(received));
     }
     if (length.isEmpty()) {
       return Optional.of(new IdentityDecoder(channel, received, new BasicHttpTransportMetrics()));
@@ -74,8 +75,14 @@
         .map(bytes -> lengthDelimited(channel, received, bytes));
   }
 
-  private static ContentDecoder chunked(ReadableByteChannel channel, SessionInputBuffer received) {
-    return new ChunkDecoder(channel, received, CHUNK_LIMITS, new BasicHttpTransportMetrics());
+  /**
+   * Returns a decoder that ends only with the empty line after the last chunk. At the end of its
+   * channel, the decoder of HttpCore would take an incomplete chunk size or trailer for a complete
+   * one.
+   */
+  private static ContentDecoder chunked(SessionInputBuffer received) {
+    return new ChunkDecoder(
+        EmptyChannel.INSTANCE, received, CHUNK_LIMITS, new BasicHttpTransportMetrics());
   }
 
   private static ContentDecoder lengthDelimited(
@@ -107,4 +114,24 @@
     }
     return Optional.of(Long.parseLong(value));
   }
+
+  /** A channel without bytes that does not end. */
+  private enum EmptyChannel implements ReadableByteChannel {
+    INSTANCE;
+
+    @Override
+    public int read(ByteBuffer target) {
+      return 0;
+    }
+
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public void close() {
+      // Decoders must not close the connection.
+    }
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -136,7 +136,8 @@
       requestStarted = true;
       waitingSinceMs = clock.nowMs();
     }
-    head = parser.parse(received, inputEnded());
+    // With the end of the input, the parser would take an incomplete head for a complete one.
+    head = parser.parse(received, false);
     if (head == null) {
       return false;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -52,7 +52,8 @@
   private boolean reusable = true;
   private Optional<Long> keepAliveMs = Optional.empty();
 
-  private OutboundConnection(Reactor reactor, Consumer<OutboundConnection> onIdleClose) {
+  /** Creates a connection that is not open yet. */
+  OutboundConnection(Reactor reactor, Consumer<OutboundConnection> onIdleClose) {
     super(reactor, MAX_LINE_BYTES);
     this.onIdleClose = onIdleClose;
   }
@@ -148,7 +149,8 @@
   }
 
   private boolean parseHead() throws IOException, HttpException {
-    HttpResponse head = parser.parse(received, inputEnded());
+    // With the end of the input, the parser would take an incomplete head for a complete one.
+    HttpResponse head = parser.parse(received, false);
     if (head == null) {
       // The parser may have taken lines, so that there is room for the rest of the next one.
       resumeReading();
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -82,6 +82,7 @@
     return read(target, bytes.remaining());
   }
 
+  /** Reads a line; one without its line feed is not complete, also at the end of the input. */
   @Override
   public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
     int end = bytes.position();
@@ -94,14 +95,14 @@
       throw new MessageConstraintException(
           "a line exceeds the limit of " + maxLineBytes + " bytes");
     }
-    if (!found && !(endOfStream && bytes.hasRemaining())) {
+    if (!found) {
       return false;
     }
     int textEnd = end > bytes.position() && bytes.get(end - 1) == '\r' ? end - 1 : end;
     for (int i = bytes.position(); i < textEnd; i++) {
       line.append((char) (bytes.get(i) & 0xff));
     }
-    bytes.position(found ? end + 1 : end);
+    bytes.position(end + 1);
     return true;
   }
 }
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
@@ -0,0 +1,60 @@
+package org.zinniaspan.transport;
+
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.apache.hc.core5.reactor.IOSession;
+
+/** The session of a connection whose remote side has sent some bytes; it records what is sent. */
+final class FakeSession {
+
+  private final StringBuilder sent = new StringBuilder();
+  private ByteBuffer input = ByteBuffer.allocate(0);
+  private boolean inputEnded;
+
+  /** Returns this session for a connection. */
+  IOSession session() {
+    return (IOSession)
+        Proxy.newProxyInstance(
+            IOSession.class.getClassLoader(),
+            new Class<?>[] {IOSession.class},
+            (proxy, method, args) ->
+                switch (method.getName()) {
+                  case "read" -> read((ByteBuffer) args[0]);
+                  case "write" -> write((ByteBuffer) args[0]);
+                  case "getEventMask" -> 0;
+                  default -> null;
+                });
+  }
+
+  /** Adds bytes, given as ISO-8859-1, which the next read returns. */
+  void receive(String text) {
+    input = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Ends the input after the bytes that were added. */
+  void endInput() {
+    inputEnded = true;
+  }
+
+  /** Returns what was written, decoded as ISO-8859-1. */
+  String sent() {
+    return sent.toString();
+  }
+
+  private int read(ByteBuffer target) {
+    if (!input.hasRemaining()) {
+      return inputEnded ? -1 : 0;
+    }
+    int count = Math.min(input.remaining(), target.remaining());
+    target.put(input.slice(input.position(), count));
+    input.position(input.position() + count);
+    return count;
+  }
+
+  private int write(ByteBuffer source) {
+    int count = source.remaining();
+    sent.append(StandardCharsets.ISO_8859_1.decode(source));
+    return count;
+  }
+}
