Take cut heads for incomplete in the entry daemon as well

What callers saw: nothing was reported.

Change: heads and chunked bodies are read from an input whose end is an error, since such a message states its own end.

--- a/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
@@ -1,13 +1,17 @@
 package org.zinniaspan.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
@@ -25,10 +29,25 @@
   private final OpenConnections openConnections;
 
   CallerConnection(Http1Config config, OpenConnections openConnections) {
-    super("http", config);
+    super(
+        "http",
+        config,
+        null,
+        null,
+        null,
+        null,
+        UnendingInput.parsers(DefaultHttpRequestParserFactory.INSTANCE),
+        null);
     this.openConnections = openConnections;
   }
 
+  @Override
+  protected InputStream createContentInputStream(
+      long length, SessionInputBuffer buffer, InputStream input) {
+    return super.createContentInputStream(
+        length, buffer, length == ContentLengthStrategy.CHUNKED ? new UnendingInput(input) : input);
+  }
+
   /**
    * Waits for the first byte of a request.
    *
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpClientExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpClientExchange.java
@@ -1,14 +1,18 @@
 package org.zinniaspan.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
@@ -59,7 +63,7 @@
       socket.setSoTimeout(readTimeoutMs);
       socket.connect(address, connectTimeoutMs);
       Http1Config config = Http1Config.custom().setBufferSize(BUFFER_BYTES).build();
-      DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(config);
+      DefaultBHttpClientConnection connection = new Connection(config);
       connection.bind(socket);
       return new HttpClientExchange(connection);
     } catch (IOException e) {
@@ -122,4 +126,27 @@
   public void close() {
     connection.close(CloseMode.IMMEDIATE);
   }
+
+  /** A connection whose responses are complete only with their stated end. */
+  private static final class Connection extends DefaultBHttpClientConnection {
+
+    Connection(Http1Config config) {
+      super(
+          config,
+          null,
+          null,
+          null,
+          null,
+          null,
+          UnendingInput.parsers(DefaultHttpResponseParserFactory.INSTANCE));
+    }
+
+    @Override
+    protected InputStream createContentInputStream(
+        long length, SessionInputBuffer buffer, InputStream input) {
+      boolean chunked = length == ContentLengthStrategy.CHUNKED;
+      return super.createContentInputStream(
+          length, buffer, chunked ? new UnendingInput(input) : input);
+    }
+  }
 }
