Reject a response head that contains another status line

What callers would see: a success with the body of a failure.

Cause: if the late second answer to one request is cut inside its status line or the value of its first header, the status line of the next response becomes part of that line. Both heads are read as one, with the status of the first and the rest of the second.

Change: such a head is an error that ends the connection.

--- /dev/null
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/LateAnswerTest.java
@@ -0,0 +1,116 @@
+package org.zinniaspan.standins.site;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.zinniaspan.standins.site.ForwardDaemonFixture.okResponse;
+import static org.zinniaspan.standins.site.ForwardDaemonFixture.request;
+import static org.zinniaspan.standins.site.RawServer.write;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Endpoints that answer a request twice, the second time where the next response of the same
+ * connection is expected.
+ *
+ * <p>Guards against a part of another request's answer being passed on.
+ */
+@Timeout(60)
+class LateAnswerTest {
+
+  private final ForwardDaemonFixture daemon = new ForwardDaemonFixture();
+  private final AtomicInteger reused = new AtomicInteger();
+
+  @BeforeEach
+  void start() throws IOException {
+    daemon.start();
+  }
+
+  @AfterEach
+  void stop() {
+    daemon.close();
+  }
+
+  private static String idOf(RawServer.Request request) {
+    return request.header("X-Zinniaspan-Attempt-Id");
+  }
+
+  private String call(String id) throws IOException {
+    return daemon.call(request("GET", "/safe/x", "", "").replace("Id: a1", "Id: " + id));
+  }
+
+  /** Returns an answer to a request. */
+  private interface Answer {
+    String to(String attemptId);
+  }
+
+  private static String success(String attemptId) {
+    return okResponse(attemptId, "answer to " + attemptId);
+  }
+
+  /**
+   * Answers the first request of each connection; before the answer to a later one, writes the
+   * first bytes of another answer to the request before.
+   */
+  private void answerTwice(int lateBytes, Answer late, Answer answer) {
+    ThreadLocal<Optional<String>> previous = ThreadLocal.withInitial(Optional::empty);
+    RawServer.RequestHandler handler =
+        (request, socket) -> {
+          String id = idOf(request);
+          if (previous.get().isPresent()) {
+            reused.incrementAndGet();
+            String text = late.to(previous.get().get());
+            write(socket, text.substring(0, Math.min(lateBytes, text.length())) + answer.to(id));
+          } else {
+            write(socket, success(id));
+          }
+          previous.set(Optional.of(id));
+          return true;
+        };
+    daemon.first.setHandler(handler);
+    daemon.second.setHandler(handler);
+  }
+
+  @Test
+  void areNotPassedOnInPlaceOfAnotherAnswer() throws IOException {
+    int lateBytes = success("x100").length();
+    for (int length = 1; length <= lateBytes; length++) {
+      answerTwice(length, LateAnswerTest::success, LateAnswerTest::success);
+      for (String id : new String[] {"x" + length, "y" + length}) {
+        String response = call(id);
+        boolean own =
+            response.contains("Id: " + id + "\r\n")
+                && response.endsWith("\r\n\r\nanswer to " + id)
+                && response.split("Server-Stamp").length == 2;
+        assertWithMessage("second answer of %s bytes: %s", length, response)
+            .that(own || response.startsWith("HTTP/1.1 50"))
+            .isTrue();
+      }
+    }
+    assertThat(reused.get()).isAtLeast(lateBytes / 2);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "Content-Type: text/plain\r\n"})
+  void doNotTurnFailuresIntoSuccesses(String firstHeader) throws IOException {
+    Answer late = id -> success(id).replace("OK\r\n", "OK\r\n" + firstHeader);
+    Answer failure = id -> late.to(id).replace("200 OK", "500 Failed").replace("answer", "failed");
+    int lateBytes = late.to("x100").length();
+    for (int length = 1; length <= lateBytes; length++) {
+      answerTwice(length, late, failure);
+      call("x" + length);
+      String response = call("y" + length);
+      assertWithMessage("second answer of %s bytes: %s", length, response)
+          .that(response.startsWith("HTTP/1.1 200") && response.contains("failed"))
+          .isFalse();
+    }
+    assertThat(reused.get()).isAtLeast(lateBytes / 2);
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -33,6 +34,8 @@
   private static final int MAX_LINE_BYTES = 64 * 1024;
   private static final int MAX_HEADERS = 100;
   private static final int MAX_INFORMATIONAL_HEADS = 10;
+  private static final String STATUS_LINE_START = "HTTP/1.";
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1[.][01] [0-9]{3}");
 
   private final Consumer<OutboundConnection> onIdleClose;
   private final DefaultHttpResponseParser<HttpResponse> parser =
@@ -157,6 +160,7 @@
       return false;
     }
     parser.reset();
+    checkSingleHead(head);
     if (head.getCode() < HttpStatus.SC_OK) {
       informationalHeads++;
       if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
@@ -188,6 +192,24 @@
     return true;
   }
 
+  /**
+   * Rejects a head that contains the status line of another one: the first response was cut off
+   * inside a line, and its status would be taken for that of the second.
+   */
+  private static void checkSingleHead(HttpResponse head) throws ProtocolException {
+    boolean merged = containsStatusLine(head.getReasonPhrase());
+    for (Header header : head.getHeaders()) {
+      merged |= containsStatusLine(header.getValue());
+    }
+    if (merged) {
+      throw new ProtocolException("the head of a response contains another status line");
+    }
+  }
+
+  private static boolean containsStatusLine(String text) {
+    return text != null && text.contains(STATUS_LINE_START) && STATUS_LINE.matcher(text).find();
+  }
+
   private boolean parseBody() throws IOException {
     ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
     try {
