Apply of each endpoint only a state as new as the known one

Cause: the list of endpoints is read beside the watch. A list whose answer was late was applied over the changes that the watch had told meanwhile, whatever their revisions.

Change: EndpointRevisions keeps the revision up to which each entry is known, also of a removed one; an older state is not applied, whether a page of a list, a watch, or the list of another VM brings it. Pages and changes carry their own revisions. Dropping late lists as a whole would leave none to apply while changes go on.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/TruncatedAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/TruncatedAnswerTest.java
@@ -92,6 +92,7 @@
   class OfTheStore {
 
     private final Closer closer = new Closer();
+    private Reactor reactor;
     private RawServer store;
     private StoreClient client;
 
@@ -99,7 +100,7 @@
     void start() throws IOException {
       store = closer.add(new RawServer((request, socket) -> false));
       InetSocketAddress address = Addresses.parse(store.address());
-      Reactor reactor = closer.add(Reactor.start());
+      reactor = closer.add(Reactor.start());
       BufferingHttpClient http = new BufferingHttpClient(reactor, () -> 0, address);
       client = new StoreClient(http, address, 1_000);
     }
@@ -114,7 +115,7 @@
       for (int length = 0; length < response.length(); length++) {
         store.setHandler(cutAfter(response, length));
         CompletableFuture<CatalogResult<T>> result = new CompletableFuture<>();
-        call.accept(result::complete);
+        reactor.runLocked(() -> call.accept(result::complete));
         assertWithMessage("cut after %s bytes", length)
             .that(result.get(10, TimeUnit.SECONDS))
             .isInstanceOf(CatalogResult.Failed.class);
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
@@ -20,8 +20,11 @@
    */
   Optional<RoutingTable> decodeTable(byte[] document);
 
-  /** Reads the complete list of endpoints; it is at least as new as the returned revision. */
-  void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback);
+  /**
+   * Reads the complete list of endpoints. Its pages are not a consistent snapshot: the returned
+   * revision is that of the first one, and the following ones are as new or newer.
+   */
+  void readEndpoints(Consumer<CatalogResult<List<EndpointPage>>> callback);
 
   /**
    * Waits for changes (long poll).
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogChanges.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogChanges.java
@@ -9,10 +9,18 @@
  * @param table the newest routing table, if it changed
  * @param endpoints changes to the list of endpoints, in order
  */
-public record CatalogChanges(Optional<RoutingTable> table, List<EndpointChange> endpoints) {
+public record CatalogChanges(Optional<RoutingTable> table, List<AtRevision> endpoints) {
 
   /** Makes a defensive copy of the list. */
   public CatalogChanges {
     endpoints = List.copyOf(endpoints);
   }
+
+  /**
+   * A change to the list of endpoints.
+   *
+   * @param revision revision of the platform's store that the change led to
+   * @param change the change
+   */
+  public record AtRevision(StoreRevision revision, EndpointChange change) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -1,8 +1,11 @@
 package org.zinniaspan.forwarding;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.log.EventLog;
@@ -18,6 +21,9 @@
  * <p>When the store was restored from a copy, shown by its epoch, everything is read again, and
  * reads confirm nothing until what the copy lacks has been written again.
  *
+ * <p>Lists, watches and the lists of other VMs are answered independently; of each endpoint, only a
+ * state that is at least as new as the known one is applied.
+ *
  * <p>While another VM reads the platform for this one, the follower is passive: it reads only what
  * this VM still lacks, and is told the rest.
  */
@@ -52,6 +58,7 @@
   private final EndpointDirectory directory;
   private final PlatformBounds bounds;
   private final Random random;
+  private final EndpointRevisions revisions = new EndpointRevisions();
 
   private Optional<RoutingTable> table = Optional.empty();
   private boolean passive;
@@ -61,6 +68,7 @@
   private boolean readingTable;
   private boolean readingEndpoints;
   private boolean watching;
+  private boolean historyLost;
   private boolean listComplete;
   private boolean reachable = true;
   private StoreRevision revision = StoreRevision.NONE;
@@ -161,8 +169,37 @@
     if (listRevision.compareTo(revision) >= 0) {
       revision = listRevision;
       listComplete = true;
-      directory.replaceAll(endpoints);
+      applyList(List.of(new EndpointPage(endpoints, listRevision)));
+    }
+  }
+
+  /** Applies a complete list except for the entries of which a newer state is known. */
+  private void applyList(List<EndpointPage> pages) {
+    Set<String> listed = new HashSet<>();
+    Set<String> kept = new HashSet<>();
+    List<ListedEndpoint> current = new ArrayList<>();
+    for (EndpointPage page : pages) {
+      for (ListedEndpoint entry : page.endpoints()) {
+        listed.add(entry.id());
+        if (revisions.update(entry.id(), page.revision())) {
+          current.add(entry);
+        } else {
+          kept.add(entry.id());
+        }
+      }
+    }
+    for (ListedEndpoint known : directory.entries()) {
+      if (!listed.contains(known.id())
+          && !revisions.update(known.id(), pageOf(known.id(), pages).revision())) {
+        kept.add(known.id());
+      }
     }
+    directory.replaceAll(current, kept::contains);
+    revisions.onList(pages.get(0).revision());
+  }
+
+  private static EndpointPage pageOf(String id, List<EndpointPage> pages) {
+    return pages.stream().filter(page -> page.covers(id)).findFirst().orElseThrow();
   }
 
   /**
@@ -233,8 +270,8 @@
         });
   }
 
-  private void onEndpoints(CatalogResult<List<ListedEndpoint>> result, long requestedMs) {
-    if (result instanceof CatalogResult.Read<List<ListedEndpoint>> read) {
+  private void onEndpoints(CatalogResult<List<EndpointPage>> result, long requestedMs) {
+    if (result instanceof CatalogResult.Read<List<EndpointPage>> read) {
       onAnswered();
       observeEpoch(read.revision());
       if (read.revision().epoch() < revision.epoch()) {
@@ -242,11 +279,12 @@
         return;
       }
       nextEndpointReadMs = clock.nowMs() + ENDPOINT_READ_INTERVAL_MS;
-      directory.replaceAll(read.value());
+      applyList(read.value());
       directory.onListCurrent(requestedMs);
       listComplete = true;
       if (!watching || watchedEpoch != read.revision().epoch()) {
-        revision = read.revision();
+        revision = historyLost ? read.revision() : later(revision, read.revision());
+        historyLost = false;
       }
       if (!watching) {
         watchUnlessPassive();
@@ -282,15 +320,19 @@
         && read.revision().epoch() == watchedEpoch
         && watchedEpoch == revision.epoch()) {
       read.value().table().ifPresent(this::adopt);
-      read.value().endpoints().forEach(directory::apply);
+      read.value().endpoints().forEach(this::applyChange);
       directory.onListCurrent(requestedMs);
-      revision = read.revision().compareTo(revision) > 0 ? read.revision() : revision;
+      revision = later(revision, read.revision());
       watchUnlessPassive();
       return;
     }
     if (passive) {
       return;
     }
+    if (result instanceof CatalogResult.HistoryLost) {
+      historyLost = true;
+      revisions.clear();
+    }
     EventLog.event("watch-lost").with("revision", revision).with("result", result).info();
     boolean readAtOnce = !(result instanceof CatalogResult.Failed);
     nextTableReadMs = clock.nowMs() + (readAtOnce ? 0 : random.nextInt(RETRY_DELAY_MS));
@@ -298,6 +340,16 @@
     tick();
   }
 
+  private void applyChange(CatalogChanges.AtRevision change) {
+    if (revisions.update(change.change().id(), change.revision())) {
+      directory.apply(change.change());
+    }
+  }
+
+  private static StoreRevision later(StoreRevision a, StoreRevision b) {
+    return a.compareTo(b) >= 0 ? a : b;
+  }
+
   /** Starts a new epoch if a response shows that the store was restored from a copy. */
   private void observeEpoch(StoreRevision observed) {
     if (observed.epoch() <= revision.epoch()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.PauseDetector;
 import org.zinniaspan.log.EventLog;
@@ -77,13 +78,24 @@
    * outage only when the grace period has ended.
    */
   public void replaceAll(List<ListedEndpoint> list) {
+    replaceAll(list, id -> false);
+  }
+
+  /**
+   * Applies a list of which some entries are known to be outdated.
+   *
+   * @param list the other entries
+   * @param keeps whether an endpoint that the list does not contain is left as it is
+   */
+  void replaceAll(List<ListedEndpoint> list, Predicate<String> keeps) {
     Set<String> ids = new HashSet<>();
     list.forEach(
         entry -> {
           ids.add(entry.id());
           put(entry);
         });
-    List<String> missing = endpoints.keySet().stream().filter(id -> !ids.contains(id)).toList();
+    List<String> missing =
+        endpoints.keySet().stream().filter(id -> !ids.contains(id) && !keeps.test(id)).toList();
     missing.forEach(id -> removeAfterGrace(id));
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -19,6 +19,7 @@
 import org.zinniaspan.forwarding.CatalogChanges;
 import org.zinniaspan.forwarding.CatalogResult;
 import org.zinniaspan.forwarding.EndpointChange;
+import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.StoreRevision;
@@ -62,8 +63,8 @@
   }
 
   @Override
-  public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
-    readPage(new ArrayList<>(), Optional.empty(), Optional.empty(), callback);
+  public void readEndpoints(Consumer<CatalogResult<List<EndpointPage>>> callback) {
+    readPage(new ArrayList<>(), Optional.empty(), callback);
   }
 
   /**
@@ -71,10 +72,9 @@
    * snapshot, so the watch starts from the revision of the first page.
    */
   private void readPage(
-      List<ListedEndpoint> found,
+      List<EndpointPage> pages,
       Optional<String> afterKey,
-      Optional<StoreRevision> firstRevision,
-      Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
+      Consumer<CatalogResult<List<EndpointPage>>> callback) {
     String after = afterKey.map(key -> "&after=" + encode(key)).orElse("");
     get(
         "/kv-range?prefix=" + encode(ENDPOINT_PREFIX) + after,
@@ -90,18 +90,20 @@
             callback.accept(new CatalogResult.Failed<>(page.toString()));
             return;
           }
-          if (firstRevision.isPresent() && firstRevision.get().epoch() != read.revision().epoch()) {
+          if (!pages.isEmpty() && pages.get(0).revision().epoch() != read.revision().epoch()) {
             callback.accept(new CatalogResult.Failed<>("restored between two pages"));
             return;
           }
           JsonNode items = read.value().path("items");
+          List<ListedEndpoint> found = new ArrayList<>();
           items.forEach(item -> endpoint(item).ifPresent(found::add));
-          StoreRevision revision = firstRevision.orElse(read.revision());
           if (read.value().path("has_more").asBoolean() && !items.isEmpty()) {
             String last = items.get(items.size() - 1).path("key").asText();
-            readPage(found, Optional.of(last), Optional.of(revision), callback);
+            pages.add(new EndpointPage(found, Optional.of(id(last)), read.revision()));
+            readPage(pages, Optional.of(last), callback);
           } else {
-            callback.accept(new CatalogResult.Read<>(found, revision));
+            pages.add(new EndpointPage(found, read.revision()));
+            callback.accept(new CatalogResult.Read<>(pages, pages.get(0).revision()));
           }
         });
   }
@@ -165,30 +167,35 @@
 
   private CatalogResult<CatalogChanges> changes(JsonNode body, long epoch) throws IOException {
     Optional<RoutingTable> table = Optional.empty();
-    List<EndpointChange> endpoints = new ArrayList<>();
+    final StoreRevision at = new StoreRevision(epoch, body.path("at").asLong());
+    List<CatalogChanges.AtRevision> endpoints = new ArrayList<>();
     for (JsonNode event : body.path("events")) {
       String key = event.path("key").asText();
       boolean deleted = event.path("deleted").asBoolean(false);
       if (key.equals(CONFIGURATION_KEY) && !deleted) {
         table = Optional.of(decodeDocument(valueBytes(event)));
       } else if (key.startsWith(ENDPOINT_PREFIX)) {
-        String id = key.substring(ENDPOINT_PREFIX.length());
         Optional<ListedEndpoint> entry = deleted ? Optional.empty() : endpoint(event);
-        endpoints.add(
+        EndpointChange change =
             entry
                 .<EndpointChange>map(EndpointChange.Listed::new)
-                .orElse(new EndpointChange.Removed(id)));
+                .orElse(new EndpointChange.Removed(id(key)));
+        long revision = event.path("revision").asLong(at.number());
+        endpoints.add(new CatalogChanges.AtRevision(new StoreRevision(epoch, revision), change));
       }
     }
-    return new CatalogResult.Read<>(
-        new CatalogChanges(table, endpoints), new StoreRevision(epoch, body.path("at").asLong()));
+    return new CatalogResult.Read<>(new CatalogChanges(table, endpoints), at);
+  }
+
+  /** Returns the id of the endpoint that a key of the store names. */
+  private static String id(String key) {
+    return key.substring(Math.min(key.length(), ENDPOINT_PREFIX.length()));
   }
 
   private Optional<ListedEndpoint> endpoint(JsonNode item) {
     String key = item.path("key").asText();
-    String id = key.substring(Math.min(key.length(), ENDPOINT_PREFIX.length()));
     try {
-      Optional<ListedEndpoint> entry = EndpointDecoder.decode(id, value(item));
+      Optional<ListedEndpoint> entry = EndpointDecoder.decode(id(key), value(item));
       if (entry.isEmpty()) {
         EventLog.event("endpoint-entry-unusable").with("key", key).info();
       }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -23,6 +23,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.CatalogResult;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
@@ -387,7 +388,7 @@
     }
 
     @Override
-    public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
+    public void readEndpoints(Consumer<CatalogResult<List<EndpointPage>>> callback) {
       callStore(0, callback, () -> Optional.of(store.readEndpoints()));
     }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
@@ -12,6 +12,7 @@
 import org.zinniaspan.forwarding.CatalogChanges;
 import org.zinniaspan.forwarding.CatalogResult;
 import org.zinniaspan.forwarding.EndpointChange;
+import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.RoutingTable;
@@ -91,8 +92,9 @@
     return new CatalogResult.Read<>(Optional.of(table()), at());
   }
 
-  CatalogResult<List<ListedEndpoint>> readEndpoints() {
-    return new CatalogResult.Read<>(List.copyOf(endpoints.values()), at());
+  CatalogResult<List<EndpointPage>> readEndpoints() {
+    EndpointPage page = new EndpointPage(List.copyOf(endpoints.values()), at());
+    return new CatalogResult.Read<>(List.of(page), at());
   }
 
   /**
@@ -107,11 +109,11 @@
     if (afterRevision > revision) {
       return new CatalogResult.HistoryLost<>();
     }
-    List<EndpointChange> changes = new ArrayList<>();
+    List<CatalogChanges.AtRevision> changes = new ArrayList<>();
     history.forEach(
         (number, change) -> {
           if (number > afterRevision) {
-            changes.add(change);
+            changes.add(new CatalogChanges.AtRevision(new StoreRevision(epoch, number), change));
           }
         });
     boolean newTable = versionRevisions.keySet().stream().anyMatch(r -> r > afterRevision);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -94,6 +94,154 @@
     }
   }
 
+  /**
+   * Lists that were read before a change and arrive after it. Guards against an endpoint that
+   * drains or is gone being listed as ready again.
+   */
+  @Nested
+  class LateLists {
+
+    private static final ListedEndpoint OTHER =
+        new ListedEndpoint("b", "service", "10.0.0.2:80", "zone-a", "v1", 6, false, 1);
+    private static final ListedEndpoint DRAINING =
+        new ListedEndpoint("a", "service", "10.0.0.1:80", "zone-a", "v1", 6, true, 1);
+
+    /** Lets the next list read begin, while the platform answers all reads of the table. */
+    @BeforeEach
+    void beginListRead() {
+      while (catalog.lists.isEmpty()) {
+        advance(20);
+        if (!catalog.tables.isEmpty()) {
+          catalog.completeTableRead(TestTables.table(7));
+        }
+      }
+    }
+
+    private void watch(long revision, EndpointChange change) {
+      catalog.completeWatch(revision, Optional.empty(), change);
+    }
+
+    private EndpointPage firstPage(long revision, ListedEndpoint last) {
+      return new EndpointPage(
+          List.of(last), Optional.of(last.id()), new StoreRevision(1, revision));
+    }
+
+    private List<String> ready() {
+      return directory.ready("service").stream().map(e -> e.listed().id()).sorted().toList();
+    }
+
+    @Test
+    void leaveLaterChangesOfAnEntry() {
+      watch(41, new EndpointChange.Listed(DRAINING));
+      catalog.completeListRead(40, ENDPOINT);
+      assertThat(ready()).isEmpty();
+    }
+
+    @Test
+    void listNoEndpointThatWasRemovedLater() {
+      watch(41, new EndpointChange.Removed("a"));
+      catalog.completeListRead(40, ENDPOINT);
+      assertThat(directory.size()).isEqualTo(0);
+    }
+
+    @Test
+    void keepEndpointsThatWereAddedLater() {
+      watch(41, new EndpointChange.Listed(OTHER));
+      catalog.completeListRead(40, ENDPOINT);
+      assertThat(ready()).containsExactly("a", "b");
+    }
+
+    @Test
+    void leaveChangesBetweenTheirPages() {
+      watch(43, new EndpointChange.Listed(DRAINING));
+      watch(44, new EndpointChange.Removed("b"));
+      catalog.completeListRead(firstPage(40, ENDPOINT), catalog.page(43, OTHER));
+      assertThat(ready()).isEmpty();
+      assertThat(directory.size()).isEqualTo(1);
+    }
+
+    @Test
+    void leaveWhatALaterPageShowsToEarlierChanges() {
+      catalog.completeListRead(firstPage(40, ENDPOINT), catalog.page(43, OTHER));
+      watch(42, new EndpointChange.Removed("b"));
+      assertThat(ready()).containsExactly("a", "b");
+      watch(45, new EndpointChange.Removed("b"));
+      assertThat(ready()).containsExactly("a");
+    }
+
+    @Test
+    void leaveWhatALaterPageDoesNotShowToEarlierChanges() {
+      watch(41, new EndpointChange.Listed(OTHER));
+      catalog.completeListRead(firstPage(42, ENDPOINT), catalog.page(45));
+      follower.onPeerList(List.of(ENDPOINT, OTHER), new StoreRevision(1, 44));
+      assertThat(ready()).containsExactly("a");
+    }
+
+    @Test
+    void areAppliedToEntriesThatDidNotChangeLater() {
+      watch(41, new EndpointChange.Listed(OTHER));
+      catalog.completeListRead(40);
+      assertThat(ready()).containsExactly("b");
+    }
+
+    @Test
+    void doNotCancelRemovalsInTheGracePeriod() {
+      directory.onPlatformRecovered();
+      watch(41, new EndpointChange.Removed("a"));
+      catalog.completeListRead(40, ENDPOINT);
+      nowMs += 2_300;
+      directory.tick();
+      assertThat(directory.size()).isEqualTo(0);
+    }
+
+    @Test
+    void leaveTheLaterListOfAnotherVm() {
+      follower.onPeerList(List.of(DRAINING), new StoreRevision(1, 50));
+      catalog.completeListRead(45, ENDPOINT, OTHER);
+      assertThat(ready()).isEmpty();
+      assertThat(directory.size()).isEqualTo(1);
+      assertThat(follower.revision()).isEqualTo(new StoreRevision(1, 50));
+    }
+
+    @Test
+    void areReplacedByTheNextOne() {
+      watch(41, new EndpointChange.Removed("a"));
+      catalog.completeListRead(40, ENDPOINT);
+      beginListRead();
+      catalog.completeListRead(42, ENDPOINT);
+      assertThat(ready()).containsExactly("a");
+    }
+
+    @Test
+    void areAppliedOnceTheHistoryIsLost() {
+      watch(41, new EndpointChange.Listed(DRAINING));
+      catalog.watches.remove().accept(new CatalogResult.HistoryLost<>());
+      catalog.completeListRead(30, OTHER);
+      assertThat(ready()).containsExactly("b");
+      assertThat(catalog.watchedAfter).isEqualTo(30);
+    }
+  }
+
+  /** Changes that a watch returns after a list that contains later ones. */
+  @Nested
+  class LateChanges {
+
+    @Test
+    void leaveTheLaterListOfAnotherVm() {
+      follower.onPeerList(List.of(), new StoreRevision(1, 50));
+      catalog.completeWatch(45, Optional.empty(), new EndpointChange.Listed(ENDPOINT));
+      assertThat(directory.size()).isEqualTo(0);
+    }
+
+    @Test
+    void ofTheTableLeaveTheLaterOneInForce() {
+      advance(1_500);
+      catalog.completeWatch(41, Optional.of(TestTables.table(9)));
+      catalog.completeTableRead(TestTables.table(7));
+      assertThat(version()).isEqualTo(9);
+    }
+  }
+
   @Nested
   class LostHistory {
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
@@ -5,12 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** Catalog that records its calls; the test completes them with the {@code complete} methods. */
 final class FakeCatalog implements Catalog {
 
   final Deque<Consumer<CatalogResult<Optional<RoutingTable>>>> tables = new ArrayDeque<>();
-  final Deque<Consumer<CatalogResult<List<ListedEndpoint>>>> lists = new ArrayDeque<>();
+  final Deque<Consumer<CatalogResult<List<EndpointPage>>>> lists = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<CatalogChanges>>> watches = new ArrayDeque<>();
   long watchedAfter;
   long epoch = 1;
@@ -26,7 +27,7 @@
   }
 
   @Override
-  public void readEndpoints(Consumer<CatalogResult<List<ListedEndpoint>>> callback) {
+  public void readEndpoints(Consumer<CatalogResult<List<EndpointPage>>> callback) {
     lists.add(callback);
   }
 
@@ -44,13 +45,21 @@
   }
 
   void completeListRead(long revision, ListedEndpoint... endpoints) {
-    lists
-        .remove()
-        .accept(new CatalogResult.Read<>(List.of(endpoints), new StoreRevision(epoch, revision)));
+    completeListRead(page(revision, endpoints));
+  }
+
+  void completeListRead(EndpointPage... pages) {
+    lists.remove().accept(new CatalogResult.Read<>(List.of(pages), pages[0].revision()));
+  }
+
+  EndpointPage page(long revision, ListedEndpoint... endpoints) {
+    return new EndpointPage(List.of(endpoints), new StoreRevision(epoch, revision));
   }
 
   void completeWatch(long revision, Optional<RoutingTable> table, EndpointChange... changes) {
-    CatalogChanges value = new CatalogChanges(table, List.of(changes));
-    watches.remove().accept(new CatalogResult.Read<>(value, new StoreRevision(epoch, revision)));
+    StoreRevision at = new StoreRevision(epoch, revision);
+    List<CatalogChanges.AtRevision> endpoints =
+        Stream.of(changes).map(change -> new CatalogChanges.AtRevision(at, change)).toList();
+    watches.remove().accept(new CatalogResult.Read<>(new CatalogChanges(table, endpoints), at));
   }
 }
