Confirm the list before a stream is resumed at its only version

Cause: the search for a stream's origin concluded from the VM's own list that there is only one version, however long ago something had confirmed the list.

Change: such a search first reads the changes since that list, with a call that starts after the request came, and refuses the stream if it is not answered within 350 ms. The time of observation ends when nothing confirms the list for 5 s. Meanwhile origins are copied to other VMs.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -158,7 +158,7 @@
     }
     adopt(state);
     if (state.getListCurrent()) {
-      follower.onPeerListCurrent(sent.steadyMs());
+      follower.onPeerListCurrent(sent.steadyMs(), listRevision(state));
     }
     follower.onPeerConfirmed(
         state.getVersion(), new TableFreshness.ReadStart(confirmedMs, sent.driftMs()));
@@ -168,7 +168,7 @@
     if (state.getListIncluded()) {
       List<ListedEndpoint> list =
           state.getEndpointsList().stream().map(CatalogSharing::decode).toList();
-      follower.onPeerList(list, new StoreRevision(state.getStoreEpoch(), state.getRevision()));
+      follower.onPeerList(list, listRevision(state));
     }
     listEpoch = state.getListEpoch();
     listSequence = state.getListSequence();
@@ -180,6 +180,10 @@
     }
   }
 
+  private static StoreRevision listRevision(CatalogState state) {
+    return new StoreRevision(state.getStoreEpoch(), state.getRevision());
+  }
+
   /** Returns the largest age of a reader's confirmation: its interval, and a read that failed. */
   private long maxAgeMs() {
     return bounds.confirmIntervalMs() + PlatformBounds.PLATFORM_TIMEOUT_MS;
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 
 /**
@@ -20,6 +21,7 @@
   public static StreamOriginComponents create(
       FleetMembership members,
       EndpointDirectory directory,
+      CatalogFollower follower,
       PeerClient peers,
       Clock clock,
       LongSupplier timeOfDayMs) {
@@ -27,6 +29,6 @@
     StreamOriginHolders holders = new StreamOriginHolders(members, clock);
     return new StreamOriginComponents(
         new StreamOriginSharing(origins, holders, directory, peers, clock),
-        new StreamOriginLookup(origins, holders, directory, peers, clock, timeOfDayMs));
+        new StreamOriginLookup(origins, holders, directory, follower, peers, clock, timeOfDayMs));
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
@@ -17,7 +18,8 @@
  * of other VMs.
  *
  * <p>If no VM knows the origin, the version is still certain as long as the service has had only
- * one. Not thread-safe.
+ * one. That takes a list of endpoints that is as new as the search, since another VM may have begun
+ * the stream at an endpoint that joined a moment ago. Not thread-safe.
  */
 public final class StreamOriginLookup {
 
@@ -30,6 +32,7 @@
   private final StreamOrigins origins;
   private final StreamOriginHolders holders;
   private final EndpointDirectory directory;
+  private final CatalogFollower follower;
   private final PeerClient peers;
   private final Clock clock;
   private final LongSupplier timeOfDayMs;
@@ -43,12 +46,14 @@
       StreamOrigins origins,
       StreamOriginHolders holders,
       EndpointDirectory directory,
+      CatalogFollower follower,
       PeerClient peers,
       Clock clock,
       LongSupplier timeOfDayMs) {
     this.origins = origins;
     this.holders = holders;
     this.directory = directory;
+    this.follower = follower;
     this.peers = peers;
     this.clock = clock;
     this.timeOfDayMs = timeOfDayMs;
@@ -71,6 +76,7 @@
     String id = attemptId.orElse("");
     search.query(holders.queried(id), query(id, service, false), TIMEOUT_MS);
     search.query(holders.representatives(), query(id, service, true), ZONE_TIMEOUT_MS);
+    search.confirmList();
     search.start();
   }
 
@@ -118,6 +124,7 @@
     private final Set<String> versions;
     private long observedMs = directory.observedMs();
     private int pending;
+    private boolean listConfirmed;
     private boolean started;
     private boolean done;
 
@@ -134,6 +141,22 @@
       }
     }
 
+    /** Brings the list up to date, unless several versions are known already. */
+    void confirmList() {
+      if (versions.size() > 1) {
+        return;
+      }
+      pending++;
+      follower.confirmList(
+          confirmed -> {
+            pending--;
+            listConfirmed = confirmed;
+            versions.addAll(directory.recentVersions(service));
+            observedMs = Math.max(observedMs, directory.observedMs());
+            concludeIfComplete();
+          });
+    }
+
     /** Ends the search if no query is pending; called once all queries were sent. */
     void start() {
       started = true;
@@ -165,6 +188,8 @@
       }
       if (versions.size() != 1) {
         conclude(new StreamOriginResult.Unknown("versions " + versions));
+      } else if (!listConfirmed) {
+        conclude(new StreamOriginResult.Unknown("list not confirmed"));
       } else if (observedMs < EndpointDirectory.VERSION_HISTORY_MS && !startedLongAgo()) {
         conclude(new StreamOriginResult.Unknown("observed for " + observedMs + " ms"));
       } else {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
@@ -19,7 +19,8 @@
  * that a stream can be resumed at its version when this VM has failed.
  *
  * <p>Origins are copied only while several versions of a service are listed, or were until a short
- * time ago; with a single version there is nothing to tell apart. Not thread-safe.
+ * time ago, or may be, as nothing confirms the list; with a single version there is nothing to tell
+ * apart. Not thread-safe.
  */
 public final class StreamOriginSharing implements Ticking {
 
@@ -101,12 +102,12 @@
     send();
   }
 
-  /** Queues the origins of the streams of a service once it has several versions. */
+  /** Queues the origins of the streams of a service once it may have several versions. */
   private void updateMixedServices() {
     Set<String> services = new HashSet<>(mixedServices);
     own.forEach(origin -> services.add(origin.service()));
     for (String service : services) {
-      if (directory.recentVersions(service).size() < 2) {
+      if (directory.isListConfirmed() && directory.recentVersions(service).size() < 2) {
         mixedServices.remove(service);
       } else if (mixedServices.add(service)) {
         own.stream().filter(o -> o.service().equals(service)).forEach(unsent::add);
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
@@ -33,4 +33,12 @@
    * @param waitMs longest time until an empty result is returned, in milliseconds
    */
   void watch(long afterRevision, long waitMs, Consumer<CatalogResult<CatalogChanges>> callback);
+
+  /**
+   * Reads the changes to the list of endpoints since a revision, without waiting for any.
+   *
+   * @param afterRevision revision after which changes are returned, oldest first
+   */
+  void readChanges(
+      long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback);
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.log.EventLog;
@@ -52,13 +53,20 @@
    */
   private static final long RESTORE_SETTLE_MS = 2_200;
 
+  /** Time after which a requested confirmation of the list has failed, in milliseconds. */
+  private static final long LIST_CONFIRMATION_TIMEOUT_MS = 350;
+
+  private record ListConfirmation(long requestedMs, Consumer<Boolean> callback) {}
+
   private final Catalog catalog;
   private final Clock clock;
   private final TableFreshness freshness;
   private final EndpointDirectory directory;
   private final PlatformBounds bounds;
   private final Random random;
+  private final HedgedChangeReads changeReads;
   private final EndpointRevisions revisions = new EndpointRevisions();
+  private final List<ListConfirmation> listConfirmations = new ArrayList<>();
 
   private Optional<RoutingTable> table = Optional.empty();
   private boolean passive;
@@ -69,6 +77,7 @@
   private boolean readingEndpoints;
   private boolean watching;
   private boolean historyLost;
+  private boolean confirmingList;
   private boolean listComplete;
   private boolean reachable = true;
   private StoreRevision revision = StoreRevision.NONE;
@@ -92,6 +101,7 @@
     this.directory = directory;
     this.bounds = bounds;
     this.random = random;
+    this.changeReads = new HedgedChangeReads(catalog, clock);
     this.lastAnswerMs = clock.nowMs();
   }
 
@@ -206,14 +216,94 @@
    * Records that another VM's current list is the one that this VM has.
    *
    * @param requestedMs time at which that VM was queried, in milliseconds
+   * @param listRevision revision up to which that VM knows the endpoints
    */
-  public void onPeerListCurrent(long requestedMs) {
+  public void onPeerListCurrent(long requestedMs, StoreRevision listRevision) {
     directory.onListCurrent(requestedMs);
+    if (listRevision.epoch() == revision.epoch()) {
+      revision = later(revision, listRevision);
+    }
+  }
+
+  /**
+   * Brings the list of endpoints up to date by a call to the platform that starts now or later.
+   *
+   * @param callback receives, exactly once, whether the list is as new as this call
+   */
+  public void confirmList(Consumer<Boolean> callback) {
+    if (!reachable || !listComplete) {
+      callback.accept(false);
+      return;
+    }
+    listConfirmations.add(new ListConfirmation(clock.nowMs(), callback));
+    startListConfirmation();
+  }
+
+  private void startListConfirmation() {
+    if (confirmingList || listConfirmations.isEmpty()) {
+      return;
+    }
+    confirmingList = true;
+    long startedMs = clock.nowMs();
+    List<ListConfirmation> waiting = List.copyOf(listConfirmations);
+    changeReads.read(
+        revision.number(),
+        result -> {
+          if (result instanceof CatalogResult.Read<List<CatalogChanges.AtRevision>> read
+              && read.revision().epoch() == revision.epoch()) {
+            read.value().forEach(this::applyChange);
+            revision = later(revision, read.revision());
+            onListConfirmed(waiting, startedMs);
+          } else if (result instanceof CatalogResult.HistoryLost) {
+            confirmByList(waiting, startedMs);
+          } else {
+            endListConfirmation(waiting, false);
+          }
+        });
+  }
+
+  private void confirmByList(List<ListConfirmation> waiting, long startedMs) {
+    catalog.readEndpoints(
+        result -> {
+          if (result instanceof CatalogResult.Read<List<EndpointPage>> read
+              && read.revision().epoch() == revision.epoch()) {
+            applyList(read.value());
+            revision = later(revision, read.revision());
+            onListConfirmed(waiting, startedMs);
+          } else {
+            endListConfirmation(waiting, false);
+          }
+        });
+  }
+
+  private void onListConfirmed(List<ListConfirmation> waiting, long startedMs) {
+    directory.onListCurrent(startedMs);
+    endListConfirmation(waiting, true);
+  }
+
+  private void endListConfirmation(List<ListConfirmation> waiting, boolean confirmed) {
+    confirmingList = false;
+    complete(waiting, confirmed);
+    startListConfirmation();
+  }
+
+  /** Ends those confirmations that have not timed out. */
+  private void complete(List<ListConfirmation> confirmations, boolean confirmed) {
+    List<ListConfirmation> pending =
+        confirmations.stream().filter(listConfirmations::contains).toList();
+    listConfirmations.removeAll(pending);
+    pending.forEach(confirmation -> confirmation.callback().accept(confirmed));
   }
 
   @Override
   public void tick() {
     long now = clock.nowMs();
+    changeReads.tick();
+    complete(
+        listConfirmations.stream()
+            .filter(request -> now - request.requestedMs() >= LIST_CONFIRMATION_TIMEOUT_MS)
+            .toList(),
+        false);
     if (freshness.clocksDisagree()) {
       requestTableRead();
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -39,6 +39,12 @@
   /** Gap between two ticks that is taken for a pause of this process, in milliseconds. */
   private static final long MAX_TICK_GAP_MS = 1_000;
 
+  /**
+   * Time between two confirmations of the list in which changes can have been missed, in
+   * milliseconds.
+   */
+  private static final long MAX_CONFIRMATION_GAP_MS = 5_000;
+
   /** Number of incarnations whose statements that they are draining are kept. */
   private static final int MAX_STATED_DRAINING = 5_000;
 
@@ -56,6 +62,7 @@
   private final VersionHistory versions;
   private final PauseDetector pauses;
   private Optional<Long> currentSinceMs = Optional.empty();
+  private long confirmedMs = Long.MIN_VALUE / 2;
   private long graceEndMs = Long.MIN_VALUE;
   private long changeCount;
 
@@ -169,11 +176,18 @@
    */
   public void onListCurrent(long requestedMs) {
     observePauses();
-    if (currentSinceMs.isEmpty() && !pauses.pausedSince(requestedMs)) {
+    boolean gap = requestedMs - confirmedMs > MAX_CONFIRMATION_GAP_MS;
+    confirmedMs = Math.max(confirmedMs, requestedMs);
+    if ((currentSinceMs.isEmpty() || gap) && !pauses.pausedSince(requestedMs)) {
       currentSinceMs = Optional.of(clock.nowMs());
     }
   }
 
+  /** Returns whether the list was shown to be current a short time ago. */
+  public boolean isListConfirmed() {
+    return clock.nowMs() - confirmedMs <= MAX_CONFIRMATION_GAP_MS;
+  }
+
   /** Returns whether the list was shown to be current since the last pause of this process. */
   public boolean isListCurrent() {
     observePauses();
@@ -182,10 +196,13 @@
 
   /**
    * Returns the time for which all changes of the list were observed, in milliseconds; it starts
-   * anew after a pause of this process.
+   * anew after a pause of this process, or a time in which nothing confirmed the list.
    */
   public long observedMs() {
     observePauses();
+    if (!isListConfirmed()) {
+      return 0;
+    }
     return currentSinceMs.map(ms -> clock.nowMs() - ms).orElse(0L);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -117,6 +117,21 @@
         result -> callback.accept(decode(result, this::changes)));
   }
 
+  @Override
+  public void readChanges(
+      long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback) {
+    get(
+        "/kv-watch?prefix=" + encode(ENDPOINT_PREFIX) + "&after=" + afterRevision + "&wait_ms=0",
+        timeoutMs,
+        result -> callback.accept(decode(result, this::endpointChanges)));
+  }
+
+  private CatalogResult<List<CatalogChanges.AtRevision>> endpointChanges(JsonNode body, long epoch)
+      throws IOException {
+    CatalogResult.Read<CatalogChanges> read = changes(body, epoch);
+    return new CatalogResult.Read<>(read.value().endpoints(), read.revision());
+  }
+
   private void get(String path, long limitMs, Consumer<BufferingHttpClient.Result> callback) {
     HttpRequest request = new BasicHttpRequest("GET", path);
     request.setHeader(HttpHeaders.HOST, host);
@@ -165,7 +180,7 @@
     return new CatalogResult.Read<>(table, new StoreRevision(epoch, number));
   }
 
-  private CatalogResult<CatalogChanges> changes(JsonNode body, long epoch) throws IOException {
+  private CatalogResult.Read<CatalogChanges> changes(JsonNode body, long epoch) throws IOException {
     Optional<RoutingTable> table = Optional.empty();
     final StoreRevision at = new StoreRevision(epoch, body.path("at").asLong());
     List<CatalogChanges.AtRevision> endpoints = new ArrayList<>();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -81,7 +81,8 @@
     engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins =
-        StreamOriginComponents.create(members, directory, peers, clock, System::currentTimeMillis);
+        StreamOriginComponents.create(
+            members, directory, follower, peers, clock, System::currentTimeMillis);
   }
 
   FleetServer server(RelayReceiver relays) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -241,7 +241,7 @@
               board::record);
       origins =
           StreamOriginComponents.create(
-              members, directory, this, this::steadyMs, this::timeOfDayMs);
+              members, directory, follower, this, this::steadyMs, this::timeOfDayMs);
     }
 
     private final class Reports implements EngineReportSource {
@@ -406,6 +406,12 @@
           });
     }
 
+    @Override
+    public void readChanges(
+        long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback) {
+      callStore(0, callback, () -> Optional.of(store.readEndpointChanges(afterRevision)));
+    }
+
     private <T> void callPeer(
         String peer,
         long timeoutMs,
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
@@ -22,10 +22,15 @@
 final class SimulatedStore {
 
   static final String NAME = "store";
+
+  /** Time for which changes can be read, in milliseconds. */
+  private static final long HISTORY_MS = 20_000;
+
   private final Map<String, ListedEndpoint> endpoints = new TreeMap<>();
   private final LongSupplier nowMs;
   private final List<Long> versionStartsMs = new ArrayList<>();
   private final Map<Long, EndpointChange> history = new TreeMap<>();
+  private final TreeMap<Long, Long> changedMs = new TreeMap<>();
   private final Map<Long, Long> versionRevisions = new TreeMap<>();
   final Set<String> refused = new HashSet<>();
   boolean down;
@@ -43,6 +48,7 @@
     epoch++;
     history.keySet().removeIf(number -> number > atRevision);
     versionRevisions.keySet().removeIf(number -> number > atRevision);
+    changedMs.keySet().removeIf(number -> number > atRevision);
     endpoints.clear();
     history.values().forEach(change -> apply(change));
     revision = atRevision;
@@ -70,7 +76,7 @@
 
   void publish() {
     versionStartsMs.add(nowMs.getAsLong());
-    versionRevisions.put(++revision, version());
+    versionRevisions.put(nextRevision(), version());
   }
 
   /** Returns the time until which a version was the newest one. */
@@ -80,12 +86,23 @@
 
   void put(ListedEndpoint entry) {
     endpoints.put(entry.id(), entry);
-    history.put(++revision, new EndpointChange.Listed(entry));
+    history.put(nextRevision(), new EndpointChange.Listed(entry));
   }
 
   void remove(String id) {
     endpoints.remove(id);
-    history.put(++revision, new EndpointChange.Removed(id));
+    history.put(nextRevision(), new EndpointChange.Removed(id));
+  }
+
+  private long nextRevision() {
+    changedMs.put(++revision, nowMs.getAsLong());
+    return revision;
+  }
+
+  /** Returns whether changes after a revision are too old to be read. */
+  private boolean isHistoryLost(long afterRevision) {
+    Map.Entry<Long, Long> next = changedMs.higherEntry(afterRevision);
+    return next != null && next.getValue() < nowMs.getAsLong() - HISTORY_MS;
   }
 
   CatalogResult<Optional<RoutingTable>> readTable() {
@@ -104,9 +121,16 @@
     return revision != afterRevision;
   }
 
+  /** Returns the changes to the list of endpoints after a revision. */
+  CatalogResult<List<CatalogChanges.AtRevision>> readEndpointChanges(long afterRevision) {
+    return readChanges(afterRevision) instanceof CatalogResult.Read<CatalogChanges> read
+        ? new CatalogResult.Read<>(read.value().endpoints(), read.revision())
+        : new CatalogResult.HistoryLost<>();
+  }
+
   /** Returns the changes after a revision. */
   CatalogResult<CatalogChanges> readChanges(long afterRevision) {
-    if (afterRevision > revision) {
+    if (afterRevision > revision || isHistoryLost(afterRevision)) {
       return new CatalogResult.HistoryLost<>();
     }
     List<CatalogChanges.AtRevision> changes = new ArrayList<>();
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -191,6 +191,81 @@
     }
   }
 
+  /**
+   * A VM whose list may be out of date. Guards against taking the only version that this VM knows
+   * for the only one.
+   */
+  @Nested
+  class AtVmOutOfStep {
+
+    @BeforeEach
+    void observeForLong() {
+      fleet.advance(40_000);
+    }
+
+    private void cutFromAll(String address) {
+      fleet.cut(address, SimulatedStore.NAME);
+      fleet.vms.keySet().forEach(other -> fleet.cut(address, other));
+    }
+
+    /** Starts a stream at a version that joins, and resumes it elsewhere a little later. */
+    private String resumeNewStream(Vm vm) {
+      list("new", "v2");
+      fleet.advance(200);
+      begin(vm(0), "a1", "v2");
+      fleet.advance(1_000);
+      return versionOf(find(vm, "a1"));
+    }
+
+    @Test
+    void isUnknownWhileItIsCutOffFromAll() {
+      cutFromAll("vm-003");
+      assertThat(resumeNewStream(vm(3))).isEqualTo("unknown");
+    }
+
+    @Test
+    void isFoundWhileItIsCutOffFromTheStore() {
+      fleet.cut("vm-003", SimulatedStore.NAME);
+      assertThat(resumeNewStream(vm(3))).isAnyOf("unknown", "v2");
+    }
+
+    @Test
+    void isUnknownWhileItIsCutOffFromTheOtherVms() {
+      fleet.vms.keySet().forEach(other -> fleet.cut("vm-003", other));
+      assertThat(resumeNewStream(vm(3))).isEqualTo("unknown");
+    }
+
+    @Test
+    void isNotTakenFromAnOldListAfterSuspension() {
+      vm(3).pause(3_000, true);
+      list("new", "v2");
+      fleet.advance(200);
+      begin(vm(0), "a1", "v2");
+      fleet.advance(2_900);
+      cutFromAll("vm-003");
+      assertThat(versionOf(find(vm(3), "a1"))).isAnyOf("unknown", "v2");
+    }
+
+    @Test
+    void isCertainAgainOnceTheListIsConfirmed() {
+      cutFromAll("vm-003");
+      fleet.advance(1_000);
+      fleet.healLinks();
+      fleet.advance(4_000);
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v1");
+    }
+
+    @Test
+    void isFoundForStreamsThatBeganWhileTheStoreWasDown() {
+      fleet.store.down = true;
+      fleet.advance(8_000);
+      begin(vm(0), "a1", "v1");
+      fleet.advance(100);
+      fleet.kill("vm-000");
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v1");
+    }
+  }
+
   @Nested
   class RandomFaults {
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -242,6 +243,81 @@
     }
   }
 
+  @Nested
+  class ListConfirmation {
+
+    private final List<Boolean> results = new ArrayList<>();
+
+    /** Completes the oldest read of changes after a revision. */
+    private void completeChanges(long expectedAfter, long at, EndpointChange... changes) {
+      assertThat(catalog.changesAfter.remove()).isEqualTo(expectedAfter);
+      catalog.completeChanges(at, changes);
+    }
+
+    private void loseHistory(long expectedAfter) {
+      assertThat(catalog.changesAfter.remove()).isEqualTo(expectedAfter);
+      catalog.changeReads.remove().accept(new CatalogResult.HistoryLost<>());
+    }
+
+    @Test
+    void appliesTheChangesSinceTheList() {
+      nowMs += 40_000;
+      directory.onListCurrent(nowMs);
+      nowMs += 2_000;
+      follower.confirmList(results::add);
+      completeChanges(40, 41, new EndpointChange.Removed("a"));
+      assertThat(directory.size()).isEqualTo(0);
+      assertThat(follower.revision()).isEqualTo(new StoreRevision(1, 41));
+    }
+
+    @Test
+    void isMadeAgainForRequestsThatCameLater() {
+      follower.confirmList(results::add);
+      follower.confirmList(results::add);
+      completeChanges(40, 40);
+      assertThat(results).containsExactly(true);
+      completeChanges(40, 40);
+      assertThat(results).containsExactly(true, true);
+    }
+
+    @Test
+    void isReadAgainSoonIfTheAnswerIsLost() {
+      follower.confirmList(results::add);
+      advance(100);
+      assertThat(catalog.changeReads).hasSize(2);
+      catalog.changeReads.removeLast();
+      catalog.changesAfter.removeLast();
+      completeChanges(40, 40);
+      assertThat(results).containsExactly(true);
+    }
+
+    @Test
+    void failsAfterItsTimeout() {
+      follower.confirmList(results::add);
+      advance(400);
+      assertThat(results).containsExactly(false);
+      assertThat(directory.observedMs()).isLessThan(EndpointDirectory.VERSION_HISTORY_MS);
+    }
+
+    @Test
+    void readsTheListIfTheChangesSinceAreLost() {
+      follower.confirmList(results::add);
+      loseHistory(40);
+      catalog.completeListRead(70);
+      assertThat(directory.size()).isEqualTo(0);
+      assertThat(results).containsExactly(true);
+    }
+
+    @Test
+    void failsAtOnceWhileThePlatformFails() {
+      advance(1_500);
+      catalog.tables.remove().accept(new CatalogResult.Failed<>("status 503"));
+      follower.confirmList(results::add);
+      assertThat(results).containsExactly(false);
+      assertThat(catalog.changeReads).isEmpty();
+    }
+  }
+
   @Nested
   class LostHistory {
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogOrderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogOrderTest.java
@@ -98,18 +98,33 @@
         long afterRevision, long waitMs, Consumer<CatalogResult<CatalogChanges>> callback) {
       onTheirWay.add(
           () -> {
-            List<CatalogChanges.AtRevision> changes = new ArrayList<>();
-            for (int number = (int) afterRevision + 1; number <= history.size(); number++) {
-              changes.add(
-                  new CatalogChanges.AtRevision(
-                      new StoreRevision(1, number), history.get(number - 1)));
-            }
             CatalogResult<CatalogChanges> result =
-                new CatalogResult.Read<>(new CatalogChanges(Optional.empty(), changes), at());
+                new CatalogResult.Read<>(
+                    new CatalogChanges(Optional.empty(), changesAfter(afterRevision)), at());
             onTheirWay.add(() -> callback.accept(result));
           });
     }
 
+    @Override
+    public void readChanges(
+        long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback) {
+      onTheirWay.add(
+          () -> {
+            CatalogResult<List<CatalogChanges.AtRevision>> result =
+                new CatalogResult.Read<>(changesAfter(afterRevision), at());
+            onTheirWay.add(() -> callback.accept(result));
+          });
+    }
+
+    private List<CatalogChanges.AtRevision> changesAfter(long afterRevision) {
+      List<CatalogChanges.AtRevision> changes = new ArrayList<>();
+      for (int number = (int) afterRevision + 1; number <= history.size(); number++) {
+        changes.add(
+            new CatalogChanges.AtRevision(new StoreRevision(1, number), history.get(number - 1)));
+      }
+      return changes;
+    }
+
     /** Returns the revision that wrote or removed what is known of an entry. */
     int knownRevision(String id, Optional<ListedEndpoint> known, int before) {
       if (known.isPresent()) {
@@ -147,10 +162,11 @@
     Map<String, ListedEndpoint> shown = new HashMap<>();
     Map<String, Integer> shownRevisions = new HashMap<>();
     for (int step = 0; step < STEPS; step++) {
-      switch (random.nextInt(5)) {
+      switch (random.nextInt(6)) {
         case 0 -> store.change();
         case 1 -> nowMs += random.nextInt(20_000);
         case 2 -> sendPeerList(random, store, follower);
+        case 3 -> follower.confirmList(confirmed -> {});
         default -> {
           if (!store.onTheirWay.isEmpty()) {
             store.onTheirWay.remove(random.nextInt(store.onTheirWay.size())).deliver();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
@@ -13,6 +13,9 @@
   final Deque<Consumer<CatalogResult<Optional<RoutingTable>>>> tables = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<List<EndpointPage>>>> lists = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<CatalogChanges>>> watches = new ArrayDeque<>();
+  final Deque<Consumer<CatalogResult<List<CatalogChanges.AtRevision>>>> changeReads =
+      new ArrayDeque<>();
+  final Deque<Long> changesAfter = new ArrayDeque<>();
   long watchedAfter;
   long epoch = 1;
 
@@ -38,6 +41,13 @@
     watches.add(callback);
   }
 
+  @Override
+  public void readChanges(
+      long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback) {
+    changesAfter.add(afterRevision);
+    changeReads.add(callback);
+  }
+
   void completeTableRead(RoutingTable table) {
     tables
         .remove()
@@ -56,10 +66,21 @@
     return new EndpointPage(List.of(endpoints), new StoreRevision(epoch, revision));
   }
 
-  void completeWatch(long revision, Optional<RoutingTable> table, EndpointChange... changes) {
+  void completeChanges(long revision, EndpointChange... changes) {
+    changeReads
+        .remove()
+        .accept(
+            new CatalogResult.Read<>(
+                atRevision(revision, changes), new StoreRevision(epoch, revision)));
+  }
+
+  private List<CatalogChanges.AtRevision> atRevision(long revision, EndpointChange... changes) {
     StoreRevision at = new StoreRevision(epoch, revision);
-    List<CatalogChanges.AtRevision> endpoints =
-        Stream.of(changes).map(change -> new CatalogChanges.AtRevision(at, change)).toList();
-    watches.remove().accept(new CatalogResult.Read<>(new CatalogChanges(table, endpoints), at));
+    return Stream.of(changes).map(change -> new CatalogChanges.AtRevision(at, change)).toList();
+  }
+
+  void completeWatch(long revision, Optional<RoutingTable> table, EndpointChange... changes) {
+    CatalogChanges value = new CatalogChanges(table, atRevision(revision, changes));
+    watches.remove().accept(new CatalogResult.Read<>(value, new StoreRevision(epoch, revision)));
   }
 }
