Read the store's history before a new process resumes streams

Cause: new processes concluded from the start times of the listed endpoints that no other version was listed lately.

Change: a process that has observed the list for less than 30 s reads the changes of endpoints that the store still has. Their versions count as listed until now, and a removal whose entry is not among them as an unknown version. Streams are refused for 30 s if there may have been another version, and go on at once otherwise.

Evidence: with the search and the directory as before, 3 of the 6 tests of StreamOriginTest.AfterAllVmsWereKilled failed: two gave the new version, one refused a stream of the only version. All pass now, as do StreamVersionTest, MixedReleaseTest and ForwardDaemonTest.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.fleet;
 
-import java.util.function.LongSupplier;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
@@ -13,22 +12,17 @@
  */
 public record StreamOriginComponents(StreamOriginSharing sharing, StreamOriginLookup lookup) {
 
-  /**
-   * Creates components that know no stream.
-   *
-   * @param timeOfDayMs time of day, in milliseconds since the epoch
-   */
+  /** Creates components that know no stream. */
   public static StreamOriginComponents create(
       FleetMembership members,
       EndpointDirectory directory,
       CatalogFollower follower,
       PeerClient peers,
-      Clock clock,
-      LongSupplier timeOfDayMs) {
+      Clock clock) {
     StreamOrigins origins = new StreamOrigins(clock);
     StreamOriginHolders holders = new StreamOriginHolders(members, clock);
     return new StreamOriginComponents(
         new StreamOriginSharing(origins, holders, directory, peers, clock),
-        new StreamOriginLookup(origins, holders, directory, follower, peers, clock, timeOfDayMs));
+        new StreamOriginLookup(origins, holders, directory, follower, peers, clock));
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
@@ -5,11 +5,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
-import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
 import org.zinniaspan.peer.proto.StreamOriginReply;
 
@@ -19,7 +17,8 @@
  *
  * <p>If no VM knows the origin, the version is still certain as long as the service has had only
  * one. That takes a list of endpoints that is as new as the search, since another VM may have begun
- * the stream at an endpoint that joined a moment ago. Not thread-safe.
+ * the stream at an endpoint that joined a moment ago, and a list that was observed for as long as a
+ * stream can be resumed. Not thread-safe.
  */
 public final class StreamOriginLookup {
 
@@ -35,28 +34,21 @@
   private final CatalogFollower follower;
   private final PeerClient peers;
   private final Clock clock;
-  private final LongSupplier timeOfDayMs;
 
-  /**
-   * Creates a lookup.
-   *
-   * @param timeOfDayMs time of day, in milliseconds since the epoch
-   */
+  /** Creates a lookup. */
   StreamOriginLookup(
       StreamOrigins origins,
       StreamOriginHolders holders,
       EndpointDirectory directory,
       CatalogFollower follower,
       PeerClient peers,
-      Clock clock,
-      LongSupplier timeOfDayMs) {
+      Clock clock) {
     this.origins = origins;
     this.holders = holders;
     this.directory = directory;
     this.follower = follower;
     this.peers = peers;
     this.clock = clock;
-    this.timeOfDayMs = timeOfDayMs;
   }
 
   /**
@@ -190,25 +182,13 @@
         conclude(new StreamOriginResult.Unknown("versions " + versions));
       } else if (!listConfirmed) {
         conclude(new StreamOriginResult.Unknown("list not confirmed"));
-      } else if (observedMs < EndpointDirectory.VERSION_HISTORY_MS && !startedLongAgo()) {
+      } else if (observedMs < EndpointDirectory.VERSION_HISTORY_MS) {
         conclude(new StreamOriginResult.Unknown("observed for " + observedMs + " ms"));
       } else {
         conclude(new StreamOriginResult.Known(versions.iterator().next(), "only version"));
       }
     }
 
-    /**
-     * Returns whether all listed endpoints of the service started long ago, so that no release can
-     * have ended shortly before VMs that know nothing of it started.
-     */
-    private boolean startedLongAgo() {
-      return directory.isListCurrent()
-          && directory.entries().stream()
-              .filter(entry -> entry.service().equals(service))
-              .mapToLong(ListedEndpoint::startedAtMs)
-              .allMatch(ms -> timeOfDayMs.getAsLong() - ms >= EndpointDirectory.VERSION_HISTORY_MS);
-    }
-
     private void conclude(StreamOriginResult result) {
       done = true;
       callback.accept(result);
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -227,6 +227,7 @@
 
   /**
    * Brings the list of endpoints up to date by a call to the platform that starts now or later.
+   * While the list has been observed for a short time only, the changes before are read too.
    *
    * @param callback receives, exactly once, whether the list is as new as this call
    */
@@ -278,7 +279,17 @@
 
   private void onListConfirmed(List<ListConfirmation> waiting, long startedMs) {
     directory.onListCurrent(startedMs);
-    endListConfirmation(waiting, true);
+    if (directory.observedMs() >= EndpointDirectory.VERSION_HISTORY_MS) {
+      endListConfirmation(waiting, true);
+      return;
+    }
+    EarlierChanges.read(
+        changeReads,
+        revision,
+        changes -> {
+          changes.ifPresent(directory::onEarlierChanges);
+          endListConfirmation(waiting, true);
+        });
   }
 
   private void endListConfirmation(List<ListConfirmation> waiting, boolean confirmed) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -188,6 +188,24 @@
     return clock.nowMs() - confirmedMs <= MAX_CONFIRMATION_GAP_MS;
   }
 
+  /**
+   * Records the changes that the platform still has of the time before this process observed the
+   * list, oldest first, so that the list counts as observed for {@value #VERSION_HISTORY_MS} ms.
+   */
+  void onEarlierChanges(List<EndpointChange> changes) {
+    Set<String> known = new HashSet<>();
+    for (EndpointChange change : changes) {
+      if (change instanceof EndpointChange.Listed listed) {
+        known.add(change.id());
+        versions.onListedBefore(listed.endpoint());
+      } else if (!known.contains(change.id())) {
+        versions.onUnknownListedBefore();
+      }
+    }
+    long sinceMs = clock.nowMs() - VERSION_HISTORY_MS;
+    currentSinceMs = currentSinceMs.map(ms -> Math.min(ms, sinceMs));
+  }
+
   /** Returns whether the list was shown to be current since the last pause of this process. */
   public boolean isListCurrent() {
     observePauses();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -80,9 +80,7 @@
     endpoints = observations.withSlots(slots);
     engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
-    origins =
-        StreamOriginComponents.create(
-            members, directory, follower, peers, clock, System::currentTimeMillis);
+    origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
   }
 
   FleetServer server(RelayReceiver relays) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -239,9 +239,7 @@
               new ZoneCosts(zone, Map.of(zone, "region")),
               engines::observerRank,
               board::record);
-      origins =
-          StreamOriginComponents.create(
-              members, directory, follower, this, this::steadyMs, this::timeOfDayMs);
+      origins = StreamOriginComponents.create(members, directory, follower, this, this::steadyMs);
     }
 
     private final class Reports implements EngineReportSource {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -191,6 +191,89 @@
     }
   }
 
+  /**
+   * New processes know no origin. Guards against taking endpoints that started long ago for proof
+   * that there was no other version until a moment ago.
+   */
+  @Nested
+  class AfterAllVmsWereKilled {
+
+    private void restartAll() {
+      List<String> addresses = List.copyOf(fleet.vms.keySet());
+      addresses.forEach(fleet::kill);
+      for (int number = 0; number < addresses.size(); number++) {
+        fleet.start(addresses.get(number), "zone-" + number % 2, List.of("vm-000", "vm-001"));
+      }
+      fleet.advance(3_000);
+    }
+
+    /** Lists a second version for a time that is long for a stream and for the store's history. */
+    private void listBothForLong() {
+      list("new", "v2");
+      fleet.advance(40_000);
+    }
+
+    @Test
+    void isUnknownJustAfterTheOtherVersionLeft() {
+      listBothForLong();
+      list("old", "v1");
+      fleet.advance(5_000);
+      fleet.store.remove("old");
+      fleet.advance(500);
+      restartAll();
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("unknown");
+    }
+
+    @Test
+    void isUnknownJustAfterAnEndpointOfUnknownVersionLeft() {
+      listBothForLong();
+      fleet.store.remove("old");
+      fleet.advance(500);
+      restartAll();
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("unknown");
+    }
+
+    @Test
+    void isCertainOnceTheOtherVersionLeftLongAgo() {
+      listBothForLong();
+      fleet.store.remove("old");
+      fleet.advance(22_000);
+      restartAll();
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v2");
+    }
+
+    @Test
+    void isCertainAgainSomeTimeAfterTheRestart() {
+      listBothForLong();
+      fleet.store.remove("old");
+      fleet.advance(500);
+      restartAll();
+      fleet.advance(EndpointDirectory.VERSION_HISTORY_MS);
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v2");
+    }
+
+    @Test
+    void isCertainAtOnceIfOnlyOneVersionWasListed() {
+      list("new", "v1");
+      fleet.advance(2_000);
+      restartAll();
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v1");
+    }
+
+    @Test
+    void isFoundForStreamsThatBeganAfterwards() {
+      listBothForLong();
+      fleet.store.remove("old");
+      fleet.advance(500);
+      restartAll();
+      find(vm(0), "a1");
+      begin(vm(0), "a2", "v2");
+      fleet.advance(100);
+      fleet.kill("vm-000");
+      assertThat(versionOf(find(vm(3), "a2"))).isEqualTo("v2");
+    }
+  }
+
   /**
    * A VM whose list may be out of date. Guards against taking the only version that this VM knows
    * for the only one.
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -270,11 +270,44 @@
       assertThat(follower.revision()).isEqualTo(new StoreRevision(1, 41));
     }
 
+    @Test
+    void readsEarlierChangesBackToTheOldestOnesThatAreKept() {
+      follower.confirmList(results::add);
+      completeChanges(40, 40);
+      completeChanges(39, 40);
+      completeChanges(32, 40, new EndpointChange.Removed("gone"));
+      loseHistory(0);
+      loseHistory(16);
+      loseHistory(24);
+      loseHistory(28);
+      completeChanges(30, 40, new EndpointChange.Removed("gone"));
+      loseHistory(29);
+      assertThat(results).containsExactly(true);
+      assertThat(directory.observedMs()).isAtLeast(EndpointDirectory.VERSION_HISTORY_MS);
+      assertThat(directory.recentVersions("service")).containsExactly("v1", "(unknown)");
+    }
+
+    @Test
+    void knowsTheVersionsOfEarlierChanges() {
+      ListedEndpoint gone =
+          new ListedEndpoint("gone", "service", "10.0.0.9:80", "zone-a", "v0", 6, true, 1);
+      follower.confirmList(results::add);
+      completeChanges(40, 40);
+      completeChanges(39, 40, new EndpointChange.Listed(gone), new EndpointChange.Removed("gone"));
+      loseHistory(32);
+      loseHistory(35);
+      loseHistory(37);
+      loseHistory(38);
+      assertThat(results).containsExactly(true);
+      assertThat(directory.recentVersions("service")).containsExactly("v1", "v0");
+    }
+
     @Test
     void isMadeAgainForRequestsThatCameLater() {
       follower.confirmList(results::add);
       follower.confirmList(results::add);
       completeChanges(40, 40);
+      loseHistory(39);
       assertThat(results).containsExactly(true);
       completeChanges(40, 40);
       assertThat(results).containsExactly(true, true);
@@ -288,6 +321,7 @@
       catalog.changeReads.removeLast();
       catalog.changesAfter.removeLast();
       completeChanges(40, 40);
+      loseHistory(39);
       assertThat(results).containsExactly(true);
     }
 
@@ -305,6 +339,7 @@
       loseHistory(40);
       catalog.completeListRead(70);
       assertThat(directory.size()).isEqualTo(0);
+      loseHistory(69);
       assertThat(results).containsExactly(true);
     }
 
