Reject entries of endpoints that are out of bounds

Cause: the decoder checked types but no ranges, numbers of slots wrapped around, and Erlang's formula takes time in proportion to the slots.

Change: ListedEndpoint has the bounds; the decoder rejects entries out of bounds and the log says why. Entries of other VMs are checked as well.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -167,7 +167,10 @@
   private void adopt(CatalogState state) {
     if (state.getListIncluded()) {
       List<ListedEndpoint> list =
-          state.getEndpointsList().stream().map(CatalogSharing::decode).toList();
+          state.getEndpointsList().stream()
+              .map(CatalogSharing::decode)
+              .filter(CatalogSharing::isValid)
+              .toList();
       follower.onPeerList(list, listRevision(state));
     }
     listEpoch = state.getListEpoch();
@@ -199,6 +202,18 @@
         .info();
   }
 
+  /** Returns whether an entry is valid; VMs of earlier releases pass on others too. */
+  private static boolean isValid(ListedEndpoint entry) {
+    Optional<String> violation = entry.findViolation();
+    violation.ifPresent(
+        reason ->
+            EventLog.event("endpoint-entry-unreadable")
+                .with("endpoint", entry.id())
+                .with("error", reason)
+                .info());
+    return violation.isEmpty();
+  }
+
   private static ListedEndpoint decode(CatalogEndpoint entry) {
     return new ListedEndpoint(
         entry.getId(),
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ErlangLoss.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ErlangLoss.java
@@ -2,7 +2,8 @@
 
 /**
  * Erlang's loss formula: how many requests an endpoint without a queue rejects. All methods are
- * pure functions.
+ * pure functions. Their time grows with the slots, of which at most {@value
+ * ListedEndpoint#MAX_SLOTS} are counted.
  */
 final class ErlangLoss {
 
@@ -16,8 +17,9 @@
    * @param load mean number of requests that would be in progress if none was rejected
    */
   static double rejectedShare(double load, int slots) {
+    int counted = Math.min(slots, ListedEndpoint.MAX_SLOTS);
     double share = 1;
-    for (int number = 1; number <= slots; number++) {
+    for (int number = 1; number <= counted; number++) {
       share = load * share / (number + load * share);
     }
     return share;
@@ -32,7 +34,7 @@
    */
   static double highestRate(int slots, double slotMs, double rejectionsPerSecond) {
     double low = 0;
-    double high = slots;
+    double high = Math.min(slots, ListedEndpoint.MAX_SLOTS);
     for (int i = 0; i < BISECTIONS; i++) {
       double load = (low + high) / 2;
       double rejections = load * rejectedShare(load, slots) * 1_000 / slotMs;
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
@@ -1,9 +1,7 @@
 package org.zinniaspan.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Optional;
 import org.zinniaspan.forwarding.ListedEndpoint;
-import org.zinniaspan.http.Addresses;
 
 /** Decodes entries of the platform's list of servers. */
 final class EndpointDecoder {
@@ -11,39 +9,52 @@
   private EndpointDecoder() {}
 
   /**
-   * Returns the endpoint that an entry describes; empty if a field is missing, has another type, or
-   * has an invalid value.
+   * Returns the endpoint that an entry describes.
+   *
+   * @throws IllegalArgumentException if a field is missing, has another type, or has an invalid
+   *     value; the message names it
    */
-  static Optional<ListedEndpoint> decode(String id, JsonNode node) {
-    String state = node.path("state").asText("");
+  static ListedEndpoint decode(String id, JsonNode node) {
+    String state = text(node, "state");
     boolean draining = state.equals("draining");
-    boolean usable =
-        node.path("service").isTextual()
-            && node.path("zone").isTextual()
-            && isAddress(node.path("address"))
-            && (node.path("version").isMissingNode() || node.path("version").isTextual())
-            && node.path("slots").isIntegralNumber()
-            && (draining || state.equals("ready"));
-    if (!usable) {
-      return Optional.empty();
+    if (!draining && !state.equals("ready")) {
+      throw new IllegalArgumentException("state is neither 'ready' nor 'draining'");
     }
-    return Optional.of(
+    ListedEndpoint entry =
         new ListedEndpoint(
             id,
-            node.path("service").asText(),
-            node.path("address").asText(),
-            node.path("zone").asText(),
-            node.path("version").asText(""),
-            node.path("slots").asInt(),
+            text(node, "service"),
+            text(node, "address"),
+            text(node, "zone"),
+            node.has("version") ? text(node, "version") : "",
+            (int) number(node, "slots", Integer.MAX_VALUE),
             draining,
-            node.path("born").asLong(0)));
+            node.has("born") ? number(node, "born", Long.MAX_VALUE) : 0);
+    entry
+        .findViolation()
+        .ifPresent(
+            reason -> {
+              throw new IllegalArgumentException(reason);
+            });
+    return entry;
   }
 
-  private static boolean isAddress(JsonNode node) {
-    if (!node.isTextual() || !node.asText().matches("[0-9.]{7,15}:[0-9]{1,5}")) {
-      return false;
+  private static String text(JsonNode node, String field) {
+    if (!node.path(field).isTextual()) {
+      throw new IllegalArgumentException(field + " is not a text");
     }
-    int port = Integer.parseInt(node.asText().replaceFirst(".*:", ""));
-    return port > 0 && port <= 65_535 && Addresses.parse(node.asText()).getPort() == port;
+    return node.path(field).asText();
+  }
+
+  private static long number(JsonNode node, String field, long max) {
+    JsonNode value = node.path(field);
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      throw new IllegalArgumentException(field + " is not a whole number of at most 64 bits");
+    }
+    long number = value.asLong();
+    if (number < 0 || number > max) {
+      throw new IllegalArgumentException(field + " " + number + " is not in 0.." + max);
+    }
+    return number;
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -34,6 +34,9 @@
   private static final String CONFIGURATION_KEY = "op/config";
   private static final String ENDPOINT_PREFIX = "servers/";
 
+  /** Largest length of the reason for which an entry is ignored, in the log, in characters. */
+  private static final int MAX_REASON_LENGTH = 200;
+
   private final BufferingHttpClient httpClient;
   private final String host;
   private final long timeoutMs;
@@ -210,17 +213,19 @@
   private Optional<ListedEndpoint> endpoint(JsonNode item) {
     String key = item.path("key").asText();
     try {
-      Optional<ListedEndpoint> entry = EndpointDecoder.decode(id(key), value(item));
-      if (entry.isEmpty()) {
-        EventLog.event("endpoint-entry-unusable").with("key", key).info();
-      }
-      return entry;
+      return Optional.of(EndpointDecoder.decode(id(key), value(item)));
     } catch (IOException | IllegalArgumentException e) {
-      EventLog.event("endpoint-entry-unreadable").with("key", key).with("error", e).info();
+      EventLog.event("endpoint-entry-unreadable").with("key", key).with("error", reason(e)).info();
       return Optional.empty();
     }
   }
 
+  /** Returns the first part of an error's message, which may quote the input. */
+  private static String reason(Exception error) {
+    String message = String.valueOf(error.getMessage());
+    return message.substring(0, Math.min(message.length(), MAX_REASON_LENGTH));
+  }
+
   @Override
   public Optional<RoutingTable> decodeTable(byte[] document) {
     try {
