Bound the rejection limits that endpoints state

What callers would see: a response with Server-Brittle: made the VM stop answering.

Cause: the Poisson distribution takes time in proportion to the limit, on the I/O thread; larger limits wrapped around.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/OddEntryTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/OddEntryTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -130,4 +131,16 @@
     }
     assertThat(odd.requests()).isEmpty();
   }
+
+  @Test
+  @Timeout(value = 20, unit = TimeUnit.SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void doNotBlockServicesIfTheRejectionLimitIsOutOfBounds() throws IOException {
+    for (String limit : new String[] {"2147483647", "4294967295", "999999999999999"}) {
+      String brittle = STAMP + "Server-Brittle: " + limit + "\r\n";
+      daemon.first.setHandler(always(okResponse("a1", "first").replace(STAMP, brittle)));
+      for (int i = 0; i < 3; i++) {
+        assertThat(daemon.call(request("GET", "/safe/x", "", ""))).startsWith("HTTP/1.1 200");
+      }
+    }
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -143,7 +143,7 @@
         head.containsHeader(HeaderNames.SERVER_LEAVING),
         headerValue(head, HeaderNames.SERVER_BRITTLE)
             .flatMap(HttpDialect::wholeNumber)
-            .map(Long::intValue),
+            .map(limit -> (int) Math.min(limit, Integer.MAX_VALUE)),
         headerValue(head, HeaderNames.SERVER_LIMIT).flatMap(HttpDialect::decimalNumber));
   }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/ErlangLossTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/ErlangLossTest.java
@@ -17,4 +17,13 @@
     assertThat(ErlangLoss.highestRate(Integer.MAX_VALUE, 50, 1)).isEqualTo(bounded);
     assertThat(ErlangLoss.rejectedShare(1, Integer.MAX_VALUE)).isWithin(1e-9).of(0);
   }
+
+  /** Guards against a rejection limit with which the loop takes minutes, or never ends. */
+  @Test
+  @Timeout(value = 20, unit = TimeUnit.SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void takesLittleTimeForAnyRejectionLimit() {
+    double bounded = Poisson.highestMean(1_000, 0.005);
+    assertThat(Poisson.highestMean(Integer.MAX_VALUE, 0.005)).isEqualTo(bounded);
+    assertThat(Poisson.exceeds(Integer.MAX_VALUE, 1)).isWithin(1e-9).of(0);
+  }
 }
