--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogFollowerTest.java
@@ -162,7 +162,7 @@
     }
 
     @Test
-    void leaveWhatALaterPageShowsToEarlierChanges() {
+    void leaveWhatLaterPagesShowToEarlierChanges() {
       catalog.completeListRead(firstPage(40, ENDPOINT), catalog.page(43, OTHER));
       watch(42, new EndpointChange.Removed("b"));
       assertThat(ready()).containsExactly("a", "b");
@@ -171,7 +171,7 @@
     }
 
     @Test
-    void leaveWhatALaterPageDoesNotShowToEarlierChanges() {
+    void leaveWhatLaterPagesDoNotShowToEarlierChanges() {
       watch(41, new EndpointChange.Listed(OTHER));
       catalog.completeListRead(firstPage(42, ENDPOINT), catalog.page(45));
       follower.onPeerList(List.of(ENDPOINT, OTHER), new StoreRevision(1, 44));
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
@@ -104,7 +104,7 @@
         "10..0.1:80",
         ""
       })
-  void rejectsAddressesThatNeedALookupOrAreOutOfBounds(String address) {
+  void rejectsAddressesThatNeedLookupOrAreOutOfBounds(String address) {
     assertThat(reason(ENTRY.replace("10.128.0.9:8080", address))).contains("address");
   }
 
