Copy origins of streams that begin after all VMs were killed

Cause: a new process found out which versions had been listed before only with the first search for an origin. Those without such a search saw one version and copied no origins, while the others could not be certain of it.

Change: a new process finds this out when it has its first streams, spread over 1.5 s as VMs may start together, and again after 5 s if it failed.

Evidence: StreamOriginTest.isFoundForStreamsThatBeganAfterwards, now without a search before the stream begins, failed before and passes now.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
@@ -22,7 +22,8 @@
     StreamOrigins origins = new StreamOrigins(clock);
     StreamOriginHolders holders = new StreamOriginHolders(members, clock);
     return new StreamOriginComponents(
-        new StreamOriginSharing(origins, holders, directory, peers, clock),
+        new StreamOriginSharing(
+            members.self(), origins, holders, directory, follower, peers, clock),
         new StreamOriginLookup(origins, holders, directory, follower, peers, clock));
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
+import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.peer.proto.StreamOriginReceipt;
 import org.zinniaspan.peer.proto.StreamOriginUpdate;
@@ -20,7 +21,8 @@
  *
  * <p>Origins are copied only while several versions of a service are listed, or were until a short
  * time ago, or may be, as nothing confirms the list; with a single version there is nothing to tell
- * apart. Not thread-safe.
+ * apart. A new process that has streams finds out which versions were listed before. Not
+ * thread-safe.
  */
 public final class StreamOriginSharing implements Ticking {
 
@@ -33,26 +35,43 @@
   /** Interval at which expired origins are removed, in milliseconds. */
   private static final long EXPIRY_INTERVAL_MS = 500;
 
+  /** Interval between two reads of which versions were listed before, in milliseconds. */
+  private static final long VERSIONS_READ_INTERVAL_MS = 5_000;
+
+  /** Largest delay of the first such read, in milliseconds; VMs that start together differ. */
+  private static final int MAX_VERSIONS_READ_DELAY_MS = 1_500;
+
   private final StreamOrigins origins;
   private final StreamOriginHolders holders;
   private final EndpointDirectory directory;
+  private final CatalogFollower follower;
   private final PeerClient peers;
   private final Clock clock;
   private final Deque<StreamOrigin> own = new ArrayDeque<>();
   private final List<StreamOrigin> unsent = new ArrayList<>();
   private final Set<String> mixedServices = new HashSet<>();
   private long nextExpiryMs;
+  private long nextVersionsReadMs;
 
-  /** Creates a sharing that knows no stream. */
+  /**
+   * Creates a sharing that knows no stream.
+   *
+   * @param self peer address of this VM
+   */
   StreamOriginSharing(
+      String self,
       StreamOrigins origins,
       StreamOriginHolders holders,
       EndpointDirectory directory,
+      CatalogFollower follower,
       PeerClient peers,
       Clock clock) {
     this.origins = origins;
     this.holders = holders;
     this.directory = directory;
+    this.follower = follower;
+    this.nextVersionsReadMs =
+        clock.nowMs() + Math.floorMod(self.hashCode(), MAX_VERSIONS_READ_DELAY_MS);
     this.peers = peers;
     this.clock = clock;
   }
@@ -98,6 +117,12 @@
       own.removeIf(origin -> origin.expiresMs() <= now);
       unsent.removeIf(origin -> origin.expiresMs() <= now);
     }
+    if (!own.isEmpty()
+        && now >= nextVersionsReadMs
+        && directory.observedMs() < EndpointDirectory.VERSION_HISTORY_MS) {
+      nextVersionsReadMs = now + VERSIONS_READ_INTERVAL_MS;
+      follower.confirmList(confirmed -> {});
+    }
     updateMixedServices();
     send();
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -266,9 +266,9 @@
       fleet.store.remove("old");
       fleet.advance(500);
       restartAll();
-      find(vm(0), "a1");
       begin(vm(0), "a2", "v2");
-      fleet.advance(100);
+      fleet.advance(500);
+      assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("unknown");
       fleet.kill("vm-000");
       assertThat(versionOf(find(vm(3), "a2"))).isEqualTo("v2");
     }
