Split the updates of endpoints out of CatalogFollower, and spare calls

CatalogFollower had a second concern: EndpointUpdates applies lists and changes in any order, ListConfirmer and EarlierChanges read what a decision needs.

With a wait of 2.7 s, the list seemed unconfirmed for half a second of every 2.7 s; origins were copied and the store's history was read again and again. It is counted from the answers now, and by the wait of the watch. - Each new process read the history, though other VMs could tell.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginComponents.java
@@ -21,9 +21,10 @@
       Clock clock) {
     StreamOrigins origins = new StreamOrigins(clock);
     StreamOriginHolders holders = new StreamOriginHolders(members, clock);
-    return new StreamOriginComponents(
-        new StreamOriginSharing(
-            members.self(), origins, holders, directory, follower, peers, clock),
-        new StreamOriginLookup(origins, holders, directory, follower, peers, clock));
+    StreamOriginLookup lookup =
+        new StreamOriginLookup(origins, holders, directory, follower, peers, clock);
+    StreamOriginSharing sharing =
+        new StreamOriginSharing(members.self(), origins, holders, directory, lookup, peers, clock);
+    return new StreamOriginComponents(sharing, lookup);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginHolders.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginHolders.java
@@ -51,6 +51,13 @@
     return RendezvousHash.ranked(attemptId, others(), QUERIED);
   }
 
+  /** Returns whether other VMs of this zone query this one for the origin of an attempt. */
+  boolean isQueried(String attemptId) {
+    Set<String> candidates = others();
+    candidates.add(members.self());
+    return RendezvousHash.ranked(attemptId, candidates, QUERIED).contains(members.self());
+  }
+
   /** Returns the first VM in rank of each other zone. */
   List<String> representatives() {
     List<String> first = new ArrayList<>();
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginLookup.java
@@ -72,6 +72,15 @@
     search.start();
   }
 
+  /**
+   * Finds out whether a service has had only one version for as long as a stream can be resumed.
+   *
+   * @param callback receives the result, exactly once
+   */
+  void findOnlyVersion(String service, Consumer<StreamOriginResult> callback) {
+    find(Optional.empty(), service, callback);
+  }
+
   /** Answers a query of another VM; the responder is called once. */
   public void onQuery(StreamOriginQuery query, Consumer<StreamOriginReply> responder) {
     Optional<StreamOrigin> known = origins.find(query.getAttemptId());
@@ -117,6 +126,7 @@
     private long observedMs = directory.observedMs();
     private int pending;
     private boolean listConfirmed;
+    private boolean earlierChangesRead;
     private boolean started;
     private boolean done;
 
@@ -141,14 +151,25 @@
       pending++;
       follower.confirmList(
           confirmed -> {
-            pending--;
             listConfirmed = confirmed;
-            versions.addAll(directory.recentVersions(service));
-            observedMs = Math.max(observedMs, directory.observedMs());
-            concludeIfComplete();
+            onDirectoryUpdated();
           });
     }
 
+    /** Finds out what was listed before, if no VM has observed the list for long. */
+    private void readEarlierChanges() {
+      earlierChangesRead = true;
+      pending++;
+      follower.readEarlierChanges(known -> onDirectoryUpdated());
+    }
+
+    private void onDirectoryUpdated() {
+      pending--;
+      versions.addAll(directory.recentVersions(service));
+      observedMs = Math.max(observedMs, directory.observedMs());
+      concludeIfComplete();
+    }
+
     /** Ends the search if no query is pending; called once all queries were sent. */
     void start() {
       started = true;
@@ -182,6 +203,8 @@
         conclude(new StreamOriginResult.Unknown("versions " + versions));
       } else if (!listConfirmed) {
         conclude(new StreamOriginResult.Unknown("list not confirmed"));
+      } else if (observedMs < EndpointDirectory.VERSION_HISTORY_MS && !earlierChangesRead) {
+        readEarlierChanges();
       } else if (observedMs < EndpointDirectory.VERSION_HISTORY_MS) {
         conclude(new StreamOriginResult.Unknown("observed for " + observedMs + " ms"));
       } else {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/StreamOriginSharing.java
@@ -7,10 +7,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
-import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.peer.proto.StreamOriginReceipt;
 import org.zinniaspan.peer.proto.StreamOriginUpdate;
@@ -21,8 +21,8 @@
  *
  * <p>Origins are copied only while several versions of a service are listed, or were until a short
  * time ago, or may be, as nothing confirms the list; with a single version there is nothing to tell
- * apart. A new process that has streams finds out which versions were listed before. Not
- * thread-safe.
+ * apart. A new process that has streams finds out, from other VMs first, whether a service had
+ * other versions before. Not thread-safe.
  */
 public final class StreamOriginSharing implements Ticking {
 
@@ -35,23 +35,30 @@
   /** Interval at which expired origins are removed, in milliseconds. */
   private static final long EXPIRY_INTERVAL_MS = 500;
 
-  /** Interval between two reads of which versions were listed before, in milliseconds. */
-  private static final long VERSIONS_READ_INTERVAL_MS = 5_000;
+  /** Interval between two checks of whether a service has one version, in milliseconds. */
+  private static final long VERSIONS_CHECK_INTERVAL_MS = 5_000;
 
-  /** Largest delay of the first such read, in milliseconds; VMs that start together differ. */
-  private static final int MAX_VERSIONS_READ_DELAY_MS = 1_500;
+  /**
+   * Delay of the first check at VMs that others don't query, in milliseconds, so that they hear of
+   * the result of those that are queried; a part that differs between VMs is added.
+   */
+  private static final long VERSIONS_CHECK_DELAY_MS = 200;
+
+  private static final int MAX_ADDED_DELAY_MS = 150;
 
   private final StreamOrigins origins;
   private final StreamOriginHolders holders;
   private final EndpointDirectory directory;
-  private final CatalogFollower follower;
+  private final StreamOriginLookup lookup;
   private final PeerClient peers;
   private final Clock clock;
+  private final long checkDelayMs;
   private final Deque<StreamOrigin> own = new ArrayDeque<>();
   private final List<StreamOrigin> unsent = new ArrayList<>();
   private final Set<String> mixedServices = new HashSet<>();
+  private final Set<String> uncertainServices = new HashSet<>();
   private long nextExpiryMs;
-  private long nextVersionsReadMs;
+  private Optional<Long> nextVersionsCheckMs = Optional.empty();
 
   /**
    * Creates a sharing that knows no stream.
@@ -63,17 +70,17 @@
       StreamOrigins origins,
       StreamOriginHolders holders,
       EndpointDirectory directory,
-      CatalogFollower follower,
+      StreamOriginLookup lookup,
       PeerClient peers,
       Clock clock) {
     this.origins = origins;
     this.holders = holders;
     this.directory = directory;
-    this.follower = follower;
-    this.nextVersionsReadMs =
-        clock.nowMs() + Math.floorMod(self.hashCode(), MAX_VERSIONS_READ_DELAY_MS);
+    this.lookup = lookup;
     this.peers = peers;
     this.clock = clock;
+    this.checkDelayMs =
+        VERSIONS_CHECK_DELAY_MS + Math.floorMod(self.hashCode(), MAX_ADDED_DELAY_MS);
   }
 
   /**
@@ -117,22 +124,65 @@
       own.removeIf(origin -> origin.expiresMs() <= now);
       unsent.removeIf(origin -> origin.expiresMs() <= now);
     }
-    if (!own.isEmpty()
-        && now >= nextVersionsReadMs
-        && directory.observedMs() < EndpointDirectory.VERSION_HISTORY_MS) {
-      nextVersionsReadMs = now + VERSIONS_READ_INTERVAL_MS;
-      follower.confirmList(confirmed -> {});
+    if (!own.isEmpty()) {
+      checkVersions(now);
     }
     updateMixedServices();
     send();
   }
 
+  /**
+   * Checks which services that seem to have one version may have had others before this process
+   * observed the list.
+   */
+  private void checkVersions(long now) {
+    if (directory.observedMs() >= EndpointDirectory.VERSION_HISTORY_MS) {
+      uncertainServices.clear();
+      nextVersionsCheckMs = Optional.empty();
+      return;
+    }
+    if (nextVersionsCheckMs.isEmpty()) {
+      nextVersionsCheckMs = Optional.of(now + (holders.isQueried("") ? 0 : checkDelayMs));
+    }
+    if (now < nextVersionsCheckMs.get()) {
+      return;
+    }
+    nextVersionsCheckMs = Optional.of(now + VERSIONS_CHECK_INTERVAL_MS);
+    Set<String> services = servicesOfOwnStreams();
+    services.removeIf(service -> directory.recentVersions(service).size() > 1);
+    for (String service : services) {
+      lookup.findOnlyVersion(
+          service,
+          result -> {
+            if (result instanceof StreamOriginResult.Known) {
+              uncertainServices.remove(service);
+              nextVersionsCheckMs =
+                  Optional.of(clock.nowMs() + EndpointDirectory.VERSION_HISTORY_MS);
+            } else {
+              uncertainServices.add(service);
+            }
+          });
+    }
+  }
+
+  private Set<String> servicesOfOwnStreams() {
+    Set<String> services = new HashSet<>();
+    own.forEach(origin -> services.add(origin.service()));
+    return services;
+  }
+
+  private boolean hasOneVersion(String service) {
+    return directory.isListConfirmed()
+        && directory.recentVersions(service).size() < 2
+        && !uncertainServices.contains(service);
+  }
+
   /** Queues the origins of the streams of a service once it may have several versions. */
   private void updateMixedServices() {
-    Set<String> services = new HashSet<>(mixedServices);
-    own.forEach(origin -> services.add(origin.service()));
+    Set<String> services = servicesOfOwnStreams();
+    services.addAll(mixedServices);
     for (String service : services) {
-      if (directory.isListConfirmed() && directory.recentVersions(service).size() < 2) {
+      if (hasOneVersion(service)) {
         mixedServices.remove(service);
       } else if (mixedServices.add(service)) {
         own.stream().filter(o -> o.service().equals(service)).forEach(unsent::add);
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -1,11 +1,8 @@
 package org.zinniaspan.forwarding;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
@@ -22,9 +19,6 @@
  * <p>When the store was restored from a copy, shown by its epoch, everything is read again, and
  * reads confirm nothing until what the copy lacks has been written again.
  *
- * <p>Lists, watches and the lists of other VMs are answered independently; of each endpoint, only a
- * state that is at least as new as the known one is applied.
- *
  * <p>While another VM reads the platform for this one, the follower is passive: it reads only what
  * this VM still lacks, and is told the rest.
  */
@@ -53,20 +47,16 @@
    */
   private static final long RESTORE_SETTLE_MS = 2_200;
 
-  /** Time after which a requested confirmation of the list has failed, in milliseconds. */
-  private static final long LIST_CONFIRMATION_TIMEOUT_MS = 350;
-
-  private record ListConfirmation(long requestedMs, Consumer<Boolean> callback) {}
-
   private final Catalog catalog;
   private final Clock clock;
   private final TableFreshness freshness;
   private final EndpointDirectory directory;
   private final PlatformBounds bounds;
   private final Random random;
+  private final EndpointUpdates updates;
   private final HedgedChangeReads changeReads;
-  private final EndpointRevisions revisions = new EndpointRevisions();
-  private final List<ListConfirmation> listConfirmations = new ArrayList<>();
+  private final ListConfirmer confirmer;
+  private final EarlierChanges earlierChanges;
 
   private Optional<RoutingTable> table = Optional.empty();
   private boolean passive;
@@ -76,12 +66,9 @@
   private boolean readingTable;
   private boolean readingEndpoints;
   private boolean watching;
-  private boolean historyLost;
-  private boolean confirmingList;
   private boolean listComplete;
   private boolean reachable = true;
-  private StoreRevision revision = StoreRevision.NONE;
-  private long watchedEpoch;
+  private StoreRevision watchedRevision = StoreRevision.NONE;
   private long settledMs = Long.MIN_VALUE;
   private long lastAnswerMs;
   private long nextTableReadMs;
@@ -101,8 +88,12 @@
     this.directory = directory;
     this.bounds = bounds;
     this.random = random;
+    this.updates = new EndpointUpdates(directory);
     this.changeReads = new HedgedChangeReads(catalog, clock);
+    this.confirmer = new ListConfirmer(catalog, changeReads, updates, directory, clock);
+    this.earlierChanges = new EarlierChanges(changeReads, updates, directory, clock);
     this.lastAnswerMs = clock.nowMs();
+    directory.setWatchWait(bounds.watchWaitMs());
   }
 
   /** Returns the table in force; empty if none was read. */
@@ -127,7 +118,7 @@
 
   /** Returns the revision of the platform's store up to which the endpoints are known. */
   public StoreRevision revision() {
-    return revision;
+    return updates.revision();
   }
 
   /**
@@ -176,42 +167,12 @@
    */
   public void onPeerList(List<ListedEndpoint> endpoints, StoreRevision listRevision) {
     observeEpoch(listRevision);
-    if (listRevision.compareTo(revision) >= 0) {
-      revision = listRevision;
+    if (listRevision.compareTo(updates.revision()) >= 0) {
       listComplete = true;
-      applyList(List.of(new EndpointPage(endpoints, listRevision)));
+      updates.applyList(List.of(new EndpointPage(endpoints, listRevision)));
     }
   }
 
-  /** Applies a complete list except for the entries of which a newer state is known. */
-  private void applyList(List<EndpointPage> pages) {
-    Set<String> listed = new HashSet<>();
-    Set<String> kept = new HashSet<>();
-    List<ListedEndpoint> current = new ArrayList<>();
-    for (EndpointPage page : pages) {
-      for (ListedEndpoint entry : page.endpoints()) {
-        listed.add(entry.id());
-        if (revisions.update(entry.id(), page.revision())) {
-          current.add(entry);
-        } else {
-          kept.add(entry.id());
-        }
-      }
-    }
-    for (ListedEndpoint known : directory.entries()) {
-      if (!listed.contains(known.id())
-          && !revisions.update(known.id(), pageOf(known.id(), pages).revision())) {
-        kept.add(known.id());
-      }
-    }
-    directory.replaceAll(current, kept::contains);
-    revisions.onList(pages.get(0).revision());
-  }
-
-  private static EndpointPage pageOf(String id, List<EndpointPage> pages) {
-    return pages.stream().filter(page -> page.covers(id)).findFirst().orElseThrow();
-  }
-
   /**
    * Records that another VM's current list is the one that this VM has.
    *
@@ -220,101 +181,41 @@
    */
   public void onPeerListCurrent(long requestedMs, StoreRevision listRevision) {
     directory.onListCurrent(requestedMs);
-    if (listRevision.epoch() == revision.epoch()) {
-      revision = later(revision, listRevision);
-    }
+    updates.onUnchanged(listRevision);
   }
 
   /**
    * Brings the list of endpoints up to date by a call to the platform that starts now or later.
-   * While the list has been observed for a short time only, the changes before are read too.
    *
    * @param callback receives, exactly once, whether the list is as new as this call
    */
   public void confirmList(Consumer<Boolean> callback) {
-    if (!reachable || !listComplete) {
+    if (reachable && listComplete) {
+      confirmer.confirm(callback);
+    } else {
       callback.accept(false);
-      return;
     }
-    listConfirmations.add(new ListConfirmation(clock.nowMs(), callback));
-    startListConfirmation();
   }
 
-  private void startListConfirmation() {
-    if (confirmingList || listConfirmations.isEmpty()) {
-      return;
-    }
-    confirmingList = true;
-    long startedMs = clock.nowMs();
-    List<ListConfirmation> waiting = List.copyOf(listConfirmations);
-    changeReads.read(
-        revision.number(),
-        result -> {
-          if (result instanceof CatalogResult.Read<List<CatalogChanges.AtRevision>> read
-              && read.revision().epoch() == revision.epoch()) {
-            read.value().forEach(this::applyChange);
-            revision = later(revision, read.revision());
-            onListConfirmed(waiting, startedMs);
-          } else if (result instanceof CatalogResult.HistoryLost) {
-            confirmByList(waiting, startedMs);
-          } else {
-            endListConfirmation(waiting, false);
-          }
-        });
-  }
-
-  private void confirmByList(List<ListConfirmation> waiting, long startedMs) {
-    catalog.readEndpoints(
-        result -> {
-          if (result instanceof CatalogResult.Read<List<EndpointPage>> read
-              && read.revision().epoch() == revision.epoch()) {
-            applyList(read.value());
-            revision = later(revision, read.revision());
-            onListConfirmed(waiting, startedMs);
-          } else {
-            endListConfirmation(waiting, false);
-          }
-        });
-  }
-
-  private void onListConfirmed(List<ListConfirmation> waiting, long startedMs) {
-    directory.onListCurrent(startedMs);
-    if (directory.observedMs() >= EndpointDirectory.VERSION_HISTORY_MS) {
-      endListConfirmation(waiting, true);
-      return;
+  /**
+   * Reads which endpoints were listed before this process observed the list.
+   *
+   * @param callback receives, exactly once, whether the directory knows it
+   */
+  public void readEarlierChanges(Consumer<Boolean> callback) {
+    if (reachable && listComplete) {
+      earlierChanges.read(callback);
+    } else {
+      callback.accept(false);
     }
-    EarlierChanges.read(
-        changeReads,
-        revision,
-        changes -> {
-          changes.ifPresent(directory::onEarlierChanges);
-          endListConfirmation(waiting, true);
-        });
-  }
-
-  private void endListConfirmation(List<ListConfirmation> waiting, boolean confirmed) {
-    confirmingList = false;
-    complete(waiting, confirmed);
-    startListConfirmation();
-  }
-
-  /** Ends those confirmations that have not timed out. */
-  private void complete(List<ListConfirmation> confirmations, boolean confirmed) {
-    List<ListConfirmation> pending =
-        confirmations.stream().filter(listConfirmations::contains).toList();
-    listConfirmations.removeAll(pending);
-    pending.forEach(confirmation -> confirmation.callback().accept(confirmed));
   }
 
   @Override
   public void tick() {
     long now = clock.nowMs();
     changeReads.tick();
-    complete(
-        listConfirmations.stream()
-            .filter(request -> now - request.requestedMs() >= LIST_CONFIRMATION_TIMEOUT_MS)
-            .toList(),
-        false);
+    confirmer.tick();
+    earlierChanges.tick();
     if (freshness.clocksDisagree()) {
       requestTableRead();
     }
@@ -375,20 +276,16 @@
     if (result instanceof CatalogResult.Read<List<EndpointPage>> read) {
       onAnswered();
       observeEpoch(read.revision());
-      if (read.revision().epoch() < revision.epoch()) {
+      if (read.revision().epoch() < updates.revision().epoch()) {
         nextEndpointReadMs = clock.nowMs() + retryDelayMs();
         return;
       }
       nextEndpointReadMs = clock.nowMs() + ENDPOINT_READ_INTERVAL_MS;
-      applyList(read.value());
+      updates.applyList(read.value());
       directory.onListCurrent(requestedMs);
       listComplete = true;
-      if (!watching || watchedEpoch != read.revision().epoch()) {
-        revision = historyLost ? read.revision() : later(revision, read.revision());
-        historyLost = false;
-      }
       if (!watching) {
-        watchUnlessPassive();
+        watchUnlessPassive(read.revision());
       }
     } else {
       onFailed("endpoints", result);
@@ -396,15 +293,15 @@
     }
   }
 
-  private void watchUnlessPassive() {
+  private void watchUnlessPassive(StoreRevision after) {
     if (passive) {
       return;
     }
     watching = true;
-    watchedEpoch = revision.epoch();
+    watchedRevision = after;
     long requestedMs = clock.nowMs();
     catalog.watch(
-        revision.number(),
+        after.number(),
         bounds.watchWaitMs(),
         result -> {
           watching = false;
@@ -417,47 +314,36 @@
    * another epoch mean other changes.
    */
   private void onChanges(CatalogResult<CatalogChanges> result, long requestedMs) {
+    long epoch = updates.revision().epoch();
     if (result instanceof CatalogResult.Read<CatalogChanges> read
-        && read.revision().epoch() == watchedEpoch
-        && watchedEpoch == revision.epoch()) {
+        && read.revision().epoch() == epoch
+        && watchedRevision.epoch() == epoch) {
       read.value().table().ifPresent(this::adopt);
-      read.value().endpoints().forEach(this::applyChange);
+      updates.applyChanges(read.value().endpoints(), read.revision());
       directory.onListCurrent(requestedMs);
-      revision = later(revision, read.revision());
-      watchUnlessPassive();
+      watchUnlessPassive(read.revision());
       return;
     }
     if (passive) {
       return;
     }
     if (result instanceof CatalogResult.HistoryLost) {
-      historyLost = true;
-      revisions.clear();
+      updates.onHistoryLost();
     }
-    EventLog.event("watch-lost").with("revision", revision).with("result", result).info();
+    EventLog.event("watch-lost").with("revision", watchedRevision).with("result", result).info();
     boolean readAtOnce = !(result instanceof CatalogResult.Failed);
     nextTableReadMs = clock.nowMs() + (readAtOnce ? 0 : random.nextInt(RETRY_DELAY_MS));
     nextEndpointReadMs = nextTableReadMs;
     tick();
   }
 
-  private void applyChange(CatalogChanges.AtRevision change) {
-    if (revisions.update(change.change().id(), change.revision())) {
-      directory.apply(change.change());
-    }
-  }
-
-  private static StoreRevision later(StoreRevision a, StoreRevision b) {
-    return a.compareTo(b) >= 0 ? a : b;
-  }
-
   /** Starts a new epoch if a response shows that the store was restored from a copy. */
   private void observeEpoch(StoreRevision observed) {
-    if (observed.epoch() <= revision.epoch()) {
+    StoreRevision before = updates.revision();
+    if (observed.epoch() <= before.epoch()) {
       return;
     }
-    StoreRevision before = revision;
-    revision = new StoreRevision(observed.epoch(), 0);
+    updates.startEpoch(observed.epoch());
     if (!before.equals(StoreRevision.NONE)) {
       onRestored(before, observed);
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EarlierChanges.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EarlierChanges.java
@@ -1,16 +1,22 @@
 package org.zinniaspan.forwarding;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
+import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
 
 /**
- * Reads the changes to the list of endpoints that the platform still has, as far back as it goes.
+ * Reads the changes to the list of endpoints from before this process observed it, as far back as
+ * the platform has them, and records them in the directory.
  *
  * <p>The platform does not state which revision is the oldest one with a history, so that it is
- * searched for: with steps back that grow, and then between the last two. Not thread-safe.
+ * searched for: with steps back that grow, and then between the last two. One search serves all
+ * requests. Not thread-safe.
  */
-final class EarlierChanges {
+final class EarlierChanges implements Ticking {
+
+  /** Time after which a request has failed, in milliseconds. */
+  private static final long TIMEOUT_MS = 350;
 
   private static final int STEP_FACTOR = 8;
 
@@ -18,59 +24,88 @@
   private static final long MAX_REVISIONS = 1L << 14;
 
   private final HedgedChangeReads reads;
-  private final StoreRevision newest;
-  private final Consumer<Optional<List<EndpointChange>>> callback;
-  private long firstRevision;
-  private long lostRevision = -1;
-  private long step = 1;
-  private List<EndpointChange> found = List.of();
+  private final EndpointUpdates updates;
+  private final EndpointDirectory directory;
+  private final PendingRequests requests;
+  private boolean searching;
 
-  private EarlierChanges(
-      HedgedChangeReads reads,
-      StoreRevision newest,
-      Consumer<Optional<List<EndpointChange>>> callback) {
+  EarlierChanges(
+      HedgedChangeReads reads, EndpointUpdates updates, EndpointDirectory directory, Clock clock) {
     this.reads = reads;
-    this.newest = newest;
-    this.callback = callback;
-    this.firstRevision = newest.number();
+    this.updates = updates;
+    this.directory = directory;
+    this.requests = new PendingRequests(clock, TIMEOUT_MS);
   }
 
   /**
-   * Reads the changes.
+   * Reads the changes, unless the list has been observed for {@value
+   * EndpointDirectory#VERSION_HISTORY_MS} ms.
    *
-   * @param newest the newest known revision
-   * @param callback receives the changes, oldest first, once; empty if the platform fails
+   * @param callback receives, exactly once, whether the directory knows them
    */
-  static void read(
-      HedgedChangeReads reads,
-      StoreRevision newest,
-      Consumer<Optional<List<EndpointChange>>> callback) {
-    new EarlierChanges(reads, newest, callback).readNext();
-  }
-
-  private void readNext() {
-    boolean complete = firstRevision == 0 || newest.number() - firstRevision >= MAX_REVISIONS;
-    if (complete || firstRevision - lostRevision <= 1) {
-      callback.accept(Optional.of(found));
+  void read(Consumer<Boolean> callback) {
+    if (directory.observedMs() >= EndpointDirectory.VERSION_HISTORY_MS) {
+      callback.accept(true);
       return;
     }
-    long revision =
-        lostRevision < 0 ? Math.max(0, newest.number() - step) : (lostRevision + firstRevision) / 2;
-    step *= STEP_FACTOR;
-    reads.read(revision, result -> onResult(revision, result));
+    requests.add(callback);
+    if (!searching) {
+      searching = true;
+      new Search(updates.revision()).readNext();
+    }
   }
 
-  private void onResult(long revision, CatalogResult<List<CatalogChanges.AtRevision>> result) {
-    if (result instanceof CatalogResult.Read<List<CatalogChanges.AtRevision>> read
-        && read.revision().epoch() == newest.epoch()) {
-      firstRevision = revision;
-      found = read.value().stream().map(CatalogChanges.AtRevision::change).toList();
-      readNext();
-    } else if (result instanceof CatalogResult.HistoryLost) {
-      lostRevision = revision;
-      readNext();
-    } else {
-      callback.accept(Optional.empty());
+  /** Ends the requests that have timed out. */
+  @Override
+  public void tick() {
+    requests.tick();
+  }
+
+  private final class Search {
+
+    private final StoreRevision newest;
+    private long firstRevision;
+    private long lostRevision = -1;
+    private long step = 1;
+    private List<EndpointChange> found = List.of();
+
+    Search(StoreRevision newest) {
+      this.newest = newest;
+      this.firstRevision = newest.number();
+    }
+
+    void readNext() {
+      boolean far = newest.number() - firstRevision >= MAX_REVISIONS;
+      if (far || firstRevision == 0 || firstRevision - lostRevision <= 1) {
+        directory.onEarlierChanges(found);
+        end(true);
+        return;
+      }
+      long revision =
+          lostRevision < 0
+              ? Math.max(0, newest.number() - step)
+              : (lostRevision + firstRevision) / 2;
+      step *= STEP_FACTOR;
+      reads.read(revision, result -> onResult(revision, result));
+    }
+
+    private void onResult(long revision, CatalogResult<List<CatalogChanges.AtRevision>> result) {
+      if (result instanceof CatalogResult.Read<List<CatalogChanges.AtRevision>> read
+          && read.revision().epoch() == newest.epoch()) {
+        firstRevision = revision;
+        found = read.value().stream().map(CatalogChanges.AtRevision::change).toList();
+        readNext();
+      } else if (result instanceof CatalogResult.HistoryLost) {
+        lostRevision = revision;
+        readNext();
+      } else {
+        end(false);
+      }
+    }
+
+    private void end(boolean known) {
+      searching = false;
+      requests.end(requests.all(), known);
     }
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -40,10 +40,10 @@
   private static final long MAX_TICK_GAP_MS = 1_000;
 
   /**
-   * Time between two confirmations of the list in which changes can have been missed, in
+   * Shortest time without a confirmation of the list after which changes can have been missed, in
    * milliseconds.
    */
-  private static final long MAX_CONFIRMATION_GAP_MS = 5_000;
+  private static final long MIN_CONFIRMATION_GAP_MS = 5_000;
 
   /** Number of incarnations whose statements that they are draining are kept. */
   private static final int MAX_STATED_DRAINING = 5_000;
@@ -62,6 +62,7 @@
   private final VersionHistory versions;
   private final PauseDetector pauses;
   private Optional<Long> currentSinceMs = Optional.empty();
+  private long confirmationGapMs = MIN_CONFIRMATION_GAP_MS;
   private long confirmedMs = Long.MIN_VALUE / 2;
   private long graceEndMs = Long.MIN_VALUE;
   private long changeCount;
@@ -73,6 +74,15 @@
     this.pauses = new PauseDetector(clock, MAX_TICK_GAP_MS);
   }
 
+  /**
+   * Sets how long a watch waits for changes; without any, the list is confirmed when it ends.
+   *
+   * @param waitMs the wait in milliseconds
+   */
+  void setWatchWait(long waitMs) {
+    confirmationGapMs = Math.max(MIN_CONFIRMATION_GAP_MS, 2 * waitMs);
+  }
+
   /**
    * Starts the grace period for removals; called when the platform answers again after an outage.
    */
@@ -176,8 +186,8 @@
    */
   public void onListCurrent(long requestedMs) {
     observePauses();
-    boolean gap = requestedMs - confirmedMs > MAX_CONFIRMATION_GAP_MS;
-    confirmedMs = Math.max(confirmedMs, requestedMs);
+    boolean gap = !isListConfirmed();
+    confirmedMs = clock.nowMs();
     if ((currentSinceMs.isEmpty() || gap) && !pauses.pausedSince(requestedMs)) {
       currentSinceMs = Optional.of(clock.nowMs());
     }
@@ -185,7 +195,7 @@
 
   /** Returns whether the list was shown to be current a short time ago. */
   public boolean isListConfirmed() {
-    return clock.nowMs() - confirmedMs <= MAX_CONFIRMATION_GAP_MS;
+    return clock.nowMs() - confirmedMs <= confirmationGapMs;
   }
 
   /**
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -184,6 +184,7 @@
     final StreamOriginComponents origins;
     long polls;
     long originUpdates;
+    long changeReads;
     long slotQueries;
     long stepMs;
     private long suspendedMs;
@@ -407,6 +408,7 @@
     @Override
     public void readChanges(
         long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback) {
+      changeReads++;
       callStore(0, callback, () -> Optional.of(store.readEndpointChanges(afterRevision)));
     }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -260,6 +260,22 @@
       assertThat(versionOf(find(vm(3), "a1"))).isEqualTo("v1");
     }
 
+    /** Bound: the platform's 2,000 reads a second are shared by 370 VMs that start together. */
+    @Test
+    void takesFewCallsToThePlatform() {
+      fleet = FleetSimulation.fleet(2, BOUNDS, 60, 4);
+      for (int number = 0; number < 40; number++) {
+        list("e-" + number, "v1");
+        fleet.advance(1_000);
+      }
+      restartAll();
+      fleet.vms.values().forEach(vm -> begin(vm, "a-" + vm.address, "v1"));
+      fleet.advance(4_000);
+      long reads = fleet.vms.values().stream().mapToLong(vm -> vm.changeReads).sum();
+      assertThat(reads).isAtMost(2_000 * 60 / 370);
+      assertThat(versionOf(find(vm(3), "a9"))).isEqualTo("v1");
+    }
+
     @Test
     void isFoundForStreamsThatBeganAfterwards() {
       listBothForLong();
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointDirectoryTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -121,4 +122,56 @@
       assertThat(ready()).containsExactly("a");
     }
   }
+
+  /** Guards against time in which nothing confirmed the list counting as observed. */
+  @Nested
+  class ObservedTime {
+
+    /** Lets 40 s pass in which the list is confirmed each second. */
+    @BeforeEach
+    void observe() {
+      for (int i = 0; i <= 40; i++) {
+        directory.onListCurrent(nowMs);
+        nowMs += 1_000;
+        directory.tick();
+      }
+    }
+
+    private void passWithoutConfirmation(long ms) {
+      for (long end = nowMs + ms; nowMs < end; nowMs += 500) {
+        directory.tick();
+      }
+    }
+
+    @Test
+    void growsWhileTheListIsConfirmed() {
+      assertThat(directory.observedMs()).isEqualTo(41_000);
+      passWithoutConfirmation(3_000);
+      assertThat(directory.isListConfirmed()).isTrue();
+      assertThat(directory.observedMs()).isEqualTo(44_000);
+    }
+
+    /** Guards against a watch without changes being taken for a time without confirmation. */
+    @Test
+    void growsWhileWatchesWaitForLong() {
+      directory.setWatchWait(4_000);
+      for (int i = 0; i < 5; i++) {
+        final long requestedMs = nowMs;
+        passWithoutConfirmation(4_500);
+        assertThat(directory.isListConfirmed()).isTrue();
+        directory.onListCurrent(requestedMs);
+      }
+      assertThat(directory.observedMs()).isEqualTo(63_500);
+    }
+
+    @Test
+    void startsAnewAfterTimeWithoutConfirmation() {
+      passWithoutConfirmation(6_000);
+      assertThat(directory.isListConfirmed()).isFalse();
+      assertThat(directory.observedMs()).isEqualTo(0);
+      directory.onListCurrent(nowMs);
+      nowMs += 500;
+      assertThat(directory.observedMs()).isEqualTo(500);
+    }
+  }
 }
