--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -212,13 +212,13 @@
 
   @Override
   public void tick() {
-    long now = clock.nowMs();
     changeReads.tick();
     confirmer.tick();
     earlierChanges.tick();
     if (freshness.clocksDisagree()) {
       requestTableRead();
     }
+    long now = clock.nowMs();
     boolean tableNeeded = !passive || tableReadRequested || table.isEmpty();
     if (tableNeeded && !readingTable && now >= nextTableReadMs) {
       readTable();
