Exit when the event loop has failed

A timer that threw an Error was dropped without notice as well.

Exceptions still end only the connection or the run of the timer.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndpointListTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndpointListTest.java
@@ -33,7 +33,7 @@
           + "\"slots\":6,\"state\":\"ready\",\"born\":1}";
 
   private final Closer closer = new Closer();
-  private final Reactor reactor = closer.add(Reactor.start());
+  private final Reactor reactor = closer.add(Reactor.start(() -> {}));
 
   @AfterEach
   void stop() {
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/TruncatedAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/TruncatedAnswerTest.java
@@ -87,7 +87,7 @@
     void start() throws IOException {
       store = closer.add(new RawServer((request, socket) -> false));
       InetSocketAddress address = Addresses.parse(store.address());
-      reactor = closer.add(Reactor.start());
+      reactor = closer.add(Reactor.start(() -> {}));
       BufferingHttpClient http = new BufferingHttpClient(reactor, () -> 0, address);
       client = new StoreClient(http, address, 1_000);
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -143,8 +143,7 @@
       Signal.handle(new Signal("TERM"), signal -> daemon.shutdown());
       Signal.handle(new Signal("INT"), signal -> daemon.shutdown());
       Signal.handle(new Signal("HUP"), signal -> daemon.reload());
-      daemon.awaitShutdown();
-      return Main.EXIT_OK;
+      return daemon.awaitShutdown() ? Main.EXIT_OK : Main.EXIT_FAILURE;
     } catch (IOException e) {
       System.err.println("zinniaspan: " + e.getMessage());
       return Main.EXIT_FAILURE;
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -37,7 +37,13 @@
 
   /** Runs the command line and exits the process with its exit code. */
   public static void main(String[] args) {
-    int code = run(args, System.getenv());
+    int code = EXIT_FAILURE;
+    try {
+      code = run(args, System.getenv());
+    } catch (Error e) {
+      // Threads that are no daemons would keep the process alive.
+      System.err.println("zinniaspan: " + e);
+    }
     if (!EventLog.flush(LOG_FLUSH_TIMEOUT_MS)) {
       // Nothing reads the log output, so the log thread would never end; halt does not wait for it.
       Runtime.getRuntime().halt(code);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -46,7 +46,9 @@
   private static final double MS_PER_SECOND = 1_000.0;
 
   private final Closer closer = new Closer();
-  private final Reactor reactor = closer.add(Reactor.start());
+  private final CountDownLatch shutdownDone = new CountDownLatch(1);
+  private volatile boolean failed;
+  private final Reactor reactor = closer.add(Reactor.start(this::onReactorFailed));
   private final Clock clock = new SystemClock();
   private final ShutdownSequence shutdown;
   private final ForwardContext context;
@@ -55,7 +57,6 @@
   private final EngineReportSource reportSource;
   private final ReportPoller reportPoller;
   private final FleetComponents fleet;
-  private final CountDownLatch shutdownDone = new CountDownLatch(1);
 
   private ForwardDaemon(Options options) {
     shutdown = new ShutdownSequence(clock, options.bounds().graceMs());
@@ -294,13 +295,24 @@
     EventLog.event("reload").with("changed", "nothing; flags are read only at the start").info();
   }
 
-  /** Waits until a graceful shutdown is complete. */
-  public void awaitShutdown() {
+  /** Ends the process, which would live on without listening; the platform starts it again. */
+  private void onReactorFailed() {
+    failed = true;
+    shutdownDone.countDown();
+  }
+
+  /**
+   * Waits until a graceful shutdown is complete or the daemon has failed.
+   *
+   * @return whether the shutdown was graceful
+   */
+  public boolean awaitShutdown() {
     try {
       shutdownDone.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    return !failed;
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Supplier;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -39,9 +40,12 @@
   private final ReentrantLock lock = new ReentrantLock();
   private final DefaultListeningIOReactor reactor;
   private final ScheduledExecutorService timers;
+  private final AtomicBoolean failed = new AtomicBoolean();
+  private final Runnable onFailed;
   private volatile boolean closing;
 
-  private Reactor() {
+  private Reactor(Runnable onFailed) {
+    this.onFailed = onFailed;
     IOReactorConfig config =
         IOReactorConfig.custom()
             .setIoThreadCount(1)
@@ -58,8 +62,8 @@
             (session, attachment) ->
                 ((Supplier<?>) attachment).get() instanceof Connection c ? c : null,
             config,
-            runnable -> daemonThread(runnable, "io"),
-            runnable -> daemonThread(runnable, "accept"),
+            runnable -> daemonThread(() -> runLoop(runnable), "io"),
+            runnable -> daemonThread(() -> runLoop(runnable), "accept"),
             null,
             this::onError,
             null,
@@ -82,13 +86,33 @@
     }
   }
 
-  /** Creates a reactor and starts its threads. */
-  public static Reactor start() {
-    Reactor reactor = new Reactor();
+  /**
+   * Creates a reactor and starts its threads.
+   *
+   * @param onFailed called once if a thread ends or a timer throws an {@link Error}, on that
+   *     thread; the reactor does not work from then on
+   */
+  public static Reactor start(Runnable onFailed) {
+    Reactor reactor = new Reactor(onFailed);
     reactor.reactor.start();
     return reactor;
   }
 
+  /** Runs the loop of a thread, which ends only when the reactor is closed or has failed. */
+  private void runLoop(Runnable loop) {
+    try {
+      loop.run();
+    } finally {
+      onLoopEnded();
+    }
+  }
+
+  private void onLoopEnded() {
+    if (!closing && failed.compareAndSet(false, true)) {
+      onFailed.run();
+    }
+  }
+
   /** Returns the lock under which all callbacks and tasks run. */
   public ReentrantLock lock() {
     return lock;
@@ -126,10 +150,12 @@
     if (!closing) {
       connection.setConnectTimer(
           timers.schedule(
-              () -> {
-                connection.onConnectTimeout(timeoutMs);
-                pending.cancel(true);
-              },
+              () ->
+                  runTimer(
+                      () -> {
+                        connection.onConnectTimeout(timeoutMs);
+                        pending.cancel(true);
+                      }),
               timeoutMs,
               TimeUnit.MILLISECONDS));
     }
@@ -171,7 +197,17 @@
    */
   public void scheduleEvery(long intervalMs, Runnable task) {
     timers.scheduleWithFixedDelay(
-        () -> runLocked(task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+        () -> runTimer(() -> runLocked(task)), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Runs a timer; the executor would drop it without notice after an {@link Error}. */
+  private void runTimer(Runnable timer) {
+    try {
+      timer.run();
+    } catch (Error e) {
+      onLoopEnded();
+      throw e;
+    }
   }
 
   /** Runs a task under the lock; an exception is logged and not thrown. */
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ConnectTimeoutTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ConnectTimeoutTest.java
@@ -36,7 +36,7 @@
 
   @BeforeEach
   void start() throws IOException {
-    reactor = closer.add(Reactor.start());
+    reactor = closer.add(Reactor.start(() -> {}));
     ServerSocket full = closer.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
     address = new InetSocketAddress("127.0.0.1", full.getLocalPort());
     for (int i = 0; i < 4; i++) {
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
@@ -12,7 +12,7 @@
 
 class OutboundConnectionTest {
 
-  private final Reactor reactor = Reactor.start();
+  private final Reactor reactor = Reactor.start(() -> {});
   private final List<String> calls = new ArrayList<>();
 
   private final IOSession session =
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/TruncatedMessageTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/TruncatedMessageTest.java
@@ -31,7 +31,7 @@
   private static final String CHUNKED = HEADERS + "Transfer-Encoding: chunked\r\n\r\n";
   private static final String CHUNKS = "0a\r\n0123456789\r\n00\r\nX-Trailer: t\r\n\r\n";
 
-  private final Reactor reactor = Reactor.start();
+  private final Reactor reactor = Reactor.start(() -> {});
 
   @AfterEach
   void stop() {
