Limit the sum of the lines of a head

A line was limited to 64 KB and their number to 100, but not their sum, so that 77 connections held 61 MB of heads, which HttpCore keeps as characters of two bytes, in a heap of 96 MB.

The receive buffer now limits the sum of the lines of a head or of trailers: 64 KB for responses, the configured limit on header bytes for requests. Heads that end inside a line too long are answered with 431 instead of 400, as others above the limit are.

EndlessAnswerTest and ForwardDaemonTest pass.

--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -32,9 +32,9 @@
   private boolean inputEnded;
   private boolean closed;
 
-  Connection(Reactor reactor, int maxLineBytes) {
+  Connection(Reactor reactor, int maxLineBytes, int maxHeadBytes) {
     this.lock = reactor.lock();
-    this.received = new ReceiveBuffer(maxLineBytes);
+    this.received = new ReceiveBuffer(maxLineBytes, maxHeadBytes);
   }
 
   /** Called once when the connection is open. */
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
@@ -29,6 +30,10 @@
 public final class InboundConnection extends Connection {
 
   private static final int READ_BUFFER_BYTES = 8 * 1024;
+
+  /** Bytes of a request head that the limit on header bytes does not count, such as its method. */
+  private static final int UNCOUNTED_HEAD_BYTES = 256;
+
   private static final byte[] CONTINUE_RESPONSE =
       "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -56,7 +61,10 @@
 
   /** Creates a connection that passes its requests to a handler. */
   public InboundConnection(Reactor reactor, InboundHandler handler, Clock clock) {
-    super(reactor, handler.limits().maxHeaderBytes());
+    super(
+        reactor,
+        handler.limits().maxHeaderBytes(),
+        handler.limits().maxHeaderBytes() + UNCOUNTED_HEAD_BYTES);
     this.handler = handler;
     this.clock = clock;
     this.parser =
@@ -115,7 +123,7 @@
       if (inputEnded() && isOpen()) {
         closeAndNotify();
       }
-    } catch (MessageConstraintException e) {
+    } catch (MessageConstraintException | RequestHeaderFieldsTooLargeException e) {
       reject(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, e.getMessage());
     } catch (HttpException e) {
       reject(HttpStatus.SC_BAD_REQUEST, e.getMessage());
@@ -142,6 +150,7 @@
       return false;
     }
     parser.reset();
+    received.endHead();
     if (headBytes(head) > handler.limits().maxHeaderBytes()) {
       throw new MessageConstraintException("the request head exceeds the limit on header bytes");
     }
@@ -184,6 +193,7 @@
   private void handleRequest() {
     phase = Phase.ANSWER;
     requestStarted = false;
+    received.endHead();
     handler.onRequest(this, head, body.toByteArray());
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -31,7 +31,10 @@
 public final class OutboundConnection extends Connection {
 
   private static final int READ_BUFFER_BYTES = 16 * 1024;
-  private static final int MAX_LINE_BYTES = 64 * 1024;
+
+  /** Largest head of a response, and largest line of it, in bytes. */
+  private static final int MAX_HEAD_BYTES = 64 * 1024;
+
   private static final int MAX_HEADERS = 100;
   private static final int MAX_INFORMATIONAL_HEADS = 10;
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1[.][01] [0-9]{3}");
@@ -41,7 +44,7 @@
       new DefaultHttpResponseParser<>(
           DefaultHttpResponseFactory.INSTANCE,
           Http1Config.custom()
-              .setMaxLineLength(MAX_LINE_BYTES)
+              .setMaxLineLength(MAX_HEAD_BYTES)
               .setMaxHeaderCount(MAX_HEADERS)
               .build());
   private Runnable openedCallback = () -> {};
@@ -56,7 +59,7 @@
 
   /** Creates a connection that is not open yet. */
   OutboundConnection(Reactor reactor, Consumer<OutboundConnection> onIdleClose) {
-    super(reactor, MAX_LINE_BYTES);
+    super(reactor, MAX_HEAD_BYTES, MAX_HEAD_BYTES);
     this.onIdleClose = onIdleClose;
   }
 
@@ -159,6 +162,7 @@
       return false;
     }
     parser.reset();
+    received.endHead();
     checkSingleHead(head);
     if (head.getCode() < HttpStatus.SC_OK) {
       informationalHeads++;
@@ -238,6 +242,7 @@
 
   private void endResponse() {
     decoder = null;
+    received.endHead();
     if (skippingResponse) {
       skippingResponse = false;
       skippedBytes = 0;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -14,15 +14,24 @@
   private static final int INITIAL_BYTES = 2 * 1024;
 
   private final int maxLineBytes;
+  private final int maxHeadBytes;
+  private int headBytes;
   private ByteBuffer bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
 
   /**
    * Creates an empty buffer.
    *
    * @param maxLineBytes longest line that {@link #readLine} accepts, in bytes
+   * @param maxHeadBytes largest sum of the lines of a head or of trailers, in bytes
    */
-  ReceiveBuffer(int maxLineBytes) {
+  ReceiveBuffer(int maxLineBytes, int maxHeadBytes) {
     this.maxLineBytes = maxLineBytes;
+    this.maxHeadBytes = maxHeadBytes;
+  }
+
+  /** Starts to count lines anew after the end of a head or of trailers. */
+  void endHead() {
+    headBytes = 0;
   }
 
   @Override
@@ -61,6 +70,10 @@
     int length = Math.min(Math.min(maxLength, target.remaining()), bytes.remaining());
     target.put(bytes.slice(bytes.position(), length));
     bytes.position(bytes.position() + length);
+    if (length > 0) {
+      // The lines between two chunks are no head.
+      endHead();
+    }
     return length;
   }
 
@@ -95,9 +108,14 @@
       throw new MessageConstraintException(
           "a line exceeds the limit of " + maxLineBytes + " bytes");
     }
+    if (headBytes + length > maxHeadBytes) {
+      throw new MessageConstraintException(
+          "the lines of a head exceed the limit of " + maxHeadBytes + " bytes");
+    }
     if (!found) {
       return false;
     }
+    headBytes += length + 1;
     int textEnd = end > bytes.position() && bytes.get(end - 1) == '\r' ? end - 1 : end;
     for (int i = bytes.position(); i < textEnd; i++) {
       line.append((char) (bytes.get(i) & 0xff));
--- /dev/null
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/HeadLimitTest.java
@@ -0,0 +1,182 @@
+package org.zinniaspan.transport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.zinniaspan.forwarding.InboundLimits;
+
+/**
+ * Heads of which each line is within its limit, but not all together, filled the memory of a VM.
+ */
+class HeadLimitTest {
+
+  private static final String LINE = "X-Noise: " + "x".repeat(4_000) + "\r\n";
+
+  /** Bytes that are far more than a head may have, and far less than 100 of the longest lines. */
+  private static final int MAX_BYTES = 256 * 1024;
+
+  private final Reactor reactor = Reactor.start(() -> {});
+  private final FakeSession session = new FakeSession();
+  private final List<String> events = new ArrayList<>();
+
+  @AfterEach
+  void stop() {
+    reactor.close();
+  }
+
+  /** Passes a text and then lines until an event, and returns how many bytes were passed. */
+  private int sendLines(Connection connection, String begin) {
+    receive(connection, begin);
+    int sent = begin.length();
+    while (events.isEmpty() && sent < 2 * MAX_BYTES) {
+      receive(connection, LINE);
+      sent += LINE.length();
+    }
+    return sent;
+  }
+
+  private void receive(Connection connection, String text) {
+    session.receive(text);
+    connection.inputReady(session.session(), null);
+  }
+
+  @Nested
+  class Responses implements ResponseHandler {
+
+    private OutboundConnection connection;
+
+    private void send() {
+      connection = new OutboundConnection(reactor, idle -> {});
+      connection.connected(session.session());
+      connection.send(new BasicHttpRequest("GET", "/"), new byte[0], this);
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
+
+    @Override
+    public void onBody(ByteBuffer part) {
+      // Only the end matters.
+    }
+
+    @Override
+    public void onEnd() {
+      events.add("end");
+    }
+
+    @Override
+    public void onConnectionLost(boolean opened, Optional<Exception> cause) {
+      events.add("lost");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 103 Early Hints\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        })
+    void endWithTheirConnection(String begin) {
+      send();
+      assertThat(sendLines(connection, begin)).isAtMost(MAX_BYTES);
+      assertThat(events).containsExactly("lost");
+    }
+
+    @Test
+    void areReadOneAfterTheOther() {
+      for (int i = 0; i < 40; i++) {
+        if (connection == null) {
+          send();
+        } else {
+          connection.send(new BasicHttpRequest("GET", "/"), new byte[0], this);
+        }
+        receive(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + LINE + "\r\n");
+        receive(connection, "1\r\nx\r\n0\r\n" + LINE + "\r\n");
+      }
+      assertThat(events).hasSize(40);
+      assertThat(events).doesNotContain("lost");
+    }
+
+    @Test
+    void mayHaveManyChunks() {
+      send();
+      receive(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      for (int i = 0; i < MAX_BYTES / 16; i++) {
+        receive(connection, "00000001\r\nx\r\n");
+      }
+      receive(connection, "0\r\n\r\n");
+      assertThat(events).containsExactly("end");
+    }
+  }
+
+  @Nested
+  class Requests implements InboundHandler {
+
+    private InboundConnection connection;
+
+    private void open() {
+      connection = new InboundConnection(reactor, this, () -> 0);
+      connection.connected(session.session());
+    }
+
+    @Override
+    public InboundLimits limits() {
+      return InboundLimits.DEFAULT;
+    }
+
+    @Override
+    public void onOpen(InboundConnection opened) {
+      // Only requests matter.
+    }
+
+    @Override
+    public void onRequest(InboundConnection requested, HttpRequest head, byte[] body) {
+      events.add("request");
+    }
+
+    @Override
+    public void onUnreadable(InboundConnection unreadable, int status, String reason) {
+      events.add("status " + status);
+    }
+
+    @Override
+    public void onDisconnect(InboundConnection left) {
+      events.add("left");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "POST /x HTTP/1.1\r\n",
+          "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        })
+    void areRejected(String begin) {
+      open();
+      assertThat(sendLines(connection, begin)).isAtMost(MAX_BYTES);
+      assertThat(events).containsExactly("status 431");
+    }
+
+    @Test
+    void areAcceptedUpToTheLimit() {
+      open();
+      int limit = InboundLimits.DEFAULT.maxHeaderBytes();
+      String header = "X: " + "x".repeat(limit / 2 - 5) + "\r\n";
+      receive(connection, "POST / HTTP/1.1\r\n" + header);
+      receive(connection, "X: " + "x".repeat(limit - header.length() - 6) + "\r\n\r\n");
+      assertThat(events).containsExactly("request");
+    }
+  }
+}
