Limit the bodies of all responses together

What callers would see: refused connections at a VM, after endpoints in trouble had sent bodies without end on some tens of connections. A body was limited to 4 MB, an incomplete event to 1 MB and a load report to 4 MB, each in a buffer of up to twice that size, but not their sum, in a heap of 96 MB.

All responses of endpoints and engines share a budget of an eighth of the heap now. One that exceeds it ends with its connection, as one that is too long does. Request bodies may take at most a quarter of the heap.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndlessAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndlessAnswerTest.java
@@ -5,10 +5,15 @@
 import static org.zinniaspan.standins.site.ForwardDaemonFixture.always;
 import static org.zinniaspan.standins.site.ForwardDaemonFixture.okResponse;
 import static org.zinniaspan.standins.site.ForwardDaemonFixture.request;
+import static org.zinniaspan.standins.site.RawServer.write;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -92,4 +97,23 @@
     assertThat(response).startsWith("HTTP/1.1 502");
     assertThat(written.get()).isAtMost(MAX_BYTES);
   }
+
+  /** Each answer is within its limit, but not all together. */
+  @Test
+  void failAnswersThatFillTheMemoryTogether() throws Exception {
+    RawServer.RequestHandler stalling =
+        (request, socket) -> {
+          write(socket, HEAD + "Content-Length: 4000000\r\n\r\n" + "x".repeat(3_000_000));
+          return true;
+        };
+    daemon.first.setHandler(stalling);
+    daemon.second.setHandler(stalling);
+    ExecutorService callers = Executors.newCachedThreadPool();
+    try {
+      Callable<String> call = () -> daemon.call(request("POST", "/unsafe/x", "", "b"));
+      assertThat(callers.invokeAny(Collections.nCopies(8, call))).startsWith("HTTP/1.1 502");
+    } finally {
+      callers.shutdownNow();
+    }
+  }
 }
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -77,7 +77,7 @@
                 new HttpDialect(),
                 new ZoneCosts("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
                 new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
-                VmLimits.of(4_096, 330),
+                VmLimits.of(4_096, 330, 96 << 20),
                 1)));
     awaitReady();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -121,7 +121,9 @@
 
   @Parameter(
       names = "--memory-mb",
-      description = "Memory of the process in MiB; a tenth of it may hold request bodies.")
+      description =
+          "Memory of the process in MiB; a tenth of it may hold request bodies, but at most a"
+              + " quarter of the Java heap.")
   private int memoryMb = 330;
 
   @Parameter(names = "--seed", description = "Seed of the random number generators; 0 picks one.")
@@ -166,7 +168,7 @@
         new HttpDialect(),
         new ZoneCosts(zone, regions()),
         parsed.bounds(),
-        VmLimits.of(maxFileDescriptors, memoryMb),
+        VmLimits.of(maxFileDescriptors, memoryMb, Runtime.getRuntime().maxMemory()),
         seed == 0 ? System.nanoTime() : seed);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/VmLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/VmLimits.java
@@ -3,14 +3,15 @@
 /**
  * What one VM can take on at a time, from its limits on sockets and memory.
  *
- * <p>Example: {@code VmLimits.of(4_100, 330).isExhausted(3_600, 0)} is true, as a VM of 4,100 file
- * descriptors takes at most 3,510 sockets.
+ * <p>Example: {@code VmLimits.of(4_100, 330, 96 << 20).isExhausted(3_600, 0)} is true, as a VM of
+ * 4,100 file descriptors takes at most 3,510 sockets.
  *
  * @param maxSockets largest number of open sockets with which new requests are accepted
  * @param maxBodyBytes largest sum of the request bodies in memory with which new requests are
  *     accepted, in bytes
+ * @param maxResponseBytes largest sum of the response bodies in memory, in bytes
  */
-public record VmLimits(int maxSockets, long maxBodyBytes) {
+public record VmLimits(int maxSockets, long maxBodyBytes, long maxResponseBytes) {
 
   /** File descriptors that are set aside for files. */
   private static final int FILE_DESCRIPTORS_FOR_FILES = 200;
@@ -21,6 +22,12 @@
   /** Share of the VM's memory that request bodies may take. */
   private static final double BODY_SHARE = 0.1;
 
+  /** Share of the Java heap that request bodies may take. */
+  private static final double BODY_HEAP_SHARE = 0.25;
+
+  /** Share of the Java heap that response bodies may take. */
+  private static final double RESPONSE_HEAP_SHARE = 0.125;
+
   private static final long BYTES_PER_MB = 1024 * 1024;
 
   /**
@@ -28,11 +35,14 @@
    *
    * @param maxFileDescriptors file descriptors of the process
    * @param memoryMb memory of the process, in mebibytes
+   * @param heapBytes largest Java heap of the process, in bytes
    */
-  public static VmLimits of(int maxFileDescriptors, long memoryMb) {
+  public static VmLimits of(int maxFileDescriptors, long memoryMb, long heapBytes) {
     int sockets = Math.max(1, maxFileDescriptors - FILE_DESCRIPTORS_FOR_FILES);
     return new VmLimits(
-        (int) (sockets * SOCKET_SHARE), (long) (memoryMb * BYTES_PER_MB * BODY_SHARE));
+        (int) (sockets * SOCKET_SHARE),
+        (long) Math.min(memoryMb * BYTES_PER_MB * BODY_SHARE, heapBytes * BODY_HEAP_SHARE),
+        (long) (heapBytes * RESPONSE_HEAP_SHARE));
   }
 
   /** Returns whether a new request has to be refused. */
--- /dev/null
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/BodyBudgets.java
@@ -0,0 +1,19 @@
+package org.zinniaspan.proxy;
+
+import org.zinniaspan.forwarding.VmLimits;
+import org.zinniaspan.transport.BufferBudget;
+
+/**
+ * Limits on the bodies in memory.
+ *
+ * @param requests limits the bodies of requests, from their first byte to the end of the response
+ * @param responses limits the bodies of responses until they are passed on
+ */
+record BodyBudgets(BufferBudget requests, BufferBudget responses) {
+
+  /** Creates the budgets of a VM. */
+  static BodyBudgets of(VmLimits limits) {
+    return new BodyBudgets(
+        new BufferBudget(limits.maxBodyBytes()), new BufferBudget(limits.maxResponseBytes()));
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -52,7 +52,7 @@
   private final TrackedEndpoint endpoint;
   private final String softwareVersion;
   private final long sentMs;
-  private final ResponseBody content = new ResponseBody();
+  private final ResponseBody content;
   private final EventForwarder events;
   private HttpResponse head;
   private Verdict verdict = Verdict.UNUSABLE;
@@ -67,6 +67,7 @@
   EndpointAttempt(RequestSender sender, Selection selection, OutboundConnection connection) {
     this.sender = sender;
     this.proxiedRequest = sender.request();
+    this.content = new ResponseBody(proxiedRequest.context().bodies().responses());
     this.events = new EventForwarder(proxiedRequest);
     this.selection = selection;
     this.connection = connection;
@@ -244,6 +245,7 @@
       onConnectionLost(true, Optional.empty());
       return;
     }
+    final byte[] body = content.take();
     if (verdict != Verdict.NOT_RUN) {
       finish();
     }
@@ -259,7 +261,7 @@
         }
         proxiedRequest.onStreamEnd(head);
       }
-      case WHOLE -> onWholeResponse(now);
+      case WHOLE -> onWholeResponse(body, now);
       case NOT_RUN -> onRejected();
       default -> {
         endpoint.onFailure(now);
@@ -348,7 +350,7 @@
     }
   }
 
-  private void onWholeResponse(long now) {
+  private void onWholeResponse(byte[] body, long now) {
     int status = head.getCode();
     if (status >= HttpStatus.SC_INTERNAL_SERVER_ERROR) {
       endpoint.onFailure(now);
@@ -360,7 +362,7 @@
       recordAnswered();
       speed().onPlainCall(now - sentMs);
     }
-    proxiedRequest.onWholeResponse(head, content.toByteArray());
+    proxiedRequest.onWholeResponse(head, body);
   }
 
   @Override
@@ -412,6 +414,8 @@
 
   private void finish() {
     ended = true;
+    content.release();
+    events.release();
     endpoint.onEnded();
     reachability().onEnded();
     if (!promptDone) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EventForwarder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EventForwarder.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import org.apache.hc.core5.http.HttpResponse;
+import org.zinniaspan.transport.BufferBudget;
 
 /**
  * Passes the complete events of one response on to the client, except those that the client
@@ -15,9 +16,12 @@
 
   private final ProxiedRequest request;
   private final SseSplitter splitter = new SseSplitter();
+  private final BufferBudget.Share share;
+  private boolean withinBudget = true;
 
   EventForwarder(ProxiedRequest request) {
     this.request = request;
+    this.share = request.context().bodies().responses().share();
   }
 
   /** Adds bytes of the response's body; returns whether they complete an event. */
@@ -33,12 +37,21 @@
     if (passedOn) {
       request.flush();
     }
+    withinBudget = share.resize(splitter.incompleteBytes());
     return !events.isEmpty();
   }
 
-  /** Returns whether the bytes after the last complete event are more than any event has. */
+  /**
+   * Returns whether the bytes after the last complete event are more than any event has, or than
+   * all responses may have together.
+   */
   boolean isTooLong() {
-    return splitter.incompleteBytes() > MAX_EVENT_BYTES;
+    return !withinBudget || splitter.incompleteBytes() > MAX_EVENT_BYTES;
+  }
+
+  /** Gives the bytes of an incomplete event back to the budget. */
+  void release() {
+    share.release();
   }
 
   /** Returns whether bytes follow the last complete event. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -44,6 +44,7 @@
  * @param metrics counters and histograms
  * @param bounds time bounds and budgets of the platform
  * @param vmLimits what this VM can take on
+ * @param bodies limits on the bodies in memory
  */
 record ForwardContext(
     Clock clock,
@@ -66,7 +67,8 @@
     Map<String, ServiceRetryBudget> retryBudgets,
     ForwardMetrics metrics,
     PlatformBounds bounds,
-    VmLimits vmLimits) {
+    VmLimits vmLimits,
+    BodyBudgets bodies) {
 
   ForwardContext(
       Clock clock,
@@ -108,7 +110,8 @@
         new HashMap<>(),
         new ForwardMetrics(),
         bounds,
-        vmLimits);
+        vmLimits,
+        BodyBudgets.of(vmLimits));
   }
 
   /** Returns the retry budget of a service; creates it on first use. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -122,7 +122,10 @@
     reportSource =
         options
             .reportSourceFactory()
-            .apply(address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)));
+            .apply(
+                address ->
+                    new BufferingHttpClient(
+                        reactor, clock, Addresses.parse(address), context.bodies().responses()));
     reportPoller =
         new ReportPoller(
             directory,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -37,7 +37,7 @@
   private final ProxiedRequest proxiedRequest;
   private final String vm;
   private final OutboundConnection connection;
-  private final ResponseBody content = new ResponseBody();
+  private final ResponseBody content;
   private final EventForwarder events;
   private HttpResponse head;
   private Verdict verdict = Verdict.FAILED;
@@ -46,6 +46,7 @@
   RelayAttempt(RequestSender sender, String vm, OutboundConnection connection) {
     this.sender = sender;
     this.proxiedRequest = sender.request();
+    this.content = new ResponseBody(proxiedRequest.context().bodies().responses());
     this.events = new EventForwarder(proxiedRequest);
     this.vm = vm;
     this.connection = connection;
@@ -68,7 +69,7 @@
   @Override
   public void cancel() {
     if (!ended) {
-      ended = true;
+      finish();
       connection.reset();
     }
   }
@@ -134,13 +135,14 @@
       onConnectionLost(true, Optional.empty());
       return;
     }
-    ended = true;
+    final byte[] body = content.take();
+    finish();
     proxiedRequest.context().connections().release(vm, connection);
     switch (verdict) {
       case STREAM -> proxiedRequest.onStreamEnd(head);
       case WHOLE -> {
         if (!sender.tryRetryAfterError(head.getCode())) {
-          proxiedRequest.onWholeResponse(head, content.toByteArray());
+          proxiedRequest.onWholeResponse(head, body);
         }
       }
       case REFUSED_BY_VM -> {
@@ -148,7 +150,7 @@
         logFailure("refused by the VM");
         sender.onNotSent(Optional.empty());
       }
-      case REFUSED -> proxiedRequest.onRefusedByRelay(head, content.toByteArray());
+      case REFUSED -> proxiedRequest.onRefusedByRelay(head, body);
       default -> {
         logFailure("status " + head.getCode());
         sender.onConnectionLost(Optional.empty());
@@ -158,7 +160,7 @@
 
   @Override
   public void onConnectionLost(boolean opened, Optional<Exception> cause) {
-    ended = true;
+    finish();
     logFailure(cause.map(Exception::toString).orElse("closed"));
     if (opened) {
       sender.onConnectionLost(cause);
@@ -168,6 +170,12 @@
     }
   }
 
+  private void finish() {
+    ended = true;
+    content.release();
+    events.release();
+  }
+
   private void logFailure(String reason) {
     proxiedRequest
         .log()
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
@@ -25,14 +25,26 @@
   private final Reactor reactor;
   private final Clock clock;
   private final InetSocketAddress address;
+  private final BufferBudget budget;
   private final Deque<OutboundConnection> idle = new ArrayDeque<>();
   private final Set<Call> calls = new HashSet<>();
 
-  /** Creates a client; it opens connections as calls need them. */
+  /** Creates a client whose response bodies are limited one by one only. */
   public BufferingHttpClient(Reactor reactor, Clock clock, InetSocketAddress address) {
+    this(reactor, clock, address, new BufferBudget(Long.MAX_VALUE));
+  }
+
+  /**
+   * Creates a client; it opens connections as calls need them.
+   *
+   * @param budget limits the sum of the response bodies, also with those of other clients
+   */
+  public BufferingHttpClient(
+      Reactor reactor, Clock clock, InetSocketAddress address, BufferBudget budget) {
     this.reactor = reactor;
     this.clock = clock;
     this.address = address;
+    this.budget = budget;
   }
 
   /** The result of a call. */
@@ -111,7 +123,7 @@
     private final OutboundConnection connection;
     private final long deadlineMs;
     private final Consumer<Result> callback;
-    private final ResponseBody body = new ResponseBody();
+    private final ResponseBody body = new ResponseBody(budget);
     private HttpResponse responseHead;
 
     Call(OutboundConnection connection, long deadlineMs, Consumer<Result> callback) {
@@ -130,7 +142,7 @@
     public void onBody(ByteBuffer part) {
       if (!body.add(part)) {
         connection.reset();
-        finish(new Result.Failed("the response exceeds " + ResponseBody.MAX_BYTES + " bytes"));
+        finish(new Result.Failed("the response is too long"));
       }
     }
 
@@ -141,7 +153,7 @@
       } else {
         connection.close();
       }
-      finish(new Result.Answered(responseHead, body.toByteArray()));
+      finish(new Result.Answered(responseHead, body.take()));
     }
 
     @Override
@@ -159,6 +171,7 @@
     }
 
     private void finish(Result result) {
+      body.release();
       if (calls.remove(this)) {
         callback.accept(result);
       }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ResponseBody.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ResponseBody.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 
 /** Buffers the body of a response, up to a size that no sound response reaches. */
@@ -9,26 +8,33 @@
   /** Largest body that is buffered, in bytes. */
   public static final int MAX_BYTES = 4 * 1024 * 1024;
 
-  private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+  private final BodyBuffer bytes;
 
-  /** Creates an empty body. */
-  public ResponseBody() {}
+  /**
+   * Creates an empty body.
+   *
+   * @param budget limits the sum of the bodies of several responses
+   */
+  public ResponseBody(BufferBudget budget) {
+    bytes = new BodyBuffer(budget);
+  }
 
   /**
    * Adds a part of the body.
    *
-   * @return false if the body is too large, and the part was not added
+   * @return false if the body is too large, or all bodies together; the body is of no use then
    */
   public boolean add(ByteBuffer part) {
-    if (bytes.size() + part.remaining() > MAX_BYTES) {
-      return false;
-    }
-    bytes.write(part.array(), part.arrayOffset() + part.position(), part.remaining());
-    return true;
+    return bytes.size() + part.remaining() <= MAX_BYTES && bytes.add(part);
+  }
+
+  /** Returns the body, and drops it from the buffer. */
+  public byte[] take() {
+    return bytes.take();
   }
 
-  /** Returns the bytes added so far. */
-  public byte[] toByteArray() {
-    return bytes.toByteArray();
+  /** Gives the bytes of the body back to the budget. */
+  public void release() {
+    bytes.release();
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/VmLimitsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/VmLimitsTest.java
@@ -6,7 +6,7 @@
 
 class VmLimitsTest {
 
-  private final VmLimits limits = VmLimits.of(4_100, 330);
+  private final VmLimits limits = VmLimits.of(4_100, 330, 1L << 30);
 
   @Test
   void leaveRoomForConnectionsThatComeAnyway() {
@@ -20,4 +20,11 @@
     assertThat(limits.isExhausted(10, 20_000_000)).isFalse();
     assertThat(limits.isExhausted(10, 35_000_000)).isTrue();
   }
+
+  @Test
+  void leaveMostOfTheHeapToOthers() {
+    VmLimits small = VmLimits.of(4_100, 330, 96 << 20);
+    assertThat(small.maxBodyBytes()).isEqualTo(24 << 20);
+    assertThat(small.maxResponseBytes()).isEqualTo(12 << 20);
+  }
 }
