Drop the body of a request with its response, and limit all bodies

The client's connection kept the buffer of the body after the response, the one to the endpoint its send buffer and, by the callback for its opening, the whole request: 24 requests one after the other left 380 MB behind. Bodies that were being read did not count for any limit.

A body is now dropped with its response and kept once while it is in memory, and empty buffers give up their capacity. Bodies take bytes from a budget while they are read; a request that exceeds it gets 503 with Retry-After at once, and the rest of its body is skipped, as the client may read the response only after it has sent all. Messages of other VMs have a budget of their own.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/RawServer.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/RawServer.java
@@ -137,16 +137,9 @@
 
   private void serveConnection(Socket socket) {
     try (socket) {
-      InputStream in = socket.getInputStream();
-      Request request = readRequest(in);
-      while (request != null) {
-        requests.add(request);
-        if (!handler.handle(request, socket)) {
-          return;
-        }
-        request = readRequest(in);
+      while (serveRequest(socket)) {
+        // Serves the next request.
       }
-      clientClosed.countDown();
     } catch (IOException e) {
       clientClosed.countDown();
     } finally {
@@ -154,6 +147,17 @@
     }
   }
 
+  /** Serves a request, if there is one; returns whether the connection stays open. */
+  private boolean serveRequest(Socket socket) throws IOException {
+    Request request = readRequest(socket.getInputStream());
+    if (request == null) {
+      clientClosed.countDown();
+      return false;
+    }
+    requests.add(request);
+    return handler.handle(request, socket);
+  }
+
   private static Request readRequest(InputStream in) throws IOException {
     String line = readLine(in);
     if (line == null) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
@@ -19,6 +19,7 @@
 import org.zinniaspan.peer.proto.SlotAssignmentQuery;
 import org.zinniaspan.peer.proto.StreamOriginQuery;
 import org.zinniaspan.peer.proto.StreamOriginUpdate;
+import org.zinniaspan.transport.BufferBudget;
 import org.zinniaspan.transport.InboundConnection;
 import org.zinniaspan.transport.InboundHandler;
 
@@ -49,6 +50,10 @@
   /** Largest size of the headers that a VM adds to a request that it relays, in bytes. */
   private static final int RELAY_HEADER_BYTES = 1_024;
 
+  /** Largest sum of the messages that are being read, in bytes. */
+  private static final long MAX_MESSAGE_BYTES = 8 << 20;
+
+  private final BufferBudget messages = new BufferBudget(MAX_MESSAGE_BYTES);
   private final FleetMembership members;
   private final CatalogService catalog;
   private final EngineBoard engines;
@@ -85,6 +90,24 @@
         InboundLimits.DEFAULT.idleTimeoutMs());
   }
 
+  @Override
+  public BufferBudget bodyBudget(HttpRequest head) {
+    return isRelayed(head) ? relays.bodyBudget(head) : messages;
+  }
+
+  @Override
+  public void onBudgetExhausted(InboundConnection connection, HttpRequest head) {
+    if (isRelayed(head)) {
+      relays.onRelayBudgetExhausted(connection, head);
+    } else {
+      respond(connection, HttpStatus.SC_SERVICE_UNAVAILABLE, new byte[0]);
+    }
+  }
+
+  private static boolean isRelayed(HttpRequest head) {
+    return head.containsHeader(RelayHeaders.RELAYED_BY);
+  }
+
   @Override
   public void onOpen(InboundConnection connection) {
     // No state is kept for a connection.
@@ -92,7 +115,7 @@
 
   @Override
   public void onRequest(InboundConnection connection, HttpRequest head, byte[] body) {
-    if (head.containsHeader(RelayHeaders.RELAYED_BY)) {
+    if (isRelayed(head)) {
       relays.onRelayedRequest(connection, head, body);
       return;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -17,6 +17,7 @@
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.BufferBudget;
 import org.zinniaspan.transport.InboundConnection;
 import org.zinniaspan.transport.InboundHandler;
 
@@ -44,6 +45,11 @@
     return context.follower().table().map(RoutingTable::limits).orElse(InboundLimits.DEFAULT);
   }
 
+  @Override
+  public BufferBudget bodyBudget(HttpRequest head) {
+    return context.bodies().requests();
+  }
+
   @Override
   public void onOpen(InboundConnection connection) {
     connections.add(connection);
@@ -66,6 +72,23 @@
     start(connection, new ProxiedRequest(context, connection, head, body, true));
   }
 
+  @Override
+  public void onBudgetExhausted(InboundConnection connection, HttpRequest head) {
+    refuseForMemory(connection, head, false);
+  }
+
+  @Override
+  public void onRelayBudgetExhausted(InboundConnection connection, HttpRequest head) {
+    refuseForMemory(connection, head, true);
+  }
+
+  private void refuseForMemory(InboundConnection connection, HttpRequest head, boolean relayed) {
+    ProxiedRequest request = new ProxiedRequest(context, connection, head, new byte[0], relayed);
+    requests.put(connection, request);
+    request.refuseForLackOfResources();
+    removeIfFinished(connection, request);
+  }
+
   private void start(InboundConnection connection, ProxiedRequest request) {
     requests.put(connection, request);
     if (shutdown.refusesNewRequests(clock.nowMs())) {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -53,6 +53,9 @@
    */
   protected abstract void onDisconnect(Optional<Exception> cause);
 
+  /** Called once when the connection has ended, in whatever way. */
+  protected void onClosed() {}
+
   /** Returns whether the remote side has ended its output. */
   protected final boolean inputEnded() {
     return inputEnded;
@@ -144,6 +147,7 @@
     if (unsent.hasData() && !awaitingWrite) {
       session.setEvent(EventMask.WRITE);
     } else if (!unsent.hasData()) {
+      unsent.trim();
       if (awaitingWrite) {
         session.clearEvent(EventMask.WRITE);
       }
@@ -162,33 +166,31 @@
 
   /** Closes the connection in an orderly way, without a further callback. */
   public final void close() {
-    if (!closed) {
-      closed = true;
-      if (session != null) {
-        session.close(CloseMode.GRACEFUL);
-      }
-    }
+    end(CloseMode.GRACEFUL);
   }
 
   /** Resets the connection, without a further callback. */
   public final void reset() {
-    if (!closed) {
-      closed = true;
-      if (session != null) {
-        session.close(CloseMode.IMMEDIATE);
-      }
-    }
+    end(CloseMode.IMMEDIATE);
   }
 
   private void terminate(Optional<Exception> cause, CloseMode mode) {
+    if (end(mode)) {
+      onDisconnect(cause);
+    }
+  }
+
+  /** Closes the connection; returns false if it was closed before. */
+  private boolean end(CloseMode mode) {
     if (closed) {
-      return;
+      return false;
     }
     closed = true;
     if (session != null) {
       session.close(mode);
     }
-    onDisconnect(cause);
+    onClosed();
+    return true;
   }
 
   /** Sets the timer to cancel once the connection is open. */
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -43,6 +42,8 @@
     HEAD,
     BODY,
     ANSWER,
+    /** The response is sent, and the rest of the request is skipped. */
+    SKIPPING,
     CLOSING
   }
 
@@ -52,12 +53,14 @@
   private Phase phase = Phase.HEAD;
   private HttpRequest head;
   private ContentDecoder decoder;
-  private ByteArrayOutputStream body;
+  private BodyBuffer body = new BodyBuffer(new BufferBudget(0));
   private boolean chunked;
   private boolean closeAfterResponse;
   private boolean parsing;
   private long waitingSinceMs;
   private boolean requestStarted;
+  private boolean skipsRest;
+  private long skippedBytes;
 
   /** Creates a connection that passes its requests to a handler. */
   public InboundConnection(Reactor reactor, InboundHandler handler, Clock clock) {
@@ -103,6 +106,8 @@
       reject(
           HttpStatus.SC_REQUEST_TIMEOUT,
           "the request head was not complete before the header timeout");
+    } else if (phase == Phase.SKIPPING && waitingMs > handler.limits().headerTimeoutMs()) {
+      closeAndNotify();
     } else if (phase == Phase.BODY && waitingMs > handler.limits().idleTimeoutMs()) {
       reject(
           HttpStatus.SC_REQUEST_TIMEOUT,
@@ -133,10 +138,12 @@
   }
 
   private boolean parseStep() throws IOException, HttpException {
-    if (phase == Phase.HEAD) {
-      return parseHead();
-    }
-    return phase == Phase.BODY && parseBody();
+    return switch (phase) {
+      case HEAD -> parseHead();
+      case BODY -> parseBody();
+      case SKIPPING -> skipBody();
+      default -> false;
+    };
   }
 
   private boolean parseHead() throws IOException, HttpException {
@@ -156,7 +163,7 @@
     }
     final Optional<ContentDecoder> framing = BodyFraming.requestDecoder(head, channel(), received);
     closeAfterResponse = requestsClose(head);
-    body = new ByteArrayOutputStream();
+    body = new BodyBuffer(handler.bodyBudget(head));
     waitingSinceMs = clock.nowMs();
     if (framing.isEmpty()) {
       handleRequest();
@@ -175,14 +182,21 @@
     ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
     int count = decoder.read(part);
     if (count > 0) {
-      body.write(part.array(), 0, part.position());
       waitingSinceMs = clock.nowMs();
       resumeReading();
     }
-    if (body.size() > handler.limits().maxBodyBytes()) {
+    if (body.size() + part.flip().remaining() > handler.limits().maxBodyBytes()) {
       reject(HttpStatus.SC_REQUEST_TOO_LONG, "the request body exceeds the limit on body bytes");
       return false;
     }
+    if (!body.add(part)) {
+      body.release();
+      phase = Phase.ANSWER;
+      closeAfterResponse = true;
+      skipsRest = true;
+      handler.onBudgetExhausted(this, head);
+      return true;
+    }
     if (decoder.isCompleted()) {
       handleRequest();
       return false;
@@ -190,11 +204,25 @@
     return count > 0;
   }
 
+  /** Skips the rest of a body, as the client may read the response only after sending it all. */
+  private boolean skipBody() throws IOException {
+    ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
+    int count = decoder.read(part);
+    skippedBytes += part.position();
+    if (decoder.isCompleted() || skippedBytes > handler.limits().maxBodyBytes()) {
+      phase = Phase.CLOSING;
+      flush();
+      return false;
+    }
+    resumeReading();
+    return count > 0;
+  }
+
   private void handleRequest() {
     phase = Phase.ANSWER;
     requestStarted = false;
     received.endHead();
-    handler.onRequest(this, head, body.toByteArray());
+    handler.onRequest(this, head, body.take());
   }
 
   private void reject(int status, String reason) {
@@ -231,7 +259,7 @@
   public void sendResponse(HttpResponse response, byte[] content) {
     response.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(content.length));
     writeHead(response);
-    unsent.write(ByteBuffer.wrap(content));
+    unsent.writeShared(content);
     awaitNextRequest();
   }
 
@@ -289,6 +317,16 @@
 
   private void awaitNextRequest() {
     chunked = false;
+    body.release();
+    received.trim();
+    if (skipsRest) {
+      phase = Phase.SKIPPING;
+      waitingSinceMs = clock.nowMs();
+      flushOrFail();
+      resumeReading();
+      continueParsing();
+      return;
+    }
     if (closeAfterResponse || inputEnded()) {
       phase = Phase.CLOSING;
       flushOrFail();
@@ -318,6 +356,11 @@
     }
   }
 
+  @Override
+  protected void onClosed() {
+    body.release();
+  }
+
   @Override
   protected void onDisconnect(Optional<Exception> cause) {
     handler.onDisconnect(this);
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -91,7 +91,7 @@
       fail(e);
       return;
     }
-    unsent.write(ByteBuffer.wrap(body));
+    unsent.writeShared(body);
     if (opened) {
       flushOrFail();
     }
@@ -99,7 +99,9 @@
 
   /** Sets a callback for the time when the connection is opened; it is not called if it is open. */
   public void whenOpened(Runnable callback) {
-    openedCallback = callback;
+    if (!opened) {
+      openedCallback = callback;
+    }
   }
 
   /** Returns whether this connection can carry another request. */
@@ -129,6 +131,8 @@
   protected void onOpen() {
     opened = true;
     openedCallback.run();
+    // The callback holds the request.
+    openedCallback = () -> {};
     flushOrFail();
   }
 
@@ -243,6 +247,7 @@
   private void endResponse() {
     decoder = null;
     received.endHead();
+    received.trim();
     if (skippingResponse) {
       skippingResponse = false;
       skippedBytes = 0;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -13,6 +13,9 @@
 
   private static final int INITIAL_BYTES = 2 * 1024;
 
+  /** Largest capacity that an empty buffer keeps, in bytes. */
+  private static final int MAX_IDLE_BYTES = 16 * 1024;
+
   private final int maxLineBytes;
   private final int maxHeadBytes;
   private int headBytes;
@@ -44,6 +47,13 @@
     return bytes.remaining();
   }
 
+  /** Gives up the capacity that an empty buffer does not need. */
+  void trim() {
+    if (!bytes.hasRemaining() && bytes.capacity() > MAX_IDLE_BYTES) {
+      bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+    }
+  }
+
   @Override
   public int fill(ReadableByteChannel channel) throws IOException {
     bytes.compact();
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
@@ -12,11 +14,37 @@
 
   private static final int INITIAL_BYTES = 1024;
 
+  /** Largest capacity that an empty buffer keeps, in bytes. */
+  private static final int MAX_IDLE_BYTES = 16 * 1024;
+
+  /** Bytes that are written before those of {@link #bytes}. */
+  private final Deque<ByteBuffer> first = new ArrayDeque<>();
+
   private ByteBuffer bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
 
   @Override
   public boolean hasData() {
-    return bytes.hasRemaining();
+    return bytes.hasRemaining() || !first.isEmpty();
+  }
+
+  /** Adds bytes without copying them; they must not change any more. */
+  void writeShared(byte[] content) {
+    if (content.length <= MAX_IDLE_BYTES) {
+      write(ByteBuffer.wrap(content));
+      return;
+    }
+    if (bytes.hasRemaining()) {
+      first.add(bytes);
+      bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+    }
+    first.add(ByteBuffer.wrap(content));
+  }
+
+  /** Gives up the capacity that an empty buffer does not need. */
+  void trim() {
+    if (bytes.capacity() > MAX_IDLE_BYTES) {
+      bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+    }
   }
 
   @Override
@@ -26,12 +54,19 @@
 
   @Override
   public int length() {
-    return bytes.remaining();
+    return bytes.remaining() + first.stream().mapToInt(ByteBuffer::remaining).sum();
   }
 
   @Override
   public int flush(WritableByteChannel channel) throws IOException {
-    return bytes.hasRemaining() ? channel.write(bytes) : 0;
+    if (first.isEmpty()) {
+      return bytes.hasRemaining() ? channel.write(bytes) : 0;
+    }
+    int count = channel.write(first.getFirst());
+    if (!first.getFirst().hasRemaining()) {
+      first.removeFirst();
+    }
+    return count;
   }
 
   @Override
