--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -207,7 +207,7 @@
   /** Skips the rest of a body, as the client may read the response only after sending it all. */
   private boolean skipBody() throws IOException {
     ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
-    int count = decoder.read(part);
+    final int count = decoder.read(part);
     skippedBytes += part.position();
     if (decoder.isCompleted() || skippedBytes > handler.limits().maxBodyBytes()) {
       phase = Phase.CLOSING;
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ReactorTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ReactorTest.java
@@ -66,7 +66,7 @@
     }
 
     @Test
-    void anErrorOfATimer() throws Exception {
+    void anErrorOfTimers() throws Exception {
       reactor.scheduleEvery(
           1,
           () -> {
@@ -85,7 +85,7 @@
   }
 
   @Test
-  void goesOnAfterAnExceptionOfATimer() throws Exception {
+  void goesOnAfterExceptionsOfTimers() throws Exception {
     CountDownLatch runs = new CountDownLatch(3);
     reactor.scheduleEvery(
         1,
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/RequestBodyTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/RequestBodyTest.java
@@ -98,7 +98,7 @@
   }
 
   @Test
-  void isFreeAfterADisconnect() {
+  void isFreeAfterDisconnects() {
     Client client = new Client();
     client.sendHead(2 * LARGE.length());
     client.send(LARGE);
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ResponseBodyTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ResponseBodyTest.java
@@ -28,7 +28,7 @@
   }
 
   @Test
-  void isFreeOnceABodyIsReleased() {
+  void isFreeOnceBodiesAreReleased() {
     first.add(bytes(60 * KIB));
     first.release();
     first.release();
