Split the calls of a VM out of FleetSimulation

A count that no test read is gone. StreamOriginTest, CatalogSharingTest and EngineSharingTest pass as before.

--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.fleet;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,16 +17,11 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
-import org.zinniaspan.forwarding.Catalog;
-import org.zinniaspan.forwarding.CatalogChanges;
 import org.zinniaspan.forwarding.CatalogFollower;
-import org.zinniaspan.forwarding.CatalogResult;
 import org.zinniaspan.forwarding.EndpointDirectory;
-import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
-import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.PromptQuarantine;
@@ -37,17 +31,6 @@
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TrackedEndpoint;
 import org.zinniaspan.forwarding.ZoneCosts;
-import org.zinniaspan.peer.proto.CatalogQuery;
-import org.zinniaspan.peer.proto.CatalogState;
-import org.zinniaspan.peer.proto.EngineQuery;
-import org.zinniaspan.peer.proto.EngineState;
-import org.zinniaspan.peer.proto.FleetMembers;
-import org.zinniaspan.peer.proto.SlotAssignment;
-import org.zinniaspan.peer.proto.SlotAssignmentQuery;
-import org.zinniaspan.peer.proto.StreamOriginQuery;
-import org.zinniaspan.peer.proto.StreamOriginReceipt;
-import org.zinniaspan.peer.proto.StreamOriginReply;
-import org.zinniaspan.peer.proto.StreamOriginUpdate;
 
 /**
  * VMs that share the catalog and the load of engines, on virtual time, with a store and a network
@@ -144,12 +127,12 @@
     return a.compareTo(b) < 0 ? a + '|' + b : b + '|' + a;
   }
 
-  private boolean isCut(String a, String b) {
+  boolean isCut(String a, String b) {
     return cutLinks.contains(link(a, b));
   }
 
   /** Delivers a message to a VM's process, unless it has ended by then. */
-  private void deliver(String from, Vm to, Runnable action) {
+  void deliver(String from, Vm to, Runnable action) {
     if (random.nextDouble() < lossRate) {
       return;
     }
@@ -164,7 +147,7 @@
   }
 
   /** One VM of the fleet. */
-  final class Vm implements Catalog, PeerClient {
+  final class Vm {
     final String address;
     final String zone;
     final TableFreshness freshness;
@@ -182,18 +165,13 @@
     final ReportPoller poller;
     final Optional<SlotSharing> slots;
     final StreamOriginComponents origins;
+    final SimulatedCalls calls = new SimulatedCalls(FleetSimulation.this, this);
     long polls;
-    long originUpdates;
-    long changeReads;
-    long slotQueries;
     long stepMs;
     private long suspendedMs;
     private long pausedSinceMs = -1;
     private boolean suspending;
     private final Deque<Runnable> deferred = new ArrayDeque<>();
-    private final List<PendingCall> pendingCalls = new ArrayList<>();
-
-    private record PendingCall(long dueMs, Runnable onTimeout) {}
 
     Vm(String address, String zone, List<String> seeds) {
       this.address = address;
@@ -202,9 +180,9 @@
       freshness =
           new TableFreshness(this::steadyMs, this::timeOfDayMs, bounds.maxConfirmationAgeMs());
       directory = new EndpointDirectory(this::steadyMs);
-      follower = new CatalogFollower(this, this::steadyMs, freshness, directory, bounds, own);
-      members = new FleetMembership(address, zone, seeds, this, this::steadyMs, own);
-      sharing = new CatalogSharing(follower, freshness, bounds, members, this, this::steadyMs);
+      follower = new CatalogFollower(calls, this::steadyMs, freshness, directory, bounds, own);
+      members = new FleetMembership(address, zone, seeds, calls, this::steadyMs, own);
+      sharing = new CatalogSharing(follower, freshness, bounds, members, calls, this::steadyMs);
       final long epoch = own.nextLong();
       work = new StreamWork(this::steadyMs);
       EndpointObservations observations =
@@ -221,7 +199,7 @@
                       members,
                       directory,
                       observations.limits().rejections(),
-                      this,
+                      calls,
                       this::steadyMs,
                       this::timeOfDayMs,
                       service -> speeds.of(service).slotMs(),
@@ -231,7 +209,7 @@
       quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
       board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
-      engines = new EngineSharing(directory, board, members, this, this::steadyMs);
+      engines = new EngineSharing(directory, board, members, calls, this::steadyMs);
       poller =
           new ReportPoller(
               directory,
@@ -240,7 +218,7 @@
               new ZoneCosts(zone, Map.of(zone, "region")),
               engines::observerRank,
               board::record);
-      origins = StreamOriginComponents.create(members, directory, follower, this, this::steadyMs);
+      origins = StreamOriginComponents.create(members, directory, follower, calls, this::steadyMs);
     }
 
     private final class Reports implements EngineReportSource {
@@ -292,7 +270,7 @@
     }
 
     /** Runs an action now, or after the pause; drops it if the process has ended. */
-    private void run(Runnable action) {
+    void run(Runnable action) {
       if (vms.get(address) != this) {
         return;
       }
@@ -307,10 +285,7 @@
       if (isPaused()) {
         return;
       }
-      List<PendingCall> expired =
-          pendingCalls.stream().filter(call -> call.dueMs() <= steadyMs()).toList();
-      pendingCalls.removeAll(expired);
-      expired.forEach(call -> call.onTimeout().run());
+      calls.tick();
       members.tick();
       sharing.tick();
       service.tick();
@@ -323,184 +298,6 @@
       poller.poll("service");
     }
 
-    /** Calls the callback once: with the reply, or with the failure after the timeout. */
-    private <T> Consumer<T> once(long timeoutMs, Consumer<T> callback, T failure) {
-      boolean[] done = {false};
-      Consumer<T> guarded =
-          result -> {
-            if (!done[0]) {
-              done[0] = true;
-              callback.accept(result);
-            }
-          };
-      pendingCalls.add(new PendingCall(steadyMs() + timeoutMs, () -> guarded.accept(failure)));
-      return guarded;
-    }
-
-    private <T> void callStore(
-        long waitMs,
-        Consumer<CatalogResult<T>> callback,
-        java.util.function.Supplier<Optional<CatalogResult<T>>> answer) {
-      store.calls++;
-      Consumer<CatalogResult<T>> guarded =
-          once(
-              PlatformBounds.PLATFORM_TIMEOUT_MS + waitMs,
-              callback,
-              new CatalogResult.Failed<>("timeout"));
-      long endMs = nowMs + waitMs;
-      at(2, () -> awaitAnswer(endMs, guarded, answer));
-    }
-
-    private <T> void awaitAnswer(
-        long endMs,
-        Consumer<CatalogResult<T>> callback,
-        java.util.function.Supplier<Optional<CatalogResult<T>>> answer) {
-      if (store.down || isCut(address, SimulatedStore.NAME)) {
-        return;
-      }
-      if (store.refused.contains(address)) {
-        deliver(
-            SimulatedStore.NAME,
-            this,
-            () -> callback.accept(new CatalogResult.Failed<>("status 503")));
-        return;
-      }
-      Optional<CatalogResult<T>> result = answer.get();
-      if (result.isPresent()) {
-        deliver(SimulatedStore.NAME, this, () -> callback.accept(result.get()));
-      } else if (nowMs < endMs) {
-        at(5, () -> awaitAnswer(endMs, callback, answer));
-      }
-    }
-
-    @Override
-    public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
-      callStore(0, callback, () -> Optional.of(store.readTable()));
-    }
-
-    @Override
-    public Optional<RoutingTable> decodeTable(byte[] document) {
-      long version = Long.parseLong(new String(document, StandardCharsets.US_ASCII));
-      return Optional.of(
-          new RoutingTable(
-              version, List.of(), Map.of(), Map.of(), true, InboundLimits.DEFAULT, document));
-    }
-
-    @Override
-    public void readEndpoints(Consumer<CatalogResult<List<EndpointPage>>> callback) {
-      callStore(0, callback, () -> Optional.of(store.readEndpoints()));
-    }
-
-    @Override
-    public void watch(
-        long afterRevision, long waitMs, Consumer<CatalogResult<CatalogChanges>> callback) {
-      long endMs = nowMs + waitMs;
-      callStore(
-          waitMs,
-          callback,
-          () -> {
-            return store.hasChanges(afterRevision) || nowMs >= endMs - 10
-                ? Optional.of(store.readChanges(afterRevision))
-                : Optional.empty();
-          });
-    }
-
-    @Override
-    public void readChanges(
-        long afterRevision, Consumer<CatalogResult<List<CatalogChanges.AtRevision>>> callback) {
-      changeReads++;
-      callStore(0, callback, () -> Optional.of(store.readEndpointChanges(afterRevision)));
-    }
-
-    private <T> void callPeer(
-        String peer,
-        long timeoutMs,
-        Consumer<Optional<T>> callback,
-        java.util.function.BiConsumer<Vm, Consumer<T>> handler) {
-      Consumer<Optional<T>> guarded = once(timeoutMs, callback, Optional.empty());
-      Vm target = vms.get(peer);
-      if (target == null) {
-        at(1, () -> run(() -> guarded.accept(Optional.empty())));
-        return;
-      }
-      deliver(
-          address,
-          target,
-          () ->
-              handler.accept(
-                  target, reply -> deliver(peer, this, () -> guarded.accept(Optional.of(reply)))));
-    }
-
-    @Override
-    public void exchangeMembers(
-        String peer,
-        FleetMembers message,
-        long timeoutMs,
-        Consumer<Optional<FleetMembers>> callback) {
-      callPeer(
-          peer,
-          timeoutMs,
-          callback,
-          (target, reply) -> reply.accept(target.members.onExchange(message)));
-    }
-
-    @Override
-    public void queryCatalog(
-        String peer,
-        CatalogQuery query,
-        long timeoutMs,
-        Consumer<Optional<CatalogState>> callback) {
-      callPeer(peer, timeoutMs, callback, (target, reply) -> target.service.onQuery(query, reply));
-    }
-
-    @Override
-    public void queryEngines(
-        String peer, EngineQuery query, long timeoutMs, Consumer<Optional<EngineState>> callback) {
-      callPeer(peer, timeoutMs, callback, (target, reply) -> target.board.onQuery(query, reply));
-    }
-
-    @Override
-    public void updateOrigins(
-        String peer,
-        StreamOriginUpdate update,
-        long timeoutMs,
-        Consumer<Optional<StreamOriginReceipt>> callback) {
-      originUpdates++;
-      callPeer(
-          peer,
-          timeoutMs,
-          callback,
-          (target, reply) -> reply.accept(target.origins.sharing().onUpdate(update)));
-    }
-
-    @Override
-    public void queryOrigin(
-        String peer,
-        StreamOriginQuery query,
-        long timeoutMs,
-        Consumer<Optional<StreamOriginReply>> callback) {
-      callPeer(
-          peer,
-          timeoutMs,
-          callback,
-          (target, reply) -> target.origins.lookup().onQuery(query, reply));
-    }
-
-    @Override
-    public void querySlots(
-        String peer,
-        SlotAssignmentQuery query,
-        long timeoutMs,
-        Consumer<Optional<SlotAssignment>> callback) {
-      slotQueries++;
-      callPeer(
-          peer,
-          timeoutMs,
-          callback,
-          (target, reply) ->
-              target.slots.ifPresent(other -> other.assigner().onQuery(query, reply)));
-    }
-
     long version() {
       return follower.table().map(RoutingTable::version).orElse(-1L);
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/StreamOriginTest.java
@@ -177,7 +177,7 @@
     void isNotCopied() {
       begin(vm(0), "a1", "v1");
       fleet.advance(1_000);
-      assertThat(vm(0).originUpdates).isEqualTo(0);
+      assertThat(vm(0).calls.originUpdates).isEqualTo(0);
     }
 
     @Test
@@ -271,7 +271,7 @@
       restartAll();
       fleet.vms.values().forEach(vm -> begin(vm, "a-" + vm.address, "v1"));
       fleet.advance(4_000);
-      long reads = fleet.vms.values().stream().mapToLong(vm -> vm.changeReads).sum();
+      long reads = fleet.vms.values().stream().mapToLong(vm -> vm.calls.changeReads).sum();
       assertThat(reads).isAtMost(2_000 * 60 / 370);
       assertThat(versionOf(find(vm(3), "a9"))).isEqualTo("v1");
     }
