--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -7,9 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.extension.AfterEachCallback;
 import org.junit.jupiter.api.extension.BeforeEachCallback;
 import org.junit.jupiter.api.extension.ExtensionContext;
+import org.zinniaspan.forwarding.EngineReport;
+import org.zinniaspan.forwarding.EngineReportSource;
+import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.VmLimits;
 import org.zinniaspan.forwarding.ZoneCosts;
@@ -49,6 +53,11 @@
   RawServer second;
   InetSocketAddress metricsListen;
   InetSocketAddress listen;
+  ForwardDaemon daemon;
+
+  /** Whether the next tick of the daemon throws an error, as for lack of memory. */
+  volatile boolean failsAtNextTick;
+
   private InetSocketAddress readyListen;
 
   /** Starts the store, two endpoints in two zones, and the daemon, and waits until it is ready. */
@@ -63,25 +72,43 @@
     readyListen = FreePorts.nextAddress(LocalSite.LISTEN_HOST);
     metricsListen = FreePorts.nextAddress(LocalSite.LISTEN_HOST);
     InetSocketAddress address = Addresses.parse(store.address());
-    closer.add(
-        ForwardDaemon.start(
-            new ForwardDaemon.Options(
-                listen,
-                readyListen,
-                Optional.of(metricsListen),
-                Optional.empty(),
-                List.of(),
-                address,
-                caller -> new StoreClient(caller, address, 300),
-                callers -> new ReportClient(callers, 300),
-                new HttpDialect(),
-                new ZoneCosts("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
-                new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
-                VmLimits.of(4_096, 330, 96 << 20),
-                1)));
+    daemon =
+        closer.add(
+            ForwardDaemon.start(
+                new ForwardDaemon.Options(
+                    listen,
+                    readyListen,
+                    Optional.of(metricsListen),
+                    Optional.empty(),
+                    List.of(),
+                    address,
+                    caller -> new StoreClient(caller, address, 300),
+                    callers -> reportSource(new ReportClient(callers, 300)),
+                    new HttpDialect(),
+                    new ZoneCosts("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
+                    new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
+                    VmLimits.of(4_096, 330, 96 << 20),
+                    1)));
     awaitReady();
   }
 
+  private EngineReportSource reportSource(EngineReportSource reports) {
+    return new EngineReportSource() {
+      @Override
+      public void read(ListedEndpoint engine, Consumer<Optional<EngineReport>> callback) {
+        reports.read(engine, callback);
+      }
+
+      @Override
+      public void tick() {
+        if (failsAtNextTick) {
+          throw new OutOfMemoryError("thrown by the test");
+        }
+        reports.tick();
+      }
+    };
+  }
+
   @Override
   public void beforeEach(ExtensionContext context) throws IOException {
     start();
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -41,7 +41,7 @@
     try {
       code = run(args, System.getenv());
     } catch (Error e) {
-      // Threads that are no daemons would keep the process alive.
+      // An uncaught error would end the process with exit code 1, which stands for findings.
       System.err.println("zinniaspan: " + e);
     }
     if (!EventLog.flush(LOG_FLUSH_TIMEOUT_MS)) {
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
@@ -32,6 +32,12 @@
     input = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  /** Lets a connection read bytes, given as ISO-8859-1. */
+  void receive(Connection connection, String text) {
+    receive(text);
+    connection.inputReady(session(), null);
+  }
+
   /** Ends the input after the bytes that were added. */
   void endInput() {
     inputEnded = true;
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/HeadLimitTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/HeadLimitTest.java
@@ -2,12 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -28,7 +22,7 @@
 
   private final Reactor reactor = Reactor.start(() -> {});
   private final FakeSession session = new FakeSession();
-  private final List<String> events = new ArrayList<>();
+  private final ExchangeRecorder recorder = new ExchangeRecorder();
 
   @AfterEach
   void stop() {
@@ -37,49 +31,24 @@
 
   /** Passes a text and then lines until an event, and returns how many bytes were passed. */
   private int sendLines(Connection connection, String begin) {
-    receive(connection, begin);
+    session.receive(connection, begin);
     int sent = begin.length();
-    while (events.isEmpty() && sent < 2 * MAX_BYTES) {
-      receive(connection, LINE);
+    while (recorder.events.isEmpty() && sent < 2 * MAX_BYTES) {
+      session.receive(connection, LINE);
       sent += LINE.length();
     }
     return sent;
   }
 
-  private void receive(Connection connection, String text) {
-    session.receive(text);
-    connection.inputReady(session.session(), null);
-  }
-
   @Nested
-  class Responses implements ResponseHandler {
+  class Responses {
 
     private OutboundConnection connection;
 
     private void send() {
       connection = new OutboundConnection(reactor, idle -> {});
       connection.connected(session.session());
-      connection.send(new BasicHttpRequest("GET", "/"), new byte[0], this);
-    }
-
-    @Override
-    public boolean onHead(HttpResponse head) {
-      return true;
-    }
-
-    @Override
-    public void onBody(ByteBuffer part) {
-      // Only the end matters.
-    }
-
-    @Override
-    public void onEnd() {
-      events.add("end");
-    }
-
-    @Override
-    public void onConnectionLost(boolean opened, Optional<Exception> cause) {
-      events.add("lost");
+      connection.send(new BasicHttpRequest("GET", "/"), new byte[0], recorder);
     }
 
     @ParameterizedTest
@@ -92,7 +61,7 @@
     void endWithTheirConnection(String begin) {
       send();
       assertThat(sendLines(connection, begin)).isAtMost(MAX_BYTES);
-      assertThat(events).containsExactly("lost");
+      assertThat(recorder.events).containsExactly("lost");
     }
 
     @Test
@@ -101,62 +70,38 @@
         if (connection == null) {
           send();
         } else {
-          connection.send(new BasicHttpRequest("GET", "/"), new byte[0], this);
+          connection.send(new BasicHttpRequest("GET", "/"), new byte[0], recorder);
         }
-        receive(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + LINE + "\r\n");
-        receive(connection, "1\r\nx\r\n0\r\n" + LINE + "\r\n");
+        session.receive(
+            connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + LINE + "\r\n");
+        session.receive(connection, "1\r\nx\r\n0\r\n" + LINE + "\r\n");
       }
-      assertThat(events).hasSize(40);
-      assertThat(events).doesNotContain("lost");
+      assertThat(recorder.events).hasSize(40);
+      assertThat(recorder.events).doesNotContain("lost");
     }
 
     @Test
     void mayHaveManyChunks() {
       send();
-      receive(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      session.receive(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
       for (int i = 0; i < MAX_BYTES / 16; i++) {
-        receive(connection, "00000001\r\nx\r\n");
+        session.receive(connection, "00000001\r\nx\r\n");
       }
-      receive(connection, "0\r\n\r\n");
-      assertThat(events).containsExactly("end");
+      session.receive(connection, "0\r\n\r\n");
+      assertThat(recorder.events).containsExactly("end");
     }
   }
 
   @Nested
-  class Requests implements InboundHandler {
+  class Requests {
 
     private InboundConnection connection;
 
     private void open() {
-      connection = new InboundConnection(reactor, this, () -> 0);
+      connection = new InboundConnection(reactor, recorder, () -> 0);
       connection.connected(session.session());
     }
 
-    @Override
-    public InboundLimits limits() {
-      return InboundLimits.DEFAULT;
-    }
-
-    @Override
-    public void onOpen(InboundConnection opened) {
-      // Only requests matter.
-    }
-
-    @Override
-    public void onRequest(InboundConnection requested, HttpRequest head, byte[] body) {
-      events.add("request");
-    }
-
-    @Override
-    public void onUnreadable(InboundConnection unreadable, int status, String reason) {
-      events.add("status " + status);
-    }
-
-    @Override
-    public void onDisconnect(InboundConnection left) {
-      events.add("left");
-    }
-
     @ParameterizedTest
     @ValueSource(
         strings = {
@@ -166,7 +111,7 @@
     void areRejected(String begin) {
       open();
       assertThat(sendLines(connection, begin)).isAtMost(MAX_BYTES);
-      assertThat(events).containsExactly("status 431");
+      assertThat(recorder.events).containsExactly("status 431");
     }
 
     @Test
@@ -174,9 +119,9 @@
       open();
       int limit = InboundLimits.DEFAULT.maxHeaderBytes();
       String header = "X: " + "x".repeat(limit / 2 - 5) + "\r\n";
-      receive(connection, "POST / HTTP/1.1\r\n" + header);
-      receive(connection, "X: " + "x".repeat(limit - header.length() - 6) + "\r\n\r\n");
-      assertThat(events).containsExactly("request");
+      session.receive(connection, "POST / HTTP/1.1\r\n" + header);
+      session.receive(connection, "X: " + "x".repeat(limit - header.length() - 6) + "\r\n\r\n");
+      assertThat(recorder.events).containsExactly("request");
     }
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ReactorTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ReactorTest.java
@@ -8,6 +8,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +22,7 @@
 class ReactorTest {
 
   private static final long TIMEOUT_S = 20;
+  private static final Set<String> THREADS = Set.of("io", "accept", "timers");
 
   private final Semaphore failures = new Semaphore(0);
   private final Reactor reactor = Reactor.start(failures::release);
@@ -33,6 +36,19 @@
     return failures.tryAcquire(TIMEOUT_S, TimeUnit.SECONDS);
   }
 
+  /** Closes the reactor and waits until its threads have ended. */
+  private void closeAndAwait() throws InterruptedException {
+    List<Thread> threads =
+        Thread.getAllStackTraces().keySet().stream()
+            .filter(thread -> THREADS.contains(thread.getName()))
+            .toList();
+    reactor.close();
+    for (Thread thread : threads) {
+      thread.join(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+      assertThat(thread.isAlive()).isFalse();
+    }
+  }
+
   private static OutOfMemoryError error() {
     return new OutOfMemoryError("thrown by the test");
   }
@@ -61,7 +77,7 @@
         client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
         assertThat(awaitFailure()).isTrue();
       }
-      reactor.close();
+      closeAndAwait();
       assertThat(failures.tryAcquire()).isFalse();
     }
 
@@ -73,7 +89,7 @@
             throw error();
           });
       assertThat(awaitFailure()).isTrue();
-      reactor.close();
+      closeAndAwait();
       assertThat(failures.tryAcquire()).isFalse();
     }
 
@@ -98,8 +114,8 @@
   }
 
   @Test
-  void reportsNothingWhenItIsClosed() {
-    reactor.close();
+  void reportsNothingWhenItIsClosed() throws InterruptedException {
+    closeAndAwait();
     assertThat(failures.tryAcquire()).isFalse();
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/TruncatedMessageTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/TruncatedMessageTest.java
@@ -2,20 +2,14 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.BiFunction;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.zinniaspan.forwarding.InboundLimits;
 
 /**
  * Messages that the remote side breaks off with an orderly close, at each of their bytes.
@@ -63,33 +57,9 @@
   @Nested
   class Responses {
 
-    private final class Recorder implements ResponseHandler {
-      final List<String> events = new ArrayList<>();
-
-      @Override
-      public boolean onHead(HttpResponse head) {
-        return true;
-      }
-
-      @Override
-      public void onBody(ByteBuffer part) {
-        // Only the end matters.
-      }
-
-      @Override
-      public void onEnd() {
-        events.add("end");
-      }
-
-      @Override
-      public void onConnectionLost(boolean opened, Optional<Exception> cause) {
-        events.add("lost");
-      }
-    }
-
     private List<String> eventsOf(String response, boolean endsAtOnce) {
       FakeSession session = new FakeSession();
-      Recorder recorder = new Recorder();
+      ExchangeRecorder recorder = new ExchangeRecorder();
       OutboundConnection connection = new OutboundConnection(reactor, idle -> {});
       connection.connected(session.session());
       connection.send(new BasicHttpRequest("GET", "/"), new byte[0], recorder);
@@ -123,38 +93,9 @@
   @Nested
   class Requests {
 
-    private final class Recorder implements InboundHandler {
-      final List<String> events = new ArrayList<>();
-
-      @Override
-      public InboundLimits limits() {
-        return InboundLimits.DEFAULT;
-      }
-
-      @Override
-      public void onOpen(InboundConnection connection) {
-        // Only requests and the end matter.
-      }
-
-      @Override
-      public void onRequest(InboundConnection connection, HttpRequest head, byte[] body) {
-        events.add("request");
-      }
-
-      @Override
-      public void onUnreadable(InboundConnection connection, int status, String reason) {
-        events.add("unreadable");
-      }
-
-      @Override
-      public void onDisconnect(InboundConnection connection) {
-        events.add("left");
-      }
-    }
-
     private List<String> eventsOf(String request, boolean endsAtOnce) {
       FakeSession session = new FakeSession();
-      Recorder recorder = new Recorder();
+      ExchangeRecorder recorder = new ExchangeRecorder();
       InboundConnection connection = new InboundConnection(reactor, recorder, () -> 0);
       connection.connected(session.session());
       receive(connection, session, request, endsAtOnce);
