--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndpointListTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndpointListTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -43,7 +44,8 @@
   private StoreClient startClient(RawServer.RequestHandler store) throws IOException {
     RawServer server = closer.add(new RawServer(store));
     InetSocketAddress address = Addresses.parse(server.address());
-    return new StoreClient(new BufferingHttpClient(reactor, () -> 0, address), address, 1_000);
+    return new StoreClient(
+        new BufferingHttpClient(reactor, () -> 0, address), address, 1_000, Map.of());
   }
 
   private static String item(String id, String value) {
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -58,6 +58,8 @@
   /** Whether the next tick of the daemon throws an error, as for lack of memory. */
   volatile boolean failsAtNextTick;
 
+  private static final Map<String, String> REGIONS = Map.of("zone-a", "west", "zone-b", "east");
+
   private InetSocketAddress readyListen;
 
   /** Starts the store, two endpoints in two zones, and the daemon, and waits until it is ready. */
@@ -82,10 +84,10 @@
                     Optional.empty(),
                     List.of(),
                     address,
-                    caller -> new StoreClient(caller, address, 300),
+                    caller -> new StoreClient(caller, address, 300, REGIONS),
                     callers -> reportSource(new ReportClient(callers, 300)),
                     new HttpDialect(),
-                    new ZoneCosts("zone-a", Map.of("zone-a", "west", "zone-b", "east")),
+                    new ZoneCosts("zone-a", REGIONS),
                     new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
                     VmLimits.of(4_096, 330, 96 << 20),
                     1)));
--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/TruncatedAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/TruncatedAnswerTest.java
@@ -8,6 +8,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -89,7 +90,7 @@
       InetSocketAddress address = Addresses.parse(store.address());
       reactor = closer.add(Reactor.start(() -> {}));
       BufferingHttpClient http = new BufferingHttpClient(reactor, () -> 0, address);
-      client = new StoreClient(http, address, 1_000);
+      client = new StoreClient(http, address, 1_000, Map.of());
     }
 
     @AfterEach
@@ -126,7 +127,8 @@
 
     @Test
     void areNoConfirmationOfTheConfiguration() throws Exception {
-      checkFailures(json("404 Not Found", "{}"), client::readTable);
+      checkFailures(
+          json("200 OK", "{\"items\":[],\"has_more\":false,\"at\":40}"), client::readOperatorState);
     }
 
     @Test
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -163,7 +163,7 @@
         peerListen.isEmpty() ? Optional.empty() : Optional.of(Addresses.parse(peerListen)),
         seedAddresses(),
         store,
-        caller -> new StoreClient(caller, store, PlatformBounds.PLATFORM_TIMEOUT_MS),
+        caller -> new StoreClient(caller, store, PlatformBounds.PLATFORM_TIMEOUT_MS, regions()),
         callers -> new ReportClient(callers, REPORT_TIMEOUT_MS),
         new HttpDialect(),
         new ZoneCosts(zone, regions()),
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -3,23 +3,26 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EvacuatedZones;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.peer.proto.CatalogEndpoint;
 import org.zinniaspan.peer.proto.CatalogQuery;
 import org.zinniaspan.peer.proto.CatalogState;
+import org.zinniaspan.peer.proto.EvacuatedZonesState;
 
 /**
  * Answers the catalog queries of other VMs from what this VM knows.
  *
- * <p>A query is held until the version or the list changes, until this VM can no longer confirm the
- * version, or until the query's wait has passed. Not thread-safe.
+ * <p>A query is held until the version, the list or the evacuated zones change, until this VM can
+ * no longer confirm the version, or until the query's wait has passed. Not thread-safe.
  */
 public final class CatalogService implements Ticking {
 
@@ -84,6 +87,7 @@
     return clock.nowMs() - entry.arrivedMs() >= Math.min(MAX_WAIT_MS, query.getWaitMs())
         || version() > query.getVersion()
         || !hasList(query)
+        || hasOlderEvacuations(query)
         || !canConfirm();
   }
 
@@ -91,6 +95,15 @@
     return query.getListEpoch() == epoch && query.getListSequence() == directory.changeCount();
   }
 
+  /** Returns whether the query states evacuated zones that this VM knows to have changed. */
+  private boolean hasOlderEvacuations(CatalogQuery query) {
+    EvacuatedZones known = follower.evacuatedZones();
+    EvacuatedZonesState stated = query.getEvacuatedZones();
+    return query.hasEvacuatedZones()
+        && known.revision().compareTo(CatalogSharing.revision(stated)) > 0
+        && !known.zones().equals(Set.copyOf(stated.getZonesList()));
+  }
+
   private long version() {
     return follower.table().map(RoutingTable::version).orElse(-1L);
   }
@@ -117,6 +130,7 @@
         .map(RoutingTable::document)
         .filter(document -> document.length <= MAX_TABLE_BYTES)
         .ifPresent(document -> state.setTable(ByteString.copyFrom(document)));
+    CatalogSharing.encode(follower.evacuatedZones()).ifPresent(state::setEvacuatedZones);
     if (follower.isListComplete()) {
       state
           .setRevision(follower.revision().number())
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.EvacuatedZones;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.RoutingTable;
@@ -14,6 +16,7 @@
 import org.zinniaspan.peer.proto.CatalogEndpoint;
 import org.zinniaspan.peer.proto.CatalogQuery;
 import org.zinniaspan.peer.proto.CatalogState;
+import org.zinniaspan.peer.proto.EvacuatedZonesState;
 
 /**
  * Keeps this VM's configuration and endpoints up to date through the VM of its availability zone
@@ -119,16 +122,16 @@
     querying = true;
     nextQueryMs = clock.nowMs() + MIN_QUERY_INTERVAL_MS;
     TableFreshness.ReadStart sent = freshness.readStart();
-    CatalogQuery query =
+    CatalogQuery.Builder query =
         CatalogQuery.newBuilder()
             .setVersion(version())
             .setListEpoch(listEpoch)
             .setListSequence(listSequence)
-            .setWaitMs(WAIT_MS)
-            .build();
+            .setWaitMs(WAIT_MS);
+    encode(follower.evacuatedZones()).ifPresent(query::setEvacuatedZones);
     peers.queryCatalog(
         reader,
-        query,
+        query.build(),
         WAIT_MS + TIMEOUT_MS,
         reply -> {
           querying = false;
@@ -146,6 +149,7 @@
       return;
     }
     CatalogState state = reply.get();
+    adoptEvacuations(state);
     long confirmedMs = sent.steadyMs() + state.getHeldMs() - state.getConfirmationAgeMs();
     boolean tooOld = clock.nowMs() - confirmedMs > maxAgeMs();
     if (!state.getConfirmed() || tooOld) {
@@ -164,6 +168,37 @@
         state.getVersion(), new TableFreshness.ReadStart(confirmedMs, sent.driftMs()));
   }
 
+  /**
+   * Adopts evacuated zones of a later revision, also from a VM that cannot confirm its
+   * configuration at the moment.
+   */
+  private void adoptEvacuations(CatalogState state) {
+    follower.setEvacuationsShared(state.hasEvacuatedZones());
+    if (state.hasEvacuatedZones()) {
+      EvacuatedZonesState stated = state.getEvacuatedZones();
+      follower
+          .evacuatedZones()
+          .adopt(Set.copyOf(stated.getZonesList()), revision(stated), "other VM");
+    }
+  }
+
+  /** Returns the message that states evacuated zones; empty if they are not known. */
+  static Optional<EvacuatedZonesState> encode(EvacuatedZones zones) {
+    return zones.isKnown()
+        ? Optional.of(
+            EvacuatedZonesState.newBuilder()
+                .setStoreEpoch(zones.revision().epoch())
+                .setRevision(zones.revision().number())
+                .addAllZones(zones.zones())
+                .build())
+        : Optional.empty();
+  }
+
+  /** Returns the revision at which the evacuated zones of a message are complete. */
+  static StoreRevision revision(EvacuatedZonesState zones) {
+    return new StoreRevision(zones.getStoreEpoch(), zones.getRevision());
+  }
+
   private void adopt(CatalogState state) {
     if (state.getListIncluded()) {
       List<ListedEndpoint> list =
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/RelayTargets.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/RelayTargets.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.ZoneCosts;
 
 /**
@@ -44,9 +45,12 @@
    * Returns the peer address of a VM for the next request; empty if none is left.
    *
    * @param excluded peer addresses of the VMs that the request was sent to already
+   * @param homes home regions of the request; outside of them, it is sent only to VMs of this
+   *     region, where it is already
    */
-  public Optional<String> choose(Set<String> excluded) {
+  public Optional<String> choose(Set<String> excluded, HomeRegions homes) {
     List<String> zones = new ArrayList<>(members.zones());
+    zones.removeIf(zone -> !zoneCosts.isInOwnRegion(zone) && !homes.admits(zoneCosts.region(zone)));
     Collections.shuffle(zones, random);
     zones.sort(Comparator.comparingDouble(zoneCosts::costMs));
     for (String zone : zones) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Catalog.java
@@ -5,13 +5,13 @@
 import java.util.function.Consumer;
 
 /**
- * Asynchronous reader of the routing table and the endpoints that the platform publishes. Each call
- * invokes its callback exactly once, also after a failure.
+ * Asynchronous reader of the routing table, the evacuated availability zones and the endpoints that
+ * the platform publishes. Each call invokes its callback exactly once, also after a failure.
  */
 public interface Catalog {
 
-  /** Reads the current routing table; the value is empty if none was published. */
-  void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback);
+  /** Reads the current routing table and the evacuated availability zones. */
+  void readOperatorState(Consumer<CatalogResult<OperatorState>> callback);
 
   /**
    * Decodes a routing table from the document that it was published as; empty if it is invalid.
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogChanges.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogChanges.java
@@ -8,12 +8,15 @@
  *
  * @param table the newest routing table, if it changed
  * @param endpoints changes to the list of endpoints, in order
+ * @param evacuations changes to the evacuated availability zones, in order
  */
-public record CatalogChanges(Optional<RoutingTable> table, List<AtRevision> endpoints) {
+public record CatalogChanges(
+    Optional<RoutingTable> table, List<AtRevision> endpoints, List<ZoneEvacuation> evacuations) {
 
-  /** Makes a defensive copy of the list. */
+  /** Makes defensive copies of the lists. */
   public CatalogChanges {
     endpoints = List.copyOf(endpoints);
+    evacuations = List.copyOf(evacuations);
   }
 
   /**
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CatalogFollower.java
@@ -3,18 +3,19 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.log.EventLog;
 
 /**
- * Keeps the routing table and the list of endpoints up to date.
+ * Keeps the routing table, the evacuated availability zones and the list of endpoints up to date.
  *
  * <p>A watch delivers changes at once. Since a broken watch may look the same as one without
- * changes, the table is also read at an interval, and at once if the clocks have drifted apart;
- * only such a read confirms the table. A table is adopted only if its version is higher than the
- * version in force.
+ * changes, the table is also read at an interval, together with the evacuated zones, and at once if
+ * the clocks have drifted apart; only such a read confirms the table. A table is adopted only if
+ * its version is higher than the version in force.
  *
  * <p>When the store was restored from a copy, shown by its epoch, everything is read again, and
  * reads confirm nothing until what the copy lacks has been written again.
@@ -58,7 +59,10 @@
   private final ListConfirmer confirmer;
   private final EarlierChanges earlierChanges;
 
+  private final EvacuatedZones evacuatedZones = new EvacuatedZones();
+
   private Optional<RoutingTable> table = Optional.empty();
+  private boolean evacuationsShared = true;
   private boolean passive;
   private boolean tableReadRequested;
   private int failuresInRow;
@@ -101,6 +105,19 @@
     return table;
   }
 
+  /** Returns the availability zones to whose endpoints nothing may be sent. */
+  public EvacuatedZones evacuatedZones() {
+    return evacuatedZones;
+  }
+
+  /**
+   * Sets whether the VM that reads the platform for this one passes on the evacuated zones; one of
+   * an earlier release does not, so that this VM reads them itself.
+   */
+  public void setEvacuationsShared(boolean value) {
+    evacuationsShared = value;
+  }
+
   /** Returns whether a complete list of the endpoints was read at least once. */
   public boolean isListComplete() {
     return listComplete;
@@ -219,7 +236,8 @@
       requestTableRead();
     }
     long now = clock.nowMs();
-    boolean tableNeeded = !passive || tableReadRequested || table.isEmpty();
+    boolean evacuationsNeeded = !evacuationsShared || !evacuatedZones.isKnown();
+    boolean tableNeeded = !passive || tableReadRequested || table.isEmpty() || evacuationsNeeded;
     if (tableNeeded && !readingTable && now >= nextTableReadMs) {
       readTable();
     }
@@ -234,21 +252,26 @@
     readingTable = true;
     tableReadStartMs = clock.nowMs();
     TableFreshness.ReadStart readStart = freshness.readStart();
-    catalog.readTable(
+    catalog.readOperatorState(
         result -> {
           readingTable = false;
           onTable(result, readStart);
         });
   }
 
-  private void onTable(
-      CatalogResult<Optional<RoutingTable>> result, TableFreshness.ReadStart readStart) {
-    if (result instanceof CatalogResult.Read<Optional<RoutingTable>> read) {
+  private void onTable(CatalogResult<OperatorState> result, TableFreshness.ReadStart readStart) {
+    if (result instanceof CatalogResult.Read<OperatorState> read) {
       onAnswered();
       observeEpoch(read.revision());
       tableReadRequested = false;
       nextTableReadMs = clock.nowMs() + bounds.confirmIntervalMs();
-      read.value().ifPresent(this::adopt);
+      read.value().table().ifPresent(this::adopt);
+      Set<String> evacuated = read.value().evacuatedZones();
+      if (readStart.steadyMs() >= settledMs) {
+        evacuatedZones.adopt(evacuated, read.revision(), "read");
+      } else {
+        evacuatedZones.add(evacuated, read.revision());
+      }
       if (table.isPresent()) {
         if (readStart.steadyMs() >= settledMs) {
           freshness.confirm(readStart);
@@ -319,6 +342,7 @@
         && read.revision().epoch() == epoch
         && watchedRevision.epoch() == epoch) {
       read.value().table().ifPresent(this::adopt);
+      evacuatedZones.apply(read.value().evacuations(), watchedRevision, read.revision());
       updates.applyChanges(read.value().endpoints(), read.revision());
       directory.onListCurrent(requestedMs);
       watchUnlessPassive(read.revision());
@@ -373,6 +397,14 @@
         .with("before", versionInForce)
         .with("routes", candidate.routeCount())
         .info();
+    candidate
+        .findings()
+        .forEach(
+            finding ->
+                EventLog.event("configuration-value-invalid")
+                    .with("version", candidate.version())
+                    .with("finding", finding)
+                    .warn());
   }
 
   private void onAnswered() {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Route.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Route.java
@@ -19,6 +19,7 @@
  * @param resumable whether a stream may be resumed at another endpoint
  * @param pauseTargetMs target for the longest pause between two events of a stream, in
  *     milliseconds; 0 if none is stated
+ * @param homeRegions regions in which its requests may be processed
  */
 public record Route(
     String name,
@@ -32,7 +33,8 @@
     int maxAttempts,
     boolean anonymous,
     boolean resumable,
-    long pauseTargetMs) {
+    long pauseTargetMs,
+    HomeRegions homeRegions) {
 
   /** Makes a defensive copy of the list. */
   public Route {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.zinniaspan.inventory.Finding;
 
 /**
  * One version of the configuration: routes, services, API keys and limits.
@@ -30,7 +31,22 @@
   private final EngineRankMapper rankMapper;
   private final long strictestPauseTargetMs;
   private final int leastUrgentPriority;
+  private final Map<String, HomeRegions> homesByRoute = new HashMap<>();
+  private final Map<String, HomeRegions> homesByOrganisation = new HashMap<>();
   private final byte[] document;
+  private final List<Finding> findings;
+
+  /** Creates a table without findings. */
+  public RoutingTable(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceSpec> services,
+      Map<String, OrganisationSpec> organisationsByKey,
+      boolean keysRequired,
+      InboundLimits limits,
+      byte[] document) {
+    this(version, routes, services, organisationsByKey, keysRequired, limits, document, List.of());
+  }
 
   /**
    * Creates a table.
@@ -38,6 +54,7 @@
    * @param version version of the configuration; a newer configuration has a higher one
    * @param keysRequired whether routes that are not anonymous need an API key
    * @param document bytes that the table was decoded from, for other VMs
+   * @param findings invalid values in it, for the log
    */
   public RoutingTable(
       long version,
@@ -46,7 +63,9 @@
       Map<String, OrganisationSpec> organisationsByKey,
       boolean keysRequired,
       InboundLimits limits,
-      byte[] document) {
+      byte[] document,
+      List<Finding> findings) {
+    this.findings = List.copyOf(findings);
     this.document = document.clone();
     this.version = version;
     this.services = Map.copyOf(services);
@@ -69,6 +88,10 @@
             .mapToInt(Route::priority)
             .max()
             .orElse(0);
+    routes.forEach(r -> addHomes(homesByRoute, r.name(), r.homeRegions()));
+    organisationsByKey
+        .values()
+        .forEach(o -> addHomes(homesByOrganisation, o.name(), o.homeRegions()));
     routes.forEach(
         route -> routesByHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route));
     Comparator<Route> longestFirst =
@@ -76,6 +99,13 @@
     routesByHost.values().forEach(list -> list.sort(longestFirst));
   }
 
+  /** Adds home regions under a name; if several have the name, all of them apply. */
+  private static void addHomes(Map<String, HomeRegions> homes, String name, HomeRegions added) {
+    if (!name.isEmpty()) {
+      homes.merge(name, added, HomeRegions::intersect);
+    }
+  }
+
   /** Returns the version of the configuration. */
   public long version() {
     return version;
@@ -86,6 +116,25 @@
     return document.clone();
   }
 
+  /** Returns the invalid values that were found when the table was decoded. */
+  public List<Finding> findings() {
+    return findings;
+  }
+
+  /**
+   * Returns the regions in which requests may be processed: those that both the route and the
+   * organisation admit, as this table states them under their names. If it has no such route or
+   * organisation any more, what is stated with the argument applies.
+   */
+  public HomeRegions homeRegions(Route route, Optional<OrganisationSpec> organisation) {
+    HomeRegions ofRoute = homesByRoute.getOrDefault(route.name(), route.homeRegions());
+    HomeRegions ofOrganisation =
+        organisation
+            .map(o -> homesByOrganisation.getOrDefault(o.name(), o.homeRegions()))
+            .orElse(HomeRegions.ALL);
+    return ofRoute.intersect(ofOrganisation);
+  }
+
   /** Returns the limits on the requests of clients. */
   public InboundLimits limits() {
     return limits;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ZoneCosts.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ZoneCosts.java
@@ -23,6 +23,11 @@
    */
   private static final double REGION_COST_MS = 45;
 
+  /** Returns the region of an availability zone, if it is known. */
+  public Optional<String> region(String name) {
+    return Optional.ofNullable(regions.get(name));
+  }
+
   /**
    * Returns the cost of reaching an availability zone, in milliseconds; a zone of unknown region
    * counts as another region.
@@ -31,9 +36,11 @@
     if (other.equals(zone)) {
       return 0;
     }
-    Optional<String> here = Optional.ofNullable(regions.get(zone));
-    return here.isPresent() && here.equals(Optional.ofNullable(regions.get(other)))
-        ? ZONE_COST_MS
-        : REGION_COST_MS;
+    return isInOwnRegion(other) ? ZONE_COST_MS : REGION_COST_MS;
+  }
+
+  /** Returns whether an availability zone is in the region of this VM's. */
+  public boolean isInOwnRegion(String other) {
+    return other.equals(zone) || (region(zone).isPresent() && region(zone).equals(region(other)));
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogQuery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogQuery.java
@@ -52,6 +52,7 @@
             org.zinniaspan.peer.proto.CatalogQuery.class, org.zinniaspan.peer.proto.CatalogQuery.Builder.class);
   }
 
+  private int bitField0_;
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_ = 0L;
   /**
@@ -108,6 +109,44 @@
     return waitMs_;
   }
 
+  public static final int EVACUATED_ZONES_FIELD_NUMBER = 20;
+  private org.zinniaspan.peer.proto.EvacuatedZonesState evacuatedZones_;
+  /**
+   * <pre>
+   * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return Whether the evacuatedZones field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuatedZones() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return The evacuatedZones.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.EvacuatedZonesState getEvacuatedZones() {
+    return evacuatedZones_ == null ? org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+  }
+  /**
+   * <pre>
+   * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder getEvacuatedZonesOrBuilder() {
+    return evacuatedZones_ == null ? org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -134,6 +173,9 @@
     if (waitMs_ != 0L) {
       output.writeInt64(4, waitMs_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(20, getEvacuatedZones());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -154,6 +196,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, waitMs_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, getEvacuatedZones());
+    }
     return size;
   }
   @java.lang.Override
@@ -186,6 +232,11 @@
         != other.getListSequence()) return false;
     if (getWaitMs()
         != other.getWaitMs()) return false;
+    if (hasEvacuatedZones() != other.hasEvacuatedZones()) return false;
+    if (hasEvacuatedZones()) {
+      if (!getEvacuatedZones()
+          .equals(other.getEvacuatedZones())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -209,6 +260,10 @@
     hash = (37 * hash) + WAIT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getWaitMs());
+    if (hasEvacuatedZones()) {
+      hash = (37 * hash) + EVACUATED_ZONES_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuatedZones().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -332,13 +387,19 @@
 
     // Construct using org.zinniaspan.peer.proto.CatalogQuery.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetEvacuatedZonesFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -348,6 +409,11 @@
       listEpoch_ = 0L;
       listSequence_ = 0L;
       waitMs_ = 0L;
+      evacuatedZones_ = null;
+      if (evacuatedZonesBuilder_ != null) {
+        evacuatedZonesBuilder_.dispose();
+        evacuatedZonesBuilder_ = null;
+      }
       return this;
     }
 
@@ -393,6 +459,14 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.waitMs_ = waitMs_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.evacuatedZones_ = evacuatedZonesBuilder_ == null
+            ? evacuatedZones_
+            : evacuatedZonesBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -419,6 +493,9 @@
       if (other.getWaitMs() != 0L) {
         setWaitMs(other.getWaitMs());
       }
+      if (other.hasEvacuatedZones()) {
+        mergeEvacuatedZones(other.getEvacuatedZones());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -463,6 +540,13 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 162: {
+              input.readMessage(
+                  internalGetEvacuatedZonesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -644,6 +728,161 @@
       return this;
     }
 
+    private org.zinniaspan.peer.proto.EvacuatedZonesState evacuatedZones_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.EvacuatedZonesState, org.zinniaspan.peer.proto.EvacuatedZonesState.Builder, org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder> evacuatedZonesBuilder_;
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     * @return Whether the evacuatedZones field is set.
+     */
+    public boolean hasEvacuatedZones() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     * @return The evacuatedZones.
+     */
+    public org.zinniaspan.peer.proto.EvacuatedZonesState getEvacuatedZones() {
+      if (evacuatedZonesBuilder_ == null) {
+        return evacuatedZones_ == null ? org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+      } else {
+        return evacuatedZonesBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder setEvacuatedZones(org.zinniaspan.peer.proto.EvacuatedZonesState value) {
+      if (evacuatedZonesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        evacuatedZones_ = value;
+      } else {
+        evacuatedZonesBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder setEvacuatedZones(
+        org.zinniaspan.peer.proto.EvacuatedZonesState.Builder builderForValue) {
+      if (evacuatedZonesBuilder_ == null) {
+        evacuatedZones_ = builderForValue.build();
+      } else {
+        evacuatedZonesBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder mergeEvacuatedZones(org.zinniaspan.peer.proto.EvacuatedZonesState value) {
+      if (evacuatedZonesBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          evacuatedZones_ != null &&
+          evacuatedZones_ != org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance()) {
+          getEvacuatedZonesBuilder().mergeFrom(value);
+        } else {
+          evacuatedZones_ = value;
+        }
+      } else {
+        evacuatedZonesBuilder_.mergeFrom(value);
+      }
+      if (evacuatedZones_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder clearEvacuatedZones() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      evacuatedZones_ = null;
+      if (evacuatedZonesBuilder_ != null) {
+        evacuatedZonesBuilder_.dispose();
+        evacuatedZonesBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public org.zinniaspan.peer.proto.EvacuatedZonesState.Builder getEvacuatedZonesBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetEvacuatedZonesFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder getEvacuatedZonesOrBuilder() {
+      if (evacuatedZonesBuilder_ != null) {
+        return evacuatedZonesBuilder_.getMessageOrBuilder();
+      } else {
+        return evacuatedZones_ == null ?
+            org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+      }
+    }
+    /**
+     * <pre>
+     * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.EvacuatedZonesState, org.zinniaspan.peer.proto.EvacuatedZonesState.Builder, org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder> 
+        internalGetEvacuatedZonesFieldBuilder() {
+      if (evacuatedZonesBuilder_ == null) {
+        evacuatedZonesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.EvacuatedZonesState, org.zinniaspan.peer.proto.EvacuatedZonesState.Builder, org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder>(
+                getEvacuatedZones(),
+                getParentForChildren(),
+                isClean());
+        evacuatedZones_ = null;
+      }
+      return evacuatedZonesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogQuery)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogQueryOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogQueryOrBuilder.java
@@ -45,4 +45,31 @@
    * @return The waitMs.
    */
   long getWaitMs();
+
+  /**
+   * <pre>
+   * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return Whether the evacuatedZones field is set.
+   */
+  boolean hasEvacuatedZones();
+  /**
+   * <pre>
+   * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return The evacuatedZones.
+   */
+  org.zinniaspan.peer.proto.EvacuatedZonesState getEvacuatedZones();
+  /**
+   * <pre>
+   * Evacuated zones that the sender knows; absent if it knows none, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   */
+  org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder getEvacuatedZonesOrBuilder();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogState.java
@@ -54,6 +54,7 @@
             org.zinniaspan.peer.proto.CatalogState.class, org.zinniaspan.peer.proto.CatalogState.Builder.class);
   }
 
+  private int bitField0_;
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_ = 0L;
   /**
@@ -253,6 +254,44 @@
     return listCurrent_;
   }
 
+  public static final int EVACUATED_ZONES_FIELD_NUMBER = 20;
+  private org.zinniaspan.peer.proto.EvacuatedZonesState evacuatedZones_;
+  /**
+   * <pre>
+   * Absent if the sender does not know them, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return Whether the evacuatedZones field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuatedZones() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Absent if the sender does not know them, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return The evacuatedZones.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.EvacuatedZonesState getEvacuatedZones() {
+    return evacuatedZones_ == null ? org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+  }
+  /**
+   * <pre>
+   * Absent if the sender does not know them, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder getEvacuatedZonesOrBuilder() {
+    return evacuatedZones_ == null ? org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -303,6 +342,9 @@
     if (listCurrent_ != false) {
       output.writeBool(12, listCurrent_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(20, getEvacuatedZones());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -360,6 +402,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, listCurrent_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, getEvacuatedZones());
+    }
     return size;
   }
   @java.lang.Override
@@ -408,6 +454,11 @@
         != other.getStoreEpoch()) return false;
     if (getListCurrent()
         != other.getListCurrent()) return false;
+    if (hasEvacuatedZones() != other.hasEvacuatedZones()) return false;
+    if (hasEvacuatedZones()) {
+      if (!getEvacuatedZones()
+          .equals(other.getEvacuatedZones())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -455,6 +506,10 @@
     hash = (37 * hash) + LIST_CURRENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getListCurrent());
+    if (hasEvacuatedZones()) {
+      hash = (37 * hash) + EVACUATED_ZONES_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuatedZones().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -578,13 +633,20 @@
 
     // Construct using org.zinniaspan.peer.proto.CatalogState.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetEndpointsFieldBuilder();
+        internalGetEvacuatedZonesFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -608,6 +670,11 @@
       table_ = com.google.protobuf.ByteString.EMPTY;
       storeEpoch_ = 0L;
       listCurrent_ = false;
+      evacuatedZones_ = null;
+      if (evacuatedZonesBuilder_ != null) {
+        evacuatedZonesBuilder_.dispose();
+        evacuatedZonesBuilder_ = null;
+      }
       return this;
     }
 
@@ -687,6 +754,14 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.listCurrent_ = listCurrent_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.evacuatedZones_ = evacuatedZonesBuilder_ == null
+            ? evacuatedZones_
+            : evacuatedZonesBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -760,6 +835,9 @@
       if (other.getListCurrent() != false) {
         setListCurrent(other.getListCurrent());
       }
+      if (other.hasEvacuatedZones()) {
+        mergeEvacuatedZones(other.getEvacuatedZones());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -852,6 +930,13 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 162: {
+              input.readMessage(
+                  internalGetEvacuatedZonesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1566,6 +1651,161 @@
       return this;
     }
 
+    private org.zinniaspan.peer.proto.EvacuatedZonesState evacuatedZones_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.EvacuatedZonesState, org.zinniaspan.peer.proto.EvacuatedZonesState.Builder, org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder> evacuatedZonesBuilder_;
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     * @return Whether the evacuatedZones field is set.
+     */
+    public boolean hasEvacuatedZones() {
+      return ((bitField0_ & 0x00001000) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     * @return The evacuatedZones.
+     */
+    public org.zinniaspan.peer.proto.EvacuatedZonesState getEvacuatedZones() {
+      if (evacuatedZonesBuilder_ == null) {
+        return evacuatedZones_ == null ? org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+      } else {
+        return evacuatedZonesBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder setEvacuatedZones(org.zinniaspan.peer.proto.EvacuatedZonesState value) {
+      if (evacuatedZonesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        evacuatedZones_ = value;
+      } else {
+        evacuatedZonesBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder setEvacuatedZones(
+        org.zinniaspan.peer.proto.EvacuatedZonesState.Builder builderForValue) {
+      if (evacuatedZonesBuilder_ == null) {
+        evacuatedZones_ = builderForValue.build();
+      } else {
+        evacuatedZonesBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder mergeEvacuatedZones(org.zinniaspan.peer.proto.EvacuatedZonesState value) {
+      if (evacuatedZonesBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0) &&
+          evacuatedZones_ != null &&
+          evacuatedZones_ != org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance()) {
+          getEvacuatedZonesBuilder().mergeFrom(value);
+        } else {
+          evacuatedZones_ = value;
+        }
+      } else {
+        evacuatedZonesBuilder_.mergeFrom(value);
+      }
+      if (evacuatedZones_ != null) {
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public Builder clearEvacuatedZones() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      evacuatedZones_ = null;
+      if (evacuatedZonesBuilder_ != null) {
+        evacuatedZonesBuilder_.dispose();
+        evacuatedZonesBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public org.zinniaspan.peer.proto.EvacuatedZonesState.Builder getEvacuatedZonesBuilder() {
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return internalGetEvacuatedZonesFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    public org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder getEvacuatedZonesOrBuilder() {
+      if (evacuatedZonesBuilder_ != null) {
+        return evacuatedZonesBuilder_.getMessageOrBuilder();
+      } else {
+        return evacuatedZones_ == null ?
+            org.zinniaspan.peer.proto.EvacuatedZonesState.getDefaultInstance() : evacuatedZones_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the sender does not know them, or is of an earlier release.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.EvacuatedZonesState, org.zinniaspan.peer.proto.EvacuatedZonesState.Builder, org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder> 
+        internalGetEvacuatedZonesFieldBuilder() {
+      if (evacuatedZonesBuilder_ == null) {
+        evacuatedZonesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.EvacuatedZonesState, org.zinniaspan.peer.proto.EvacuatedZonesState.Builder, org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder>(
+                getEvacuatedZones(),
+                getParentForChildren(),
+                isClean());
+        evacuatedZones_ = null;
+      }
+      return evacuatedZonesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogState)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogStateOrBuilder.java
@@ -136,4 +136,31 @@
    * @return The listCurrent.
    */
   boolean getListCurrent();
+
+  /**
+   * <pre>
+   * Absent if the sender does not know them, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return Whether the evacuatedZones field is set.
+   */
+  boolean hasEvacuatedZones();
+  /**
+   * <pre>
+   * Absent if the sender does not know them, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   * @return The evacuatedZones.
+   */
+  org.zinniaspan.peer.proto.EvacuatedZonesState getEvacuatedZones();
+  /**
+   * <pre>
+   * Absent if the sender does not know them, or is of an earlier release.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.EvacuatedZonesState evacuated_zones = 20;</code>
+   */
+  org.zinniaspan.peer.proto.EvacuatedZonesStateOrBuilder getEvacuatedZonesOrBuilder();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -41,6 +41,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_CatalogQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_EvacuatedZonesState_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_EvacuatedZonesState_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_zinniaspan_peer_CatalogState_descriptor;
   static final 
@@ -155,79 +160,84 @@
       "age_ms\030\003 \001(\003\022\025\n\rassigns_slots\030\004 \001(\010\"k\n\014F" +
       "leetMembers\022,\n\006sender\030\001 \001(\0132\034.zinniaspan" +
       ".peer.FleetMember\022-\n\007members\030\002 \003(\0132\034.zin" +
-      "niaspan.peer.FleetMember\"[\n\014CatalogQuery" +
-      "\022\017\n\007version\030\001 \001(\003\022\022\n\nlist_epoch\030\002 \001(\003\022\025\n" +
-      "\rlist_sequence\030\003 \001(\003\022\017\n\007wait_ms\030\004 \001(\003\"\243\002" +
-      "\n\014CatalogState\022\017\n\007version\030\001 \001(\003\022\021\n\tconfi" +
-      "rmed\030\002 \001(\010\022\033\n\023confirmation_age_ms\030\003 \001(\003\022" +
-      "\017\n\007held_ms\030\004 \001(\003\022\020\n\010revision\030\005 \001(\003\022\022\n\nli" +
-      "st_epoch\030\006 \001(\003\022\025\n\rlist_sequence\030\007 \001(\003\022\025\n" +
-      "\rlist_included\030\010 \001(\010\0223\n\tendpoints\030\t \003(\0132" +
-      " .zinniaspan.peer.CatalogEndpoint\022\r\n\005tab" +
-      "le\030\n \001(\014\022\023\n\013store_epoch\030\013 \001(\003\022\024\n\014list_cu" +
-      "rrent\030\014 \001(\010\"\237\001\n\017CatalogEndpoint\022\n\n\002id\030\001 " +
-      "\001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n" +
-      "\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draining\030\006" +
-      " \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020software_" +
-      "version\030\010 \001(\t\"\217\002\n\013EngineQuery\022\r\n\005epoch\030\001" +
-      " \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007wait_ms\030\003 \001(\003\022" +
-      "\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001(\t\022*\n\004work\030\006 " +
-      "\003(\0132\034.zinniaspan.peer.ServiceWork\022!\n\024obs" +
-      "ervation_sequence\030\007 \001(\003H\000\210\001\001\0223\n\014observat" +
-      "ions\030\010 \001(\0132\035.zinniaspan.peer.Observation" +
-      "s\022\023\n\013min_wait_ms\030\t \001(\003B\027\n\025_observation_s" +
-      "equence\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022" +
-      "\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\313\002\n\013En" +
-      "gineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001" +
-      "(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.Engi" +
-      "neLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan.p" +
-      "eer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132\034.zi" +
-      "nniaspan.peer.ServiceWork\022\034\n\024observation" +
-      "_sequence\030\006 \001(\003\0223\n\014observations\030\007 \001(\0132\035." +
-      "zinniaspan.peer.Observations\022\017\n\007held_ms\030" +
-      "\010 \001(\003\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010stoppin" +
-      "g\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022" +
-      "\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016" +
-      "\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005\"\212\002\n\014Obser" +
-      "vations\022/\n\007crashed\030\001 \003(\0132\036.zinniaspan.pe" +
-      "er.CrashedPrompt\022/\n\010answered\030\002 \003(\0132\035.zin" +
-      "niaspan.peer.AnsweredPart\022-\n\006limits\030\003 \003(" +
-      "\0132\035.zinniaspan.peer.RequestLimit\0229\n\020reje" +
-      "ction_limits\030\004 \003(\0132\037.zinniaspan.peer.Rej" +
-      "ectionLimit\022.\n\nrejections\030\005 \003(\0132\032.zinnia" +
-      "span.peer.Rejection\"[\n\014RequestLimit\022\020\n\010e" +
-      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\n" +
-      "per_second\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n\016Rej" +
-      "ectionLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted" +
-      "_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper_sec" +
-      "ond\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_per_s" +
-      "econd\"D\n\tRejection\022\020\n\010endpoint\030\001 \001(\t\022\025\n\r" +
-      "started_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"j\n\rC" +
-      "rashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattemp" +
-      "t_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begu" +
-      "n\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022" +
-      "\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamO" +
-      "riginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007servic" +
-      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n\014rem" +
-      "aining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n" +
-      "\007origins\030\001 \003(\0132\".zinniaspan.peer.StreamO" +
-      "riginEntry\"\025\n\023StreamOriginReceipt\"K\n\021Str" +
-      "eamOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007se" +
-      "rvice\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021Stream" +
-      "OriginReply\0222\n\006origin\030\001 \001(\0132\".zinniaspan" +
-      ".peer.StreamOriginEntry\022\027\n\017recent_versio" +
-      "ns\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003\"\372\001\n\023SlotAs" +
-      "signmentQuery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epoch\030\002" +
-      " \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunanswered\030\004 \003(\003" +
-      "\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zinnia" +
-      "span.peer.HeldSlots\022\016\n\006wanted\030\007 \001(\005\022\014\n\004r" +
-      "ank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusable\030\n" +
-      " \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\twithdraws\030\014 \001" +
-      "(\010\",\n\tHeldSlots\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005cou" +
-      "nt\030\002 \001(\005\"`\n\016SlotAssignment\022\017\n\007assigns\030\001 " +
-      "\001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020expected_wait_" +
-      "ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035\n\031org.zinnia" +
-      "span.peer.protoP\001b\006proto3"
+      "niaspan.peer.FleetMember\"\232\001\n\014CatalogQuer" +
+      "y\022\017\n\007version\030\001 \001(\003\022\022\n\nlist_epoch\030\002 \001(\003\022\025" +
+      "\n\rlist_sequence\030\003 \001(\003\022\017\n\007wait_ms\030\004 \001(\003\022=" +
+      "\n\017evacuated_zones\030\024 \001(\0132$.zinniaspan.pee" +
+      "r.EvacuatedZonesState\"K\n\023EvacuatedZonesS" +
+      "tate\022\023\n\013store_epoch\030\001 \001(\003\022\020\n\010revision\030\002 " +
+      "\001(\003\022\r\n\005zones\030\003 \003(\t\"\342\002\n\014CatalogState\022\017\n\007v" +
+      "ersion\030\001 \001(\003\022\021\n\tconfirmed\030\002 \001(\010\022\033\n\023confi" +
+      "rmation_age_ms\030\003 \001(\003\022\017\n\007held_ms\030\004 \001(\003\022\020\n" +
+      "\010revision\030\005 \001(\003\022\022\n\nlist_epoch\030\006 \001(\003\022\025\n\rl" +
+      "ist_sequence\030\007 \001(\003\022\025\n\rlist_included\030\010 \001(" +
+      "\010\0223\n\tendpoints\030\t \003(\0132 .zinniaspan.peer.C" +
+      "atalogEndpoint\022\r\n\005table\030\n \001(\014\022\023\n\013store_e" +
+      "poch\030\013 \001(\003\022\024\n\014list_current\030\014 \001(\010\022=\n\017evac" +
+      "uated_zones\030\024 \001(\0132$.zinniaspan.peer.Evac" +
+      "uatedZonesState\"\237\001\n\017CatalogEndpoint\022\n\n\002i" +
+      "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(" +
+      "\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draini" +
+      "ng\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020softw" +
+      "are_version\030\010 \001(\t\"\217\002\n\013EngineQuery\022\r\n\005epo" +
+      "ch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007wait_ms\030\003 " +
+      "\001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001(\t\022*\n\004wor" +
+      "k\030\006 \003(\0132\034.zinniaspan.peer.ServiceWork\022!\n" +
+      "\024observation_sequence\030\007 \001(\003H\000\210\001\001\0223\n\014obse" +
+      "rvations\030\010 \001(\0132\035.zinniaspan.peer.Observa" +
+      "tions\022\023\n\013min_wait_ms\030\t \001(\003B\027\n\025_observati" +
+      "on_sequence\"@\n\013ServiceWork\022\017\n\007service\030\001 " +
+      "\001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\313\002" +
+      "\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence" +
+      "\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer." +
+      "EngineLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniasp" +
+      "an.peer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132" +
+      "\034.zinniaspan.peer.ServiceWork\022\034\n\024observa" +
+      "tion_sequence\030\006 \001(\003\0223\n\014observations\030\007 \001(" +
+      "\0132\035.zinniaspan.peer.Observations\022\017\n\007held" +
+      "_ms\030\010 \001(\003\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010sto" +
+      "pping\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 " +
+      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001" +
+      "(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005\"\212\002\n\014O" +
+      "bservations\022/\n\007crashed\030\001 \003(\0132\036.zinniaspa" +
+      "n.peer.CrashedPrompt\022/\n\010answered\030\002 \003(\0132\035" +
+      ".zinniaspan.peer.AnsweredPart\022-\n\006limits\030" +
+      "\003 \003(\0132\035.zinniaspan.peer.RequestLimit\0229\n\020" +
+      "rejection_limits\030\004 \003(\0132\037.zinniaspan.peer" +
+      ".RejectionLimit\022.\n\nrejections\030\005 \003(\0132\032.zi" +
+      "nniaspan.peer.Rejection\"[\n\014RequestLimit\022" +
+      "\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003" +
+      "\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n" +
+      "\016RejectionLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rsta" +
+      "rted_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper" +
+      "_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_p" +
+      "er_second\"D\n\tRejection\022\020\n\010endpoint\030\001 \001(\t" +
+      "\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"" +
+      "j\n\rCrashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nat" +
+      "tempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_" +
+      "begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredP" +
+      "art\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021Str" +
+      "eamOriginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007se" +
+      "rvice\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n" +
+      "\014remaining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdat" +
+      "e\0223\n\007origins\030\001 \003(\0132\".zinniaspan.peer.Str" +
+      "eamOriginEntry\"\025\n\023StreamOriginReceipt\"K\n" +
+      "\021StreamOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017" +
+      "\n\007service\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021St" +
+      "reamOriginReply\0222\n\006origin\030\001 \001(\0132\".zinnia" +
+      "span.peer.StreamOriginEntry\022\027\n\017recent_ve" +
+      "rsions\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003\"\372\001\n\023Sl" +
+      "otAssignmentQuery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epo" +
+      "ch\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunanswered\030\004" +
+      " \003(\003\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zi" +
+      "nniaspan.peer.HeldSlots\022\016\n\006wanted\030\007 \001(\005\022" +
+      "\014\n\004rank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusab" +
+      "le\030\n \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\twithdraws" +
+      "\030\014 \001(\010\",\n\tHeldSlots\022\020\n\010endpoint\030\001 \001(\t\022\r\n" +
+      "\005count\030\002 \001(\005\"`\n\016SlotAssignment\022\017\n\007assign" +
+      "s\030\001 \001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020expected_w" +
+      "ait_ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035\n\031org.zi" +
+      "nniaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -250,123 +260,129 @@
     internal_static_zinniaspan_peer_CatalogQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogQuery_descriptor,
-        new java.lang.String[] { "Version", "ListEpoch", "ListSequence", "WaitMs", });
-    internal_static_zinniaspan_peer_CatalogState_descriptor =
+        new java.lang.String[] { "Version", "ListEpoch", "ListSequence", "WaitMs", "EvacuatedZones", });
+    internal_static_zinniaspan_peer_EvacuatedZonesState_descriptor =
       getDescriptor().getMessageType(3);
+    internal_static_zinniaspan_peer_EvacuatedZonesState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_EvacuatedZonesState_descriptor,
+        new java.lang.String[] { "StoreEpoch", "Revision", "Zones", });
+    internal_static_zinniaspan_peer_CatalogState_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_zinniaspan_peer_CatalogState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogState_descriptor,
-        new java.lang.String[] { "Version", "Confirmed", "ConfirmationAgeMs", "HeldMs", "Revision", "ListEpoch", "ListSequence", "ListIncluded", "Endpoints", "Table", "StoreEpoch", "ListCurrent", });
+        new java.lang.String[] { "Version", "Confirmed", "ConfirmationAgeMs", "HeldMs", "Revision", "ListEpoch", "ListSequence", "ListIncluded", "Endpoints", "Table", "StoreEpoch", "ListCurrent", "EvacuatedZones", });
     internal_static_zinniaspan_peer_CatalogEndpoint_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogEndpoint_descriptor,
         new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", });
     internal_static_zinniaspan_peer_EngineQuery_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineQuery_descriptor,
         new java.lang.String[] { "Epoch", "Sequence", "WaitMs", "Zone", "Sender", "Work", "ObservationSequence", "Observations", "MinWaitMs", });
     internal_static_zinniaspan_peer_ServiceWork_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_zinniaspan_peer_ServiceWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_ServiceWork_descriptor,
         new java.lang.String[] { "Service", "Tolerant", "Strict", });
     internal_static_zinniaspan_peer_EngineState_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_zinniaspan_peer_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineState_descriptor,
         new java.lang.String[] { "Epoch", "Sequence", "Loads", "ZoneWork", "FleetWork", "ObservationSequence", "Observations", "HeldMs", "HeedsMinWait", "Stopping", });
     internal_static_zinniaspan_peer_EngineLoad_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_zinniaspan_peer_EngineLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineLoad_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", "Queued", "Active", });
     internal_static_zinniaspan_peer_Observations_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_zinniaspan_peer_Observations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Observations_descriptor,
         new java.lang.String[] { "Crashed", "Answered", "Limits", "RejectionLimits", "Rejections", });
     internal_static_zinniaspan_peer_RequestLimit_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_zinniaspan_peer_RequestLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_RequestLimit_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "PerSecond", "AgeMs", });
     internal_static_zinniaspan_peer_RejectionLimit_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_zinniaspan_peer_RejectionLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_RejectionLimit_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "Service", "PerSecond", "AgeMs", });
     internal_static_zinniaspan_peer_Rejection_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_zinniaspan_peer_Rejection_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Rejection_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", });
     internal_static_zinniaspan_peer_CrashedPrompt_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_zinniaspan_peer_CrashedPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CrashedPrompt_descriptor,
         new java.lang.String[] { "Endpoint", "AttemptId", "Parts", "AnswerBegun", "AgeMs", });
     internal_static_zinniaspan_peer_AnsweredPart_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_zinniaspan_peer_AnsweredPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_AnsweredPart_descriptor,
         new java.lang.String[] { "Part", "AgeMs", });
     internal_static_zinniaspan_peer_StreamOriginEntry_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_zinniaspan_peer_StreamOriginEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginEntry_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "SoftwareVersion", "RemainingMs", });
     internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_zinniaspan_peer_StreamOriginUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor,
         new java.lang.String[] { "Origins", });
     internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_zinniaspan_peer_StreamOriginReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor,
         new java.lang.String[] { });
     internal_static_zinniaspan_peer_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_zinniaspan_peer_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginQuery_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "ZoneWide", });
     internal_static_zinniaspan_peer_StreamOriginReply_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReply_descriptor,
         new java.lang.String[] { "Origin", "RecentVersions", "ObservedMs", });
     internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_zinniaspan_peer_SlotAssignmentQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor,
         new java.lang.String[] { "Sender", "Epoch", "Number", "Unanswered", "Service", "Held", "Wanted", "Rank", "WaitMs", "Unusable", "Announces", "Withdraws", });
     internal_static_zinniaspan_peer_HeldSlots_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_zinniaspan_peer_HeldSlots_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_HeldSlots_descriptor,
         new java.lang.String[] { "Endpoint", "Count", });
     internal_static_zinniaspan_peer_SlotAssignment_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_zinniaspan_peer_SlotAssignment_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotAssignment_descriptor,
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -3,11 +3,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.zinniaspan.forwarding.EngineCapacity;
+import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.forwarding.OrganisationSpec;
 import org.zinniaspan.forwarding.Route;
@@ -15,22 +19,36 @@
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.ServiceSpec;
 import org.zinniaspan.forwarding.WeightedService;
+import org.zinniaspan.inventory.Finding;
 
 /** Decodes the operator's configuration from JSON. */
 final class ConfigurationDecoder {
 
   private static final int DEFAULT_PRIORITY = 9;
 
-  private ConfigurationDecoder() {}
+  /** Largest length of a value that a finding quotes, in characters. */
+  private static final int MAX_QUOTED_LENGTH = 100;
+
+  private final Set<String> knownRegions;
+  private final List<Finding> findings = new ArrayList<>();
+
+  private ConfigurationDecoder(Set<String> knownRegions) {
+    this.knownRegions = knownRegions;
+  }
 
   /**
    * Returns the routing table that a configuration describes. Missing fields other than the version
    * get defaults.
    *
    * @param document bytes of the configuration
+   * @param knownRegions regions of the deployment, without which home regions are a finding
    * @throws IllegalArgumentException if the version is missing or not an integer
    */
-  static RoutingTable decode(JsonNode root, byte[] document) {
+  static RoutingTable decode(JsonNode root, byte[] document, Set<String> knownRegions) {
+    return new ConfigurationDecoder(knownRegions).table(root, document);
+  }
+
+  private RoutingTable table(JsonNode root, byte[] document) {
     if (!root.path("version").isIntegralNumber()) {
       throw new IllegalArgumentException(
           "configuration field 'version' is missing or not an integer");
@@ -41,7 +59,8 @@
     root.path("services").forEach(node -> services.put(text(node, "name"), service(node)));
     Map<String, OrganisationSpec> organisationsByKey = new HashMap<>();
     for (JsonNode node : root.path("tenants")) {
-      OrganisationSpec organisation = new OrganisationSpec(text(node, "name"), priority(node));
+      OrganisationSpec organisation =
+          new OrganisationSpec(text(node, "name"), priority(node), homeRegions(node, "tenants"));
       node.path("api_keys").forEach(key -> organisationsByKey.put(key.asText(), organisation));
     }
     return new RoutingTable(
@@ -51,10 +70,11 @@
         organisationsByKey,
         root.path("tenants").isArray() && !root.path("tenants").isEmpty(),
         limits(root.path("limits")),
-        document);
+        document,
+        findings);
   }
 
-  private static Route route(JsonNode node) {
+  private Route route(JsonNode node) {
     return new Route(
         text(node, "name"),
         text(node, "host").toLowerCase(Locale.ROOT),
@@ -67,7 +87,44 @@
         Math.max(1, node.path("max_attempts").asInt(1)),
         node.path("anonymous").asBoolean(false),
         node.path("resumable").asBoolean(false),
-        node.path("gap_target_ms").asLong(0));
+        node.path("gap_target_ms").asLong(0),
+        homeRegions(node, "routes"));
+  }
+
+  /**
+   * Returns the home regions of a route or an organisation. A value that cannot be read never
+   * widens them, since a request that has left its home regions cannot be called back: where no
+   * region can be read, none is admitted.
+   *
+   * @param list name of the list that contains the node, for findings
+   */
+  private HomeRegions homeRegions(JsonNode node, String list) {
+    JsonNode regions = node.path("allowed_regions");
+    if (regions.isMissingNode() || regions.isNull() || (regions.isArray() && regions.isEmpty())) {
+      return HomeRegions.ALL;
+    }
+    String path = list + '[' + text(node, "name") + "].allowed_regions";
+    if (!regions.isArray()) {
+      report(path, regions, "is not a list of regions");
+    }
+    Set<String> names = new HashSet<>();
+    for (JsonNode region : regions.isArray() ? regions : List.of(regions)) {
+      if (!region.isTextual()) {
+        report(path, region, "is not the name of a region, and admits none");
+        continue;
+      }
+      if (!knownRegions.contains(region.asText())) {
+        report(path, region, "is none of the regions " + new TreeSet<>(knownRegions));
+      }
+      names.add(region.asText());
+    }
+    return HomeRegions.of(names);
+  }
+
+  private void report(String path, JsonNode value, String problem) {
+    String text = value.toString();
+    String quoted = text.substring(0, Math.min(text.length(), MAX_QUOTED_LENGTH));
+    findings.add(new Finding("configuration", path, quoted + ' ' + problem));
   }
 
   private static List<WeightedService> services(JsonNode route) {
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -8,8 +8,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
@@ -21,8 +25,10 @@
 import org.zinniaspan.forwarding.EndpointChange;
 import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.OperatorState;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.StoreRevision;
+import org.zinniaspan.forwarding.ZoneEvacuation;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.BufferingHttpClient;
 
@@ -31,7 +37,9 @@
  */
 public final class StoreClient implements Catalog {
 
+  private static final String OPERATOR_PREFIX = "op/";
   private static final String CONFIGURATION_KEY = "op/config";
+  private static final String EVACUATION_PREFIX = "op/evacuate/";
   private static final String ENDPOINT_PREFIX = "servers/";
 
   /** Largest length of the reason for which an entry is ignored, in the log, in characters. */
@@ -41,6 +49,8 @@
   private final String host;
   private final long timeoutMs;
   private final ObjectMapper json = new ObjectMapper();
+  private final Map<String, String> regions;
+  private final Set<String> reportedZones = new HashSet<>();
   private long lastEpoch;
 
   /**
@@ -50,19 +60,100 @@
    * @param address address of the store, for the Host header
    * @param timeoutMs longest time until a response, in milliseconds; a watch may wait for longer by
    *     its own wait time
+   * @param regions region of each availability zone of the deployment, by the zone's name; others
+   *     in what the operator writes are reported
    */
-  public StoreClient(BufferingHttpClient httpClient, InetSocketAddress address, long timeoutMs) {
+  public StoreClient(
+      BufferingHttpClient httpClient,
+      InetSocketAddress address,
+      long timeoutMs,
+      Map<String, String> regions) {
+    this.regions = Map.copyOf(regions);
     this.httpClient = httpClient;
     this.host = address.getHostString() + ':' + address.getPort();
     this.timeoutMs = timeoutMs;
   }
 
   @Override
-  public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
+  public void readOperatorState(Consumer<CatalogResult<OperatorState>> callback) {
+    readOperatorPage(Optional.empty(), new HashSet<>(), Optional.empty(), callback);
+  }
+
+  /**
+   * Reads one page of what the operator wrote, and then the following ones. The result is as old as
+   * the first page.
+   *
+   * @param table the routing table, if an earlier page contained it
+   * @param evacuated collects the evacuated zones
+   * @param before last key and revision of the earlier pages
+   */
+  private void readOperatorPage(
+      Optional<RoutingTable> table,
+      Set<String> evacuated,
+      Optional<OperatorPage> before,
+      Consumer<CatalogResult<OperatorState>> callback) {
+    String after = before.map(page -> "&after=" + encode(page.lastKey())).orElse("");
     get(
-        "/kv-key?key=" + encode(CONFIGURATION_KEY),
+        "/kv-range?prefix=" + encode(OPERATOR_PREFIX) + after,
         timeoutMs,
-        result -> callback.accept(decode(result, this::table)));
+        result -> {
+          CatalogResult<OperatorPage> page =
+              decode(result, (body, epoch) -> operatorPage(body, epoch, evacuated));
+          if (!(page instanceof CatalogResult.Read<OperatorPage> read)) {
+            callback.accept(new CatalogResult.Failed<>(page.toString()));
+            return;
+          }
+          StoreRevision first = before.map(OperatorPage::firstRevision).orElse(read.revision());
+          if (first.epoch() != read.revision().epoch()) {
+            callback.accept(new CatalogResult.Failed<>("restored between two pages"));
+            return;
+          }
+          OperatorPage found = read.value();
+          Optional<RoutingTable> known = table.or(found::table);
+          if (found.hasMore()) {
+            OperatorPage last = new OperatorPage(known, found.lastKey(), true, first);
+            readOperatorPage(known, evacuated, Optional.of(last), callback);
+          } else {
+            callback.accept(new CatalogResult.Read<>(new OperatorState(known, evacuated), first));
+          }
+        });
+  }
+
+  private record OperatorPage(
+      Optional<RoutingTable> table, String lastKey, boolean hasMore, StoreRevision firstRevision) {}
+
+  private CatalogResult<OperatorPage> operatorPage(JsonNode body, long epoch, Set<String> evacuated)
+      throws IOException {
+    Optional<RoutingTable> table = Optional.empty();
+    String key = "";
+    for (JsonNode item : body.path("items")) {
+      key = item.path("key").asText();
+      if (key.equals(CONFIGURATION_KEY)) {
+        table = Optional.of(decodeDocument(valueBytes(item)));
+      }
+      evacuatedZone(key).ifPresent(evacuated::add);
+    }
+    StoreRevision at = new StoreRevision(epoch, body.path("at").asLong());
+    boolean hasMore = body.path("has_more").asBoolean() && !key.isEmpty();
+    return new CatalogResult.Read<>(new OperatorPage(table, key, hasMore, at), at);
+  }
+
+  /**
+   * Returns the zone whose evacuation a key requests, whatever its value; empty for other keys. An
+   * unknown zone is reported once and kept, as endpoints may state it.
+   */
+  private Optional<String> evacuatedZone(String key) {
+    if (!key.startsWith(EVACUATION_PREFIX)) {
+      return Optional.empty();
+    }
+    String zone = key.substring(EVACUATION_PREFIX.length());
+    if (!regions.containsKey(zone) && reportedZones.add(zone)) {
+      EventLog.event("evacuation-of-unknown-zone")
+          .with("key", key)
+          .with("zones", new TreeSet<>(regions.keySet()))
+          .warn();
+    }
+    return zone.isEmpty() ? Optional.empty() : Optional.of(zone);
   }
 
   @Override
@@ -175,21 +266,17 @@
     return lastEpoch;
   }
 
-  private CatalogResult<Optional<RoutingTable>> table(JsonNode item, long epoch)
-      throws IOException {
-    Optional<RoutingTable> table =
-        item.has("value") ? Optional.of(decodeDocument(valueBytes(item))) : Optional.empty();
-    long number = item.path("at").asLong(item.path("revision").asLong());
-    return new CatalogResult.Read<>(table, new StoreRevision(epoch, number));
-  }
-
   private CatalogResult.Read<CatalogChanges> changes(JsonNode body, long epoch) throws IOException {
     Optional<RoutingTable> table = Optional.empty();
     final StoreRevision at = new StoreRevision(epoch, body.path("at").asLong());
     List<CatalogChanges.AtRevision> endpoints = new ArrayList<>();
+    List<ZoneEvacuation> evacuations = new ArrayList<>();
     for (JsonNode event : body.path("events")) {
       String key = event.path("key").asText();
       boolean deleted = event.path("deleted").asBoolean(false);
+      StoreRevision revision = new StoreRevision(epoch, event.path("revision").asLong(at.number()));
+      evacuatedZone(key)
+          .ifPresent(zone -> evacuations.add(new ZoneEvacuation(zone, !deleted, revision)));
       if (key.equals(CONFIGURATION_KEY) && !deleted) {
         table = Optional.of(decodeDocument(valueBytes(event)));
       } else if (key.startsWith(ENDPOINT_PREFIX)) {
@@ -198,11 +285,10 @@
             entry
                 .<EndpointChange>map(EndpointChange.Listed::new)
                 .orElse(new EndpointChange.Removed(id(key)));
-        long revision = event.path("revision").asLong(at.number());
-        endpoints.add(new CatalogChanges.AtRevision(new StoreRevision(epoch, revision), change));
+        endpoints.add(new CatalogChanges.AtRevision(revision, change));
       }
     }
-    return new CatalogResult.Read<>(new CatalogChanges(table, endpoints), at);
+    return new CatalogResult.Read<>(new CatalogChanges(table, endpoints, evacuations), at);
   }
 
   /** Returns the id of the endpoint that a key of the store names. */
@@ -237,7 +323,8 @@
   }
 
   private RoutingTable decodeDocument(byte[] document) throws IOException {
-    return ConfigurationDecoder.decode(json.readTree(document), document);
+    return ConfigurationDecoder.decode(
+        json.readTree(document), document, Set.copyOf(regions.values()));
   }
 
   private JsonNode value(JsonNode item) throws IOException {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
+import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.MeasuredEngineSpeed;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptCrash;
@@ -94,6 +95,16 @@
     return connection.wasOpened() && verdict != Verdict.NOT_RUN;
   }
 
+  /** Returns the endpoint to which the request is sent. */
+  ListedEndpoint endpoint() {
+    return endpoint.listed();
+  }
+
+  /** Returns whether the connection is still to be opened, so that nothing was sent. */
+  boolean isOpening() {
+    return !ended && !connection.wasOpened();
+  }
+
   /** Returns the software version that the endpoint had when the request was sent. */
   @Override
   public String softwareVersion() {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -10,6 +10,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointBackoff;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointEligibility;
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector;
 import org.zinniaspan.forwarding.EngineSpeeds;
@@ -38,6 +39,7 @@
  * @param reachability whether this VM has a path to the endpoints
  * @param quarantine the prompts that are not sent, as such prompts crashed endpoints
  * @param crashWitness finds out whether endpoints crashed
+ * @param eligibility the endpoints that may receive a request by their place
  * @param relayTargets the VMs through which requests are relayed without such a path
  * @param connections connection pool for endpoints and other VMs
  * @param retryBudgets retry budget of each service, by the service's name
@@ -62,6 +64,7 @@
     EndpointReachability reachability,
     PromptQuarantine quarantine,
     CrashWitness crashWitness,
+    EndpointEligibility eligibility,
     RelayTargets relayTargets,
     EndpointConnectionPool connections,
     Map<String, ServiceRetryBudget> retryBudgets,
@@ -85,6 +88,7 @@
       SendLimits limits,
       EndpointReachability reachability,
       PromptQuarantine quarantine,
+      EndpointEligibility eligibility,
       RelayTargets relayTargets,
       EndpointConnectionPool connections,
       PlatformBounds bounds,
@@ -105,6 +109,7 @@
         reachability,
         quarantine,
         new CrashWitness(clock, quarantine, reachability, connections),
+        eligibility,
         relayTargets,
         connections,
         new HashMap<>(),
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -16,9 +16,11 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointBackoff;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointEligibility;
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
+import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
@@ -107,6 +109,7 @@
             fleet.endpoints().limits(),
             new EndpointReachability(clock, random, directory::size),
             fleet.endpoints().quarantine(),
+            new EndpointEligibility(follower.evacuatedZones(), options.zoneCosts()),
             new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
             new EndpointConnectionPool(reactor, clock),
             options.bounds(),
@@ -117,7 +120,8 @@
         .slots()
         .useOnly(
             endpoint ->
-                context.backoff().admits(endpoint)
+                context.eligibility().admits(endpoint, HomeRegions.ALL)
+                    && context.backoff().admits(endpoint)
                     && context.reachability().isReachable(endpoint.id()));
     reportSource =
         options
@@ -221,6 +225,10 @@
         () -> context.tableFreshness().ageMs() / MS_PER_SECOND);
     metrics.registerGauge(
         "zinniaspan_endpoints", "Endpoints that are listed.", () -> context.directory().size());
+    metrics.registerGauge(
+        "zinniaspan_evacuated_zones",
+        "Availability zones to whose endpoints nothing is sent.",
+        () -> context.follower().evacuatedZones().zones().size());
     metrics.registerGauge(
         "zinniaspan_requests_in_flight",
         "Requests without a final answer.",
@@ -253,13 +261,15 @@
     return !shutdown.isStopping()
         && context.follower().table().isPresent()
         && context.follower().isListComplete()
+        && context.follower().evacuatedZones().isKnown()
         && context.tableFreshness().isFresh()
         && hasPath();
   }
 
   /** Returns whether this VM reaches endpoints, or another VM that may reach them. */
   private boolean hasPath() {
-    return !context.reachability().isLost() || context.relayTargets().choose(Set.of()).isPresent();
+    return !context.reachability().isLost()
+        || context.relayTargets().choose(Set.of(), HomeRegions.ALL).isPresent();
   }
 
   private void tick() {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -8,6 +8,8 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.zinniaspan.fleet.StreamOriginResult;
+import org.zinniaspan.forwarding.HomeRegions;
+import org.zinniaspan.forwarding.OrganisationSpec;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.RequestFacts;
 import org.zinniaspan.forwarding.RequestFingerprint;
@@ -165,6 +167,19 @@
     return routed.orElseThrow().service();
   }
 
+  /**
+   * Returns the regions in which the request may be processed, by the newest configuration. On an
+   * anonymous route, those of the organisation that holds its key apply too.
+   */
+  HomeRegions homeRegions() {
+    RoutingTable newest = context.follower().table().orElseThrow();
+    Optional<OrganisationSpec> organisation =
+        routed
+            .flatMap(RouteDecision.Routed::organisation)
+            .or(() -> facts.apiKey().flatMap(newest::organisation));
+    return newest.homeRegions(route(), organisation);
+  }
+
   /** Returns whether the request waits until an endpoint takes it. */
   boolean isAwaitingRoom() {
     return !finished && sender.isAwaitingRoom();
@@ -215,7 +230,7 @@
    */
   void start() {
     Optional<RoutingTable> table = context.follower().table();
-    if (table.isEmpty()) {
+    if (table.isEmpty() || !context.follower().evacuatedZones().isKnown()) {
       refuseAndClose("no-configuration");
       return;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -119,6 +119,7 @@
     if (attempt instanceof EndpointAttempt direct) {
       direct.endRejection(nowMs);
     }
+    leaveExcludedEndpoint();
     if (awaitingRoom) {
       send();
     } else if (context.reachability().isLost()) {
@@ -127,17 +128,52 @@
   }
 
   /**
-   * Returns the endpoints that may receive the request: those of the version that began the stream,
-   * once it has begun.
+   * Returns the endpoints that may receive the request: those whose place admits it and, once its
+   * stream has begun, of the version that began it.
    */
   private List<TrackedEndpoint> candidates() {
-    return request.streamVersion().filter(context.directory().ready(request.service()));
+    List<TrackedEndpoint> ready = context.directory().ready(request.service());
+    return request
+        .streamVersion()
+        .filter(context.eligibility().filter(ready, request.homeRegions()));
+  }
+
+  /** Ends the request if the place of all endpoints excludes them. */
+  private boolean endIfExcluded() {
+    Optional<String> obstacle =
+        context
+            .eligibility()
+            .findObstacle(context.directory().ready(request.service()), request.homeRegions());
+    obstacle.ifPresent(
+        reason -> {
+          request
+              .log()
+              .addFailure(
+                  EventLog.event(reason)
+                      .with("id", request.attemptId())
+                      .with("homeRegions", request.homeRegions())
+                      .with("evacuatedZones", context.follower().evacuatedZones().zones())
+                      .with("mayHaveRun", mayHaveRun()));
+          request.fail(reason);
+        });
+    return obstacle.isPresent();
+  }
+
+  /** Leaves an endpoint that became ineligible before a connection to it was open. */
+  private void leaveExcludedEndpoint() {
+    if (attempt instanceof EndpointAttempt direct
+        && direct.isOpening()
+        && !context.eligibility().admits(direct.endpoint(), request.homeRegions())) {
+      cancel();
+      sendCount--;
+      send();
+    }
   }
 
   /** Sends the request to an endpoint, or to another VM if this one reaches none that fits. */
   void send() {
     awaitingRoom = false;
-    if (endIfQuarantined()) {
+    if (endIfQuarantined() || endIfExcluded()) {
       return;
     }
     SendDecision decision =
@@ -209,7 +245,7 @@
   }
 
   private void sendToVm() {
-    Optional<String> vm = context.relayTargets().choose(triedVms);
+    Optional<String> vm = context.relayTargets().choose(triedVms, request.homeRegions());
     if (vm.isEmpty() || triedVms.size() >= MAX_RELAYS) {
       request.fail(NO_PATH);
       return;
@@ -357,7 +393,7 @@
         || direct.silentMs(nowMs) < MIN_SILENCE_MS
         || !request.route().isIdempotent()
         || request.isRelayed()
-        || context.relayTargets().choose(triedVms).isEmpty()
+        || context.relayTargets().choose(triedVms, request.homeRegions()).isEmpty()
         || !mayRetry(true)) {
       return;
     }
@@ -451,7 +487,7 @@
             && status >= HttpStatus.SC_INTERNAL_SERVER_ERROR
             && sendCount < request.route().maxAttempts()
             && leftMs >= request.route().targetLatencyMs()
-            && context.directory().ready(request.service()).size() > triedEndpoints.size()
+            && candidates().size() > triedEndpoints.size()
             && context.retryBudget(request.service()).tryAcquire();
     if (retrying) {
       attempt = null;
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -63,6 +63,9 @@
   /** Whether a VM that is started later assigns slots; those of earlier releases do not. */
   Predicate<String> assignsSlots = address -> true;
 
+  /** Whether a VM tells others the evacuated zones; those of earlier releases do not. */
+  Predicate<String> sharesEvacuations = address -> true;
+
   private final Set<String> cutLinks = new HashSet<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/RelayTargetsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/RelayTargetsTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ZoneCosts;
 
@@ -35,7 +36,7 @@
   private Set<String> chosen(Set<String> excluded) {
     Set<String> chosen = new HashSet<>();
     for (int i = 0; i < 50; i++) {
-      targets.choose(excluded).ifPresent(chosen::add);
+      targets.choose(excluded, HomeRegions.ALL).ifPresent(chosen::add);
     }
     return chosen;
   }
@@ -50,6 +51,16 @@
     assertThat(chosen(Set.of("vm-003", "vm-006"))).containsExactly("vm-002", "vm-005", "vm-008");
   }
 
+  @Test
+  void areOutsideOfTheHomesOnlyVmsOfThisRegion() {
+    Set<String> own = Set.of("vm-003", "vm-006");
+    Set<String> region = Set.of("vm-002", "vm-003", "vm-005", "vm-006", "vm-008");
+    assertThat(targets.choose(own, HomeRegions.NONE)).isPresent();
+    assertThat(targets.choose(region, HomeRegions.NONE)).isEmpty();
+    assertThat(targets.choose(region, HomeRegions.of(Set.of("west")))).isEmpty();
+    assertThat(targets.choose(region, HomeRegions.of(Set.of("east")))).isPresent();
+  }
+
   @Test
   void areNoVmsThatFailedShortlyBefore() {
     targets.suspect("vm-003");
@@ -64,6 +75,6 @@
         .filter(vm -> !vm.equals("vm-000"))
         .forEach(fleet::kill);
     fleet.advance(10_000);
-    assertThat(targets.choose(Set.of())).isEqualTo(Optional.empty());
+    assertThat(targets.choose(Set.of(), HomeRegions.ALL)).isEqualTo(Optional.empty());
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
@@ -13,6 +13,7 @@
 import org.zinniaspan.forwarding.CatalogResult;
 import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.InboundLimits;
+import org.zinniaspan.forwarding.OperatorState;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.peer.proto.CatalogQuery;
@@ -100,8 +101,8 @@
   }
 
   @Override
-  public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
-    callStore(0, callback, () -> Optional.of(simulation.store.readTable()));
+  public void readOperatorState(Consumer<CatalogResult<OperatorState>> callback) {
+    callStore(0, callback, () -> Optional.of(simulation.store.readOperatorState()));
   }
 
   @Override
@@ -174,7 +175,19 @@
   @Override
   public void queryCatalog(
       String peer, CatalogQuery query, long timeoutMs, Consumer<Optional<CatalogState>> callback) {
-    callPeer(peer, timeoutMs, callback, (target, reply) -> target.service.onQuery(query, reply));
+    callPeer(
+        peer,
+        timeoutMs,
+        callback,
+        (target, reply) -> {
+          if (simulation.sharesEvacuations.test(peer)) {
+            target.service.onQuery(query, reply);
+          } else {
+            target.service.onQuery(
+                query.toBuilder().clearEvacuatedZones().build(),
+                state -> reply.accept(state.toBuilder().clearEvacuatedZones().build()));
+          }
+        });
   }
 
   @Override
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedStore.java
@@ -15,8 +15,10 @@
 import org.zinniaspan.forwarding.EndpointPage;
 import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.OperatorState;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.StoreRevision;
+import org.zinniaspan.forwarding.ZoneEvacuation;
 
 /** The platform's store in a simulation: one configuration version and a list of endpoints. */
 final class SimulatedStore {
@@ -32,6 +34,8 @@
   private final Map<Long, EndpointChange> history = new TreeMap<>();
   private final TreeMap<Long, Long> changedMs = new TreeMap<>();
   private final Map<Long, Long> versionRevisions = new TreeMap<>();
+  private final Set<String> evacuated = new HashSet<>();
+  private final Map<Long, ZoneEvacuation> evacuations = new TreeMap<>();
   final Set<String> refused = new HashSet<>();
   boolean down;
   long calls;
@@ -49,6 +53,9 @@
     history.keySet().removeIf(number -> number > atRevision);
     versionRevisions.keySet().removeIf(number -> number > atRevision);
     changedMs.keySet().removeIf(number -> number > atRevision);
+    evacuations.keySet().removeIf(number -> number > atRevision);
+    evacuated.clear();
+    evacuations.values().forEach(this::applyEvacuation);
     endpoints.clear();
     history.values().forEach(change -> apply(change));
     revision = atRevision;
@@ -62,6 +69,22 @@
     }
   }
 
+  /** Requests the evacuation of a zone, or takes the request back. */
+  void evacuate(String zone, boolean requested) {
+    long at = nextRevision();
+    ZoneEvacuation change = new ZoneEvacuation(zone, requested, new StoreRevision(epoch, at));
+    evacuations.put(at, change);
+    applyEvacuation(change);
+  }
+
+  private void applyEvacuation(ZoneEvacuation change) {
+    if (change.evacuated()) {
+      evacuated.add(change.zone());
+    } else {
+      evacuated.remove(change.zone());
+    }
+  }
+
   long revision() {
     return revision;
   }
@@ -105,8 +128,9 @@
     return next != null && next.getValue() < nowMs.getAsLong() - HISTORY_MS;
   }
 
-  CatalogResult<Optional<RoutingTable>> readTable() {
-    return new CatalogResult.Read<>(Optional.of(table()), at());
+  CatalogResult<OperatorState> readOperatorState() {
+    OperatorState state = new OperatorState(Optional.of(table()), evacuated);
+    return new CatalogResult.Read<>(state, at());
   }
 
   CatalogResult<List<EndpointPage>> readEndpoints() {
@@ -142,7 +166,14 @@
         });
     boolean newTable = versionRevisions.keySet().stream().anyMatch(r -> r > afterRevision);
     Optional<RoutingTable> table = newTable ? Optional.of(table()) : Optional.empty();
-    return new CatalogResult.Read<>(new CatalogChanges(table, changes), at());
+    return new CatalogResult.Read<>(
+        new CatalogChanges(table, changes, evacuationsAfter(afterRevision)), at());
+  }
+
+  private List<ZoneEvacuation> evacuationsAfter(long afterRevision) {
+    return evacuations.values().stream()
+        .filter(change -> change.revision().number() > afterRevision)
+        .toList();
   }
 
   private RoutingTable table() {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogOrderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/CatalogOrderTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -60,9 +61,9 @@
     }
 
     @Override
-    public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
-      CatalogResult<Optional<RoutingTable>> result =
-          new CatalogResult.Read<>(Optional.of(TestTables.table(7)), at());
+    public void readOperatorState(Consumer<CatalogResult<OperatorState>> callback) {
+      OperatorState state = new OperatorState(Optional.of(TestTables.table(7)), Set.of());
+      CatalogResult<OperatorState> result = new CatalogResult.Read<>(state, at());
       onTheirWay.add(() -> callback.accept(result));
     }
 
@@ -100,7 +101,8 @@
           () -> {
             CatalogResult<CatalogChanges> result =
                 new CatalogResult.Read<>(
-                    new CatalogChanges(Optional.empty(), changesAfter(afterRevision)), at());
+                    new CatalogChanges(Optional.empty(), changesAfter(afterRevision), List.of()),
+                    at());
             onTheirWay.add(() -> callback.accept(result));
           });
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/FakeCatalog.java
@@ -4,13 +4,14 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /** Catalog that records its calls; the test completes them with the {@code complete} methods. */
 final class FakeCatalog implements Catalog {
 
-  final Deque<Consumer<CatalogResult<Optional<RoutingTable>>>> tables = new ArrayDeque<>();
+  final Deque<Consumer<CatalogResult<OperatorState>>> tables = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<List<EndpointPage>>>> lists = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<CatalogChanges>>> watches = new ArrayDeque<>();
   final Deque<Consumer<CatalogResult<List<CatalogChanges.AtRevision>>>> changeReads =
@@ -20,7 +21,7 @@
   long epoch = 1;
 
   @Override
-  public void readTable(Consumer<CatalogResult<Optional<RoutingTable>>> callback) {
+  public void readOperatorState(Consumer<CatalogResult<OperatorState>> callback) {
     tables.add(callback);
   }
 
@@ -49,9 +50,12 @@
   }
 
   void completeTableRead(RoutingTable table) {
-    tables
-        .remove()
-        .accept(new CatalogResult.Read<>(Optional.of(table), new StoreRevision(epoch, 1)));
+    completeOperatorRead(1, table);
+  }
+
+  void completeOperatorRead(long revision, RoutingTable table, String... evacuatedZones) {
+    OperatorState state = new OperatorState(Optional.of(table), Set.of(evacuatedZones));
+    tables.remove().accept(new CatalogResult.Read<>(state, new StoreRevision(epoch, revision)));
   }
 
   void completeListRead(long revision, ListedEndpoint... endpoints) {
@@ -80,7 +84,19 @@
   }
 
   void completeWatch(long revision, Optional<RoutingTable> table, EndpointChange... changes) {
-    CatalogChanges value = new CatalogChanges(table, atRevision(revision, changes));
+    answerWatch(revision, new CatalogChanges(table, atRevision(revision, changes), List.of()));
+  }
+
+  /** Returns the change at a revision that begins or ends the evacuation of a zone. */
+  ZoneEvacuation evacuation(long revision, String zone, boolean evacuated) {
+    return new ZoneEvacuation(zone, evacuated, new StoreRevision(epoch, revision));
+  }
+
+  void completeEvacuations(long revision, ZoneEvacuation... evacuations) {
+    answerWatch(revision, new CatalogChanges(Optional.empty(), List.of(), List.of(evacuations)));
+  }
+
+  private void answerWatch(long revision, CatalogChanges value) {
     watches.remove().accept(new CatalogResult.Read<>(value, new StoreRevision(epoch, revision)));
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/RoutingTableTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/RoutingTableTest.java
@@ -67,7 +67,8 @@
               1,
               false,
               false,
-              0);
+              0,
+              HomeRegions.ALL);
       assertThat(split.serviceAt(0)).isEqualTo("a");
       assertThat(split.serviceAt(0.899)).isEqualTo("a");
       assertThat(split.serviceAt(0.901)).isEqualTo("b");
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/TestTables.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/TestTables.java
@@ -22,7 +22,8 @@
         2,
         false,
         false,
-        pauseTargetMs);
+        pauseTargetMs,
+        HomeRegions.ALL);
   }
 
   static RoutingTable table(long version, Route... routes) {
@@ -30,7 +31,7 @@
         version,
         List.of(routes),
         Map.of("service", new ServiceSpec("service", 100, Optional.empty())),
-        Map.of("key-1", new OrganisationSpec("organisation-1", Optional.of(1))),
+        Map.of("key-1", new OrganisationSpec("organisation-1", Optional.of(1), HomeRegions.ALL)),
         true,
         InboundLimits.DEFAULT,
         new byte[] {(byte) version});
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
@@ -1,12 +1,16 @@
 package org.zinniaspan.platform;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.OrganisationSpec;
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteKind;
@@ -15,7 +19,8 @@
 class ConfigurationDecoderTest {
 
   private static RoutingTable decode(String json) throws JsonProcessingException {
-    return ConfigurationDecoder.decode(new ObjectMapper().readTree(json), new byte[0]);
+    return ConfigurationDecoder.decode(
+        new ObjectMapper().readTree(json), new byte[0], Set.of("west", "east"));
   }
 
   @Test
@@ -37,7 +42,8 @@
     assertThat(route.isIdempotent()).isTrue();
     assertThat(route.serviceAt(0.95)).isEqualTo("t");
     assertThat(table.modelServices()).containsExactly("s");
-    assertThat(table.organisation("k2")).hasValue(new OrganisationSpec("o", Optional.of(1)));
+    assertThat(table.organisation("k2"))
+        .hasValue(new OrganisationSpec("o", Optional.of(1), HomeRegions.ALL));
     assertThat(table.limits().maxHeaderBytes()).isEqualTo(1000);
     assertThat(table.needsKey(route)).isTrue();
   }
@@ -51,6 +57,65 @@
     assertThat(table.route("h", "/x").orElseThrow().isIdempotent()).isFalse();
   }
 
+  @Nested
+  class AllowedRegions {
+
+    private RoutingTable withRegions(String ofRoute) throws JsonProcessingException {
+      return decode(
+          "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\""
+              + ofRoute
+              + "}]}");
+    }
+
+    private static HomeRegions homes(RoutingTable table) {
+      return table.route("h", "/x").orElseThrow().homeRegions();
+    }
+
+    @Test
+    void areReadOfRoutesAndOrganisations() throws JsonProcessingException {
+      RoutingTable table =
+          decode(
+              """
+              {"version":1,"routes":[{"name":"r","host":"h","prefix":"/","service":"s",
+              "allowed_regions":["west","east"]}],
+              "tenants":[{"name":"o","api_keys":["k"],"allowed_regions":["west"]}]}
+              """);
+      assertThat(homes(table)).isEqualTo(HomeRegions.of(Set.of("west", "east")));
+      assertThat(table.organisation("k").orElseThrow().homeRegions())
+          .isEqualTo(HomeRegions.of(Set.of("west")));
+      assertThat(table.findings()).isEmpty();
+    }
+
+    @Test
+    void areAllIfNoneIsStated() throws JsonProcessingException {
+      for (String none :
+          new String[] {"", ",\"allowed_regions\":[]", ",\"allowed_regions\":null"}) {
+        assertThat(homes(withRegions(none))).isEqualTo(HomeRegions.ALL);
+        assertThat(withRegions(none).findings()).isEmpty();
+      }
+    }
+
+    @Test
+    void areNeverWidenedByValuesThatCannotBeRead() throws JsonProcessingException {
+      HomeRegions west = HomeRegions.of(Set.of("west"));
+      assertThat(homes(withRegions(",\"allowed_regions\":\"west\""))).isEqualTo(west);
+      assertThat(homes(withRegions(",\"allowed_regions\":[\"west\",7]"))).isEqualTo(west);
+      for (String odd : new String[] {"7", "true", "{}", "{\"west\":1}", "[7]", "[[\"west\"]]"}) {
+        RoutingTable table = withRegions(",\"allowed_regions\":" + odd);
+        assertWithMessage(odd).that(homes(table)).isEqualTo(HomeRegions.NONE);
+        assertWithMessage(odd).that(table.findings()).isNotEmpty();
+      }
+    }
+
+    @Test
+    void areReportedIfUnknown() throws JsonProcessingException {
+      RoutingTable table = withRegions(",\"allowed_regions\":[\"north\"]");
+      assertThat(homes(table)).isEqualTo(HomeRegions.of(Set.of("north")));
+      assertThat(table.findings().get(0).toString())
+          .contains("routes[r].allowed_regions: \"north\"");
+    }
+  }
+
   @Test
   void refusesConfigurationsWithoutVersion() {
     assertThrows(IllegalArgumentException.class, () -> decode("{\"routes\":[]}"));
