Rank VMs once per change of the fleet, and measure forward daemons

Cause: each call of RoleHolders, EngineSharing and SlotAssignerRole listed the live VMs anew, rankings were sorted with two hashes a comparison and renewed five times a second for each role and zone.

Change: FleetMembership keeps the live VMs by zone until one is found, lost or expires; rankings are sorted by weights that are computed once, and stay while no VM came or went.

Tests: FleetMembershipTest, RendezvousHashTest, CatalogSharingTest, EngineSharingTest, SlotSharingTest and RelayTargetsTest passed.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/cost/CostCommand.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/cost/CostCommand.java
@@ -15,7 +15,8 @@
 @Parameters(commandDescription = "Measure processor time, memory and network use of entry VMs.")
 public final class CostCommand implements StandinCommand {
 
-  private static final List<String> PARTS = List.of("start", "path", "vms", "endpoints", "changes");
+  private static final List<String> PARTS =
+      List.of("start", "path", "vms", "endpoints", "changes", "forward");
 
   @ParametersDelegate private final CostSettings settings = new CostSettings();
 
@@ -38,6 +39,7 @@
       case "path" -> new RequestPathCost(settings, logs, System.out).measure();
       case "vms" -> control.measureByVms();
       case "endpoints" -> control.measureByEndpoints();
+      case "forward" -> new ForwardFleetCost(settings, logs, System.out).measure();
       case "changes" -> control.measureByChanges();
       default ->
           throw new IllegalArgumentException(
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/cost/CostSettings.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/cost/CostSettings.java
@@ -12,7 +12,7 @@
 
   @Parameter(
       names = "--parts",
-      description = "Measurements to run: start, path, vms, endpoints, changes.")
+      description = "Measurements to run: start, path, vms, endpoints, changes, forward.")
   List<String> parts = new ArrayList<>(List.of("start", "path", "vms", "endpoints", "changes"));
 
   @Parameter(names = "--seconds", description = "Duration of each measurement, in seconds.")
@@ -47,6 +47,11 @@
   @Parameter(names = "--entry-flags", description = "Flags for the entry VMs, separated by spaces.")
   String entryFlags = "";
 
+  @Parameter(
+      names = "--class-path",
+      description = "Class path of the forward daemons; default: that of this process.")
+  String classPath = "";
+
   @Parameter(
       names = "--logs",
       description = "Directory for process logs; default: a new temporary directory.")
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -95,6 +95,7 @@
   private final Map<String, EndpointLocation> locations = new LinkedHashMap<>();
   private final List<String> peerAddresses = new ArrayList<>();
   private int configurationVersion;
+  private int maxSeeds = Integer.MAX_VALUE;
   private int slots = DEFAULT_SLOTS;
 
   /** Starts the store; daemons write their logs to the given directory. */
@@ -117,6 +118,11 @@
     slots = perEndpoint;
   }
 
+  /** Sets how many of the daemons that were started before a new one gets as its seeds. */
+  public void setMaxSeeds(int count) {
+    maxSeeds = count;
+  }
+
   /** Starts an endpoint with the default software and registers it in the store as ready. */
   public EndpointStandIn addEndpoint(String id, String zone, long delayMs) throws IOException {
     return addEndpoint(id, zone, EndpointStandIn.DEFAULT_SOFTWARE, delayMs);
@@ -226,7 +232,8 @@
                 "--peer-listen",
                 Addresses.format(peerAddress),
                 "--seeds",
-                String.join(",", peerAddresses),
+                String.join(
+                    ",", peerAddresses.subList(0, Math.min(maxSeeds, peerAddresses.size()))),
                 "--platform",
                 storeAddress,
                 "--grace-s",
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -86,6 +87,14 @@
   private boolean leaving;
   private boolean assignsSlots;
 
+  /** What was worked out from the live VMs; it holds until one is found, lost or expires. */
+  private final Map<String, List<String>> liveByZone = new HashMap<>();
+
+  private List<String> liveZones = List.of();
+  private int liveVms = 1;
+  private long liveUntilMs = Long.MIN_VALUE;
+  private long revision;
+
   /**
    * Creates a membership that knows only this VM.
    *
@@ -118,18 +127,45 @@
 
   /** Returns the addresses of the live VMs of a zone, in order, this VM included. */
   public List<String> live(String ofZone) {
-    List<String> live = new ArrayList<>();
-    rows.forEach(
-        (address, row) -> {
-          if (row.zone.equals(ofZone) && isLive(row)) {
-            live.add(address);
-          }
-        });
-    if (ofZone.equals(zone) && !leaving) {
-      live.add(self);
-      live.sort(null);
+    updateLive();
+    return liveByZone.getOrDefault(ofZone, List.of());
+  }
+
+  /** Returns a number that changes whenever the set of live VMs may have changed. */
+  long revision() {
+    updateLive();
+    return revision;
+  }
+
+  private void updateLive() {
+    long now = clock.nowMs();
+    if (now <= liveUntilMs) {
+      return;
+    }
+    revision++;
+    liveUntilMs = Long.MAX_VALUE;
+    liveVms = 1;
+    Map<String, List<String>> found = new TreeMap<>();
+    found.put(zone, new ArrayList<>());
+    for (Map.Entry<String, Row> entry : rows.entrySet()) {
+      Row row = entry.getValue();
+      if (isLive(row)) {
+        liveVms++;
+        liveUntilMs = Math.min(liveUntilMs, row.heardMs + LIVE_MS);
+        found.computeIfAbsent(row.zone, z -> new ArrayList<>()).add(entry.getKey());
+      }
+    }
+    liveZones = List.copyOf(found.keySet());
+    if (!leaving) {
+      found.get(zone).add(self);
+      found.get(zone).sort(null);
     }
-    return live;
+    liveByZone.clear();
+    found.forEach((name, addresses) -> liveByZone.put(name, List.copyOf(addresses)));
+  }
+
+  private void onLiveChanged() {
+    liveUntilMs = Long.MIN_VALUE;
   }
 
   /** Announces that this VM can assign the slots of endpoints, which earlier releases cannot. */
@@ -158,15 +194,14 @@
 
   /** Returns the zones of the live VMs, in order, that of this VM included. */
   public List<String> zones() {
-    List<String> zones = new ArrayList<>();
-    zones.add(zone);
-    rows.values().stream().filter(this::isLive).forEach(row -> zones.add(row.zone));
-    return zones.stream().distinct().sorted().toList();
+    updateLive();
+    return liveZones;
   }
 
   /** Returns the number of live VMs, including this one. */
   public int liveCount() {
-    return 1 + (int) rows.values().stream().filter(this::isLive).count();
+    updateLive();
+    return liveVms;
   }
 
   /**
@@ -184,6 +219,7 @@
   /** Stops announcing this VM, so that the others give its roles to another one. */
   public void leave() {
     leaving = true;
+    onLiveChanged();
   }
 
   @Override
@@ -230,6 +266,7 @@
     if (gapMs > MAX_TICK_GAP_MS) {
       EventLog.event("fleet-paused").with("gapMs", gapMs).warn();
       rows.values().forEach(row -> row.heardMs = Math.min(now, row.heardMs + gapMs));
+      onLiveChanged();
     }
   }
 
@@ -283,10 +320,14 @@
     Row row = rows.get(member.getAddress());
     if (row == null || !row.zone.equals(member.getZone())) {
       rows.put(member.getAddress(), new Row(member.getZone(), heardMs));
+      onLiveChanged();
       if (member.getZone().equals(zone)) {
         EventLog.event("fleet-vm-found").with("vm", member.getAddress()).info();
       }
     } else {
+      if (!isLive(row)) {
+        onLiveChanged();
+      }
       row.heardMs = Math.max(row.heardMs, heardMs);
     }
     // VMs of earlier releases pass members on without this.
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/RoleHolders.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/RoleHolders.java
@@ -26,7 +26,7 @@
   /** Longest time for which a ranking is kept, in milliseconds. */
   private static final long RANKING_AGE_MS = 200;
 
-  private record Ranking(List<String> addresses, long atMs) {}
+  private record Ranking(List<String> addresses, long revision, long atMs) {}
 
   private final String role;
   private final FleetMembership members;
@@ -71,10 +71,17 @@
   private List<String> ranked(String zone) {
     Ranking known = rankings.get(zone);
     if (known == null || clock.nowMs() - known.atMs() > RANKING_AGE_MS) {
-      List<String> live = members.live(zone);
-      known = new Ranking(RendezvousHash.ranked(role, live, live.size()), clock.nowMs());
+      known = new Ranking(rank(zone, known), members.revision(), clock.nowMs());
       rankings.put(zone, known);
     }
     return known.addresses();
   }
+
+  private List<String> rank(String zone, Ranking known) {
+    if (known != null && known.revision() == members.revision()) {
+      return known.addresses();
+    }
+    List<String> live = members.live(zone);
+    return RendezvousHash.ranked(role, live, live.size());
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/membership/RendezvousHash.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/membership/RendezvousHash.java
@@ -13,6 +13,13 @@
  */
 public final class RendezvousHash {
 
+  private static final Comparator<Weighted<?>> BY_RANK =
+      Comparator.<Weighted<?>>comparingLong(weighted -> -weighted.weight())
+          .thenComparing(Weighted::name);
+
+  /** A member with its weight, which is computed once and not for each comparison. */
+  private record Weighted<T>(T item, String name, long weight) {}
+
   private RendezvousHash() {}
 
   /**
@@ -21,16 +28,21 @@
    * @throws java.util.NoSuchElementException if there are no members
    */
   public static Member owner(String key, Collection<Member> members) {
-    return members.stream().min(byRank(key, Member::vm)).orElseThrow();
+    return members.stream()
+        .map(member -> new Weighted<>(member, member.vm(), weight(key, member.vm())))
+        .min(BY_RANK)
+        .orElseThrow()
+        .item();
   }
 
   /** Returns the first {@code count} names in rank order for a key, or all if there are fewer. */
   public static List<String> ranked(String key, Collection<String> names, int count) {
-    return names.stream().sorted(byRank(key, name -> name)).limit(count).toList();
-  }
-
-  private static <T> Comparator<T> byRank(String key, java.util.function.Function<T, String> name) {
-    return Comparator.<T>comparingLong(item -> -weight(key, name.apply(item))).thenComparing(name);
+    return names.stream()
+        .map(name -> new Weighted<>(name, name, weight(key, name)))
+        .sorted(BY_RANK)
+        .limit(count)
+        .map(Weighted::item)
+        .toList();
   }
 
   private static long weight(String key, String name) {
