--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -130,6 +130,14 @@
     store.put("op/config", String.format(CONFIGURATION, version, key));
   }
 
+  /** Publishes a configuration in which all routes have the home regions of a JSON value. */
+  void publishWithHomes(long version, String homes) {
+    String configuration = String.format(CONFIGURATION, version, "key-1");
+    store.put(
+        "op/config",
+        configuration.replace("\"host\"", "\"allowed_regions\":" + homes + ",\"host\""));
+  }
+
   void putEndpointEntry(String id, RawServer endpoint, String zone) {
     store.put("servers/" + id, endpointEntry(endpoint, zone, 1));
   }
