--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
@@ -263,7 +263,7 @@
   private void excusePause(long now) {
     long gapMs = now - lastTickMs;
     lastTickMs = now;
-    if (gapMs > MAX_TICK_GAP_MS) {
+    if (gapMs > MAX_TICK_GAP_MS && !rows.isEmpty()) {
       EventLog.event("fleet-paused").with("gapMs", gapMs).warn();
       rows.values().forEach(row -> row.heardMs = Math.min(now, row.heardMs + gapMs));
       onLiveChanged();
