Tick what no request waits for every 60 ms, and sum work by change

Cause: each 20 ms a daemon went through its clients of VMs and engines, the membership, the catalogue and the engines of each service, and an observer summed the work of all VMs of all zones.

Change: these run every 60 ms; slots, observations and origins of streams stay at 20 ms. The observer sums the work every 200 ms, and a board without new reports looks at none.

Tests: CatalogSharingTest, EngineSharingTest, ReportPollerTest, LimitSharingTest and PromptSharingTest passed.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
@@ -125,6 +125,9 @@
       batchStarted = false;
       entries.keySet().removeIf(id -> !directory.contains(id));
     }
+    if (held.isEmpty()) {
+      return;
+    }
     List<HeldQuery> due =
         held.stream()
             .filter(
@@ -152,6 +155,9 @@
   }
 
   private boolean hasNew(EngineQuery query) {
+    if (query.getEpoch() == epoch && query.getSequence() >= sequence) {
+      return false;
+    }
     return entries.values().stream().anyMatch(entry -> isNew(entry, query));
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -44,6 +44,9 @@
   /** Shortest time between two reports of the same observations, in milliseconds. */
   private static final long REPORT_INTERVAL_MS = 300;
 
+  /** Interval in which an observer sums the work of all VMs for itself, in milliseconds. */
+  private static final long WORK_INTERVAL_MS = 200;
+
   /** Rank of a VM that is not an observer for the engines of other zones. */
   private static final int FAR_RANK = 3;
 
@@ -75,6 +78,7 @@
   private final Clock clock;
   private final Map<String, Source> sourcesByZone = new HashMap<>();
   private boolean observing;
+  private long nextWorkMs;
 
   /** Creates a sharing that has not found an observer yet. */
   public EngineSharing(
@@ -122,7 +126,10 @@
       query(members.zone(), "");
       return;
     }
-    board.work().useFleetWork(board.work().fleetWork());
+    if (clock.nowMs() >= nextWorkMs) {
+      nextWorkMs = clock.nowMs() + WORK_INTERVAL_MS;
+      board.work().useFleetWork(board.work().fleetWork());
+    }
     for (String zone : members.zones()) {
       if (!zone.equals(members.zone())) {
         query(zone, zone);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -40,6 +40,12 @@
   /** Time between two ticks, in milliseconds; a timeout takes effect at most this much late. */
   private static final long TICK_MS = 20;
 
+  /**
+   * Time between two ticks of what no request waits for, in milliseconds; it delays changes of the
+   * configuration and the discovery of VMs, whose bounds are seconds.
+   */
+  private static final long SLOW_TICK_MS = 60;
+
   /** Address of a VM without a peer address, which no other VM asks. */
   private static final String LONE_VM = "none";
 
@@ -57,6 +63,7 @@
   private final EngineReportSource reportSource;
   private final ReportPoller reportPoller;
   private final FleetComponents fleet;
+  private long nextSlowTickMs;
 
   private ForwardDaemon(Options options) {
     shutdown = new ShutdownSequence(clock, options.bounds().graceMs());
@@ -186,7 +193,7 @@
   }
 
   private void startServing(Options options) throws IOException {
-    reactor.runLocked(fleet::tick);
+    reactor.runLocked(() -> fleet.tick(true));
     ReadinessHandler readiness = new ReadinessHandler(this::isReady);
     reactor.listen(options.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
     if (options.metricsListen().isPresent()) {
@@ -263,19 +270,25 @@
   }
 
   private void tick() {
-    platformClient.tick();
-    fleet.tick();
+    long now = clock.nowMs();
+    boolean slow = now >= nextSlowTickMs;
+    if (slow) {
+      nextSlowTickMs = now + SLOW_TICK_MS;
+      platformClient.tick();
+    }
+    fleet.tick(slow);
     context.directory().tick();
     context.quarantine().tick();
     context.crashWitness().tick();
     server.tick();
-    reportSource.tick();
-    reportPoller.tick();
-    context
-        .follower()
-        .table()
-        .ifPresent(table -> table.modelServices().forEach(reportPoller::poll));
-    long now = clock.nowMs();
+    if (slow) {
+      reportSource.tick();
+      reportPoller.tick();
+      context
+          .follower()
+          .table()
+          .ifPresent(table -> table.modelServices().forEach(reportPoller::poll));
+    }
     if (shutdown.refusesNewRequests(now)) {
       server.closeIdle();
     }
