Check home regions and evacuations in the soak

After all faults have ended, a zone is evacuated and returned, and the organisation gets a home region; the endpoints excluded by that must receive nothing once all daemons have adopted the change.

--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -142,6 +142,11 @@
     return locations.get(id).address();
   }
 
+  /** Returns the availability zone in which an endpoint is registered. */
+  public String endpointZone(String id) {
+    return locations.get(id).zone();
+  }
+
   /** Registers an endpoint at another address, such as that of a proxy in front of it. */
   public void setEndpointAddress(String id, String address) {
     locations.put(id, new EndpointLocation(address, locations.get(id).zone()));
@@ -170,12 +175,31 @@
 
   /** Publishes the next version of the configuration, with organisation {@code org-KEY} per key. */
   public void publishConfiguration(List<String> keys) throws IOException {
+    publishConfiguration(keys, List.of());
+  }
+
+  /**
+   * Publishes the next version of the configuration.
+   *
+   * @param keys API keys, each of an organisation {@code org-KEY}
+   * @param homeRegions home regions of the organisations; empty for all regions
+   * @return the version
+   */
+  public int publishConfiguration(List<String> keys, List<String> homeRegions) throws IOException {
     configurationVersion++;
     List<Map<String, Object>> organisations = new ArrayList<>();
     keys.forEach(
         key ->
             organisations.add(
-                Map.of("name", "org-" + key, "api_keys", List.of(key), "priority", 1)));
+                Map.of(
+                    "name",
+                    "org-" + key,
+                    "api_keys",
+                    List.of(key),
+                    "priority",
+                    1,
+                    "allowed_regions",
+                    homeRegions)));
     store.put(
         "op/config",
         json.createObjectNode()
@@ -184,6 +208,7 @@
             .putPOJO("services", List.of(serviceConfiguration()))
             .<ObjectNode>set("routes", json.readTree(ROUTES_JSON))
             .toString());
+    return configurationVersion;
   }
 
   private Map<String, Object> serviceConfiguration() {
--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakRun.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/soak/SoakRun.java
@@ -113,6 +113,7 @@
       runWithFaults(daemons, faults);
       violations.addAll(checkRecovery(daemons, faults.revokedMs()));
       violations.addAll(new EndpointProtectionCheck(site, daemons).violations());
+      violations.addAll(new EndpointPlaceCheck(site, daemons).violations());
       List<EndpointStandIn.Execution> executions =
           site.endpoints().values().stream().flatMap(e -> e.executions().stream()).toList();
       violations.addAll(new SoakChecks(calls, executions, faults.revokedMs()).violations());
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EvacuatedZonesTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EvacuatedZonesTest.java
@@ -58,7 +58,7 @@
     }
 
     @Test
-    void areNotUndoneByAReadThatWasSentBefore() {
+    void areNotUndoneByReadsThatWereSentBefore() {
       followed.advance(5_000);
       catalog.completeEvacuations(60, catalog.evacuation(55, "zone-a", true));
       catalog.completeOperatorRead(50, TestTables.table(7));
@@ -89,7 +89,7 @@
     }
 
     @Test
-    void afterTheHistoryIsLostUntilAReadShowsThatTheyEnded() {
+    void afterTheHistoryIsLostUntilReadsShowThatTheyEnded() {
       read(50, "zone-a");
       catalog.watches.remove().accept(new CatalogResult.HistoryLost<>());
       assertThat(zones.contains("zone-a")).isTrue();
@@ -98,7 +98,7 @@
     }
 
     @Test
-    void inARestoredStoreThatLacksThemUntilTheyAreWrittenAgain() {
+    void inRestoredStoresThatLackThemUntilTheyAreWrittenAgain() {
       read(50, "zone-a");
       catalog.epoch = 2;
       read(20, "zone-b");
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
@@ -62,7 +62,8 @@
 
     private RoutingTable withRegions(String ofRoute) throws JsonProcessingException {
       return decode(
-          "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\""
+          "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\","
+              + "\"service\":\"s\""
               + ofRoute
               + "}]}");
     }
