Learn a speed for each endpoint from its answers

Engines of one service may take 0.7 to 1.7 times the usual time for a step, but TimeToFirstByteSelector knew one speed for a service, so the slow ones got as many streams as the others.

Each endpoint keeps evidence of its speed: the median pause between the events of its streams, and the time of its plain calls. EndpointSpeeds draws it to the mean of the service while it is thin or no more than chance. VMs report their observations with the queries that they send anyway, and observers tell the sums with load reports. A plain call that takes over half of its target makes the next calls avoid its endpoint for a moment.

--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
@@ -38,6 +38,7 @@
   private final EndpointDirectory directory;
   private final WorkExchange work;
   private final ObservationExchange observations;
+  private final SpeedExchange speeds;
   private final Clock clock;
   private final long epoch;
   private final Map<String, Entry> entries = new HashMap<>();
@@ -63,6 +64,7 @@
     this.directory = directory;
     this.work = new WorkExchange(streamWork, clock);
     this.observations = observations;
+    this.speeds = new SpeedExchange(directory, clock);
     this.clock = clock;
     this.epoch = epoch;
   }
@@ -92,6 +94,11 @@
     return work;
   }
 
+  /** Returns the exchange of the speeds of endpoints. */
+  SpeedExchange speeds() {
+    return speeds;
+  }
+
   /** Returns the exchange of what VMs tell each other besides load reports. */
   ObservationExchange observations() {
     return observations;
@@ -103,6 +110,7 @@
       work.onMember(query.getSender(), query.getWorkList());
     }
     observations.merge(query.getObservations());
+    speeds.onReported(query);
     HeldQuery entry = new HeldQuery(query, clock.nowMs(), responder);
     boolean isDue = hasNew(query) && query.getMinWaitMs() <= 0;
     if (stopped || isDue || hasNewObservations(query)) {
@@ -195,12 +203,13 @@
   }
 
   private EngineLoad encode(Entry entry) {
-    return EngineLoad.newBuilder()
-        .setEndpoint(entry.engine().id())
-        .setStartedAtMs(entry.engine().startedAtMs())
-        .setAgeMs(clock.nowMs() - entry.requestedMs())
-        .setQueued(entry.report().queued())
-        .setActive(entry.report().active())
-        .build();
+    EngineLoad.Builder load =
+        EngineLoad.newBuilder()
+            .setEndpoint(entry.engine().id())
+            .setStartedAtMs(entry.engine().startedAtMs())
+            .setAgeMs(clock.nowMs() - entry.requestedMs())
+            .setQueued(entry.report().queued())
+            .setActive(entry.report().active());
+    return speeds.withSums(entry.engine(), load).build();
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -147,6 +147,7 @@
         newQuery(source).setWaitMs(WAIT_MS).setZone(engineZone).setMinWaitMs(MIN_INTERVAL_MS);
     if (engineZone.isEmpty()) {
       query.addAllWork(board.work().ownWork());
+      board.speeds().report(query);
     }
     peers.queryEngines(
         observer.get(),
@@ -253,5 +254,6 @@
     if (board.record(engine.get().listed(), report, requestedMs)) {
       engine.get().onReport(report, requestedMs);
     }
+    board.speeds().onTold(engine.get(), load);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -13,10 +13,10 @@
  * Selects the endpoint with the lowest cost, which is mainly the expected time to first byte.
  *
  * <p>The cost adds up the prefill of the prompts that wait at the endpoint and of the part of this
- * prompt that is not cached there, the recently observed delay, for strict streams the recently
- * observed pauses, the distance, and a penalty for recent failures. Prompt parts that many requests
- * share have a home endpoint. All VMs find it by rendezvous hashing, so that a VM can count on
- * parts that other VMs sent there.
+ * prompt that is not cached there, by the speed that the endpoint's answers tell, the recently
+ * observed delay, for strict streams the recently observed pauses, the distance, and a penalty for
+ * recent failures. Prompt parts that many requests share have a home endpoint. All VMs find it by
+ * rendezvous hashing, so that a VM can count on parts that other VMs sent there.
  */
 public final class TimeToFirstByteSelector implements EndpointSelector {
 
@@ -98,18 +98,23 @@
     Optional<Prompt> prompt = demand.prompt();
     Set<String> preferred = preferred(candidates, demand);
     Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, preferred));
+    long now = clock.nowMs();
+    List<SpeedEvidence> evidence =
+        candidates.stream().map(candidate -> candidate.pace().evidence(now)).toList();
+    EndpointSpeeds relative = EndpointSpeeds.of(evidence);
     Selection best = null;
     double bestCost = Double.MAX_VALUE;
-    for (TrackedEndpoint candidate : candidates) {
+    for (int i = 0; i < candidates.size(); i++) {
+      TrackedEndpoint candidate = candidates.get(i);
       if (excluded.contains(candidate.listed().id())) {
         continue;
       }
-      Selection selection = estimate(candidate, demand, home);
+      Selection selection = estimate(candidate, demand, home, relative.factor(evidence.get(i)));
       double cost =
           selection.expectedMs() * (1 - JITTER_SHARE * random.nextDouble())
               + zoneCosts.costMs(candidate.listed().zone())
               + REPEATED_PREFILL_COST_MS * repeatedTokens(candidate, prompt, home)
-              + (demand.toleratesPauses() ? 0 : candidate.pauseMs(clock.nowMs()))
+              + (demand.toleratesPauses() ? 0 : candidate.pauseMs(now))
               + (preferred.contains(candidate.listed().id()) ? 0 : misplacementCostMs(demand))
               + random.nextDouble() * JITTER_MS;
       if (cost < bestCost) {
@@ -151,7 +156,13 @@
     return TOLERANT_MISPLACEMENT_COST_MS * thousands * thousands;
   }
 
-  private Selection estimate(TrackedEndpoint candidate, Demand demand, Optional<String> home) {
+  /**
+   * Estimates the time to the first byte of an endpoint.
+   *
+   * @param slowness the time that this endpoint takes, as a multiple of the mean endpoint's
+   */
+  private Selection estimate(
+      TrackedEndpoint candidate, Demand demand, Optional<String> home, double slowness) {
     long now = clock.nowMs();
     Optional<Prompt> prompt = demand.prompt();
     EngineSpeed speed = speeds.apply(candidate.listed().service());
@@ -160,7 +171,8 @@
             + FAILURE_COST_MS * candidate.failures(now);
     if (prompt.isEmpty()) {
       double load = (double) candidate.inFlight() / Math.max(1, candidate.listed().slots());
-      return new Selection(candidate, expectedMs + speed.plainCallMs() * load, 0);
+      double callMs = speed.plainCallMs() * Math.max(0, slowness * (1 + load) - 1);
+      return new Selection(candidate, expectedMs + callMs, 0);
     }
     boolean isHome = home.equals(Optional.of(candidate.listed().id()));
     long uncached = uncachedTokens(candidate, prompt.get(), isHome);
@@ -169,8 +181,8 @@
         candidate.slotQueueLength()
             * speed.streamSlotMs()
             / Math.max(1, candidate.listed().slots());
-    return new Selection(
-        candidate, expectedMs + prefillMs + slotMs + speed.firstEventMs(), uncached);
+    double engineMs = slowness * (prefillMs + slotMs + speed.firstEventMs());
+    return new Selection(candidate, expectedMs + engineMs, uncached);
   }
 
   /**
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -63,6 +63,7 @@
   private final DecayingValue tolerantDelayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
   private final DecayingValue pauseMs = new DecayingValue(PAUSE_HALF_LIFE_MS);
   private final DecayingValue failures = new DecayingValue(FAILURE_HALF_LIFE_MS);
+  private EndpointPace pace = new EndpointPace();
   private final Map<String, Boolean> cachedParts =
       new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -90,6 +91,7 @@
       cachedParts.clear();
       report = null;
       statedDraining = false;
+      pace = new EndpointPace();
     }
     listed = entry;
   }
@@ -181,6 +183,11 @@
     return pauseMs.at(nowMs);
   }
 
+  /** Returns the evidence of the speed of this incarnation. */
+  public EndpointPace pace() {
+    return pace;
+  }
+
   /** Records a failure. */
   public void onFailure(long nowMs) {
     failures.add(1, nowMs);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -11,6 +11,7 @@
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.MeasuredEngineSpeed;
+import org.zinniaspan.forwarding.PauseMedian;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptCrash;
 import org.zinniaspan.forwarding.RouteKind;
@@ -45,6 +46,12 @@
    */
   private static final long MAX_REJECTION_BODY_MS = 100;
 
+  /**
+   * Share of the latency target that a plain call takes at an endpoint that is slow for the moment,
+   * so that the next calls go to others.
+   */
+  private static final double SLOW_CALL_TARGET_SHARE = 0.5;
+
   private final RequestSender sender;
   private final ProxiedRequest proxiedRequest;
   private final Selection selection;
@@ -54,6 +61,7 @@
   private final long sentMs;
   private final ResponseBody content;
   private final EventForwarder events;
+  private final PauseMedian pauses = new PauseMedian();
   private HttpResponse head;
   private Verdict verdict = Verdict.UNUSABLE;
   private boolean unloaded;
@@ -207,6 +215,7 @@
   }
 
   private void onEvents() {
+    pauses.onEvents(proxiedRequest.context().clock().nowMs());
     if (promptDone) {
       recordAnswered();
     }
@@ -346,6 +355,7 @@
   private void recordStream(long now) {
     long outputTokens = proxiedRequest.prompt().map(Prompt::maxOutputTokens).orElse(0L);
     if (promptDone) {
+      endpoint.pace().onStream(pauses.medianMs(), pauses.count(), now);
       speed().onStream(now - sentMs, now - firstEventMs, outputTokens, endpoint.listed().slots());
     }
   }
@@ -360,11 +370,22 @@
     } else {
       endpoint.onSuccess(now);
       recordAnswered();
-      speed().onPlainCall(now - sentMs);
+      recordPlainCall(now - sentMs, now);
     }
     proxiedRequest.onWholeResponse(head, body);
   }
 
+  private void recordPlainCall(long elapsedMs, long now) {
+    speed().onPlainCall(elapsedMs);
+    if (proxiedRequest.prompt().isPresent()) {
+      return;
+    }
+    endpoint.pace().onPlainCall(elapsedMs, now);
+    if (elapsedMs > SLOW_CALL_TARGET_SHARE * proxiedRequest.route().targetLatencyMs()) {
+      endpoint.onDelay(false, elapsedMs - speed().plainCallMs(), now);
+    }
+  }
+
   @Override
   public void onConnectionLost(boolean opened, Optional<Exception> cause) {
     if (verdict == Verdict.NOT_RUN) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedEndpoint.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedEndpoint.java
@@ -65,6 +65,7 @@
   private final Set<String> cachedParts = new HashSet<>();
   private Optional<Integer> rejectionsPerSecond = Optional.empty();
   private boolean queueIsShort;
+  private double slowness = 1;
   private boolean down;
   private double prefillFreeMs;
   private int incarnation;
@@ -128,6 +129,11 @@
     queueIsShort = false;
   }
 
+  /** Lets each request take a multiple of the usual time from now on. */
+  void slowDown(double factor) {
+    slowness = factor;
+  }
+
   void shortenQueue() {
     queueIsShort = true;
   }
@@ -197,13 +203,14 @@
       }
     }
     cachedParts.addAll(prompt.partIds());
-    prefillFreeMs = Math.max(prefillFreeMs, fleet.nowMs) + tokens / PREFILL_TOKENS_PER_MS;
+    prefillFreeMs =
+        Math.max(prefillFreeMs, fleet.nowMs) + slowness * tokens / PREFILL_TOKENS_PER_MS;
     return prefillFreeMs - fleet.nowMs;
   }
 
   private double outputMs(Prompt prompt) {
     double slowdown = 1 + BATCH_SLOWDOWN * running.size() / slots;
-    return prompt.maxOutputTokens() * OUTPUT_TOKEN_MS * slowdown;
+    return prompt.maxOutputTokens() * OUTPUT_TOKEN_MS * slowdown * slowness;
   }
 
   private void ifRunning(Job job, Runnable action) {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
@@ -95,6 +95,10 @@
   int rejectedKnowing;
 
   int rejectedUnknowing;
+
+  /** Whether VMs learn the speed of each endpoint. */
+  boolean learnsSpeeds = true;
+
   private final Map<FleetSimulation.Vm, SimulatedRouter> routers = new HashMap<>();
   private final Map<Kind, Double> bursts = new HashMap<>();
   private final double scale;
@@ -165,6 +169,15 @@
     of(service).forEach(endpoint -> endpoint.state(rejectionsPerSecond));
   }
 
+  /** Gives the endpoints of a service speeds by turns, as multiples of the usual time. */
+  void slowDown(String service, double... factors) {
+    List<OverloadedEndpoint> slowed = of(service);
+    for (int i = 0; i < slowed.size(); i++) {
+      // Neighbours in the list are of different zones.
+      slowed.get(i).slowDown(factors[i / ZONES % factors.length]);
+    }
+  }
+
   void shortenQueues(String service) {
     of(service).forEach(OverloadedEndpoint::shortenQueue);
   }
@@ -251,6 +264,12 @@
     return (double) served / asked;
   }
 
+  /** Returns the share of the requests of a kind that were in time. */
+  double inTimeShare(Kind kind) {
+    Tally tally = tallies.get(kind);
+    return (double) tally.inTime / tally.asked;
+  }
+
   /** Forgets what callers got so far. */
   void resetTallies() {
     tallies.replaceAll((kind, tally) -> new Tally());
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
@@ -31,6 +31,9 @@
   private static final long NOT_RUN_RETRY_AFTER_MS = 400;
   private static final long MIN_TIME_FOR_RETRY_MS = 60;
 
+  /** Output tokens that an event of a stream has. */
+  private static final long EVENT_TOKENS = 9;
+
   /** A client attempt. */
   static final class Request {
     private final OverloadedFleet.Kind kind;
@@ -358,6 +361,7 @@
             finish();
             long now = vm.steadyMs();
             endpoint.onSuccess(now);
+            recordPace(now);
             if (request.prompt.isPresent()) {
               vm.speeds
                   .of(listed.service())
@@ -381,6 +385,18 @@
           });
     }
 
+    private void recordPace(long now) {
+      if (!world.learnsSpeeds) {
+        return;
+      }
+      if (request.prompt.isPresent()) {
+        int events = (int) (request.kind.outputTokens() / EVENT_TOKENS);
+        endpoint.pace().onStream((double) (now - firstEventMs) / events, events - 1, now);
+      } else {
+        endpoint.pace().onPlainCall(now - sentMs, now);
+      }
+    }
+
     @Override
     public void onLost() {
       message(
