Count evacuations as complete once the watch has covered a read

The state that other VMs adopt advanced only if the confirming read was newer than the start of the watch's last call, which it often isn't while endpoints write. Endpoints are also filtered only once for each send.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EvacuatedZones.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EvacuatedZones.java
@@ -23,6 +23,11 @@
   /** Revision of the newest change that was applied, which may be later. */
   private StoreRevision newestChange = StoreRevision.NONE;
 
+  /** Revisions between which the watch returned all changes. */
+  private StoreRevision watchedFrom = StoreRevision.NONE;
+
+  private StoreRevision watchedTo = StoreRevision.NONE;
+
   /** Returns whether a complete state was read, by this VM or another one. */
   public boolean isKnown() {
     return !revision.equals(StoreRevision.NONE);
@@ -54,6 +59,7 @@
     if (at.compareTo(revision) > 0 && at.compareTo(newestChange) >= 0) {
       replace(evacuated, at, source);
       revision = at;
+      advance();
     }
   }
 
@@ -89,9 +95,17 @@
       }
     }
     replace(changed, at, "watch");
-    boolean contiguous = isKnown() && after.compareTo(revision) <= 0;
-    if (contiguous && at.compareTo(revision) > 0) {
-      revision = at;
+    if (!after.equals(watchedTo)) {
+      watchedFrom = after;
+    }
+    watchedTo = at;
+    advance();
+  }
+
+  /** Counts the state as complete up to the end of the watch if that covers all later changes. */
+  private void advance() {
+    if (isKnown() && watchedFrom.compareTo(revision) <= 0 && watchedTo.compareTo(revision) > 0) {
+      revision = watchedTo;
     }
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -138,25 +138,26 @@
         .filter(context.eligibility().filter(ready, request.homeRegions()));
   }
 
-  /** Ends the request if the place of all endpoints excludes them. */
-  private boolean endIfExcluded() {
-    Optional<String> obstacle =
-        context
-            .eligibility()
-            .findObstacle(context.directory().ready(request.service()), request.homeRegions());
-    obstacle.ifPresent(
-        reason -> {
-          request
-              .log()
-              .addFailure(
-                  EventLog.event(reason)
-                      .with("id", request.attemptId())
-                      .with("homeRegions", request.homeRegions())
-                      .with("evacuatedZones", context.follower().evacuatedZones().zones())
-                      .with("mayHaveRun", mayHaveRun()));
-          request.fail(reason);
-        });
-    return obstacle.isPresent();
+  /**
+   * Returns why the place of all endpoints excludes the request; empty if one is eligible, or if
+   * the service has none.
+   */
+  private Optional<String> findObstacle() {
+    return context
+        .eligibility()
+        .findObstacle(context.directory().ready(request.service()), request.homeRegions());
+  }
+
+  private void failForPlace(String reason) {
+    request
+        .log()
+        .addFailure(
+            EventLog.event(reason)
+                .with("id", request.attemptId())
+                .with("homeRegions", request.homeRegions())
+                .with("evacuatedZones", context.follower().evacuatedZones().zones())
+                .with("mayHaveRun", mayHaveRun()));
+    request.fail(reason);
   }
 
   /** Leaves an endpoint that became ineligible before a connection to it was open. */
@@ -173,11 +174,17 @@
   /** Sends the request to an endpoint, or to another VM if this one reaches none that fits. */
   void send() {
     awaitingRoom = false;
-    if (endIfQuarantined() || endIfExcluded()) {
+    if (endIfQuarantined()) {
+      return;
+    }
+    List<TrackedEndpoint> candidates = candidates();
+    Optional<String> obstacle = candidates.isEmpty() ? findObstacle() : Optional.empty();
+    if (obstacle.isPresent()) {
+      failForPlace(obstacle.get());
       return;
     }
     SendDecision decision =
-        SendDecision.of(candidates(), context.backoff(), context.limits(), context.reachability());
+        SendDecision.of(candidates, context.backoff(), context.limits(), context.reachability());
     if (decision instanceof SendDecision.ToEndpoint endpoints) {
       sendToEndpoint(endpoints.candidates());
     } else if (decision instanceof SendDecision.Paused paused) {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EvacuatedZonesTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EvacuatedZonesTest.java
@@ -73,6 +73,15 @@
       read(50, "zone-a", "zone-b");
       assertThat(zones.zones()).containsExactly("zone-a", "zone-b");
       assertThat(zones.revision().number()).isEqualTo(50);
+      catalog.completeEvacuations(60);
+      assertThat(zones.revision().number()).isEqualTo(60);
+    }
+
+    @Test
+    void areCompletedByReadsThatTheWatchHasPassed() {
+      catalog.completeEvacuations(60);
+      read(50);
+      assertThat(zones.revision().number()).isEqualTo(60);
     }
   }
 
