--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -114,6 +114,16 @@
       description = "Length of the window over which retries are counted, in seconds.")
   private String retryWindowS = "10";
 
+  @Parameter(
+      names = "--cold-overrun",
+      description = "Factor by which the requests of a second may exceed a cold endpoint's rate.")
+  private String coldOverrun = "";
+
+  @Parameter(
+      names = "--cold-slack",
+      description = "Requests of a second that a cold endpoint may get besides that.")
+  private String coldSlack = "";
+
   @Parameter(
       names = "--max-file-descriptors",
       description = "File descriptors of the process; near the limit, requests are refused.")
@@ -181,7 +191,9 @@
         "--grace-s", graceS,
         "--retry-ratio", retryRatio,
         "--retry-slack", retrySlack,
-        "--retry-window-s", retryWindowS);
+        "--retry-window-s", retryWindowS,
+        "--cold-overrun", coldOverrun,
+        "--cold-slack", coldSlack);
   }
 
   /** Logs a bound that is missing or invalid; the daemon runs with its default. */
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -133,7 +133,9 @@
   }
 
   private static CatalogEndpoint encode(ListedEndpoint listed) {
-    return CatalogEndpoint.newBuilder()
+    CatalogEndpoint.Builder entry = CatalogEndpoint.newBuilder();
+    listed.coldRemainingMs().ifPresent(entry::setColdRemainingMs);
+    return entry
         .setId(listed.id())
         .setService(listed.service())
         .setAddress(listed.address())
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -223,6 +223,9 @@
         entry.getSoftwareVersion(),
         entry.getSlots(),
         entry.getDraining(),
-        entry.getStartedAtMs());
+        entry.getStartedAtMs(),
+        entry.hasColdRemainingMs()
+            ? Optional.of(Math.max(0, entry.getColdRemainingMs()))
+            : Optional.empty());
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EndpointObservations.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EndpointObservations.java
@@ -1,13 +1,17 @@
 package org.zinniaspan.fleet;
 
 import java.util.Collection;
+import java.util.List;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.forwarding.AssignedSlots;
 import org.zinniaspan.forwarding.ChangeSequence;
+import org.zinniaspan.forwarding.PermitShare;
 import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.RejectionLimits;
 import org.zinniaspan.forwarding.RequestLimits;
+import org.zinniaspan.forwarding.SendLimit;
 import org.zinniaspan.forwarding.SendLimits;
 
 /**
@@ -45,6 +49,17 @@
         quarantine, limits, new ObservationExchange(sequence, quarantine, limits, clock));
   }
 
+  /** Returns these components with limits that also concern cold endpoints. */
+  public EndpointObservations withOtherLimits(List<SendLimit> others) {
+    return new EndpointObservations(quarantine, limits.withOthers(others), exchange);
+  }
+
+  /** Returns the share of a VM in what cold endpoints take. */
+  public static Supplier<PermitShare> coldShare(
+      FleetMembership members, Collection<String> zones, Clock clock) {
+    return new ColdPermitShare(members, zones, clock);
+  }
+
   /** Returns these components with limits that also heed the slots that VMs assign each other. */
   public EndpointObservations withSlots(AssignedSlots slots) {
     return new EndpointObservations(quarantine, limits.withSlots(slots), exchange);
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/FleetMembership.java
@@ -132,6 +132,11 @@
     return live;
   }
 
+  /** Returns whether there may be other VMs. */
+  boolean hasSeeds() {
+    return !seeds.isEmpty();
+  }
+
   /** Announces that this VM can assign the slots of endpoints, which earlier releases cannot. */
   void announceSlotAssignment() {
     assignsSlots = true;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -48,6 +48,9 @@
   /** Number of incarnations whose statements that they are draining are kept. */
   private static final int MAX_STATED_DRAINING = 5_000;
 
+  /** Number of incarnations that are remembered after they were unlisted. */
+  private static final int MAX_SEEN = 10_000;
+
   private final Clock clock;
   private final Set<EndpointIncarnation> statedDraining =
       Collections.newSetFromMap(
@@ -57,6 +60,14 @@
               return size() > MAX_STATED_DRAINING;
             }
           });
+  private final Set<EndpointIncarnation> seen =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Boolean> eldest) {
+              return size() > MAX_SEEN;
+            }
+          });
   private final Map<String, TrackedEndpoint> endpoints = new HashMap<>();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
   private final VersionHistory versions;
@@ -66,6 +77,7 @@
   private long confirmedMs = Long.MIN_VALUE / 2;
   private long graceEndMs = Long.MIN_VALUE;
   private long changeCount;
+  private boolean complete;
 
   /** Creates an empty directory. */
   public EndpointDirectory(Clock clock) {
@@ -114,6 +126,7 @@
     List<String> missing =
         endpoints.keySet().stream().filter(id -> !ids.contains(id) && !keeps.test(id)).toList();
     missing.forEach(id -> removeAfterGrace(id));
+    complete = true;
   }
 
   /** Applies one change. */
@@ -165,9 +178,44 @@
     return result;
   }
 
-  /** Returns the entries of all endpoints, draining ones included. */
+  /**
+   * Returns the entries of all endpoints, draining ones included, with the time for which they
+   * remain cold from now on.
+   */
   public List<ListedEndpoint> entries() {
-    return endpoints.values().stream().map(TrackedEndpoint::listed).toList();
+    long now = clock.nowMs();
+    return endpoints.values().stream()
+        .map(
+            endpoint -> {
+              ListedEndpoint listed = endpoint.listed();
+              return endpoint.isCold(now) || listed.coldRemainingMs().isPresent()
+                  ? listed.withCold(Optional.of(Math.max(0, endpoint.coldUntilMs() - now)))
+                  : listed;
+            })
+        .toList();
+  }
+
+  /**
+   * Records that an endpoint stated itself for how long it remains cold, which the list may state
+   * later.
+   */
+  public void onStatedCold(ListedEndpoint entry, long remainingMs) {
+    endpoint(entry.id())
+        .filter(known -> known.listed().startedAtMs() == entry.startedAtMs())
+        .ifPresent(known -> stateCold(known, remainingMs));
+  }
+
+  private void stateCold(TrackedEndpoint endpoint, long remainingMs) {
+    long now = clock.nowMs();
+    long untilMs = now + Math.min(ColdSpec.MAX_COLD_MS, remainingMs);
+    if (endpoint.stateCold(untilMs, now)) {
+      changeCount++;
+      EventLog.event("endpoint-stated-cold")
+          .with("endpoint", endpoint.listed().id())
+          .with("zone", endpoint.listed().zone())
+          .with("remainingMs", untilMs - now)
+          .info();
+    }
   }
 
   /**
@@ -264,15 +312,41 @@
     pendingRemovals.remove(entry.id());
     TrackedEndpoint known = endpoints.get(entry.id());
     if (known == null) {
-      endpoints.put(entry.id(), track(entry));
+      TrackedEndpoint added = track(entry);
+      endpoints.put(entry.id(), added);
       versions.onListed(entry);
       onChange("endpoint-added", entry);
+      entry.coldRemainingMs().ifPresent(ms -> stateCold(added, ms));
     } else if (!known.listed().equals(entry) && !isOutdated(entry, known.listed())) {
-      versions.onUnlisted(known.listed());
+      update(known, entry);
+    } else if (!known.isCold(clock.nowMs())) {
+      entry.coldRemainingMs().ifPresent(ms -> stateCold(known, ms));
+    }
+  }
+
+  private void update(TrackedEndpoint known, ListedEndpoint entry) {
+    ListedEndpoint before = known.listed();
+    known.update(entry);
+    if (before.startedAtMs() != entry.startedAtMs()) {
+      onFirstSeen(known);
+    }
+    if (!before.equalsExceptCold(entry)) {
+      versions.onUnlisted(before);
       versions.onListed(entry);
-      known.update(entry);
       onChange(entry.draining() ? "endpoint-draining" : "endpoint-changed", entry);
     }
+    // An entry that is read again unchanged is older than at the first time.
+    boolean readAgain =
+        before.startedAtMs() == entry.startedAtMs()
+            && before.coldRemainingMs().equals(entry.coldRemainingMs());
+    if (!readAgain || !known.isCold(clock.nowMs())) {
+      entry.coldRemainingMs().ifPresent(ms -> stateCold(known, ms));
+    }
+  }
+
+  private void onFirstSeen(TrackedEndpoint endpoint) {
+    boolean isNew = seen.add(EndpointIncarnation.of(endpoint.listed()));
+    endpoint.onFirstSeen(complete && isNew, clock.nowMs());
   }
 
   private TrackedEndpoint track(ListedEndpoint entry) {
@@ -280,6 +354,7 @@
     if (statedDraining.contains(EndpointIncarnation.of(entry))) {
       endpoint.stateDraining();
     }
+    onFirstSeen(endpoint);
     return endpoint;
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ListedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ListedEndpoint.java
@@ -15,6 +15,8 @@
  * @param slots requests that it processes concurrently
  * @param draining whether it is shutting down and accepts no new requests
  * @param startedAtMs start of this incarnation, in milliseconds since the epoch; 0 if not stated
+ * @param coldRemainingMs time for which it remains cold after the entry was written or passed on,
+ *     in milliseconds; empty if not stated
  */
 public record ListedEndpoint(
     String id,
@@ -24,7 +26,8 @@
     String softwareVersion,
     int slots,
     boolean draining,
-    long startedAtMs) {
+    long startedAtMs,
+    Optional<Long> coldRemainingMs) {
 
   /** Largest number of slots of a valid entry. */
   public static final int MAX_SLOTS = 10_000;
@@ -42,6 +45,31 @@
 
   private static final int MAX_PORT = 65_535;
 
+  /** Creates the entry of an endpoint that is not cold. */
+  public ListedEndpoint(
+      String id,
+      String service,
+      String address,
+      String zone,
+      String softwareVersion,
+      int slots,
+      boolean draining,
+      long startedAtMs) {
+    this(
+        id, service, address, zone, softwareVersion, slots, draining, startedAtMs, Optional.of(0L));
+  }
+
+  /** Returns this entry with another time for which the endpoint remains cold. */
+  public ListedEndpoint withCold(Optional<Long> remainingMs) {
+    return new ListedEndpoint(
+        id, service, address, zone, softwareVersion, slots, draining, startedAtMs, remainingMs);
+  }
+
+  /** Returns whether two entries differ at most in the time for which the endpoint is cold. */
+  boolean equalsExceptCold(ListedEndpoint other) {
+    return withCold(Optional.empty()).equals(other.withCold(Optional.empty()));
+  }
+
   /**
    * Returns which value is out of the bounds within which endpoints can be selected and sent to;
    * empty if the entry is valid. Entries come from other programs, and from VMs of other releases.
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PlatformBounds.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PlatformBounds.java
@@ -22,6 +22,7 @@
  * @param retryRatio retry budget of all VMs together, in retries per request
  * @param retrySlack retries of all VMs together that are allowed in each window besides the ratio
  * @param retryWindowMs length of the window over which retries are counted
+ * @param cold how far the requests to a cold endpoint may exceed its rate
  */
 public record PlatformBounds(
     long configMs,
@@ -31,12 +32,35 @@
     long graceMs,
     double retryRatio,
     long retrySlack,
-    long retryWindowMs) {
+    long retryWindowMs,
+    ColdAllowance cold) {
 
   /** Bounds that apply where the platform states none. */
   public static final PlatformBounds DEFAULT =
       new PlatformBounds(2_500, 5_000, 2_500, 1_200, 8_000, 0.2, 54, 10_000);
 
+  /** Creates bounds with which cold endpoints get no more than their rate. */
+  public PlatformBounds(
+      long configMs,
+      long revokeMs,
+      long drainMs,
+      long heartbeatMs,
+      long graceMs,
+      double retryRatio,
+      long retrySlack,
+      long retryWindowMs) {
+    this(
+        configMs,
+        revokeMs,
+        drainMs,
+        heartbeatMs,
+        graceMs,
+        retryRatio,
+        retrySlack,
+        retryWindowMs,
+        ColdAllowance.STRICT);
+  }
+
   /** Timeout of requests to the platform, in milliseconds. */
   public static final long PLATFORM_TIMEOUT_MS = 800;
 
@@ -90,7 +114,10 @@
             reader.wholeNumber("--retry-slack", DEFAULT.retrySlack, 0),
             Math.round(
                 reader.number("--retry-window-s", DEFAULT.retryWindowMs / MS_PER_SECOND, 1, 3_600)
-                    * MS_PER_SECOND));
+                    * MS_PER_SECOND),
+            new ColdAllowance(
+                reader.optionalNumber("--cold-overrun", ColdAllowance.STRICT.overrun(), 1, 1_000),
+                reader.optionalNumber("--cold-slack", ColdAllowance.STRICT.slack(), 0, 1e6)));
     return new Parsed(bounds, List.copyOf(reader.findings));
   }
 
@@ -152,6 +179,13 @@
       return read(flag, defaultValue, min, max).orElse(defaultValue);
     }
 
+    /** Returns a setting that some platforms do not have; its absence is no finding. */
+    double optionalNumber(String flag, double defaultValue, double min, double max) {
+      return settings.getOrDefault(flag, "").isBlank()
+          ? defaultValue
+          : number(flag, defaultValue, min, max);
+    }
+
     private Optional<Double> read(String flag, double defaultValue, double min, double max) {
       String text = settings.getOrDefault(flag, "").trim();
       if (text.isEmpty()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
@@ -1,7 +1,7 @@
 package org.zinniaspan.forwarding;
 
 /** Bounds what all VMs together send to an endpoint, by what endpoints state. */
-interface SendLimit {
+public interface SendLimit {
 
   /** Returns whether it bounds the requests to an endpoint. */
   boolean appliesTo(ListedEndpoint endpoint);
@@ -11,4 +11,10 @@
 
   /** Records that a request is sent to an endpoint. */
   void onSent(ListedEndpoint endpoint);
+
+  /** Records that a connection to an endpoint could not be opened. */
+  default void onConnectFailed(ListedEndpoint endpoint) {}
+
+  /** Records that a new connection to an endpoint was opened. */
+  default void onConnected(ListedEndpoint endpoint) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.forwarding;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -9,21 +10,34 @@
  * @param requests the request limits that endpoints state
  * @param rejections the rejection limits that endpoints state
  * @param slots slots of endpoints with a rejection limit
+ * @param others limits that concern cold endpoints
  */
-public record SendLimits(RequestLimits requests, RejectionLimits rejections, AssignedSlots slots) {
+public record SendLimits(
+    RequestLimits requests,
+    RejectionLimits rejections,
+    AssignedSlots slots,
+    List<SendLimit> others) {
 
-  /** Creates limits without assigned slots. */
+  /** Creates limits without assigned slots and other limits. */
   public SendLimits(RequestLimits requests, RejectionLimits rejections) {
-    this(requests, rejections, AssignedSlots.NONE);
+    this(requests, rejections, AssignedSlots.NONE, List.of());
   }
 
   /** Returns these limits with other assigned slots. */
   public SendLimits withSlots(AssignedSlots other) {
-    return new SendLimits(requests, rejections, other);
+    return new SendLimits(requests, rejections, other, others);
+  }
+
+  /** Returns these limits with other limits besides those that endpoints state. */
+  public SendLimits withOthers(List<SendLimit> limits) {
+    return new SendLimits(requests, rejections, slots, List.copyOf(limits));
   }
 
   private List<SendLimit> all() {
-    return List.of(requests, rejections);
+    List<SendLimit> all = new ArrayList<>(others);
+    all.add(requests);
+    all.add(rejections);
+    return all;
   }
 
   /**
@@ -47,7 +61,11 @@
 
   /** Returns the time until this VM may send to an endpoint, in milliseconds. */
   public long remainingMs(TrackedEndpoint endpoint) {
-    return Math.max(requests.remainingMs(endpoint), rejectionRemainingMs(endpoint));
+    long remainingMs = Math.max(requests.remainingMs(endpoint), rejectionRemainingMs(endpoint));
+    for (SendLimit other : others) {
+      remainingMs = Math.max(remainingMs, other.remainingMs(endpoint));
+    }
+    return remainingMs;
   }
 
   private long rejectionRemainingMs(TrackedEndpoint endpoint) {
@@ -67,4 +85,14 @@
     all().forEach(limit -> limit.onSent(endpoint));
     slots.onSent(endpoint);
   }
+
+  /** Records that a connection to an endpoint could not be opened. */
+  public void onConnectFailed(ListedEndpoint endpoint) {
+    others.forEach(limit -> limit.onConnectFailed(endpoint));
+  }
+
+  /** Records that a new connection to an endpoint was opened. */
+  public void onConnected(ListedEndpoint endpoint) {
+    others.forEach(limit -> limit.onConnected(endpoint));
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ServiceSpec.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ServiceSpec.java
@@ -8,5 +8,13 @@
  * @param name name of the service
  * @param maxConnections connections that one endpoint accepts from all VMs together
  * @param engine capacity of the engines of a model service; empty for a plain service
+ * @param cold what its endpoints take while they are cold; empty if that is not limited
  */
-public record ServiceSpec(String name, int maxConnections, Optional<EngineCapacity> engine) {}
+public record ServiceSpec(
+    String name, int maxConnections, Optional<EngineCapacity> engine, Optional<ColdSpec> cold) {
+
+  /** Creates a service whose endpoints take as many requests after their start as later. */
+  public ServiceSpec(String name, int maxConnections, Optional<EngineCapacity> engine) {
+    this(name, maxConnections, engine, Optional.empty());
+  }
+}
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -97,7 +97,7 @@
       List<TrackedEndpoint> candidates, Demand demand, Set<String> excluded) {
     Optional<Prompt> prompt = demand.prompt();
     Set<String> preferred = preferred(candidates, demand);
-    Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, preferred));
+    Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, warm(candidates, preferred)));
     Selection best = null;
     double bestCost = Double.MAX_VALUE;
     for (TrackedEndpoint candidate : candidates) {
@@ -143,6 +143,15 @@
     return ids;
   }
 
+  /** Returns those of some endpoints that may have prompts in memory; all if none has. */
+  private Set<String> warm(List<TrackedEndpoint> candidates, Set<String> ids) {
+    Set<String> warm = new HashSet<>(ids);
+    candidates.stream()
+        .filter(candidate -> candidate.isCold(clock.nowMs()))
+        .forEach(candidate -> warm.remove(candidate.listed().id()));
+    return warm.isEmpty() ? ids : warm;
+  }
+
   private static double misplacementCostMs(Demand demand) {
     if (!demand.toleratesPauses()) {
       return STRICT_MISPLACEMENT_COST_MS;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -47,11 +47,17 @@
   /** Share of an engine's slots below which a prompt hardly waits for running streams. */
   private static final double UNLOADED_OCCUPANCY = 0.25;
 
+  /** Difference between two ends of a cold period that counts, in milliseconds. */
+  private static final long MIN_COLD_STEP_MS = 250;
+
   /** Age beyond which a report is stale, in milliseconds. */
   private static final long MAX_REPORT_AGE_MS = 2_000;
 
   private ListedEndpoint listed;
   private boolean statedDraining;
+  private long coldUntilMs = Long.MIN_VALUE / 2;
+  private long firstSeenMs = Long.MIN_VALUE / 2;
+  private boolean fresh;
   private EngineReport report;
   private long reportMs;
   private final Deque<Long> sendTimesMs = new ArrayDeque<>();
@@ -90,10 +96,59 @@
       cachedParts.clear();
       report = null;
       statedDraining = false;
+      coldUntilMs = Long.MIN_VALUE / 2;
     }
     listed = entry;
   }
 
+  /**
+   * Records when this incarnation was first seen.
+   *
+   * @param isFresh whether it was not yet there when this process read the list for the first time
+   */
+  void onFirstSeen(boolean isFresh, long nowMs) {
+    fresh = isFresh;
+    firstSeenMs = nowMs;
+  }
+
+  /** Returns when this incarnation was first seen, in milliseconds. */
+  long firstSeenMs() {
+    return firstSeenMs;
+  }
+
+  /** Returns whether this incarnation was not yet there when this process first read the list. */
+  boolean isFresh() {
+    return fresh;
+  }
+
+  /** Returns until when this incarnation is cold by what it stated, in milliseconds. */
+  long coldUntilMs() {
+    return coldUntilMs;
+  }
+
+  /** Returns whether the endpoint stated that it is cold, so that it has cached no prompts. */
+  public boolean isCold(long nowMs) {
+    return coldUntilMs > nowMs;
+  }
+
+  /**
+   * Records until when this incarnation states that it is cold. An earlier end than that known is
+   * ignored, as the statement may be older; so is one that is hardly later, as the statements of
+   * one period reach this VM at different ages.
+   *
+   * @return whether the end is new
+   */
+  boolean stateCold(long untilMs, long nowMs) {
+    if (untilMs <= nowMs || untilMs <= coldUntilMs + MIN_COLD_STEP_MS) {
+      return false;
+    }
+    if (!isCold(nowMs)) {
+      cachedParts.clear();
+    }
+    coldUntilMs = untilMs;
+    return true;
+  }
+
   /** Returns whether this incarnation stated in a response that it is draining. */
   boolean statedDraining() {
     return statedDraining;
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpoint.java
@@ -57,6 +57,7 @@
             org.zinniaspan.peer.proto.CatalogEndpoint.class, org.zinniaspan.peer.proto.CatalogEndpoint.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object id_ = "";
@@ -289,6 +290,33 @@
     }
   }
 
+  public static final int COLD_REMAINING_MS_FIELD_NUMBER = 20;
+  private long coldRemainingMs_ = 0L;
+  /**
+   * <pre>
+   * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_ms = 20;</code>
+   * @return Whether the coldRemainingMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasColdRemainingMs() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_ms = 20;</code>
+   * @return The coldRemainingMs.
+   */
+  @java.lang.Override
+  public long getColdRemainingMs() {
+    return coldRemainingMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -327,6 +355,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 8, softwareVersion_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(20, coldRemainingMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -358,6 +389,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(8, softwareVersion_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(20, coldRemainingMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -398,6 +433,11 @@
         != other.getStartedAtMs()) return false;
     if (!getSoftwareVersion()
         .equals(other.getSoftwareVersion())) return false;
+    if (hasColdRemainingMs() != other.hasColdRemainingMs()) return false;
+    if (hasColdRemainingMs()) {
+      if (getColdRemainingMs()
+          != other.getColdRemainingMs()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -427,6 +467,11 @@
         getStartedAtMs());
     hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getSoftwareVersion().hashCode();
+    if (hasColdRemainingMs()) {
+      hash = (37 * hash) + COLD_REMAINING_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getColdRemainingMs());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -570,6 +615,7 @@
       draining_ = false;
       startedAtMs_ = 0L;
       softwareVersion_ = "";
+      coldRemainingMs_ = 0L;
       return this;
     }
 
@@ -627,6 +673,12 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.softwareVersion_ = softwareVersion_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.coldRemainingMs_ = coldRemainingMs_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -675,6 +727,9 @@
         bitField0_ |= 0x00000080;
         onChanged();
       }
+      if (other.hasColdRemainingMs()) {
+        setColdRemainingMs(other.getColdRemainingMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -739,6 +794,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 160: {
+              coldRemainingMs_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 160
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1224,6 +1284,62 @@
       return this;
     }
 
+    private long coldRemainingMs_ ;
+    /**
+     * <pre>
+     * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_ms = 20;</code>
+     * @return Whether the coldRemainingMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasColdRemainingMs() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_ms = 20;</code>
+     * @return The coldRemainingMs.
+     */
+    @java.lang.Override
+    public long getColdRemainingMs() {
+      return coldRemainingMs_;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_ms = 20;</code>
+     * @param value The coldRemainingMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdRemainingMs(long value) {
+
+      coldRemainingMs_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_ms = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdRemainingMs() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      coldRemainingMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.CatalogEndpoint)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpointOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpointOrBuilder.java
@@ -91,4 +91,23 @@
    */
   com.google.protobuf.ByteString
       getSoftwareVersionBytes();
+
+  /**
+   * <pre>
+   * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_ms = 20;</code>
+   * @return Whether the coldRemainingMs field is set.
+   */
+  boolean hasColdRemainingMs();
+  /**
+   * <pre>
+   * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_ms = 20;</code>
+   * @return The coldRemainingMs.
+   */
+  long getColdRemainingMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -165,69 +165,70 @@
       "\rlist_included\030\010 \001(\010\0223\n\tendpoints\030\t \003(\0132" +
       " .zinniaspan.peer.CatalogEndpoint\022\r\n\005tab" +
       "le\030\n \001(\014\022\023\n\013store_epoch\030\013 \001(\003\022\024\n\014list_cu" +
-      "rrent\030\014 \001(\010\"\237\001\n\017CatalogEndpoint\022\n\n\002id\030\001 " +
+      "rrent\030\014 \001(\010\"\325\001\n\017CatalogEndpoint\022\n\n\002id\030\001 " +
       "\001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\014\n" +
       "\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draining\030\006" +
       " \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020software_" +
-      "version\030\010 \001(\t\"\217\002\n\013EngineQuery\022\r\n\005epoch\030\001" +
-      " \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007wait_ms\030\003 \001(\003\022" +
-      "\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001(\t\022*\n\004work\030\006 " +
-      "\003(\0132\034.zinniaspan.peer.ServiceWork\022!\n\024obs" +
-      "ervation_sequence\030\007 \001(\003H\000\210\001\001\0223\n\014observat" +
-      "ions\030\010 \001(\0132\035.zinniaspan.peer.Observation" +
-      "s\022\023\n\013min_wait_ms\030\t \001(\003B\027\n\025_observation_s" +
-      "equence\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022" +
-      "\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\313\002\n\013En" +
-      "gineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001" +
-      "(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer.Engi" +
-      "neLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan.p" +
-      "eer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132\034.zi" +
-      "nniaspan.peer.ServiceWork\022\034\n\024observation" +
-      "_sequence\030\006 \001(\003\0223\n\014observations\030\007 \001(\0132\035." +
-      "zinniaspan.peer.Observations\022\017\n\007held_ms\030" +
-      "\010 \001(\003\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010stoppin" +
-      "g\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 \001(\t\022" +
-      "\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016" +
-      "\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005\"\212\002\n\014Obser" +
-      "vations\022/\n\007crashed\030\001 \003(\0132\036.zinniaspan.pe" +
-      "er.CrashedPrompt\022/\n\010answered\030\002 \003(\0132\035.zin" +
-      "niaspan.peer.AnsweredPart\022-\n\006limits\030\003 \003(" +
-      "\0132\035.zinniaspan.peer.RequestLimit\0229\n\020reje" +
-      "ction_limits\030\004 \003(\0132\037.zinniaspan.peer.Rej" +
-      "ectionLimit\022.\n\nrejections\030\005 \003(\0132\032.zinnia" +
-      "span.peer.Rejection\"[\n\014RequestLimit\022\020\n\010e" +
-      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\n" +
-      "per_second\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n\016Rej" +
-      "ectionLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted" +
-      "_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper_sec" +
-      "ond\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_per_s" +
-      "econd\"D\n\tRejection\022\020\n\010endpoint\030\001 \001(\t\022\025\n\r" +
-      "started_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"j\n\rC" +
-      "rashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattemp" +
-      "t_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begu" +
-      "n\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022" +
-      "\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamO" +
-      "riginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007servic" +
-      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n\014rem" +
-      "aining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n" +
-      "\007origins\030\001 \003(\0132\".zinniaspan.peer.StreamO" +
-      "riginEntry\"\025\n\023StreamOriginReceipt\"K\n\021Str" +
-      "eamOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007se" +
-      "rvice\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021Stream" +
-      "OriginReply\0222\n\006origin\030\001 \001(\0132\".zinniaspan" +
-      ".peer.StreamOriginEntry\022\027\n\017recent_versio" +
-      "ns\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003\"\372\001\n\023SlotAs" +
-      "signmentQuery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epoch\030\002" +
-      " \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunanswered\030\004 \003(\003" +
-      "\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zinnia" +
-      "span.peer.HeldSlots\022\016\n\006wanted\030\007 \001(\005\022\014\n\004r" +
-      "ank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusable\030\n" +
-      " \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\twithdraws\030\014 \001" +
-      "(\010\",\n\tHeldSlots\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005cou" +
-      "nt\030\002 \001(\005\"`\n\016SlotAssignment\022\017\n\007assigns\030\001 " +
-      "\001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020expected_wait_" +
-      "ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035\n\031org.zinnia" +
-      "span.peer.protoP\001b\006proto3"
+      "version\030\010 \001(\t\022\036\n\021cold_remaining_ms\030\024 \001(\003" +
+      "H\000\210\001\001B\024\n\022_cold_remaining_ms\"\217\002\n\013EngineQu" +
+      "ery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007" +
+      "wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 " +
+      "\001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer.Serv" +
+      "iceWork\022!\n\024observation_sequence\030\007 \001(\003H\000\210" +
+      "\001\001\0223\n\014observations\030\010 \001(\0132\035.zinniaspan.pe" +
+      "er.Observations\022\023\n\013min_wait_ms\030\t \001(\003B\027\n\025" +
+      "_observation_sequence\"@\n\013ServiceWork\022\017\n\007" +
+      "service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006stric" +
+      "t\030\003 \001(\001\"\313\002\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020" +
+      "\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinnia" +
+      "span.peer.EngineLoad\022/\n\tzone_work\030\004 \003(\0132" +
+      "\034.zinniaspan.peer.ServiceWork\0220\n\nfleet_w" +
+      "ork\030\005 \003(\0132\034.zinniaspan.peer.ServiceWork\022" +
+      "\034\n\024observation_sequence\030\006 \001(\003\0223\n\014observa" +
+      "tions\030\007 \001(\0132\035.zinniaspan.peer.Observatio" +
+      "ns\022\017\n\007held_ms\030\010 \001(\003\022\026\n\016heeds_min_wait\030\t " +
+      "\001(\010\022\020\n\010stopping\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010e" +
+      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006" +
+      "age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006active\030\005" +
+      " \001(\005\"\212\002\n\014Observations\022/\n\007crashed\030\001 \003(\0132\036" +
+      ".zinniaspan.peer.CrashedPrompt\022/\n\010answer" +
+      "ed\030\002 \003(\0132\035.zinniaspan.peer.AnsweredPart\022" +
+      "-\n\006limits\030\003 \003(\0132\035.zinniaspan.peer.Reques" +
+      "tLimit\0229\n\020rejection_limits\030\004 \003(\0132\037.zinni" +
+      "aspan.peer.RejectionLimit\022.\n\nrejections\030" +
+      "\005 \003(\0132\032.zinniaspan.peer.Rejection\"[\n\014Req" +
+      "uestLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_a" +
+      "t_ms\030\002 \001(\003\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age_ms" +
+      "\030\004 \001(\003\"\202\001\n\016RejectionLimit\022\020\n\010endpoint\030\001 " +
+      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\017\n\007service\030\003 " +
+      "\001(\t\022\027\n\nper_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005" +
+      " \001(\003B\r\n\013_per_second\"D\n\tRejection\022\020\n\010endp" +
+      "oint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age" +
+      "_ms\030\003 \001(\003\"j\n\rCrashedPrompt\022\020\n\010endpoint\030\001" +
+      " \001(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022" +
+      "\024\n\014answer_begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n" +
+      "\014AnsweredPart\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 " +
+      "\001(\003\"h\n\021StreamOriginEntry\022\022\n\nattempt_id\030\001" +
+      " \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versio" +
+      "n\030\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022StreamO" +
+      "riginUpdate\0223\n\007origins\030\001 \003(\0132\".zinniaspa" +
+      "n.peer.StreamOriginEntry\"\025\n\023StreamOrigin" +
+      "Receipt\"K\n\021StreamOriginQuery\022\022\n\nattempt_" +
+      "id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_wide\030\003" +
+      " \001(\010\"u\n\021StreamOriginReply\0222\n\006origin\030\001 \001(" +
+      "\0132\".zinniaspan.peer.StreamOriginEntry\022\027\n" +
+      "\017recent_versions\030\002 \003(\t\022\023\n\013observed_ms\030\003 " +
+      "\001(\003\"\372\001\n\023SlotAssignmentQuery\022\016\n\006sender\030\001 " +
+      "\001(\t\022\r\n\005epoch\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nun" +
+      "answered\030\004 \003(\003\022\017\n\007service\030\005 \001(\t\022(\n\004held\030" +
+      "\006 \003(\0132\032.zinniaspan.peer.HeldSlots\022\016\n\006wan" +
+      "ted\030\007 \001(\005\022\014\n\004rank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003" +
+      "\022\020\n\010unusable\030\n \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n" +
+      "\twithdraws\030\014 \001(\010\",\n\tHeldSlots\022\020\n\010endpoin" +
+      "t\030\001 \001(\t\022\r\n\005count\030\002 \001(\005\"`\n\016SlotAssignment" +
+      "\022\017\n\007assigns\030\001 \001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020" +
+      "expected_wait_ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\t" +
+      "B\035\n\031org.zinniaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -262,7 +263,7 @@
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogEndpoint_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", });
+        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", "ColdRemainingMs", });
     internal_static_zinniaspan_peer_EngineQuery_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.EngineCapacity;
 import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.forwarding.OrganisationSpec;
@@ -15,6 +16,7 @@
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.ServiceSpec;
 import org.zinniaspan.forwarding.WeightedService;
+import org.zinniaspan.log.EventLog;
 
 /** Decodes the operator's configuration from JSON. */
 final class ConfigurationDecoder {
@@ -103,7 +105,31 @@
                     engine.path("kv_capacity").asLong(Long.MAX_VALUE)))
             : Optional.empty();
     return new ServiceSpec(
-        text(node, "name"), node.path("max_connections").asInt(Integer.MAX_VALUE), model);
+        text(node, "name"),
+        node.path("max_connections").asInt(Integer.MAX_VALUE),
+        model,
+        cold(node));
+  }
+
+  /** Returns what cold endpoints of a service take; values that are no such limit are logged. */
+  private static Optional<ColdSpec> cold(JsonNode node) {
+    try {
+      return ColdSpec.of(number(node, "cold_start_s"), number(node, "cold_per_s"));
+    } catch (IllegalArgumentException e) {
+      EventLog.event("service-setting-unusable")
+          .with("service", text(node, "name"))
+          .with("reason", e.getMessage())
+          .warn();
+      return Optional.empty();
+    }
+  }
+
+  private static double number(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isMissingNode() && !value.isNumber()) {
+      throw new IllegalArgumentException(field + " is not a number");
+    }
+    return value.asDouble(0);
   }
 
   private static InboundLimits limits(JsonNode node) {
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
@@ -1,7 +1,10 @@
 package org.zinniaspan.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.log.EventLog;
 
 /** Decodes entries of the platform's list of servers. */
 final class EndpointDecoder {
@@ -29,7 +32,8 @@
             node.has("version") ? text(node, "version") : "",
             (int) number(node, "slots", Integer.MAX_VALUE),
             draining,
-            node.has("born") ? number(node, "born", Long.MAX_VALUE) : 0);
+            node.has("born") ? number(node, "born", Long.MAX_VALUE) : 0,
+            coldRemainingMs(id, node.path("cold_remaining_ms")));
     entry
         .findViolation()
         .ifPresent(
@@ -39,6 +43,29 @@
     return entry;
   }
 
+  /**
+   * Returns the time for which a server remains cold.
+   *
+   * @return empty if the entry states none, or one that cannot be true
+   */
+  private static Optional<Long> coldRemainingMs(String id, JsonNode node) {
+    if (node.isMissingNode()) {
+      return Optional.empty();
+    }
+    if (!node.isNumber()) {
+      throw new IllegalArgumentException("cold_remaining_ms is not a number");
+    }
+    double remainingMs = node.asDouble();
+    if (remainingMs >= 0 && remainingMs <= ColdSpec.MAX_COLD_MS) {
+      return Optional.of((long) Math.ceil(remainingMs));
+    }
+    EventLog.event("endpoint-cold-time-unusable")
+        .with("endpoint", id)
+        .with("remainingMs", remainingMs)
+        .info();
+    return Optional.empty();
+  }
+
   private static String text(JsonNode node, String field) {
     if (!node.path(field).isTextual()) {
       throw new IllegalArgumentException(field + " is not a text");
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HeaderNames.java
@@ -78,5 +78,8 @@
    */
   static final String SERVER_LIMIT = "Server-Limit";
 
+  /** Time for which an endpoint remains cold, in milliseconds. */
+  static final String COLD_MS = "X-Zinniaspan-Cold-Ms";
+
   private HeaderNames() {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -144,7 +144,10 @@
         headerValue(head, HeaderNames.SERVER_BRITTLE)
             .flatMap(HttpDialect::wholeNumber)
             .map(limit -> (int) Math.min(limit, Integer.MAX_VALUE)),
-        headerValue(head, HeaderNames.SERVER_LIMIT).flatMap(HttpDialect::decimalNumber));
+        headerValue(head, HeaderNames.SERVER_LIMIT).flatMap(HttpDialect::decimalNumber),
+        headerValue(head, HeaderNames.COLD_MS)
+            .flatMap(HttpDialect::decimalNumber)
+            .map(ms -> (long) Math.ceil(ms)));
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/Dialect.java
@@ -76,6 +76,7 @@
    *     it states such a limit
    * @param requestsPerSecond requests a second that the endpoint takes from all VMs together, if it
    *     states such a limit
+   * @param coldMs time for which the endpoint remains cold, in milliseconds, if stated
    */
   record ResponseFacts(
       Optional<String> attemptId,
@@ -85,5 +86,6 @@
       Optional<Long> retryAfterMs,
       boolean draining,
       Optional<Integer> rejectionsPerSecond,
-      Optional<Double> requestsPerSecond) {}
+      Optional<Double> requestsPerSecond,
+      Optional<Long> coldMs) {}
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -85,10 +85,15 @@
     proxiedRequest.prompt().ifPresent(endpoint::recordPrompt);
     reachability().onSent();
     limits().onSent(endpoint.listed());
-    connection.whenOpened(() -> reachability().onConnected(endpoint.listed().id()));
+    connection.whenOpened(this::onConnected);
     connection.send(request, body, this);
   }
 
+  private void onConnected() {
+    reachability().onConnected(endpoint.listed().id());
+    limits().onConnected(endpoint.listed());
+  }
+
   @Override
   public boolean mayHaveRun() {
     return connection.wasOpened() && verdict != Verdict.NOT_RUN;
@@ -296,6 +301,9 @@
     if (facts.draining()) {
       proxiedRequest.context().directory().onStatedDraining(endpoint.listed());
     }
+    facts
+        .coldMs()
+        .ifPresent(ms -> proxiedRequest.context().directory().onStatedCold(endpoint.listed(), ms));
     limits().onResponse(endpoint.listed(), facts.requestsPerSecond(), facts.rejectionsPerSecond());
     if (facts.notRun() || status == HttpStatus.SC_SERVICE_UNAVAILABLE) {
       facts.retryAfterMs().ifPresent(this::pauseEndpoint);
@@ -394,6 +402,10 @@
       sender.onConnectionLost(cause);
     } else {
       reachability().onConnectFailed(endpoint.listed().id());
+      // A VM that reaches no endpoint is cut off itself.
+      if (!reachability().isLost()) {
+        limits().onConnectFailed(endpoint.listed());
+      }
       sender.onNotSent(cause);
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -16,8 +16,10 @@
 import org.zinniaspan.fleet.SlotSharing;
 import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.ColdEndpoints;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.ServiceSpec;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.transport.BufferingHttpClient;
@@ -33,6 +35,7 @@
   private final EngineBoard engineBoard;
   private final EndpointObservations endpoints;
   private final SlotSharing slots;
+  private final ColdEndpoints cold;
   private final StreamOriginComponents origins;
 
   /**
@@ -77,7 +80,15 @@
             System::currentTimeMillis,
             slotMs,
             random);
-    endpoints = observations.withSlots(slots);
+    cold =
+        new ColdEndpoints(
+            clock,
+            System::currentTimeMillis,
+            directory,
+            service -> follower.table().flatMap(t -> t.service(service)).flatMap(ServiceSpec::cold),
+            bounds.cold(),
+            EndpointObservations.coldShare(members, zones, clock));
+    endpoints = observations.withSlots(slots).withOtherLimits(List.of(cold));
     engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
@@ -142,6 +153,14 @@
         "zinniaspan_fleet_sent_bytes",
         "Bytes of the queries sent to other VMs since the start.",
         peers::sentBytes);
+    metrics.registerGauge(
+        "zinniaspan_cold_endpoint_sends",
+        "Requests sent to cold endpoints since the start.",
+        cold::sentCount);
+    metrics.registerGauge(
+        "zinniaspan_cold_endpoint_holds",
+        "Times that a cold endpoint was left out of a choice, as this VM had no permit.",
+        cold::heldBackCount);
     metrics.registerGauge(
         "zinniaspan_stream_origins",
         "Streams whose software version is known, of this VM and copied from others.",
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -18,6 +18,8 @@
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.zinniaspan.forwarding.CatalogFollower;
+import org.zinniaspan.forwarding.ColdEndpoints;
+import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.EngineReportSource;
@@ -63,6 +65,9 @@
   /** Whether a VM that is started later assigns slots; those of earlier releases do not. */
   Predicate<String> assignsSlots = address -> true;
 
+  /** What cold endpoints take; empty if that is not limited. */
+  Optional<ColdSpec> cold = Optional.empty();
+
   private final Set<String> cutLinks = new HashSet<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
@@ -205,7 +210,19 @@
                       service -> speeds.of(service).slotMs(),
                       own))
               : Optional.empty();
-      endpoints = slots.map(observations::withSlots).orElse(observations);
+      endpoints =
+          slots
+              .map(observations::withSlots)
+              .orElse(observations)
+              .withOtherLimits(
+                  List.of(
+                      new ColdEndpoints(
+                          this::steadyMs,
+                          this::timeOfDayMs,
+                          directory,
+                          service -> cold,
+                          bounds.cold(),
+                          EndpointObservations.coldShare(members, zones, this::steadyMs))));
       quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
       board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/PlatformBoundsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/PlatformBoundsTest.java
@@ -41,6 +41,29 @@
         .isEqualTo(new PlatformBounds(2_500, 5_000, 2_500, 1_200, 8_000, 0.2, 54, 10_000));
   }
 
+  @Nested
+  class ColdEndpointSettings {
+
+    @Test
+    void areStrictIfThePlatformStatesNone() {
+      assertThat(bounds("--cold-overrun", "").cold()).isEqualTo(ColdAllowance.STRICT);
+      assertThat(PlatformBounds.parse(with("--cold-slack", " ")).findings()).isEmpty();
+    }
+
+    @Test
+    void areRead() {
+      assertThat(bounds("--cold-overrun", "1.5").cold()).isEqualTo(new ColdAllowance(1.5, 0));
+      assertThat(bounds("--cold-slack", "5").cold()).isEqualTo(new ColdAllowance(1, 5));
+    }
+
+    @Test
+    void areReplacedIfInvalid() {
+      assertThat(bounds("--cold-overrun", "0.5").cold()).isEqualTo(ColdAllowance.STRICT);
+      assertThat(bounds("--cold-slack", "many").cold()).isEqualTo(ColdAllowance.STRICT);
+      assertThat(PlatformBounds.parse(with("--cold-slack", "-1")).findings()).hasSize(1);
+    }
+  }
+
   @Nested
   class InvalidSettings {
 
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
@@ -7,6 +7,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.OrganisationSpec;
 import org.zinniaspan.forwarding.Route;
 import org.zinniaspan.forwarding.RouteKind;
@@ -42,6 +45,35 @@
     assertThat(table.needsKey(route)).isTrue();
   }
 
+  private static Optional<ColdSpec> cold(String fields) throws JsonProcessingException {
+    RoutingTable table =
+        decode("{\"version\":1,\"services\":[{\"name\":\"s\"" + fields + "},{\"name\":\"t\"}]}");
+    assertThat(table.service("t")).isPresent();
+    return table.service("s").orElseThrow().cold();
+  }
+
+  @Test
+  void readsWhatColdEndpointsTake() throws JsonProcessingException {
+    assertThat(cold(",\"cold_start_s\":3.0,\"cold_per_s\":8.5")).hasValue(new ColdSpec(3_000, 8.5));
+    assertThat(cold(",\"cold_per_s\":8")).hasValue(new ColdSpec(0, 8));
+    assertThat(cold(",\"cold_start_s\":0.0,\"cold_per_s\":0.0")).isEmpty();
+    assertThat(cold("")).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        ",\"cold_start_s\":3,\"cold_per_s\":-1",
+        ",\"cold_start_s\":-3,\"cold_per_s\":1",
+        ",\"cold_start_s\":3,\"cold_per_s\":1e300",
+        ",\"cold_start_s\":1e300,\"cold_per_s\":1",
+        ",\"cold_start_s\":3,\"cold_per_s\":\"8.5\"",
+        ",\"cold_start_s\":null,\"cold_per_s\":8.5"
+      })
+  void goesOnAfterImpossibleColdSettings(String fields) throws JsonProcessingException {
+    assertThat(cold(fields)).isEmpty();
+  }
+
   @Test
   void treatsAnUnknownKindAsNonIdempotent() throws JsonProcessingException {
     RoutingTable table =
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
@@ -44,6 +44,22 @@
     assertThat(entry.startedAtMs()).isEqualTo(0);
   }
 
+  @ParameterizedTest
+  @CsvSource({"2500, 2500", "0.5, 1", "600000, 600000"})
+  void readsTheTimeForWhichItRemainsCold(String stated, long remainingMs)
+      throws JsonProcessingException {
+    String json = ENTRY.replace("_ms\":0", "_ms\":" + stated);
+    assertThat(decode(json).coldRemainingMs()).hasValue(remainingMs);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"-1", "1e30", "600001"})
+  void takesImpossibleColdTimesForMissing(String stated) throws JsonProcessingException {
+    String json = ENTRY.replace("_ms\":0", "_ms\":" + stated);
+    assertThat(decode(json).coldRemainingMs()).isEmpty();
+    assertThat(decode(ENTRY.replace("\"cold_remaining_ms\":0,", "")).coldRemainingMs()).isEmpty();
+  }
+
   @ParameterizedTest
   @CsvSource(
       quoteCharacter = '`',
@@ -54,6 +70,7 @@
         "\"10.128.0.9:8080\", 9",
         "\"v1\", 1",
         "77, \"77\"",
+        "\"cold_remaining_ms\":0, \"cold_remaining_ms\":\"0\"",
       })
   void rejectsFieldsOfAnotherTypeOrValue(String valid, String invalid) {
     assertThat(reason(ENTRY.replace(valid, invalid))).isNotEmpty();
