--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -175,69 +175,71 @@
       "atalogEndpoint\022\r\n\005table\030\n \001(\014\022\023\n\013store_e" +
       "poch\030\013 \001(\003\022\024\n\014list_current\030\014 \001(\010\022=\n\017evac" +
       "uated_zones\030\024 \001(\0132$.zinniaspan.peer.Evac" +
-      "uatedZonesState\"\237\001\n\017CatalogEndpoint\022\n\n\002i" +
+      "uatedZonesState\"\325\001\n\017CatalogEndpoint\022\n\n\002i" +
       "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(" +
       "\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draini" +
       "ng\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020softw" +
-      "are_version\030\010 \001(\t\"\217\002\n\013EngineQuery\022\r\n\005epo" +
-      "ch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007wait_ms\030\003 " +
-      "\001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001(\t\022*\n\004wor" +
-      "k\030\006 \003(\0132\034.zinniaspan.peer.ServiceWork\022!\n" +
-      "\024observation_sequence\030\007 \001(\003H\000\210\001\001\0223\n\014obse" +
-      "rvations\030\010 \001(\0132\035.zinniaspan.peer.Observa" +
-      "tions\022\023\n\013min_wait_ms\030\t \001(\003B\027\n\025_observati" +
-      "on_sequence\"@\n\013ServiceWork\022\017\n\007service\030\001 " +
-      "\001(\t\022\020\n\010tolerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\313\002" +
-      "\n\013EngineState\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence" +
-      "\030\002 \001(\003\022*\n\005loads\030\003 \003(\0132\033.zinniaspan.peer." +
-      "EngineLoad\022/\n\tzone_work\030\004 \003(\0132\034.zinniasp" +
-      "an.peer.ServiceWork\0220\n\nfleet_work\030\005 \003(\0132" +
-      "\034.zinniaspan.peer.ServiceWork\022\034\n\024observa" +
-      "tion_sequence\030\006 \001(\003\0223\n\014observations\030\007 \001(" +
-      "\0132\035.zinniaspan.peer.Observations\022\017\n\007held" +
-      "_ms\030\010 \001(\003\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010sto" +
-      "pping\030\n \001(\010\"e\n\nEngineLoad\022\020\n\010endpoint\030\001 " +
-      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001" +
-      "(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 \001(\005\"\212\002\n\014O" +
-      "bservations\022/\n\007crashed\030\001 \003(\0132\036.zinniaspa" +
-      "n.peer.CrashedPrompt\022/\n\010answered\030\002 \003(\0132\035" +
-      ".zinniaspan.peer.AnsweredPart\022-\n\006limits\030" +
-      "\003 \003(\0132\035.zinniaspan.peer.RequestLimit\0229\n\020" +
-      "rejection_limits\030\004 \003(\0132\037.zinniaspan.peer" +
-      ".RejectionLimit\022.\n\nrejections\030\005 \003(\0132\032.zi" +
-      "nniaspan.peer.Rejection\"[\n\014RequestLimit\022" +
-      "\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003" +
-      "\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n" +
-      "\016RejectionLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rsta" +
-      "rted_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper" +
-      "_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_p" +
-      "er_second\"D\n\tRejection\022\020\n\010endpoint\030\001 \001(\t" +
-      "\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"" +
-      "j\n\rCrashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nat" +
-      "tempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_" +
-      "begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredP" +
-      "art\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021Str" +
-      "eamOriginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007se" +
-      "rvice\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n" +
-      "\014remaining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdat" +
-      "e\0223\n\007origins\030\001 \003(\0132\".zinniaspan.peer.Str" +
-      "eamOriginEntry\"\025\n\023StreamOriginReceipt\"K\n" +
-      "\021StreamOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017" +
-      "\n\007service\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021St" +
-      "reamOriginReply\0222\n\006origin\030\001 \001(\0132\".zinnia" +
-      "span.peer.StreamOriginEntry\022\027\n\017recent_ve" +
-      "rsions\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003\"\372\001\n\023Sl" +
-      "otAssignmentQuery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epo" +
-      "ch\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunanswered\030\004" +
-      " \003(\003\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zi" +
-      "nniaspan.peer.HeldSlots\022\016\n\006wanted\030\007 \001(\005\022" +
-      "\014\n\004rank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusab" +
-      "le\030\n \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\twithdraws" +
-      "\030\014 \001(\010\",\n\tHeldSlots\022\020\n\010endpoint\030\001 \001(\t\022\r\n" +
-      "\005count\030\002 \001(\005\"`\n\016SlotAssignment\022\017\n\007assign" +
-      "s\030\001 \001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020expected_w" +
-      "ait_ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035\n\031org.zi" +
-      "nniaspan.peer.protoP\001b\006proto3"
+      "are_version\030\010 \001(\t\022\036\n\021cold_remaining_ms\030\024" +
+      " \001(\003H\000\210\001\001B\024\n\022_cold_remaining_ms\"\225\002\n\013Engi" +
+      "neQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003" +
+      "\022\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sende" +
+      "r\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer." +
+      "ServiceWork\022!\n\024observation_sequence\030\007 \001(" +
+      "\003H\000\210\001\001\0223\n\014observations\030\010 \001(\0132\035.zinniaspa" +
+      "n.peer.Observations\022\023\n\013min_wait_ms\030\t \001(\003" +
+      "B\027\n\025_observation_sequenceJ\004\010\n\020\013\"@\n\013Servi" +
+      "ceWork\022\017\n\007service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(" +
+      "\001\022\016\n\006strict\030\003 \001(\001\"\313\002\n\013EngineState\022\r\n\005epo" +
+      "ch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(" +
+      "\0132\033.zinniaspan.peer.EngineLoad\022/\n\tzone_w" +
+      "ork\030\004 \003(\0132\034.zinniaspan.peer.ServiceWork\022" +
+      "0\n\nfleet_work\030\005 \003(\0132\034.zinniaspan.peer.Se" +
+      "rviceWork\022\034\n\024observation_sequence\030\006 \001(\003\022" +
+      "3\n\014observations\030\007 \001(\0132\035.zinniaspan.peer." +
+      "Observations\022\017\n\007held_ms\030\010 \001(\003\022\026\n\016heeds_m" +
+      "in_wait\030\t \001(\010\022\020\n\010stopping\030\n \001(\010\"k\n\nEngin" +
+      "eLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms" +
+      "\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016" +
+      "\n\006active\030\005 \001(\005J\004\010\006\020\007\"\212\002\n\014Observations\022/\n" +
+      "\007crashed\030\001 \003(\0132\036.zinniaspan.peer.Crashed" +
+      "Prompt\022/\n\010answered\030\002 \003(\0132\035.zinniaspan.pe" +
+      "er.AnsweredPart\022-\n\006limits\030\003 \003(\0132\035.zinnia" +
+      "span.peer.RequestLimit\0229\n\020rejection_limi" +
+      "ts\030\004 \003(\0132\037.zinniaspan.peer.RejectionLimi" +
+      "t\022.\n\nrejections\030\005 \003(\0132\032.zinniaspan.peer." +
+      "Rejection\"[\n\014RequestLimit\022\020\n\010endpoint\030\001 " +
+      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\nper_second" +
+      "\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n\016RejectionLimi" +
+      "t\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001" +
+      "(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper_second\030\004 \001(\005H" +
+      "\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_per_second\"D\n\tR" +
+      "ejection\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at" +
+      "_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"j\n\rCrashedProm" +
+      "pt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
+      "\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begun\030\004 \001(\010\022\016\n" +
+      "\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022\014\n\004part\030\001 " +
+      "\001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamOriginEntry" +
+      "\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n" +
+      "\020software_version\030\003 \001(\t\022\024\n\014remaining_ms\030" +
+      "\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n\007origins\030\001" +
+      " \003(\0132\".zinniaspan.peer.StreamOriginEntry" +
+      "\"\025\n\023StreamOriginReceipt\"K\n\021StreamOriginQ" +
+      "uery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
+      "\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021StreamOriginRepl" +
+      "y\0222\n\006origin\030\001 \001(\0132\".zinniaspan.peer.Stre" +
+      "amOriginEntry\022\027\n\017recent_versions\030\002 \003(\t\022\023" +
+      "\n\013observed_ms\030\003 \001(\003\"\372\001\n\023SlotAssignmentQu" +
+      "ery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\016\n\006nu" +
+      "mber\030\003 \001(\003\022\022\n\nunanswered\030\004 \003(\003\022\017\n\007servic" +
+      "e\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zinniaspan.peer." +
+      "HeldSlots\022\016\n\006wanted\030\007 \001(\005\022\014\n\004rank\030\010 \001(\005\022" +
+      "\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusable\030\n \003(\t\022\021\n\tan" +
+      "nounces\030\013 \001(\010\022\021\n\twithdraws\030\014 \001(\010\",\n\tHeld" +
+      "Slots\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005count\030\002 \001(\005\"`" +
+      "\n\016SlotAssignment\022\017\n\007assigns\030\001 \001(\010\022\021\n\tend" +
+      "points\030\002 \003(\t\022\030\n\020expected_wait_ms\030\003 \001(\003\022\020" +
+      "\n\010assigner\030\004 \001(\tB\035\n\031org.zinniaspan.peer." +
+      "protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -278,7 +280,7 @@
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogEndpoint_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", });
+        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", "ColdRemainingMs", });
     internal_static_zinniaspan_peer_EngineQuery_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.EngineCapacity;
 import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.InboundLimits;
@@ -20,6 +21,7 @@
 import org.zinniaspan.forwarding.ServiceSpec;
 import org.zinniaspan.forwarding.WeightedService;
 import org.zinniaspan.inventory.Finding;
+import org.zinniaspan.log.EventLog;
 
 /** Decodes the operator's configuration from JSON. */
 final class ConfigurationDecoder {
@@ -160,7 +162,31 @@
                     engine.path("kv_capacity").asLong(Long.MAX_VALUE)))
             : Optional.empty();
     return new ServiceSpec(
-        text(node, "name"), node.path("max_connections").asInt(Integer.MAX_VALUE), model);
+        text(node, "name"),
+        node.path("max_connections").asInt(Integer.MAX_VALUE),
+        model,
+        cold(node));
+  }
+
+  /** Returns what cold endpoints of a service take; values that are no such limit are logged. */
+  private static Optional<ColdSpec> cold(JsonNode node) {
+    try {
+      return ColdSpec.of(number(node, "cold_start_s"), number(node, "cold_per_s"));
+    } catch (IllegalArgumentException e) {
+      EventLog.event("service-setting-unusable")
+          .with("service", text(node, "name"))
+          .with("reason", e.getMessage())
+          .warn();
+      return Optional.empty();
+    }
+  }
+
+  private static double number(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isMissingNode() && !value.isNumber()) {
+      throw new IllegalArgumentException(field + " is not a number");
+    }
+    return value.asDouble(0);
   }
 
   private static InboundLimits limits(JsonNode node) {
