--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndpointListTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/EndpointListTest.java
@@ -18,7 +18,9 @@
 import org.zinniaspan.forwarding.CatalogChanges;
 import org.zinniaspan.forwarding.CatalogResult;
 import org.zinniaspan.forwarding.EndpointPage;
+import org.zinniaspan.forwarding.OperatorState;
 import org.zinniaspan.forwarding.StoreRevision;
+import org.zinniaspan.forwarding.ZoneEvacuation;
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.platform.StoreClient;
@@ -106,4 +108,55 @@
         .containsExactly(new StoreRevision(2, 30), new StoreRevision(2, 31))
         .inOrder();
   }
+
+  @Test
+  void ofTheOperatorsKeysIsThatOfTheFirstPage() throws Exception {
+    StoreClient client =
+        startClient(
+            (request, socket) -> {
+              boolean second = request.line().contains("after=op%2Fevacuate%2Fzone-a");
+              String configuration =
+                  item("x", "{\"version\":7}").replace("servers/x", "op/config") + ',';
+              String evacuation = "{\"key\":\"op/evacuate/zone-%s\",\"value\":\"\"}";
+              write(
+                  socket,
+                  response(
+                      "{\"items\":[%s],\"has_more\":%s,\"at\":%s}"
+                          .formatted(
+                              second
+                                  ? evacuation.formatted("b")
+                                  : configuration + evacuation.formatted("a"),
+                              !second,
+                              second ? 43 : 40)));
+              return true;
+            });
+    CompletableFuture<CatalogResult<OperatorState>> result = new CompletableFuture<>();
+    reactor.runLocked(() -> client.readOperatorState(result::complete));
+    CatalogResult.Read<OperatorState> read =
+        (CatalogResult.Read<OperatorState>) result.get(10, TimeUnit.SECONDS);
+    assertThat(read.revision()).isEqualTo(new StoreRevision(2, 40));
+    assertThat(read.value().table().orElseThrow().version()).isEqualTo(7);
+    assertThat(read.value().evacuatedZones()).containsExactly("zone-a", "zone-b");
+  }
+
+  @Test
+  void ofEvacuationsAreTheirOwn() throws Exception {
+    StoreClient client =
+        startClient(
+            (request, socket) -> {
+              String begin = "{\"key\":\"op/evacuate/zone-a\",\"revision\":31,\"value\":\"\"}";
+              String end = "{\"key\":\"op/evacuate/zone-a\",\"revision\":33,\"deleted\":true}";
+              write(socket, response("{\"events\":[%s,%s],\"at\":45}".formatted(begin, end)));
+              return true;
+            });
+    CompletableFuture<CatalogResult<CatalogChanges>> result = new CompletableFuture<>();
+    reactor.runLocked(() -> client.watch(29, 1_000, result::complete));
+    CatalogResult.Read<CatalogChanges> read =
+        (CatalogResult.Read<CatalogChanges>) result.get(10, TimeUnit.SECONDS);
+    assertThat(read.value().evacuations())
+        .containsExactly(
+            new ZoneEvacuation("zone-a", true, new StoreRevision(2, 31)),
+            new ZoneEvacuation("zone-a", false, new StoreRevision(2, 33)))
+        .inOrder();
+  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -76,66 +76,62 @@
 
   @Override
   public void readOperatorState(Consumer<CatalogResult<OperatorState>> callback) {
-    readOperatorPage(Optional.empty(), new HashSet<>(), Optional.empty(), callback);
+    new OperatorRead(callback).readPage("");
   }
 
   /**
-   * Reads one page of what the operator wrote, and then the following ones. The result is as old as
-   * the first page.
-   *
-   * @param table the routing table, if an earlier page contained it
-   * @param evacuated collects the evacuated zones
-   * @param before last key and revision of the earlier pages
+   * A read of what the operator wrote, page by page. The result has the revision of the first page;
+   * the others are as new or newer.
    */
-  private void readOperatorPage(
-      Optional<RoutingTable> table,
-      Set<String> evacuated,
-      Optional<OperatorPage> before,
-      Consumer<CatalogResult<OperatorState>> callback) {
-    String after = before.map(page -> "&after=" + encode(page.lastKey())).orElse("");
-    get(
-        "/kv-range?prefix=" + encode(OPERATOR_PREFIX) + after,
-        timeoutMs,
-        result -> {
-          CatalogResult<OperatorPage> page =
-              decode(result, (body, epoch) -> operatorPage(body, epoch, evacuated));
-          if (!(page instanceof CatalogResult.Read<OperatorPage> read)) {
-            callback.accept(new CatalogResult.Failed<>(page.toString()));
-            return;
-          }
-          StoreRevision first = before.map(OperatorPage::firstRevision).orElse(read.revision());
-          if (first.epoch() != read.revision().epoch()) {
-            callback.accept(new CatalogResult.Failed<>("restored between two pages"));
-            return;
-          }
-          OperatorPage found = read.value();
-          Optional<RoutingTable> known = table.or(found::table);
-          if (found.hasMore()) {
-            OperatorPage last = new OperatorPage(known, found.lastKey(), true, first);
-            readOperatorPage(known, evacuated, Optional.of(last), callback);
-          } else {
-            callback.accept(new CatalogResult.Read<>(new OperatorState(known, evacuated), first));
-          }
-        });
-  }
+  private final class OperatorRead {
+    private final Consumer<CatalogResult<OperatorState>> callback;
+    private final Set<String> evacuatedZones = new HashSet<>();
+    private Optional<RoutingTable> table = Optional.empty();
+    private Optional<StoreRevision> firstRevision = Optional.empty();
 
-  private record OperatorPage(
-      Optional<RoutingTable> table, String lastKey, boolean hasMore, StoreRevision firstRevision) {}
+    OperatorRead(Consumer<CatalogResult<OperatorState>> callback) {
+      this.callback = callback;
+    }
 
-  private CatalogResult<OperatorPage> operatorPage(JsonNode body, long epoch, Set<String> evacuated)
-      throws IOException {
-    Optional<RoutingTable> table = Optional.empty();
-    String key = "";
-    for (JsonNode item : body.path("items")) {
-      key = item.path("key").asText();
-      if (key.equals(CONFIGURATION_KEY)) {
-        table = Optional.of(decodeDocument(valueBytes(item)));
+    /** Reads the page after the one that the query's last part names, and then the next ones. */
+    void readPage(String after) {
+      get(
+          "/kv-range?prefix=" + encode(OPERATOR_PREFIX) + after,
+          timeoutMs,
+          result -> {
+            CatalogResult<Optional<String>> page = decode(result, this::add);
+            if (!(page instanceof CatalogResult.Read<Optional<String>> read)) {
+              callback.accept(new CatalogResult.Failed<>(page.toString()));
+              return;
+            }
+            StoreRevision first = firstRevision.orElse(read.revision());
+            firstRevision = Optional.of(first);
+            if (first.epoch() != read.revision().epoch()) {
+              callback.accept(new CatalogResult.Failed<>("restored between two pages"));
+            } else if (read.value().isPresent()) {
+              readPage("&after=" + encode(read.value().get()));
+            } else {
+              callback.accept(
+                  new CatalogResult.Read<>(new OperatorState(table, evacuatedZones), first));
+            }
+          });
+    }
+
+    /** Adds a page; returns its last key if there are more pages. */
+    private CatalogResult<Optional<String>> add(JsonNode body, long epoch) throws IOException {
+      Optional<String> lastKey = Optional.empty();
+      for (JsonNode item : body.path("items")) {
+        String key = item.path("key").asText();
+        if (key.equals(CONFIGURATION_KEY)) {
+          table = Optional.of(decodeDocument(valueBytes(item)));
+        }
+        evacuatedZone(key).ifPresent(evacuatedZones::add);
+        lastKey = Optional.of(key);
       }
-      evacuatedZone(key).ifPresent(evacuated::add);
+      boolean hasMore = body.path("has_more").asBoolean();
+      return new CatalogResult.Read<>(
+          lastKey.filter(key -> hasMore), new StoreRevision(epoch, body.path("at").asLong()));
     }
-    StoreRevision at = new StoreRevision(epoch, body.path("at").asLong());
-    boolean hasMore = body.path("has_more").asBoolean() && !key.isEmpty();
-    return new CatalogResult.Read<>(new OperatorPage(table, key, hasMore, at), at);
   }
 
   /**
