Raise the requests to endpoints that start or recover step by step

Cause: an endpoint that has just started or come back looks free to all VMs at once, which send it more than it can take.

It is a preference: SendDecision keeps such endpoints for requests that no other endpoint takes.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendDecision.java
@@ -11,8 +11,16 @@
    *
    * @param candidates endpoints that this VM reaches and that take requests; empty if the service
    *     has none that fits the request
+   * @param heldBack further endpoints, for a request that none of the candidates takes
    */
-  record ToEndpoint(List<TrackedEndpoint> candidates) implements SendDecision {}
+  record ToEndpoint(List<TrackedEndpoint> candidates, List<TrackedEndpoint> heldBack)
+      implements SendDecision {
+
+    /** Creates a decision without further endpoints. */
+    ToEndpoint(List<TrackedEndpoint> candidates) {
+      this(candidates, List.of());
+    }
+  }
 
   /** Through another VM, as this one reaches none of the endpoints. */
   record ThroughVm() implements SendDecision {}
@@ -54,8 +62,12 @@
     }
     List<TrackedEndpoint> reachable =
         admitting.stream().filter(e -> reachability.isReachable(e.listed().id())).toList();
-    return reachable.isEmpty() || reachability.isLost()
-        ? new ThroughVm()
-        : new ToEndpoint(reachable);
+    if (reachable.isEmpty() || reachability.isLost()) {
+      return new ThroughVm();
+    }
+    List<TrackedEndpoint> heldBack = reachable.stream().filter(limits::avoid).toList();
+    return heldBack.isEmpty() || heldBack.size() == reachable.size()
+        ? new ToEndpoint(reachable)
+        : new ToEndpoint(reachable.stream().filter(e -> !heldBack.contains(e)).toList(), heldBack);
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
@@ -12,6 +12,11 @@
   /** Records that a request is sent to an endpoint. */
   void onSent(ListedEndpoint endpoint);
 
+  /** Returns whether it gives way if no other endpoint takes a request. */
+  default boolean isPreference() {
+    return false;
+  }
+
   /** Records that a connection to an endpoint could not be opened. */
   default void onConnectFailed(ListedEndpoint endpoint) {}
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
@@ -10,7 +10,7 @@
  * @param requests the request limits that endpoints state
  * @param rejections the rejection limits that endpoints state
  * @param slots slots of endpoints with a rejection limit
- * @param others limits that concern cold endpoints
+ * @param others limits on endpoints that are cold or have just started or recovered
  */
 public record SendLimits(
     RequestLimits requests,
@@ -63,11 +63,19 @@
   public long remainingMs(TrackedEndpoint endpoint) {
     long remainingMs = Math.max(requests.remainingMs(endpoint), rejectionRemainingMs(endpoint));
     for (SendLimit other : others) {
-      remainingMs = Math.max(remainingMs, other.remainingMs(endpoint));
+      if (!other.isPreference()) {
+        remainingMs = Math.max(remainingMs, other.remainingMs(endpoint));
+      }
     }
     return remainingMs;
   }
 
+  /** Returns whether requests are better sent to other endpoints, if one takes them. */
+  public boolean avoid(TrackedEndpoint endpoint) {
+    return others.stream()
+        .anyMatch(limit -> limit.isPreference() && limit.remainingMs(endpoint) > 0);
+  }
+
   private long rejectionRemainingMs(TrackedEndpoint endpoint) {
     ListedEndpoint listed = endpoint.listed();
     return slots.areRequired(listed)
@@ -77,7 +85,7 @@
 
   /** Returns whether an endpoint has a limit, so that there may be room at any time. */
   public boolean applyTo(ListedEndpoint endpoint) {
-    return all().stream().anyMatch(limit -> limit.appliesTo(endpoint));
+    return all().stream().anyMatch(limit -> !limit.isPreference() && limit.appliesTo(endpoint));
   }
 
   /** Records that a request is sent to an endpoint. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -1,9 +1,11 @@
 package org.zinniaspan.proxy;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.clock.Ticking;
@@ -17,7 +19,10 @@
 import org.zinniaspan.fleet.StreamOriginComponents;
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.ColdEndpoints;
+import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.EndpointDirectory;
+import org.zinniaspan.forwarding.EndpointPace;
+import org.zinniaspan.forwarding.PermitShare;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ServiceSpec;
 import org.zinniaspan.forwarding.StreamWork;
@@ -80,15 +85,15 @@
             System::currentTimeMillis,
             slotMs,
             random);
+    Function<String, Optional<ColdSpec>> coldSpecs =
+        service -> follower.table().flatMap(t -> t.service(service)).flatMap(ServiceSpec::cold);
+    Supplier<PermitShare> share = EndpointObservations.coldShare(members, zones, clock);
     cold =
         new ColdEndpoints(
-            clock,
-            System::currentTimeMillis,
-            directory,
-            service -> follower.table().flatMap(t -> t.service(service)).flatMap(ServiceSpec::cold),
-            bounds.cold(),
-            EndpointObservations.coldShare(members, zones, clock));
-    endpoints = observations.withSlots(slots).withOtherLimits(List.of(cold));
+            clock, System::currentTimeMillis, directory, coldSpecs, bounds.cold(), share);
+    EndpointPace pace =
+        new EndpointPace(clock, System::currentTimeMillis, directory, coldSpecs, slotMs, share);
+    endpoints = observations.withSlots(slots).withOtherLimits(List.of(cold, pace));
     engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -143,7 +143,7 @@
     SendDecision decision =
         SendDecision.of(candidates(), context.backoff(), context.limits(), context.reachability());
     if (decision instanceof SendDecision.ToEndpoint endpoints) {
-      sendToEndpoint(endpoints.candidates());
+      sendToEndpoint(endpoints);
     } else if (decision instanceof SendDecision.Paused paused) {
       awaitRoom(paused);
     } else if (request.isRelayed()) {
@@ -258,8 +258,12 @@
     return request.route().isIdempotent() ? MAX_REUSE_IDLE_MS : 0;
   }
 
-  private void sendToEndpoint(List<TrackedEndpoint> candidates) {
-    Optional<Selection> selection = context.selector().select(candidates, demand(), triedEndpoints);
+  private void sendToEndpoint(SendDecision.ToEndpoint endpoints) {
+    Optional<Selection> selection = select(endpoints.candidates());
+    if (!endpoints.heldBack().isEmpty()
+        && selection.map(s -> checkAdmission(s).isPresent()).orElse(true)) {
+      selection = select(endpoints.heldBack()).or(() -> select(endpoints.candidates()));
+    }
     if (selection.isEmpty()) {
       request.fail(request.streamVersion().isKnown() ? "no-endpoint-of-version" : "no-endpoint");
       return;
@@ -290,6 +294,10 @@
         context.dialect().endpointRequest(request.head(), endpointCall(endpoint)), request.body());
   }
 
+  private Optional<Selection> select(List<TrackedEndpoint> candidates) {
+    return context.selector().select(candidates, demand(), triedEndpoints);
+  }
+
   private void recordResume() {
     if (request.delivery().lastEventId().isPresent()) {
       context.metrics().recordResume("vm");
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
@@ -2,9 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class SendDecisionTest {
@@ -83,6 +86,68 @@
     assertThat(paused.remainingMs()).isGreaterThan(0);
   }
 
+  /** Endpoints that requests are better not sent to, as they have just started or recovered. */
+  @Nested
+  class Preferences {
+
+    private final Set<TrackedEndpoint> avoided = new HashSet<>();
+    private final SendLimits preferring = limits.withOthers(List.of(new Preference()));
+
+    private final class Preference implements SendLimit {
+      @Override
+      public boolean isPreference() {
+        return true;
+      }
+
+      @Override
+      public boolean appliesTo(ListedEndpoint endpoint) {
+        return true;
+      }
+
+      @Override
+      public long remainingMs(TrackedEndpoint endpoint) {
+        return avoided.contains(endpoint) ? 100 : 0;
+      }
+
+      @Override
+      public void onSent(ListedEndpoint endpoint) {
+        // Nothing is counted.
+      }
+    }
+
+    private SendDecision decidePreferring() {
+      return SendDecision.of(List.of(first, second), backoff, preferring, reachability);
+    }
+
+    @Test
+    void leaveEndpointsForRequestsThatNoOtherTakes() {
+      avoided.add(first);
+      assertThat(decidePreferring())
+          .isEqualTo(new SendDecision.ToEndpoint(List.of(second), List.of(first)));
+    }
+
+    @Test
+    void giveWayIfAllEndpointsAreAvoided() {
+      avoided.addAll(List.of(first, second));
+      assertThat(decidePreferring()).isEqualTo(new SendDecision.ToEndpoint(List.of(first, second)));
+    }
+
+    @Test
+    void giveWayIfTheOthersArePaused() {
+      avoided.add(first);
+      backoff.onRejected(second.listed(), 2_000);
+      assertThat(decidePreferring()).isEqualTo(new SendDecision.ToEndpoint(List.of(first)));
+    }
+
+    @Test
+    void letNoRequestWait() {
+      avoided.addAll(List.of(first, second));
+      backoff.onRejected(first.listed(), 2_000);
+      backoff.onRejected(second.listed(), 500);
+      assertThat(decidePreferring()).isEqualTo(new SendDecision.Paused(500, false));
+    }
+  }
+
   @Test
   void findsNoEndpointIfThereIsNone() {
     assertThat(SendDecision.of(List.of(), backoff, limits, reachability))
