--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SpeedExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SpeedExchange.java
@@ -41,7 +41,7 @@
     for (ListedEndpoint entry : directory.entries()) {
       directory
           .endpoint(entry.id())
-          .map(endpoint -> endpoint.pace().takeUnreported())
+          .map(endpoint -> endpoint.speed().takeUnreported())
           .filter(evidence -> evidence.weight() >= MIN_WEIGHT)
           .ifPresent(
               evidence ->
@@ -66,7 +66,7 @@
               endpoint ->
                   speed
                       .messages(SPEED_SUMS)
-                      .forEach(sums -> endpoint.pace().onReported(decode(sums), clock.nowMs())));
+                      .forEach(sums -> endpoint.speed().onReported(decode(sums), clock.nowMs())));
     }
   }
 
@@ -74,7 +74,7 @@
   void onTold(TrackedEndpoint engine, EngineLoad load) {
     ExtensionFields.of(load.getUnknownFields())
         .messages(LOAD_SUMS)
-        .forEach(sums -> engine.pace().onTold(decode(sums), clock.nowMs()));
+        .forEach(sums -> engine.speed().onTold(decode(sums), clock.nowMs()));
   }
 
   /** Adds to a load report what is known of the speed of the engine's incarnation. */
@@ -82,7 +82,7 @@
     directory
         .endpoint(engine.id())
         .filter(endpoint -> endpoint.listed().startedAtMs() == engine.startedAtMs())
-        .map(endpoint -> endpoint.pace().evidence(clock.nowMs()))
+        .map(endpoint -> endpoint.speed().evidence(clock.nowMs()))
         .filter(evidence -> evidence.weight() >= MIN_WEIGHT)
         .ifPresent(
             evidence ->
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -100,7 +100,7 @@
     Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, warm(candidates, preferred)));
     long now = clock.nowMs();
     List<SpeedEvidence> evidence =
-        candidates.stream().map(candidate -> candidate.pace().evidence(now)).toList();
+        candidates.stream().map(candidate -> candidate.speed().evidence(now)).toList();
     EndpointSpeeds relative = EndpointSpeeds.of(evidence);
     Selection best = null;
     double bestCost = Double.MAX_VALUE;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TrackedEndpoint.java
@@ -69,7 +69,7 @@
   private final DecayingValue tolerantDelayMs = new DecayingValue(DELAY_HALF_LIFE_MS);
   private final DecayingValue pauseMs = new DecayingValue(PAUSE_HALF_LIFE_MS);
   private final DecayingValue failures = new DecayingValue(FAILURE_HALF_LIFE_MS);
-  private EndpointPace pace = new EndpointPace();
+  private SpeedObservations speed = new SpeedObservations();
   private final Map<String, Boolean> cachedParts =
       new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -97,7 +97,7 @@
       cachedParts.clear();
       report = null;
       statedDraining = false;
-      pace = new EndpointPace();
+      speed = new SpeedObservations();
       coldUntilMs = Long.MIN_VALUE / 2;
     }
     listed = entry;
@@ -239,8 +239,8 @@
   }
 
   /** Returns the evidence of the speed of this incarnation. */
-  public EndpointPace pace() {
-    return pace;
+  public SpeedObservations speed() {
+    return speed;
   }
 
   /** Records a failure. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -374,7 +374,7 @@
   private void recordStream(long now) {
     long outputTokens = proxiedRequest.prompt().map(Prompt::maxOutputTokens).orElse(0L);
     if (promptDone) {
-      endpoint.pace().onStream(pauses.medianMs(), pauses.count(), now);
+      endpoint.speed().onStream(pauses.medianMs(), pauses.count(), now);
       speed().onStream(now - sentMs, now - firstEventMs, outputTokens, endpoint.listed().slots());
     }
   }
@@ -399,7 +399,7 @@
     if (proxiedRequest.prompt().isPresent()) {
       return;
     }
-    endpoint.pace().onPlainCall(elapsedMs, now);
+    endpoint.speed().onPlainCall(elapsedMs, now);
     if (elapsedMs > SLOW_CALL_TARGET_SHARE * proxiedRequest.route().targetLatencyMs()) {
       endpoint.onDelay(false, elapsedMs - speed().plainCallMs(), now);
     }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
@@ -391,9 +391,9 @@
       }
       if (request.prompt.isPresent()) {
         int events = (int) (request.kind.outputTokens() / EVENT_TOKENS);
-        endpoint.pace().onStream((double) (now - firstEventMs) / events, events - 1, now);
+        endpoint.speed().onStream((double) (now - firstEventMs) / events, events - 1, now);
       } else {
-        endpoint.pace().onPlainCall(now - sentMs, now);
+        endpoint.speed().onPlainCall(now - sentMs, now);
       }
     }
 
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointSpeedsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/EndpointSpeedsTest.java
@@ -17,8 +17,9 @@
   private long nowMs = 1_000;
 
   /** Returns endpoints after a number of streams at each, whose pauses vary by half. */
-  private List<EndpointPace> endpoints(int count, int streams, double... slowness) {
-    List<EndpointPace> paces = IntStream.range(0, count).mapToObj(i -> new EndpointPace()).toList();
+  private List<SpeedObservations> endpoints(int count, int streams, double... slowness) {
+    List<SpeedObservations> paces =
+        IntStream.range(0, count).mapToObj(i -> new SpeedObservations()).toList();
     for (int i = 0; i < count * streams; i++) {
       double variation = 0.75 + 0.5 * random.nextDouble();
       paces
@@ -28,20 +29,20 @@
     return paces;
   }
 
-  private double factor(List<EndpointPace> endpoints, int index) {
+  private double factor(List<SpeedObservations> endpoints, int index) {
     List<SpeedEvidence> evidence = endpoints.stream().map(pace -> pace.evidence(nowMs)).toList();
     return EndpointSpeeds.of(evidence).factor(evidence.get(index));
   }
 
   @Test
   void findsSlowEngines() {
-    List<EndpointPace> endpoints = endpoints(78, 4, UNEVEN);
+    List<SpeedObservations> endpoints = endpoints(78, 4, UNEVEN);
     assertThat(factor(endpoints, 2) / factor(endpoints, 0)).isWithin(0.5).of(1.7 / 0.7);
   }
 
   @Test
   void leavesEqualEnginesNearTheMean() {
-    List<EndpointPace> endpoints = endpoints(78, 2, 1);
+    List<SpeedObservations> endpoints = endpoints(78, 2, 1);
     for (int i = 0; i < endpoints.size(); i++) {
       assertThat(factor(endpoints, i)).isWithin(0.1).of(1);
     }
@@ -52,26 +53,26 @@
 
     @Test
     void isDrawnToTheMean() {
-      List<EndpointPace> endpoints = endpoints(78, 4, UNEVEN);
-      EndpointPace known = endpoints.get(2);
-      EndpointPace fresh = new EndpointPace();
+      List<SpeedObservations> endpoints = endpoints(78, 4, UNEVEN);
+      SpeedObservations known = endpoints.get(2);
+      SpeedObservations fresh = new SpeedObservations();
       fresh.onStream(1.7 * MEAN_MS, 1, nowMs);
-      List<EndpointPace> both = List.of(endpoints.get(0), endpoints.get(1), known, fresh);
+      List<SpeedObservations> both = List.of(endpoints.get(0), endpoints.get(1), known, fresh);
       assertThat(factor(both, 3)).isLessThan(factor(both, 2));
       assertThat(factor(both, 3)).isAtLeast(1.0);
     }
 
     @Test
     void ofAnUnknownEngineIsTheMean() {
-      List<EndpointPace> endpoints = endpoints(6, 4, UNEVEN);
-      assertThat(factor(List.of(endpoints.get(0), endpoints.get(2), new EndpointPace()), 2))
+      List<SpeedObservations> endpoints = endpoints(6, 4, UNEVEN);
+      assertThat(factor(List.of(endpoints.get(0), endpoints.get(2), new SpeedObservations()), 2))
           .isEqualTo(1.0);
     }
   }
 
   @Test
   void followsAnEngineThatBecomesSlower() {
-    List<EndpointPace> endpoints = endpoints(12, 12, 1);
+    List<SpeedObservations> endpoints = endpoints(12, 12, 1);
     for (int i = 0; i < 6; i++) {
       endpoints.get(0).onStream(3 * MEAN_MS, 20, nowMs);
     }
@@ -88,16 +89,16 @@
     ListedEndpoint entry =
         new ListedEndpoint("e", "service", "10.0.0.1:80", "zone-a", "v1", 12, false, 1);
     TrackedEndpoint engine = new TrackedEndpoint(entry);
-    engine.pace().onStream(90, 20, nowMs);
+    engine.speed().onStream(90, 20, nowMs);
     engine.update(new ListedEndpoint("e", "service", "10.0.0.1:80", "zone-a", "v1", 12, false, 2));
-    assertThat(engine.pace().evidence(nowMs).weight()).isEqualTo(0.0);
+    assertThat(engine.speed().evidence(nowMs).weight()).isEqualTo(0.0);
   }
 
   @Nested
   class OtherVms {
 
-    private final EndpointPace own = new EndpointPace();
-    private final EndpointPace observer = new EndpointPace();
+    private final SpeedObservations own = new SpeedObservations();
+    private final SpeedObservations observer = new SpeedObservations();
 
     @Test
     void areToldEachObservationOnce() {
