--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -119,8 +119,11 @@
     if (attempt instanceof EndpointAttempt direct) {
       direct.endRejection(nowMs);
     }
-    leaveExcludedEndpoint();
-    if (awaitingRoom) {
+    if (isOpeningToExcluded()) {
+      cancel();
+      sendCount--;
+      send();
+    } else if (awaitingRoom) {
       send();
     } else if (context.reachability().isLost()) {
       leaveSilentEndpoint(nowMs);
@@ -160,15 +163,11 @@
     request.fail(reason);
   }
 
-  /** Leaves an endpoint that became ineligible before a connection to it was open. */
-  private void leaveExcludedEndpoint() {
-    if (attempt instanceof EndpointAttempt direct
+  /** Returns whether the endpoint became ineligible before a connection to it was open. */
+  private boolean isOpeningToExcluded() {
+    return attempt instanceof EndpointAttempt direct
         && direct.isOpening()
-        && !context.eligibility().admits(direct.endpoint(), request.homeRegions())) {
-      cancel();
-      sendCount--;
-      send();
-    }
+        && !context.eligibility().admits(direct.endpoint(), request.homeRegions());
   }
 
   /** Sends the request to an endpoint, or to another VM if this one reaches none that fits. */
