--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/ColdFleetTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/ColdFleetTest.java
@@ -256,6 +256,24 @@
     }
   }
 
+  /** VMs of the release before send as to a warm endpoint; only the others are counted. */
+  @Test
+  void keepsNewVmsToTheBoundBesideThoseOfTheReleaseBefore() {
+    fleet = FleetSimulation.fleet(17, BOUNDS, 91, ZONES, address -> address.hashCode() % 2 == 0);
+    fleet.cold = ColdSpec.of(COLD_MS / 1_000.0, PER_SECOND);
+    fleet.store.put(FleetSimulation.endpoint("engine-0", "zone-0", false));
+    fleet.advance(7_000);
+    turnCold(0, fleet.nowMs, COLD_MS);
+    fleet.advance(
+        COLD_MS + 2_000,
+        () ->
+            fleet.vms.values().stream()
+                .filter(vm -> fleet.assignsSlots.test(vm.address))
+                .forEach(vm -> vm.directory.ready("service").forEach(e -> maySend(vm, e))));
+    assertThat(most).isAtMost(BOUND);
+    assertThat(sentWhileCold).isAtLeast(1);
+  }
+
   @Test
   void isLearntByAllVmsFromTheOneThatHearsIt() {
     start(91, 1);
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
@@ -15,6 +15,7 @@
 import org.zinniaspan.forwarding.InboundLimits;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.peer.proto.CatalogEndpoint;
 import org.zinniaspan.peer.proto.CatalogQuery;
 import org.zinniaspan.peer.proto.CatalogState;
 import org.zinniaspan.peer.proto.EngineQuery;
@@ -174,7 +175,23 @@
   @Override
   public void queryCatalog(
       String peer, CatalogQuery query, long timeoutMs, Consumer<Optional<CatalogState>> callback) {
-    callPeer(peer, timeoutMs, callback, (target, reply) -> target.service.onQuery(query, reply));
+    callPeer(
+        peer,
+        timeoutMs,
+        callback,
+        (target, reply) ->
+            target.service.onQuery(
+                query,
+                state ->
+                    reply.accept(
+                        simulation.assignsSlots.test(peer) ? state : ofEarlierRelease(state))));
+  }
+
+  /** Returns a state without what VMs of the release before do not pass on. */
+  private static CatalogState ofEarlierRelease(CatalogState state) {
+    CatalogState.Builder earlier = state.toBuilder();
+    earlier.getEndpointsBuilderList().forEach(CatalogEndpoint.Builder::clearColdRemainingMs);
+    return earlier.build();
   }
 
   @Override
