--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
@@ -16,6 +16,7 @@
 import org.zinniaspan.forwarding.OperatorState;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.peer.proto.CatalogEndpoint;
 import org.zinniaspan.peer.proto.CatalogQuery;
 import org.zinniaspan.peer.proto.CatalogState;
 import org.zinniaspan.peer.proto.EngineQuery;
@@ -180,16 +181,27 @@
         timeoutMs,
         callback,
         (target, reply) -> {
+          Consumer<CatalogState> known =
+              state ->
+                  reply.accept(
+                      simulation.assignsSlots.test(peer) ? state : ofEarlierRelease(state));
           if (simulation.sharesEvacuations.test(peer)) {
-            target.service.onQuery(query, reply);
+            target.service.onQuery(query, known);
           } else {
             target.service.onQuery(
                 query.toBuilder().clearEvacuatedZones().build(),
-                state -> reply.accept(state.toBuilder().clearEvacuatedZones().build()));
+                state -> known.accept(state.toBuilder().clearEvacuatedZones().build()));
           }
         });
   }
 
+  /** Returns a state without what VMs of the release before do not pass on. */
+  private static CatalogState ofEarlierRelease(CatalogState state) {
+    CatalogState.Builder earlier = state.toBuilder();
+    earlier.getEndpointsBuilderList().forEach(CatalogEndpoint.Builder::clearColdRemainingMs);
+    return earlier.build();
+  }
+
   @Override
   public void queryEngines(
       String peer, EngineQuery query, long timeoutMs, Consumer<Optional<EngineState>> callback) {
