--- a/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
+++ b/zinniaspan-standins/src/main/java/org/zinniaspan/standins/site/LocalSite.java
@@ -64,15 +64,30 @@
    * @param javaFlags command-line flags of the Java VM
    * @param classPath class path of the Java VM
    * @param output destination of its standard output; empty for a file in the log directory
+   * @param daemonFlags further command-line flags of the daemon
    */
   public record LaunchOptions(
-      List<String> javaFlags, String classPath, Optional<ProcessBuilder.Redirect> output) {
+      List<String> javaFlags,
+      String classPath,
+      Optional<ProcessBuilder.Redirect> output,
+      List<String> daemonFlags) {
+
+    /** Creates options without further flags of the daemon. */
+    public LaunchOptions(
+        List<String> javaFlags, String classPath, Optional<ProcessBuilder.Redirect> output) {
+      this(javaFlags, classPath, output, List.of());
+    }
 
     /** Returns options with the Java flags for a small VM and this process's class path. */
     public static LaunchOptions smallVm() {
       return new LaunchOptions(
           LocalFleet.ENTRY_JVM_FLAGS, System.getProperty("java.class.path"), Optional.empty());
     }
+
+    /** Returns these options with further command-line flags of the daemon. */
+    public LaunchOptions withDaemonFlags(String... flags) {
+      return new LaunchOptions(javaFlags, classPath, output, List.of(flags));
+    }
   }
 
   /** A started daemon: its process, its listening addresses and its log file. */
@@ -231,6 +246,7 @@
                 storeAddress,
                 "--grace-s",
                 "3"));
+    args.addAll(launch.daemonFlags());
     peerAddresses.add(Addresses.format(peerAddress));
     FleetProcess process =
         closer.add(
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -83,7 +83,8 @@
     origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
   }
 
-  FleetServer server(RelayReceiver relays) {
+  /** Creates the server for other VMs, with the largest sum of the messages that it reads. */
+  FleetServer server(RelayReceiver relays, long maxMessageBytes) {
     return new FleetServer(
         members,
         catalogService,
@@ -91,7 +92,8 @@
         origins.sharing(),
         origins.lookup(),
         slots.assigner(),
-        relays);
+        relays,
+        maxMessageBytes);
   }
 
   /** Returns the origins of streams. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetServer.java
@@ -50,10 +50,13 @@
   /** Largest size of the headers that a VM adds to a request that it relays, in bytes. */
   private static final int RELAY_HEADER_BYTES = 1_024;
 
-  /** Largest sum of the messages that are being read, in bytes. */
-  private static final long MAX_MESSAGE_BYTES = 8 << 20;
+  /**
+   * Time after which an idle connection is closed, in milliseconds; longer than VMs pause between
+   * two queries.
+   */
+  private static final long IDLE_TIMEOUT_MS = 60_000;
 
-  private final BufferBudget messages = new BufferBudget(MAX_MESSAGE_BYTES);
+  private final BufferBudget messages;
   private final FleetMembership members;
   private final CatalogService catalog;
   private final EngineBoard engines;
@@ -62,6 +65,11 @@
   private final SlotAssigner slots;
   private final RelayReceiver relays;
 
+  /**
+   * Creates a server.
+   *
+   * @param maxMessageBytes largest sum of the messages that are being read, in bytes
+   */
   FleetServer(
       FleetMembership members,
       CatalogService catalog,
@@ -69,7 +77,9 @@
       StreamOriginSharing originSharing,
       StreamOriginLookup originLookup,
       SlotAssigner slots,
-      RelayReceiver relays) {
+      RelayReceiver relays,
+      long maxMessageBytes) {
+    this.messages = new BufferBudget(maxMessageBytes);
     this.members = members;
     this.catalog = catalog;
     this.engines = engines;
@@ -87,7 +97,7 @@
             + RELAY_HEADER_BYTES,
         Math.max(InboundLimits.DEFAULT.maxBodyBytes(), clients.maxBodyBytes()),
         InboundLimits.DEFAULT.headerTimeoutMs(),
-        InboundLimits.DEFAULT.idleTimeoutMs());
+        IDLE_TIMEOUT_MS);
   }
 
   @Override
@@ -121,7 +131,9 @@
     }
     try {
       switch (String.valueOf(head.getPath())) {
-        case MEMBERS_PATH -> respond(connection, members.onExchange(FleetMembers.parseFrom(body)));
+        case MEMBERS_PATH ->
+            respond(
+                connection, members.onExchange(PeerAddresses.valid(FleetMembers.parseFrom(body))));
         case CATALOG_PATH ->
             catalog.onQuery(CatalogQuery.parseFrom(body), state -> respond(connection, state));
         case ENGINES_PATH ->
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -32,6 +34,8 @@
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.BufferingHttpClient;
 import org.zinniaspan.transport.InboundConnection;
+import org.zinniaspan.transport.InboundConnections;
+import org.zinniaspan.transport.InboundHandler;
 import org.zinniaspan.transport.Reactor;
 
 /** The daemon of an entry VM that forwards clients' requests to the platform's endpoints. */
@@ -57,6 +61,7 @@
   private final EngineReportSource reportSource;
   private final ReportPoller reportPoller;
   private final FleetComponents fleet;
+  private final Map<String, InboundConnections> inbound = new LinkedHashMap<>();
 
   private ForwardDaemon(Options options) {
     shutdown = new ShutdownSequence(clock, options.bounds().graceMs());
@@ -187,20 +192,23 @@
 
   private void startServing(Options options) throws IOException {
     reactor.runLocked(fleet::tick);
-    ReadinessHandler readiness = new ReadinessHandler(this::isReady);
-    reactor.listen(options.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
+    VmLimits limits = context.vmLimits();
+    listen(
+        "readiness",
+        options.readyListen(),
+        new ReadinessHandler(this::isReady),
+        limits.operators());
     if (options.metricsListen().isPresent()) {
       registerGauges();
       MetricsHandler metrics = new MetricsHandler(context.metrics());
-      reactor.listen(
-          options.metricsListen().get(), () -> new InboundConnection(reactor, metrics, clock));
+      listen("metrics", options.metricsListen().get(), metrics, limits.operators());
     }
     if (options.peerListen().isPresent()) {
-      FleetServer fleetServer = fleet.server(server);
-      reactor.listen(
-          options.peerListen().get(), () -> new InboundConnection(reactor, fleetServer, clock));
+      FleetServer fleetServer = fleet.server(server, limits.peers().maxBytes());
+      listen("peers", options.peerListen().get(), fleetServer, limits.peers());
     }
-    reactor.listen(options.listen(), () -> new InboundConnection(reactor, server, clock));
+    listen("clients", options.listen(), server, limits.clients());
+    registerInboundMetrics();
     reactor.scheduleEvery(TICK_MS, this::tick);
     EventLog.event("started")
         .with("listen", options.listen())
@@ -208,6 +216,40 @@
         .info();
   }
 
+  private void listen(
+      String name,
+      InetSocketAddress address,
+      InboundHandler handler,
+      VmLimits.ListenerLimits limits)
+      throws IOException {
+    InboundConnections connections =
+        new InboundConnections(limits.maxConnections(), limits.maxBytes(), clock);
+    inbound.put(name, connections);
+    reactor.listen(
+        address, () -> new InboundConnection(reactor, handler, clock, connections), connections);
+  }
+
+  private void registerInboundMetrics() {
+    ForwardMetrics metrics = context.metrics();
+    metrics.registerGauge(
+        "zinniaspan_inbound_connections",
+        "Open connections of clients, other VMs and operators.",
+        reactor::inboundCount);
+    metrics.registerGauge(
+        "zinniaspan_inbound_held_bytes",
+        "Bytes of unfinished requests and unread responses, beside large bodies.",
+        () -> inbound.values().stream().mapToLong(InboundConnections::heldBytes).sum());
+    metrics.registerCounter(
+        "zinniaspan_inbound_connections_closed",
+        "Connections closed in favour of others, as too many were open or held too many bytes.",
+        "reason",
+        Map.of(
+            "count",
+            () -> inbound.values().stream().mapToLong(InboundConnections::closedForCount).sum(),
+            "memory",
+            () -> inbound.values().stream().mapToLong(InboundConnections::closedForMemory).sum()));
+  }
+
   private void registerGauges() {
     ForwardMetrics metrics = context.metrics();
     fleet.registerGauges(metrics);
@@ -263,18 +305,19 @@
   }
 
   private void tick() {
-    platformClient.tick();
-    fleet.tick();
-    context.directory().tick();
-    context.quarantine().tick();
-    context.crashWitness().tick();
-    server.tick();
-    reportSource.tick();
-    reportPoller.tick();
-    context
-        .follower()
-        .table()
-        .ifPresent(table -> table.modelServices().forEach(reportPoller::poll));
+    // An exception of one part must not keep the others from running.
+    List<Runnable> parts =
+        List.of(
+            platformClient::tick,
+            fleet::tick,
+            context.directory()::tick,
+            context.quarantine()::tick,
+            context.crashWitness()::tick,
+            server::tick,
+            reportSource::tick,
+            reportPoller::tick,
+            this::pollReports);
+    parts.forEach(reactor::runLocked);
     long now = clock.nowMs();
     if (shutdown.refusesNewRequests(now)) {
       server.closeIdle();
@@ -284,6 +327,13 @@
     }
   }
 
+  private void pollReports() {
+    context
+        .follower()
+        .table()
+        .ifPresent(table -> table.modelServices().forEach(reportPoller::poll));
+  }
+
   /** Starts a graceful shutdown. */
   public void shutdown() {
     reactor.runLocked(
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
@@ -1,6 +1,7 @@
 package org.zinniaspan.proxy;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -8,8 +9,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
 import org.zinniaspan.forwarding.Route;
 
 /**
@@ -116,6 +119,16 @@
         .register(registry);
   }
 
+  /** Registers a counter whose value is read at each scrape, for each value of a label. */
+  void registerCounter(String name, String help, String label, Map<String, LongSupplier> values) {
+    CounterWithCallback.builder()
+        .name(name)
+        .help(help)
+        .labelNames(label)
+        .callback(callback -> values.forEach((key, value) -> callback.call(value.getAsLong(), key)))
+        .register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   byte[] exposition() throws IOException {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -24,7 +24,9 @@
 /** Accepts clients' requests and tracks each one until it is finished. */
 final class ForwardServer implements InboundHandler, RelayReceiver, Ticking {
 
-  /** Time between two checks for connections that have timed out, in milliseconds. */
+  /**
+   * Time between two checks for pooled connections that have been idle too long, in milliseconds.
+   */
   private static final long IDLE_CHECK_INTERVAL_MS = 500;
 
   private final ForwardContext context;
@@ -69,6 +71,8 @@
       connection.closeAfterResponse();
     }
     context.metrics().recordRelay("received");
+    // A planned stop waits for the responses on these connections, too.
+    connections.add(connection);
     start(connection, new ProxiedRequest(context, connection, head, body, true));
   }
 
@@ -143,10 +147,7 @@
     }
     if (now >= nextIdleCheckMs) {
       nextIdleCheckMs = now + IDLE_CHECK_INTERVAL_MS;
-      List<InboundConnection> openConnections = new ArrayList<>(connections);
-      openConnections.removeIf(connection -> !connection.isOpen());
-      connections.retainAll(openConnections);
-      openConnections.forEach(connection -> connection.checkTimeout(now));
+      connections.removeIf(connection -> !connection.isOpen());
       context.connections().closeExpired();
     }
   }
@@ -193,11 +194,17 @@
     }
   }
 
-  /** Returns the number of requests whose final response has not been written completely. */
+  /**
+   * Returns the number of requests that have begun to arrive and whose final response has not been
+   * written completely.
+   */
   int inFlight() {
     requests.values().removeIf(ProxiedRequest::isFinished);
-    long unsent = connections.stream().filter(c -> c.isOpen() && c.unsentBytes() > 0).count();
-    return requests.size() + (int) unsent;
+    long busy =
+        connections.stream()
+            .filter(c -> c.isOpen() && (c.unsentBytes() > 0 || c.isReadingRequest()))
+            .count();
+    return requests.size() + (int) busy;
   }
 
   /** Closes all connections in an orderly way, so that bytes already written are delivered. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
@@ -58,7 +58,13 @@
     HttpRequest request = new BasicHttpRequest("POST", FleetServer.MEMBERS_PATH);
     // Partners are random, so connections to them are not kept.
     request.setHeader(HttpHeaders.CONNECTION, "close");
-    call(address, request, members, FleetMembers.parser(), timeoutMs, callback);
+    call(
+        address,
+        request,
+        members,
+        FleetMembers.parser(),
+        timeoutMs,
+        reply -> callback.accept(reply.map(PeerAddresses::valid)));
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/PageHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/PageHandler.java
@@ -21,9 +21,19 @@
   /** Returns the current page. */
   abstract Page page();
 
+  /** Longer than the interval of scrapes, so that their connections are kept, in milliseconds. */
+  private static final long IDLE_TIMEOUT_MS = 60_000;
+
+  private static final InboundLimits LIMITS =
+      new InboundLimits(
+          InboundLimits.DEFAULT.maxHeaderBytes(),
+          InboundLimits.DEFAULT.maxBodyBytes(),
+          InboundLimits.DEFAULT.headerTimeoutMs(),
+          IDLE_TIMEOUT_MS);
+
   @Override
   public InboundLimits limits() {
-    return InboundLimits.DEFAULT;
+    return LIMITS;
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BodyBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BodyBuffer.java
@@ -20,26 +20,30 @@
     share = budget.share();
   }
 
+  /** Returns how many bytes the buffer takes, of which the budget counts those of large bodies. */
+  int capacity() {
+    return capacity;
+  }
+
   /** Returns the number of bytes that were added. */
   int size() {
     return size;
   }
 
   /**
-   * Adds a part of the body.
+   * Adds a part of the body, as far as the budget allows, and moves the part's position.
    *
-   * @return false if the budget is exhausted; the buffer is of no use then
+   * @return false if the budget is exhausted before the end of the part
    */
   boolean add(ByteBuffer part) {
-    ByteBuffer rest = part.duplicate();
-    while (rest.hasRemaining()) {
+    while (part.hasRemaining()) {
       if (size == capacity && !addBlock()) {
         return false;
       }
       ByteBuffer block = blocks.get(blocks.size() - 1);
-      int count = Math.min(rest.remaining(), block.remaining());
-      block.put(rest.slice(rest.position(), count));
-      rest.position(rest.position() + count);
+      int count = Math.min(part.remaining(), block.remaining());
+      block.put(part.slice(part.position(), count));
+      part.position(part.position() + count);
       size += count;
     }
     return true;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BodyFraming.java
@@ -102,6 +102,11 @@
     return true;
   }
 
+  /** Returns the stated length of a body in bytes; 0 if there is none. */
+  static long statedLength(HttpMessage head) throws ProtocolException {
+    return contentLength(head).orElse(0L);
+  }
+
   private static Optional<Long> contentLength(HttpMessage head) throws ProtocolException {
     Header[] lengths = head.getHeaders(HttpHeaders.CONTENT_LENGTH);
     if (lengths.length == 0) {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -24,6 +24,7 @@
   /** Unparsed bytes at which reading from the connection pauses until some are parsed. */
   private static final int MAX_UNPARSED_BYTES = 64 * 1024;
 
+  private final Reactor reactor;
   private final ReentrantLock lock;
   protected final ReceiveBuffer received;
   protected final SendBuffer unsent = new SendBuffer();
@@ -33,6 +34,7 @@
   private boolean closed;
 
   Connection(Reactor reactor, int maxLineBytes, int maxHeadBytes) {
+    this.reactor = reactor;
     this.lock = reactor.lock();
     this.received = new ReceiveBuffer(maxLineBytes, maxHeadBytes);
   }
@@ -43,6 +45,17 @@
   /** Called when bytes have arrived or the remote side has ended its output. */
   protected abstract void onReceived() throws IOException;
 
+  /** Returns the unparsed bytes at which reading pauses until some are parsed. */
+  protected int maxUnparsedBytes() {
+    return MAX_UNPARSED_BYTES;
+  }
+
+  /** Called when the size of a buffer may have changed. */
+  protected void onBuffersChanged() {}
+
+  /** Called when bytes have been written. */
+  protected void onWritten() {}
+
   /** Called when the send buffer has been written completely. */
   protected void onFlushed() {}
 
@@ -56,6 +69,11 @@
   /** Called once when the connection has ended, in whatever way. */
   protected void onClosed() {}
 
+  /** Returns the reactor that runs the connection. */
+  protected final Reactor reactor() {
+    return reactor;
+  }
+
   /** Returns whether the remote side has ended its output. */
   protected final boolean inputEnded() {
     return inputEnded;
@@ -109,23 +127,28 @@
     runLocked(
         () -> {
           int count = 0;
-          while (!closed && !inputEnded && received.length() < MAX_UNPARSED_BYTES) {
+          while (!closed && !inputEnded && received.length() < maxUnparsedBytes()) {
             count = received.fill(session);
             if (count <= 0) {
               break;
             }
           }
           inputEnded = inputEnded || count < 0;
-          if (inputEnded || received.length() >= MAX_UNPARSED_BYTES) {
+          onReceived();
+          if (!closed && (inputEnded || received.length() >= maxUnparsedBytes())) {
             session.clearEvent(EventMask.READ);
           }
-          onReceived();
+          received.trim();
+          onBuffersChanged();
         });
   }
 
   /** Resumes reading once unparsed bytes are below the limit again. */
   protected final void resumeReading() {
-    if (isOpen() && !inputEnded && received.length() < MAX_UNPARSED_BYTES) {
+    if (isOpen()
+        && !inputEnded
+        && received.length() < maxUnparsedBytes()
+        && (session.getEventMask() & EventMask.READ) == 0) {
       session.setEvent(EventMask.READ);
     }
   }
@@ -141,7 +164,7 @@
       return;
     }
     while (unsent.hasData() && unsent.flush(session) > 0) {
-      // Repeats until the socket takes no more bytes.
+      onWritten();
     }
     boolean awaitingWrite = (session.getEventMask() & EventMask.WRITE) != 0;
     if (unsent.hasData() && !awaitingWrite) {
@@ -153,6 +176,7 @@
       }
       onFlushed();
     }
+    onBuffersChanged();
   }
 
   /** Flushes the send buffer; on an error, resets the connection and reports the error. */
@@ -249,6 +273,7 @@
     lock.lock();
     try {
       task.run();
+      reactor.enforceMemory();
     } catch (IOException e) {
       terminate(Optional.of(e), CloseMode.IMMEDIATE);
     } catch (RuntimeException e) {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -28,7 +28,20 @@
  */
 public final class InboundConnection extends Connection {
 
-  private static final int READ_BUFFER_BYTES = 8 * 1024;
+  /** Bytes after a request that are read before its response, to notice a disconnect. */
+  private static final int MAX_PIPELINED_BYTES = 4 * 1024;
+
+  /** Bytes of a body that are parsed at once, before other connections have their turn. */
+  private static final int MAX_BODY_READ_BYTES = 16 * 1024;
+
+  /** Unread bytes of responses with which no further request is taken. */
+  private static final int MAX_UNREAD_BYTES = 64 * 1024;
+
+  /** About what a connection takes without any bytes, in bytes. */
+  private static final int BASE_BYTES = 4 * 1024;
+
+  /** About what a parsed header takes beside its characters, in bytes. */
+  private static final int BYTES_PER_HEADER = 150;
 
   /** Bytes of a request head that the limit on header bytes does not count, such as its method. */
   private static final int UNCOUNTED_HEAD_BYTES = 256;
@@ -38,6 +51,8 @@
   private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] CRLF = "\r\n".getBytes(StandardCharsets.US_ASCII);
 
+  private static final BufferBudget NO_BUDGET = new BufferBudget(0);
+
   private enum Phase {
     HEAD,
     BODY,
@@ -49,11 +64,13 @@
 
   private final InboundHandler handler;
   private final Clock clock;
+  private final InboundConnections connections;
   private final DefaultHttpRequestParser<HttpRequest> parser;
   private Phase phase = Phase.HEAD;
   private HttpRequest head;
   private ContentDecoder decoder;
-  private BodyBuffer body = new BodyBuffer(new BufferBudget(0));
+  private BufferBudget budget = NO_BUDGET;
+  private BodyBuffer body = new BodyBuffer(NO_BUDGET);
   private boolean chunked;
   private boolean closeAfterResponse;
   private boolean parsing;
@@ -61,15 +78,30 @@
   private boolean requestStarted;
   private boolean skipsRest;
   private long skippedBytes;
+  private int headBytes;
+  private long recordedBytes;
+  private long pendingSinceMs;
+  private long lastWriteMs;
 
-  /** Creates a connection that passes its requests to a handler. */
+  /** Creates a connection without limits beside others. */
   public InboundConnection(Reactor reactor, InboundHandler handler, Clock clock) {
+    this(reactor, handler, clock, InboundConnections.unlimited(clock));
+  }
+
+  /**
+   * Creates a connection that passes its requests to a handler.
+   *
+   * @param connections the connections of the same listener, with their limits
+   */
+  public InboundConnection(
+      Reactor reactor, InboundHandler handler, Clock clock, InboundConnections connections) {
     super(
         reactor,
         handler.limits().maxHeaderBytes(),
         handler.limits().maxHeaderBytes() + UNCOUNTED_HEAD_BYTES);
     this.handler = handler;
     this.clock = clock;
+    this.connections = connections;
     this.parser =
         new DefaultHttpRequestParser<>(
             DefaultHttpRequestFactory.INSTANCE,
@@ -82,12 +114,66 @@
   @Override
   protected void onOpen() {
     waitingSinceMs = clock.nowMs();
+    pendingSinceMs = waitingSinceMs;
+    connections.add(this);
     handler.onOpen(this);
   }
 
-  /** Returns whether no request is being read or processed. */
+  @Override
+  protected int maxUnparsedBytes() {
+    return switch (phase) {
+      case ANSWER -> MAX_PIPELINED_BYTES;
+      case BODY, SKIPPING -> MAX_BODY_READ_BYTES;
+      default -> super.maxUnparsedBytes();
+    };
+  }
+
+  @Override
+  protected void onBuffersChanged() {
+    long bytes = isOpen() ? heldBytes() : 0;
+    connections.onChanged(this, bytes - recordedBytes);
+    recordedBytes = bytes;
+  }
+
+  private long heldBytes() {
+    // A budget counts the rest of the body.
+    long uncounted = Math.min(body.capacity(), BufferBudget.UNCOUNTED_BYTES);
+    return received.heldBytes() + unsent.heldBytes() + uncounted + headBytes;
+  }
+
+  /** Returns the bytes that were last reported to the connections of the listener. */
+  long recordedBytes() {
+    return recordedBytes;
+  }
+
+  /** Returns the bytes that the connection holds times how long it has not got any further. */
+  long weight(long nowMs) {
+    return (BASE_BYTES + recordedBytes + body.capacity()) * (nowMs - pendingSinceMs + 1);
+  }
+
+  /** Returns whether no request is in progress, or its client does not read the response. */
+  boolean isClosable() {
+    return phase != Phase.ANSWER || unsent.hasData();
+  }
+
+  /** Returns whether the connection reads a body that takes bytes of a budget. */
+  boolean isReadingBody(BufferBudget of) {
+    return phase == Phase.BODY && budget == of && body.capacity() > BufferBudget.UNCOUNTED_BYTES;
+  }
+
+  /** Resets the connection, as the connections of the listener exceed their limits. */
+  void closeForLimits() {
+    fail(new IOException("closed in favour of other connections"));
+  }
+
+  /** Returns whether no request is being read or processed, and no response being written. */
   public boolean isIdle() {
-    return phase == Phase.HEAD && !requestStarted;
+    return phase == Phase.HEAD && !requestStarted && !unsent.hasData();
+  }
+
+  /** Returns whether a request has begun to arrive and is not complete. */
+  public boolean isReadingRequest() {
+    return phase == Phase.BODY || (phase == Phase.HEAD && requestStarted);
   }
 
   /**
@@ -98,7 +184,11 @@
    */
   public void checkTimeout(long nowMs) {
     long waitingMs = nowMs - waitingSinceMs;
-    if (isIdle() && waitingMs > handler.limits().idleTimeoutMs()) {
+    if (unsent.hasData()) {
+      if (nowMs - Math.max(lastWriteMs, pendingSinceMs) > handler.limits().idleTimeoutMs()) {
+        fail(new IOException("the client does not read the response"));
+      }
+    } else if (isIdle() && waitingMs > handler.limits().idleTimeoutMs()) {
       closeAndNotify();
     } else if (phase == Phase.HEAD
         && requestStarted
@@ -147,9 +237,13 @@
   }
 
   private boolean parseHead() throws IOException, HttpException {
+    if (unsent.length() > MAX_UNREAD_BYTES) {
+      return false;
+    }
     if (received.hasData() && !requestStarted) {
       requestStarted = true;
       waitingSinceMs = clock.nowMs();
+      pendingSinceMs = waitingSinceMs;
     }
     // With the end of the input, the parser would take an incomplete head for a complete one.
     head = parser.parse(received, false);
@@ -158,18 +252,24 @@
     }
     parser.reset();
     received.endHead();
-    if (headBytes(head) > handler.limits().maxHeaderBytes()) {
+    int size = headBytes(head);
+    headBytes = size + BYTES_PER_HEADER * head.getHeaders().length;
+    if (size > handler.limits().maxHeaderBytes()) {
       throw new MessageConstraintException("the request head exceeds the limit on header bytes");
     }
     final Optional<ContentDecoder> framing = BodyFraming.requestDecoder(head, channel(), received);
     closeAfterResponse = requestsClose(head);
-    body = new BodyBuffer(handler.bodyBudget(head));
+    budget = handler.bodyBudget(head);
+    body = new BodyBuffer(budget);
     waitingSinceMs = clock.nowMs();
     if (framing.isEmpty()) {
-      handleRequest();
-      return false;
+      return handleRequest();
     }
     decoder = framing.get();
+    if (BodyFraming.statedLength(head) > handler.limits().maxBodyBytes()) {
+      rejectTooLong();
+      return true;
+    }
     phase = Phase.BODY;
     if (head.containsHeader(HttpHeaders.EXPECT) && !received.hasData()) {
       unsent.write(ByteBuffer.wrap(CONTINUE_RESPONSE));
@@ -179,35 +279,72 @@
   }
 
   private boolean parseBody() throws IOException {
-    ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
-    int count = decoder.read(part);
+    ByteBuffer part = reactor().scratch();
+    int count = readParts(part);
     if (count > 0) {
       waitingSinceMs = clock.nowMs();
       resumeReading();
     }
     if (body.size() + part.flip().remaining() > handler.limits().maxBodyBytes()) {
-      reject(HttpStatus.SC_REQUEST_TOO_LONG, "the request body exceeds the limit on body bytes");
-      return false;
+      rejectTooLong();
+      return true;
     }
-    if (!body.add(part)) {
-      body.release();
-      phase = Phase.ANSWER;
-      closeAfterResponse = true;
-      skipsRest = true;
-      handler.onBudgetExhausted(this, head);
+    if (!addToBody(part)) {
+      refuseBody();
       return true;
     }
     if (decoder.isCompleted()) {
-      handleRequest();
-      return false;
+      return handleRequest();
     }
     return count > 0;
   }
 
+  /**
+   * Adds to the body; without room, refuses the unfinished bodies that hold most for longest.
+   *
+   * @return false if this body is one of them
+   */
+  private boolean addToBody(ByteBuffer part) {
+    while (!body.add(part)) {
+      InboundConnection heaviest = reactor().heaviestBody(budget, clock.nowMs()).orElse(this);
+      if (heaviest == this) {
+        return false;
+      }
+      heaviest.refuseBody();
+      heaviest.onBuffersChanged();
+    }
+    return true;
+  }
+
+  /** Refuses the request whose body is being read, and skips the rest of the body. */
+  private void refuseBody() {
+    body.release();
+    phase = Phase.ANSWER;
+    closeAfterResponse = true;
+    skipsRest = true;
+    handler.onBudgetExhausted(this, head);
+  }
+
+  private void rejectTooLong() {
+    skipsRest = true;
+    reject(HttpStatus.SC_REQUEST_TOO_LONG, "the request body exceeds the limit on body bytes");
+  }
+
+  /** Reads as many chunks as there are, or as the buffer takes; returns the bytes read. */
+  private int readParts(ByteBuffer part) throws IOException {
+    int before;
+    do {
+      before = part.position();
+      decoder.read(part);
+    } while (part.position() > before && part.hasRemaining() && !decoder.isCompleted());
+    return part.position();
+  }
+
   /** Skips the rest of a body, as the client may read the response only after sending it all. */
   private boolean skipBody() throws IOException {
-    ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
-    final int count = decoder.read(part);
+    // Not the scratch buffer: another connection may skip while this one adds to its body.
+    ByteBuffer part = reactor().skipped();
+    final int count = readParts(part);
     skippedBytes += part.position();
     if (decoder.isCompleted() || skippedBytes > handler.limits().maxBodyBytes()) {
       phase = Phase.CLOSING;
@@ -218,14 +355,21 @@
     return count > 0;
   }
 
-  private void handleRequest() {
+  /** Passes the request on; returns whether the next one may follow, as it is answered. */
+  private boolean handleRequest() {
     phase = Phase.ANSWER;
     requestStarted = false;
     received.endHead();
     handler.onRequest(this, head, body.take());
+    return phase == Phase.HEAD;
   }
 
   private void reject(int status, String reason) {
+    if (phase == Phase.SKIPPING || phase == Phase.CLOSING) {
+      // The response was sent, and a second one must not follow.
+      closeAndNotify();
+      return;
+    }
     phase = Phase.ANSWER;
     closeAfterResponse = true;
     handler.onUnreadable(this, status, String.valueOf(reason));
@@ -258,6 +402,7 @@
   /** Sends a response with its complete body. */
   public void sendResponse(HttpResponse response, byte[] content) {
     response.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(content.length));
+    pendingSinceMs = clock.nowMs();
     writeHead(response);
     unsent.writeShared(content);
     awaitNextRequest();
@@ -266,6 +411,7 @@
   /** Starts a response of unknown length, with chunked transfer coding. */
   public void startChunked(HttpResponse response) {
     chunked = true;
+    pendingSinceMs = clock.nowMs();
     response.setHeader(HttpHeaders.TRANSFER_ENCODING, "chunked");
     writeHead(response);
   }
@@ -318,6 +464,9 @@
   private void awaitNextRequest() {
     chunked = false;
     body.release();
+    body = new BodyBuffer(NO_BUDGET);
+    head = null;
+    headBytes = 0;
     received.trim();
     if (skipsRest) {
       phase = Phase.SKIPPING;
@@ -349,16 +498,27 @@
     }
   }
 
+  @Override
+  protected void onWritten() {
+    lastWriteMs = clock.nowMs();
+  }
+
   @Override
   protected void onFlushed() {
+    pendingSinceMs = clock.nowMs();
     if (phase == Phase.CLOSING) {
       closeAndNotify();
+    } else if (phase == Phase.HEAD && received.hasData()) {
+      // The next request may have waited until the client read its responses.
+      continueParsing();
     }
   }
 
   @Override
   protected void onClosed() {
     body.release();
+    connections.remove(this);
+    recordedBytes = 0;
   }
 
   @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
@@ -1,8 +1,13 @@
 package org.zinniaspan.transport;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.ExecutionException;
+import java.nio.ByteBuffer;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -13,7 +18,8 @@
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.AcceptedChannels;
+import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
@@ -37,8 +43,17 @@
   /** Unacknowledged TCP keep-alive probes after which a connection has failed. */
   private static final int KEEP_ALIVE_PROBES = 2;
 
+  /** Time between two checks for connections that have timed out, in milliseconds. */
+  private static final long TIMEOUT_CHECK_INTERVAL_MS = 500;
+
+  private static final int SCRATCH_BYTES = 8 * 1024;
+
+  private final ByteBuffer skipped = ByteBuffer.allocate(SCRATCH_BYTES);
+  private final ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
   private final ReentrantLock lock = new ReentrantLock();
-  private final DefaultListeningIOReactor reactor;
+  private final DefaultConnectingIOReactor reactor;
+  private final Acceptor acceptor;
+  private final List<InboundConnections> inbound = new CopyOnWriteArrayList<>();
   private final ScheduledExecutorService timers;
   private final AtomicBoolean failed = new AtomicBoolean();
   private final Runnable onFailed;
@@ -54,16 +69,13 @@
             .setTcpKeepIdle(KEEP_ALIVE_INTERVAL_S)
             .setTcpKeepInterval(KEEP_ALIVE_INTERVAL_S)
             .setTcpKeepCount(KEEP_ALIVE_PROBES)
-            .setSoReuseAddress(true)
-            .setBacklogSize(ACCEPT_BACKLOG)
             .build();
     reactor =
-        new DefaultListeningIOReactor(
+        new DefaultConnectingIOReactor(
             (session, attachment) ->
                 ((Supplier<?>) attachment).get() instanceof Connection c ? c : null,
             config,
             runnable -> daemonThread(() -> runLoop(runnable), "io"),
-            runnable -> daemonThread(() -> runLoop(runnable), "accept"),
             null,
             this::onError,
             null,
@@ -72,6 +84,33 @@
         new ScheduledThreadPoolExecutor(1, runnable -> daemonThread(runnable, "timers"));
     executor.setRemoveOnCancelPolicy(true);
     timers = executor;
+    try {
+      acceptor =
+          new Acceptor(
+              ACCEPT_BACKLOG,
+              (channel, factory) -> AcceptedChannels.enqueue(reactor, channel, factory),
+              this::onListenerFull);
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot open a selector", e);
+    }
+  }
+
+  /**
+   * Closes connections of a listener that may have no more; without any descriptor left, those of
+   * the listener that has most.
+   */
+  private void onListenerFull(InboundConnections full, boolean outOfDescriptors) {
+    runLocked(
+        () -> {
+          if (outOfDescriptors) {
+            EventLog.event("descriptors-exhausted").with("connections", inboundCount()).warn();
+            inbound.stream()
+                .max(Comparator.comparingInt(InboundConnections::size))
+                .ifPresent(InboundConnections::onDescriptorsExhausted);
+          } else {
+            full.closeSome();
+          }
+        });
   }
 
   /**
@@ -95,6 +134,10 @@
   public static Reactor start(Runnable onFailed) {
     Reactor reactor = new Reactor(onFailed);
     reactor.reactor.start();
+    daemonThread(() -> reactor.runLoop(reactor.acceptor), "accept").start();
+    reactor.scheduleEvery(
+        TIMEOUT_CHECK_INTERVAL_MS,
+        () -> reactor.inbound.forEach(InboundConnections::checkTimeouts));
     return reactor;
   }
 
@@ -113,29 +156,74 @@
     }
   }
 
+  /** Returns an empty buffer whose content is used before the lock is released. */
+  ByteBuffer scratch() {
+    return scratch.clear();
+  }
+
+  /** Returns an empty buffer whose content nobody reads. */
+  ByteBuffer skipped() {
+    return skipped.clear();
+  }
+
   /** Returns the lock under which all callbacks and tasks run. */
   public ReentrantLock lock() {
     return lock;
   }
 
   /**
-   * Listens on an address.
+   * Listens on an address, with any number of connections.
    *
    * @param connectionFactory creates the handler of each accepted connection
    * @throws IOException if the address cannot be bound
    */
   public void listen(InetSocketAddress address, Supplier<InboundConnection> connectionFactory)
       throws IOException {
+    listen(address, connectionFactory, InboundConnections.unlimited(() -> 0));
+  }
+
+  /**
+   * Listens on an address.
+   *
+   * @param connectionFactory creates the handler of each accepted connection
+   * @param connections limits the connections; the factory passes it to each of them
+   * @throws IOException if the address cannot be bound
+   */
+  public void listen(
+      InetSocketAddress address,
+      Supplier<InboundConnection> connectionFactory,
+      InboundConnections connections)
+      throws IOException {
+    register(connections);
     try {
-      reactor.listen(address, connectionFactory, null).get();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted while binding " + address, e);
-    } catch (ExecutionException e) {
-      throw new IOException("cannot listen on " + address + ": " + e.getCause(), e);
+      acceptor.listen(address, connectionFactory, connections);
+    } catch (IOException e) {
+      throw new IOException("cannot listen on " + address + ": " + e, e);
     }
   }
 
+  /** Enforces limits on connections from now on. */
+  void register(InboundConnections connections) {
+    inbound.add(connections);
+  }
+
+  /** Closes inbound connections while they hold more bytes than they may. */
+  void enforceMemory() {
+    inbound.forEach(InboundConnections::enforceMemory);
+  }
+
+  /** Returns the number of open inbound connections of all listeners. */
+  public int inboundCount() {
+    return inbound.stream().mapToInt(InboundConnections::size).sum();
+  }
+
+  /** Returns the connection whose unfinished body takes most from a budget for longest. */
+  Optional<InboundConnection> heaviestBody(BufferBudget budget, long nowMs) {
+    return inbound.stream()
+        .flatMap(connections -> connections.heaviestBody(budget).stream())
+        .max(Comparator.comparingLong(connection -> connection.weight(nowMs)));
+  }
+
   /**
    * Opens a connection; its own callbacks report that it is open or could not be opened.
    *
@@ -215,6 +303,7 @@
     lock.lock();
     try {
       task.run();
+      enforceMemory();
     } catch (RuntimeException e) {
       EventLog.event("timer-fault")
           .with("error", e)
@@ -230,6 +319,11 @@
   public void close() {
     closing = true;
     timers.shutdownNow();
+    try {
+      acceptor.close();
+    } catch (IOException e) {
+      EventLog.event("reactor-error").with("error", e).warn();
+    }
     reactor.initiateShutdown();
     reactor.close(CloseMode.IMMEDIATE);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -13,13 +13,18 @@
 
   private static final int INITIAL_BYTES = 2 * 1024;
 
-  /** Largest capacity that an empty buffer keeps, in bytes. */
-  private static final int MAX_IDLE_BYTES = 16 * 1024;
+  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
+
+  /** About what a parser takes for each character of a line, and for each line, in bytes. */
+  private static final int BYTES_PER_CHARACTER = 2;
+
+  private static final int BYTES_PER_LINE = 200;
 
   private final int maxLineBytes;
   private final int maxHeadBytes;
   private int headBytes;
-  private ByteBuffer bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+  private int headLines;
+  private ByteBuffer bytes = EMPTY;
 
   /**
    * Creates an empty buffer.
@@ -35,6 +40,13 @@
   /** Starts to count lines anew after the end of a head or of trailers. */
   void endHead() {
     headBytes = 0;
+    headLines = 0;
+  }
+
+  /** Returns about how many bytes this buffer and the lines of an unfinished head take. */
+  int heldBytes() {
+    int capacity = Math.max(0, bytes.capacity() - INITIAL_BYTES);
+    return capacity + BYTES_PER_CHARACTER * headBytes + BYTES_PER_LINE * headLines;
   }
 
   @Override
@@ -47,23 +59,25 @@
     return bytes.remaining();
   }
 
-  /** Gives up the capacity that an empty buffer does not need. */
+  /** Gives up capacity that the unparsed bytes do not need. */
   void trim() {
-    if (!bytes.hasRemaining() && bytes.capacity() > MAX_IDLE_BYTES) {
-      bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+    if (bytes.capacity() <= INITIAL_BYTES || bytes.capacity() / 2 < bytes.remaining()) {
+      return;
     }
+    bytes = bytes.hasRemaining() ? copy(bytes.remaining()) : EMPTY;
+  }
+
+  private ByteBuffer copy(int capacity) {
+    return ByteBuffer.allocate(capacity).put(bytes).flip();
   }
 
   @Override
   public int fill(ReadableByteChannel channel) throws IOException {
+    if (bytes.remaining() == bytes.capacity()) {
+      bytes = copy(Math.max(INITIAL_BYTES, bytes.capacity() * 2));
+    }
     bytes.compact();
     try {
-      if (!bytes.hasRemaining()) {
-        ByteBuffer larger = ByteBuffer.allocate(bytes.capacity() * 2);
-        bytes.flip();
-        larger.put(bytes);
-        bytes = larger;
-      }
       return channel.read(bytes);
     } finally {
       bytes.flip();
@@ -126,6 +140,7 @@
       return false;
     }
     headBytes += length + 1;
+    headLines++;
     int textEnd = end > bytes.position() && bytes.get(end - 1) == '\r' ? end - 1 : end;
     for (int i = bytes.position(); i < textEnd; i++) {
       line.append((char) (bytes.get(i) & 0xff));
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
@@ -14,13 +14,18 @@
 
   private static final int INITIAL_BYTES = 1024;
 
-  /** Largest capacity that an empty buffer keeps, in bytes. */
-  private static final int MAX_IDLE_BYTES = 16 * 1024;
+  /** Largest content that is copied to the other bytes, in bytes. */
+  private static final int MAX_COPIED_BYTES = 16 * 1024;
+
+  /** Bytes of one write; the JDK copies them outside the heap and keeps that memory. */
+  private static final int MAX_WRITE_BYTES = 64 * 1024;
+
+  private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
   /** Bytes that are written before those of {@link #bytes}. */
   private final Deque<ByteBuffer> first = new ArrayDeque<>();
 
-  private ByteBuffer bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+  private ByteBuffer bytes = EMPTY;
 
   @Override
   public boolean hasData() {
@@ -29,21 +34,21 @@
 
   /** Adds bytes without copying them; they must not change any more. */
   void writeShared(byte[] content) {
-    if (content.length <= MAX_IDLE_BYTES) {
+    if (content.length <= MAX_COPIED_BYTES) {
       write(ByteBuffer.wrap(content));
       return;
     }
     if (bytes.hasRemaining()) {
       first.add(bytes);
-      bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+      bytes = EMPTY;
     }
     first.add(ByteBuffer.wrap(content));
   }
 
   /** Gives up the capacity that an empty buffer does not need. */
   void trim() {
-    if (bytes.capacity() > MAX_IDLE_BYTES) {
-      bytes = ByteBuffer.allocate(INITIAL_BYTES).limit(0);
+    if (bytes.capacity() > INITIAL_BYTES) {
+      bytes = EMPTY;
     }
   }
 
@@ -60,15 +65,28 @@
   @Override
   public int flush(WritableByteChannel channel) throws IOException {
     if (first.isEmpty()) {
-      return bytes.hasRemaining() ? channel.write(bytes) : 0;
+      return bytes.hasRemaining() ? writePart(channel, bytes) : 0;
     }
-    int count = channel.write(first.getFirst());
+    int count = writePart(channel, first.getFirst());
     if (!first.getFirst().hasRemaining()) {
       first.removeFirst();
     }
     return count;
   }
 
+  private static int writePart(WritableByteChannel channel, ByteBuffer source) throws IOException {
+    int length = Math.min(source.remaining(), MAX_WRITE_BYTES);
+    int count = channel.write(source.slice(source.position(), length));
+    source.position(source.position() + count);
+    return count;
+  }
+
+  /** Returns the bytes of memory that the buffer takes beyond those of an idle connection. */
+  int heldBytes() {
+    int shared = first.stream().mapToInt(ByteBuffer::capacity).sum();
+    return shared + Math.max(0, bytes.capacity() - INITIAL_BYTES);
+  }
+
   @Override
   public void write(ByteBuffer source) {
     reserve(source.remaining());
@@ -99,6 +117,10 @@
 
   /** Prepares the buffer for writing, with room for at least a number of bytes. */
   private void reserve(int length) {
+    if (bytes == EMPTY) {
+      bytes = ByteBuffer.allocate(Math.max(INITIAL_BYTES, length));
+      return;
+    }
     bytes.compact();
     if (bytes.remaining() < length) {
       int needed = bytes.position() + length;
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/VmLimitsTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/VmLimitsTest.java
@@ -27,4 +27,12 @@
     assertThat(small.maxBodyBytes()).isEqualTo(24 << 20);
     assertThat(small.maxResponseBytes()).isEqualTo(12 << 20);
   }
+
+  @Test
+  void boundTheConnectionsOfEachKind() {
+    VmLimits small = VmLimits.of(4_100, 330, 96 << 20);
+    assertThat(small.clients()).isEqualTo(new VmLimits.ListenerLimits(2_535, 12 << 20));
+    assertThat(small.peers()).isEqualTo(new VmLimits.ListenerLimits(312, 3 << 20));
+    assertThat(small.operators()).isEqualTo(new VmLimits.ListenerLimits(39, 3 << 19));
+  }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
@@ -11,6 +11,7 @@
   private final StringBuilder sent = new StringBuilder();
   private ByteBuffer input = ByteBuffer.allocate(0);
   private boolean inputEnded;
+  private boolean full;
 
   /** Returns this session for a connection. */
   IOSession session() {
@@ -32,10 +33,14 @@
     input = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
-  /** Lets a connection read bytes, given as ISO-8859-1. */
+  /** Lets a connection read bytes, given as ISO-8859-1, as often as it takes some of them. */
   void receive(Connection connection, String text) {
     receive(text);
-    connection.inputReady(session(), null);
+    int before;
+    do {
+      before = input.remaining();
+      connection.inputReady(session(), null);
+    } while (input.remaining() < before && input.hasRemaining());
   }
 
   /** Ends the input after the bytes that were added. */
@@ -43,6 +48,11 @@
     inputEnded = true;
   }
 
+  /** Lets the session take no more bytes, as of a client that does not read. */
+  void fill() {
+    full = true;
+  }
+
   /** Returns what was written, decoded as ISO-8859-1. */
   String sent() {
     return sent.toString();
@@ -59,6 +69,9 @@
   }
 
   private int write(ByteBuffer source) {
+    if (full) {
+      return 0;
+    }
     int count = source.remaining();
     sent.append(StandardCharsets.ISO_8859_1.decode(source));
     return count;
