--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ClientCrowdTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ClientCrowdTest.java
@@ -8,12 +8,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -23,6 +25,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.zinniaspan.lifecycle.Closer;
+import org.zinniaspan.peer.proto.FleetMember;
+import org.zinniaspan.peer.proto.FleetMembers;
 import org.zinniaspan.standins.fleet.LocalFleet;
 import org.zinniaspan.standins.site.Crowd.Origin;
 
@@ -460,4 +464,53 @@
       return "POST /fleet/members HTTP/1.1\r\nHost: x\r\n" + fields + lengthOf(bytes) + "\r\n";
     }
   }
+
+  /** A VM that reaches no endpoint, and relays to one that answers. */
+  @Nested
+  class RelayingVm {
+
+    private RawServer otherVm;
+
+    @BeforeEach
+    void start() throws IOException {
+      otherVm = closer.add(new RawServer(this::answerAsVm));
+      LocalSite site = closer.add(new LocalSite(logs));
+      site.publishConfiguration(List.of("key-1"));
+      site.addPeer(otherVm.address());
+      for (int number = 1; number <= 3; number++) {
+        site.addEndpoint("i-" + number, "zone-a", 1).close();
+      }
+      startDaemon(site, MANY_DESCRIPTORS);
+      LocalFleet.await(
+          "the other VM is known",
+          () ->
+              LocalFleet.get(daemon.metricsAddress(), "/metrics")
+                  .body()
+                  .contains("zinniaspan_fleet_vms 2.0"));
+    }
+
+    private boolean answerAsVm(RawServer.Request request, Socket socket) throws IOException {
+      FleetMember self =
+          FleetMember.newBuilder().setAddress(otherVm.address()).setZone("zone-a").build();
+      boolean members = request.line().contains("/fleet/members");
+      byte[] body = FleetMembers.newBuilder().setSender(self).build().toByteArray();
+      String text = members ? new String(body, StandardCharsets.ISO_8859_1) : "served";
+      String id = request.header("X-Zinniaspan-Attempt-Id");
+      write(socket, ForwardDaemonFixture.okResponse(id, text));
+      return true;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Origin.class)
+    void withBodiesThatStopBeforeTheirEnd(Origin origin) throws IOException {
+      try (Crowd incomplete = crowd(origin);
+          Crowd whole = crowd(origin)) {
+        incomplete.open(CROWD);
+        incomplete.send(post(lengthOf(BODY_BYTES)) + PIECE.repeat(4));
+        whole.open(20);
+        whole.send(post(lengthOf(PIECE.length())) + PIECE);
+        assertServesOrdinaryCallers();
+      }
+    }
+  }
 }
