--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -98,7 +98,8 @@
     origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
   }
 
-  FleetServer server(RelayReceiver relays) {
+  /** Creates the server for other VMs, with the largest sum of the messages that it reads. */
+  FleetServer server(RelayReceiver relays, long maxMessageBytes) {
     return new FleetServer(
         members,
         catalogService,
@@ -106,7 +107,8 @@
         origins.sharing(),
         origins.lookup(),
         slots.assigner(),
-        relays);
+        relays,
+        maxMessageBytes);
   }
 
   /** Returns the origins of streams. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -34,6 +37,8 @@
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.transport.BufferingHttpClient;
 import org.zinniaspan.transport.InboundConnection;
+import org.zinniaspan.transport.InboundConnections;
+import org.zinniaspan.transport.InboundHandler;
 import org.zinniaspan.transport.Reactor;
 
 /** The daemon of an entry VM that forwards clients' requests to the platform's endpoints. */
@@ -65,6 +70,7 @@
   private final EngineReportSource reportSource;
   private final ReportPoller reportPoller;
   private final FleetComponents fleet;
+  private final Map<String, InboundConnections> inbound = new LinkedHashMap<>();
   private long nextSlowTickMs;
 
   private ForwardDaemon(Options options) {
@@ -198,20 +204,23 @@
 
   private void startServing(Options options) throws IOException {
     reactor.runLocked(() -> fleet.tick(true));
-    ReadinessHandler readiness = new ReadinessHandler(this::isReady);
-    reactor.listen(options.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
+    VmLimits limits = context.vmLimits();
+    listen(
+        "readiness",
+        options.readyListen(),
+        new ReadinessHandler(this::isReady),
+        limits.operators());
     if (options.metricsListen().isPresent()) {
       registerGauges();
       MetricsHandler metrics = new MetricsHandler(context.metrics());
-      reactor.listen(
-          options.metricsListen().get(), () -> new InboundConnection(reactor, metrics, clock));
+      listen("metrics", options.metricsListen().get(), metrics, limits.operators());
     }
     if (options.peerListen().isPresent()) {
-      FleetServer fleetServer = fleet.server(server);
-      reactor.listen(
-          options.peerListen().get(), () -> new InboundConnection(reactor, fleetServer, clock));
+      FleetServer fleetServer = fleet.server(server, limits.peers().maxBytes());
+      listen("peers", options.peerListen().get(), fleetServer, limits.peers());
     }
-    reactor.listen(options.listen(), () -> new InboundConnection(reactor, server, clock));
+    listen("clients", options.listen(), server, limits.clients());
+    registerInboundMetrics();
     reactor.scheduleEvery(TICK_MS, this::tick);
     EventLog.event("started")
         .with("listen", options.listen())
@@ -219,6 +228,40 @@
         .info();
   }
 
+  private void listen(
+      String name,
+      InetSocketAddress address,
+      InboundHandler handler,
+      VmLimits.ListenerLimits limits)
+      throws IOException {
+    InboundConnections connections =
+        new InboundConnections(limits.maxConnections(), limits.maxBytes(), clock);
+    inbound.put(name, connections);
+    reactor.listen(
+        address, () -> new InboundConnection(reactor, handler, clock, connections), connections);
+  }
+
+  private void registerInboundMetrics() {
+    ForwardMetrics metrics = context.metrics();
+    metrics.registerGauge(
+        "zinniaspan_inbound_connections",
+        "Open connections of clients, other VMs and operators.",
+        reactor::inboundCount);
+    metrics.registerGauge(
+        "zinniaspan_inbound_held_bytes",
+        "Bytes of unfinished requests and unread responses, beside large bodies.",
+        () -> inbound.values().stream().mapToLong(InboundConnections::heldBytes).sum());
+    metrics.registerCounter(
+        "zinniaspan_inbound_connections_closed",
+        "Connections closed in favour of others, as too many were open or held too many bytes.",
+        "reason",
+        Map.of(
+            "count",
+            () -> inbound.values().stream().mapToLong(InboundConnections::closedForCount).sum(),
+            "memory",
+            () -> inbound.values().stream().mapToLong(InboundConnections::closedForMemory).sum()));
+  }
+
   private void registerGauges() {
     ForwardMetrics metrics = context.metrics();
     fleet.registerGauges(metrics);
@@ -282,23 +325,21 @@
   private void tick() {
     long now = clock.nowMs();
     boolean slow = now >= nextSlowTickMs;
+    List<Runnable> parts = new ArrayList<>();
+    parts.add(() -> fleet.tick(slow));
+    parts.add(context.directory()::tick);
+    parts.add(context.quarantine()::tick);
+    parts.add(context.crashWitness()::tick);
+    parts.add(server::tick);
     if (slow) {
       nextSlowTickMs = now + SLOW_TICK_MS;
-      platformClient.tick();
-    }
-    fleet.tick(slow);
-    context.directory().tick();
-    context.quarantine().tick();
-    context.crashWitness().tick();
-    server.tick();
-    if (slow) {
-      reportSource.tick();
-      reportPoller.tick();
-      context
-          .follower()
-          .table()
-          .ifPresent(table -> table.modelServices().forEach(reportPoller::poll));
+      parts.add(0, platformClient::tick);
+      parts.add(reportSource::tick);
+      parts.add(reportPoller::tick);
+      parts.add(this::pollReports);
     }
+    // An exception of one part must not keep the others from running.
+    parts.forEach(reactor::runLocked);
     if (shutdown.refusesNewRequests(now)) {
       server.closeIdle();
     }
@@ -307,6 +348,13 @@
     }
   }
 
+  private void pollReports() {
+    context
+        .follower()
+        .table()
+        .ifPresent(table -> table.modelServices().forEach(reportPoller::poll));
+  }
+
   /** Starts a graceful shutdown. */
   public void shutdown() {
     reactor.runLocked(
