--- a/zinniaspan/src/main/java/org/zinniaspan/cli/AdminClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/AdminClient.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
@@ -31,12 +32,35 @@
    * @throws IllegalArgumentException if the address is not of the form host:port
    */
   static String get(String adminAddress, String token, String path) throws IOException {
+    return execute(adminAddress, token, ClassicRequestBuilder.get(path));
+  }
+
+  /**
+   * Sends a POST request with a JSON body and returns the response body.
+   *
+   * @param adminAddress address of the daemon's administration API, as host:port
+   * @param token token of the administration API
+   * @param path path to request
+   * @param json the body
+   * @throws IOException as {@link #get}
+   * @throws IllegalArgumentException if the address is not of the form host:port
+   */
+  static String post(String adminAddress, String token, String path, String json)
+      throws IOException {
+    return execute(
+        adminAddress,
+        token,
+        ClassicRequestBuilder.post(path).setEntity(json, ContentType.APPLICATION_JSON));
+  }
+
+  private static String execute(String adminAddress, String token, ClassicRequestBuilder request)
+      throws IOException {
     InetSocketAddress address = Addresses.parse(adminAddress);
     try (HttpClientExchange exchange =
         HttpClientExchange.connect(address, TIMEOUT_MS, TIMEOUT_MS)) {
       ClassicHttpResponse response =
           exchange.execute(
-              ClassicRequestBuilder.get(path)
+              request
                   .setHttpHost(new HttpHost(address.getHostString(), address.getPort()))
                   .addHeader("Authorization", "Bearer " + token)
                   .build());
