--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointSelector.java
@@ -1,6 +1,7 @@
 package org.zinniaspan.forwarding;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -16,6 +17,12 @@
    */
   Optional<Selection> select(List<TrackedEndpoint> candidates, Demand demand, Set<String> excluded);
 
+  /**
+   * Returns the cost of each candidate for a request as it is now, without its random part. It
+   * changes no state.
+   */
+  Map<TrackedEndpoint, EndpointCost> costs(List<TrackedEndpoint> candidates, Demand demand);
+
   /**
    * Requirements of a request.
    *
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -1,7 +1,9 @@
 package org.zinniaspan.forwarding;
 
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -95,36 +97,63 @@
   @Override
   public Optional<Selection> select(
       List<TrackedEndpoint> candidates, Demand demand, Set<String> excluded) {
-    Optional<Prompt> prompt = demand.prompt();
-    Set<String> preferred = preferred(candidates, demand);
-    Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, warm(candidates, preferred)));
-    long now = clock.nowMs();
-    List<SpeedEvidence> evidence =
-        candidates.stream().map(candidate -> candidate.speed().evidence(now)).toList();
-    EndpointSpeeds relative = EndpointSpeeds.of(evidence);
+    addWork(candidates, demand);
     Selection best = null;
     double bestCost = Double.MAX_VALUE;
-    for (int i = 0; i < candidates.size(); i++) {
-      TrackedEndpoint candidate = candidates.get(i);
+    for (Map.Entry<TrackedEndpoint, EndpointCost> entry : costs(candidates, demand).entrySet()) {
+      TrackedEndpoint candidate = entry.getKey();
       if (excluded.contains(candidate.listed().id())) {
         continue;
       }
-      Selection selection = estimate(candidate, demand, home, relative.factor(evidence.get(i)));
+      EndpointCost endpointCost = entry.getValue();
       double cost =
-          selection.expectedMs() * (1 - JITTER_SHARE * random.nextDouble())
-              + zoneCosts.costMs(candidate.listed().zone())
-              + REPEATED_PREFILL_COST_MS * repeatedTokens(candidate, prompt, home)
-              + (demand.toleratesPauses() ? 0 : candidate.pauseMs(now))
-              + (preferred.contains(candidate.listed().id()) ? 0 : misplacementCostMs(demand))
+          endpointCost.expectedMs() * (1 - JITTER_SHARE * random.nextDouble())
+              + endpointCost.otherMs()
               + random.nextDouble() * JITTER_MS;
       if (cost < bestCost) {
         bestCost = cost;
-        best = selection;
+        best = new Selection(candidate, endpointCost.expectedMs(), endpointCost.uncachedTokens());
       }
     }
     return Optional.ofNullable(best);
   }
 
+  @Override
+  public Map<TrackedEndpoint, EndpointCost> costs(List<TrackedEndpoint> candidates, Demand demand) {
+    Set<String> preferred = preferred(candidates, demand);
+    Optional<Prompt> prompt = demand.prompt();
+    Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, warm(candidates, preferred)));
+    long now = clock.nowMs();
+    List<SpeedEvidence> evidence =
+        candidates.stream().map(candidate -> candidate.speed().evidence(now)).toList();
+    EndpointSpeeds relative = EndpointSpeeds.of(evidence);
+    Map<TrackedEndpoint, EndpointCost> costs = new LinkedHashMap<>();
+    for (int i = 0; i < candidates.size(); i++) {
+      TrackedEndpoint candidate = candidates.get(i);
+      EndpointCost ofEndpoint = estimate(candidate, demand, home, relative.factor(evidence.get(i)));
+      costs.put(
+          candidate,
+          ofEndpoint.withOther(
+              zoneCosts.costMs(candidate.listed().zone()),
+              REPEATED_PREFILL_COST_MS * repeatedTokens(candidate, prompt, home),
+              demand.toleratesPauses() ? 0 : candidate.pauseMs(now),
+              preferred.contains(candidate.listed().id()) ? 0 : misplacementCostMs(demand)));
+    }
+    return costs;
+  }
+
+  private void addWork(List<TrackedEndpoint> candidates, Demand demand) {
+    if (demand.prompt().isEmpty() || candidates.isEmpty()) {
+      return;
+    }
+    Prompt prompt = demand.prompt().get();
+    String service = candidates.get(0).listed().service();
+    EngineSpeed speed = speeds.apply(service);
+    double engineMs =
+        speed.prefillMs(prompt.tokens()) + prompt.maxOutputTokens() * speed.outputTokenMs();
+    work.add(service, demand.toleratesPauses(), engineMs);
+  }
+
   /**
    * Returns the ids of the engines for this kind of stream; of all endpoints for plain services.
    */
@@ -134,12 +163,6 @@
     if (demand.prompt().isEmpty() || candidates.isEmpty()) {
       return ids;
     }
-    Prompt prompt = demand.prompt().get();
-    String service = candidates.get(0).listed().service();
-    EngineSpeed speed = speeds.apply(service);
-    double engineMs =
-        speed.prefillMs(prompt.tokens()) + prompt.maxOutputTokens() * speed.outputTokenMs();
-    work.add(service, demand.toleratesPauses(), engineMs);
     Set<String> tolerant = partition.tolerantEngines(candidates);
     if (demand.toleratesPauses() || tolerant.size() == ids.size()) {
       return tolerant;
@@ -170,28 +193,30 @@
    *
    * @param slowness the time that this endpoint takes, as a multiple of the mean endpoint's
    */
-  private Selection estimate(
+  private EndpointCost estimate(
       TrackedEndpoint candidate, Demand demand, Optional<String> home, double slowness) {
     long now = clock.nowMs();
     Optional<Prompt> prompt = demand.prompt();
     EngineSpeed speed = speeds.apply(candidate.listed().service());
-    double expectedMs =
-        candidate.delayMs(demand.toleratesPauses(), now)
-            + FAILURE_COST_MS * candidate.failures(now);
+    EndpointCost observed =
+        EndpointCost.observed(
+            candidate.delayMs(demand.toleratesPauses(), now),
+            FAILURE_COST_MS * candidate.failures(now));
     if (prompt.isEmpty()) {
       double load = (double) candidate.inFlight() / Math.max(1, candidate.listed().slots());
-      double callMs = speed.plainCallMs() * Math.max(0, slowness * (1 + load) - 1);
-      return new Selection(candidate, expectedMs + callMs, 0);
+      return observed.withCall(speed.plainCallMs() * Math.max(0, slowness * (1 + load) - 1));
     }
     boolean isHome = home.equals(Optional.of(candidate.listed().id()));
     long uncached = uncachedTokens(candidate, prompt.get(), isHome);
-    double prefillMs = speed.prefillMs(candidate.estimatedWaitingTokens(now) + uncached);
     double slotMs =
         candidate.slotQueueLength()
             * speed.streamSlotMs()
             / Math.max(1, candidate.listed().slots());
-    double engineMs = slowness * (prefillMs + slotMs + speed.firstEventMs());
-    return new Selection(candidate, expectedMs + engineMs, uncached);
+    return observed.withPrompt(
+        slowness * speed.prefillMs(candidate.estimatedWaitingTokens(now) + uncached),
+        slowness * slotMs,
+        slowness * speed.firstEventMs(),
+        uncached);
   }
 
   /**
