--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -45,6 +45,8 @@
       "tenants":[{"name":"org-1","api_keys":["%s"],"priority":1}]}
       """;
 
+  static final String ADMIN_TOKEN = "admin-1";
+
   static final String STAMP = "X-Zinniaspan-Server-Stamp: s1\r\n";
 
   private final Closer closer = new Closer();
@@ -52,6 +54,7 @@
   RawServer first;
   RawServer second;
   InetSocketAddress metricsListen;
+  InetSocketAddress adminListen;
   InetSocketAddress listen;
   ForwardDaemon daemon;
 
@@ -73,6 +76,7 @@
     listen = FreePorts.nextAddress(LocalSite.LISTEN_HOST);
     readyListen = FreePorts.nextAddress(LocalSite.LISTEN_HOST);
     metricsListen = FreePorts.nextAddress(LocalSite.LISTEN_HOST);
+    adminListen = FreePorts.nextAddress(LocalSite.LISTEN_HOST);
     InetSocketAddress address = Addresses.parse(store.address());
     daemon =
         closer.add(
@@ -90,7 +94,8 @@
                     new ZoneCosts("zone-a", REGIONS),
                     new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
                     VmLimits.of(4_096, 330, 96 << 20),
-                    1)));
+                    1,
+                    Optional.of(new ForwardDaemon.AdminAccess(adminListen, ADMIN_TOKEN)))));
     awaitReady();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -60,6 +60,19 @@
       description = "Address to listen on for metrics scrapes, host:port; empty disables them.")
   private String metricsListen = "";
 
+  @Parameter(
+      names = "--admin-listen",
+      description =
+          "Address to listen on for the administration API, host:port; empty disables it.")
+  private String adminListen = "";
+
+  @Parameter(
+      names = "--admin-token",
+      description =
+          "Token of the administration API; better given as ZINNIASPAN_ADMIN_TOKEN, which no list"
+              + " of processes shows.")
+  private String adminToken = "";
+
   @Parameter(
       names = "--peer-listen",
       description = "Address to listen on for other VMs, host:port; empty if there are none.")
@@ -179,7 +192,10 @@
         new ZoneCosts(zone, regions()),
         parsed.bounds(),
         VmLimits.of(maxFileDescriptors, memoryMb, Runtime.getRuntime().maxMemory()),
-        seed == 0 ? System.nanoTime() : seed);
+        seed == 0 ? System.nanoTime() : seed,
+        adminListen.isEmpty()
+            ? Optional.empty()
+            : Optional.of(new ForwardDaemon.AdminAccess(Addresses.parse(adminListen), adminToken)));
   }
 
   private Map<String, String> boundSettings() {
@@ -212,6 +228,10 @@
     if (!metricsListen.isEmpty()) {
       checks.address("--metrics-listen", metricsListen);
     }
+    if (!adminListen.isEmpty()) {
+      checks.address("--admin-listen", adminListen);
+      checks.required("--admin-token", adminToken);
+    }
     if (!peerListen.isEmpty()) {
       checks.address("--peer-listen", peerListen);
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/ColdEndpoints.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/ColdEndpoints.java
@@ -88,6 +88,17 @@
     return remainingMs;
   }
 
+  @Override
+  public long peekMs(TrackedEndpoint endpoint) {
+    ListedEndpoint listed = endpoint.listed();
+    return known.contains(EndpointIncarnation.of(listed))
+        ? specs
+            .apply(listed.service())
+            .map(spec -> permits.peekMs(listed, schedule(listed, spec)))
+            .orElse(0L)
+        : 0;
+  }
+
   @Override
   public void onSent(ListedEndpoint endpoint) {
     schedule(endpoint)
@@ -135,13 +146,13 @@
   }
 
   private Optional<PermitSchedule> schedule(ListedEndpoint endpoint) {
-    return coldSpec(endpoint)
-        .map(
-            spec -> {
-              ColdAllowance.Pace pace = allowance.pace(spec.requestsPerSecond());
-              return new PermitSchedule(
-                  pace.perSecond(), pace.validityMs(), endpoint.id().hashCode(), share.get());
-            });
+    return coldSpec(endpoint).map(spec -> schedule(endpoint, spec));
+  }
+
+  private PermitSchedule schedule(ListedEndpoint endpoint, ColdSpec spec) {
+    ColdAllowance.Pace pace = allowance.pace(spec.requestsPerSecond());
+    return new PermitSchedule(
+        pace.perSecond(), pace.validityMs(), endpoint.id().hashCode(), share.get());
   }
 
   /** Returns what an endpoint takes if it is cold, or may be. */
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointDirectory.java
@@ -241,6 +241,11 @@
     }
   }
 
+  /** Returns the time since the list was last shown to be current; empty if it never was. */
+  Optional<Long> confirmationAgeMs() {
+    return confirmedMs < 0 ? Optional.empty() : Optional.of(clock.nowMs() - confirmedMs);
+  }
+
   /** Returns whether the list was shown to be current a short time ago. */
   public boolean isListConfirmed() {
     return clock.nowMs() - confirmedMs <= confirmationGapMs;
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointPace.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/EndpointPace.java
@@ -120,6 +120,12 @@
     return schedule(listed).map(schedule -> permits.remainingMs(listed, schedule)).orElse(0L);
   }
 
+  @Override
+  public long peekMs(TrackedEndpoint endpoint) {
+    ListedEndpoint listed = endpoint.listed();
+    return schedule(listed).map(schedule -> permits.peekMs(listed, schedule)).orElse(0L);
+  }
+
   @Override
   public void onSent(ListedEndpoint endpoint) {
     schedule(endpoint).ifPresent(schedule -> permits.use(endpoint, schedule));
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/Explanation.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/Explanation.java
@@ -37,7 +37,7 @@
     /**
      * It would be sent through another VM, as this one reaches none of the endpoints.
      *
-     * @param vm peer address of that VM
+     * @param vm which VM
      */
     record Relayed(String vm) implements Outcome {}
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/HomeRegions.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/HomeRegions.java
@@ -1,8 +1,10 @@
 package org.zinniaspan.forwarding;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The regions in which requests may be processed: all of them, or those of a set.
@@ -28,6 +30,11 @@
     return new HomeRegions(Optional.of(Set.copyOf(names)));
   }
 
+  /** Returns the names of the regions, in order; none if these are all regions. */
+  public List<String> names() {
+    return names.map(set -> List.copyOf(new TreeSet<>(set))).orElse(List.of());
+  }
+
   /** Returns whether these are all regions. */
   public boolean isAll() {
     return names.isEmpty();
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PermitUse.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PermitUse.java
@@ -41,6 +41,14 @@
     return Math.max(0, schedule.nextMs(now, usedUntilMs(endpoint, schedule)) - now);
   }
 
+  /** Returns what {@link #remainingMs} returns, but changes no state. */
+  long peekMs(ListedEndpoint endpoint, PermitSchedule schedule) {
+    long now = timeOfDay.nowMs();
+    Used known = used.get(EndpointIncarnation.of(endpoint));
+    long untilMs = known == null ? 0 : Math.min(known.untilMs(), now);
+    return Math.max(0, schedule.nextMs(now, untilMs) - now);
+  }
+
   private long usedUntilMs(ListedEndpoint endpoint, PermitSchedule schedule) {
     long now = timeOfDay.nowMs();
     Used known = used.get(EndpointIncarnation.of(endpoint));
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RejectionLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RejectionLimits.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongBiFunction;
 import java.util.stream.Collectors;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.log.EventLog;
@@ -203,14 +204,24 @@
 
   @Override
   public long remainingMs(TrackedEndpoint endpoint) {
+    return remainingMs(endpoint, permits::remainingMs);
+  }
+
+  @Override
+  public long peekMs(TrackedEndpoint endpoint) {
+    return remainingMs(endpoint, permits::peekMs);
+  }
+
+  private long remainingMs(
+      TrackedEndpoint endpoint, ToLongBiFunction<ListedEndpoint, PermitSchedule> permitMs) {
     ListedEndpoint listed = endpoint.listed();
     Optional<PermitSchedule> schedule = schedule(listed);
     if (schedule.isEmpty()) {
       return 0;
     }
     long fullMs = endpoint.occupancy() >= MAX_OCCUPANCY ? FULL_MS : 0;
-    long permitMs = permits.remainingMs(listed, schedule.get());
-    return Math.max(fullMs, Math.max(pausedMs(listed), permitMs));
+    return Math.max(
+        fullMs, Math.max(pausedMs(listed), permitMs.applyAsLong(listed, schedule.get())));
   }
 
   /** Returns the time until the pause after an endpoint's last rejection ends, in milliseconds. */
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestLimits.java
@@ -101,6 +101,12 @@
     return remainingMs(endpoint.listed());
   }
 
+  @Override
+  public long peekMs(TrackedEndpoint endpoint) {
+    ListedEndpoint listed = endpoint.listed();
+    return schedule(listed).map(schedule -> permits.peekMs(listed, schedule)).orElse(0L);
+  }
+
   /** Returns the time until this VM may send to an endpoint, in milliseconds. */
   public long remainingMs(ListedEndpoint endpoint) {
     return schedule(endpoint).map(schedule -> permits.remainingMs(endpoint, schedule)).orElse(0L);
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimit.java
@@ -9,6 +9,9 @@
   /** Returns the time until this VM may send to an endpoint, in milliseconds. */
   long remainingMs(TrackedEndpoint endpoint);
 
+  /** Returns what {@link #remainingMs} returned last time or would return, and changes no state. */
+  long peekMs(TrackedEndpoint endpoint);
+
   /** Records that a request is sent to an endpoint. */
   void onSent(ListedEndpoint endpoint);
 
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/SendLimits.java
@@ -70,6 +70,24 @@
     return remainingMs;
   }
 
+  /** Returns what {@link #remainingMs} returns, but changes no state. */
+  long peekMs(TrackedEndpoint endpoint) {
+    ListedEndpoint listed = endpoint.listed();
+    long rejectionMs =
+        slots.areRequired(listed)
+            ? Math.max(rejections.pausedMs(listed), slots.remainingMs(listed))
+            : rejections.peekMs(endpoint);
+    return others.stream()
+        .filter(limit -> !limit.isPreference())
+        .mapToLong(limit -> limit.peekMs(endpoint))
+        .reduce(Math.max(requests.peekMs(endpoint), rejectionMs), Math::max);
+  }
+
+  /** Returns what {@link #avoid} returns, but changes no state. */
+  boolean peekAvoid(TrackedEndpoint endpoint) {
+    return others.stream().anyMatch(limit -> limit.isPreference() && limit.peekMs(endpoint) > 0);
+  }
+
   /** Returns whether requests are better sent to other endpoints, if one takes them. */
   public boolean avoid(TrackedEndpoint endpoint) {
     return others.stream()
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/AdminServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/AdminServer.java
@@ -34,23 +34,15 @@
   private static final String EXPLAIN = "POST /explain";
 
   private final byte[] authorization;
-  private final Function<ExplainQuery, Explanation> explainer;
+  private final Function<RequestFacts, Explanation> explainer;
   private final ObjectMapper mapper = new ObjectMapper();
 
-  /**
-   * A request that is to be explained.
-   *
-   * @param method its method
-   * @param facts what its head states
-   */
-  record ExplainQuery(String method, RequestFacts facts) {}
-
   /**
    * Creates a server.
    *
    * @param token token that callers must send as {@code Authorization: Bearer TOKEN}
    */
-  AdminServer(String token, Function<ExplainQuery, Explanation> explainer) {
+  AdminServer(String token, Function<RequestFacts, Explanation> explainer) {
     this.authorization = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
     this.explainer = explainer;
   }
@@ -83,7 +75,7 @@
       return;
     }
     try {
-      Explanation explanation = explainer.apply(query(mapper.readTree(body)));
+      Explanation explanation = explainer.apply(facts(mapper.readTree(body)));
       respond(
           connection, HttpStatus.SC_OK, ExplanationJson.of(mapper, explanation).toPrettyString());
     } catch (JsonProcessingException e) {
@@ -102,20 +94,18 @@
         && MessageDigest.isEqual(authorization, header.getValue().getBytes(StandardCharsets.UTF_8));
   }
 
-  private static ExplainQuery query(JsonNode node) {
+  private static RequestFacts facts(JsonNode node) {
     if (!node.path("host").isTextual() || !node.path("path").isTextual()) {
       throw new IllegalArgumentException("the fields 'host' and 'path' must be texts");
     }
-    return new ExplainQuery(
-        node.path("method").asText("POST"),
-        new RequestFacts(
-            Optional.empty(),
-            node.path("host").asText(),
-            node.path("path").asText(),
-            Optional.ofNullable(node.path("key").textValue()),
-            number(node, "deadlineMs"),
-            number(node, "promptTokens").map(tokens -> prompt(tokens, node)),
-            Optional.empty()));
+    return new RequestFacts(
+        Optional.empty(),
+        node.path("host").asText(),
+        node.path("path").asText(),
+        Optional.ofNullable(node.path("key").textValue()),
+        number(node, "deadlineMs"),
+        number(node, "promptTokens").map(tokens -> prompt(tokens, node)),
+        Optional.empty());
   }
 
   private static Prompt prompt(long tokens, JsonNode node) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -23,9 +23,12 @@
 import org.zinniaspan.forwarding.EndpointReachability;
 import org.zinniaspan.forwarding.EngineReportSource;
 import org.zinniaspan.forwarding.EngineSpeeds;
+import org.zinniaspan.forwarding.Explanation;
 import org.zinniaspan.forwarding.HomeRegions;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ReportPoller;
+import org.zinniaspan.forwarding.RequestExplainer;
+import org.zinniaspan.forwarding.RequestFacts;
 import org.zinniaspan.forwarding.RoutingTable;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
@@ -170,6 +173,7 @@
    * @param bounds time bounds and budgets of the platform
    * @param vmLimits what this VM can take on
    * @param seed seed of the daemon's random numbers
+   * @param admin access to the administration API; empty serves none
    */
   public record Options(
       InetSocketAddress listen,
@@ -184,7 +188,16 @@
       ZoneCosts zoneCosts,
       PlatformBounds bounds,
       VmLimits vmLimits,
-      long seed) {}
+      long seed,
+      Optional<AdminAccess> admin) {}
+
+  /**
+   * Access to the administration API.
+   *
+   * @param listen address on which it is served
+   * @param token token that callers must send
+   */
+  public record AdminAccess(InetSocketAddress listen, String token) {}
 
   /**
    * Starts a daemon: listens on its addresses and follows the platform's configuration.
@@ -215,6 +228,10 @@
       MetricsHandler metrics = new MetricsHandler(context.metrics());
       listen("metrics", options.metricsListen().get(), metrics, limits.operators());
     }
+    if (options.admin().isPresent()) {
+      AdminServer admin = new AdminServer(options.admin().get().token(), this::explain);
+      listen("admin", options.admin().get().listen(), admin, limits.operators());
+    }
     if (options.peerListen().isPresent()) {
       FleetServer fleetServer = fleet.server(server, limits.peers().maxBytes());
       listen("peers", options.peerListen().get(), fleetServer, limits.peers());
@@ -262,6 +279,20 @@
             () -> inbound.values().stream().mapToLong(InboundConnections::closedForMemory).sum()));
   }
 
+  private Explanation explain(RequestFacts facts) {
+    return new RequestExplainer(
+            clock,
+            context.follower(),
+            context.tableFreshness(),
+            context.directory(),
+            context.eligibility(),
+            context.backoff(),
+            context.limits(),
+            context.reachability(),
+            context.selector())
+        .explain(facts);
+  }
+
   private void registerGauges() {
     ForwardMetrics metrics = context.metrics();
     fleet.registerGauges(metrics);
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/SendDecisionTest.java
@@ -109,6 +109,11 @@
         return avoided.contains(endpoint) ? 100 : 0;
       }
 
+      @Override
+      public long peekMs(TrackedEndpoint endpoint) {
+        return remainingMs(endpoint);
+      }
+
       @Override
       public void onSent(ListedEndpoint endpoint) {
         // Nothing is counted.
