--- a/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/Main.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.zinniaspan.inventory.Finding;
 import org.zinniaspan.log.EventLog;
 import sun.misc.Signal;
@@ -53,15 +54,7 @@
 
   /** Runs the command line and returns its exit code. */
   public static int run(String[] args, Map<String, String> environment) {
-    EntrySettings entry = new EntrySettings();
-    Map<String, Command> commands = new LinkedHashMap<>();
-    commands.put("entry", Command.of(entry, () -> entry.help, out -> runEntryDaemon(entry)));
-    commands.put("forward", new ForwardCommand());
-    commands.put("trace", new TraceCommand());
-    commands.put("check", new CheckCommand());
-    commands.put("import", new ImportCommand());
-    commands.put("status", new StatusCommand());
-    commands.put("explain", new ExplainCommand());
+    Map<String, Command> commands = commands(args);
     JCommander commander = commander(environment, commands);
     if (args.length == 0 || args[0].equals("--help")) {
       commander.usage();
@@ -81,6 +74,32 @@
     return command.run(System.out);
   }
 
+  /**
+   * Returns the command that the arguments name, or all if they name none. Only what is run is set
+   * up, as a daemon would otherwise inspect the flags of all commands when it starts.
+   */
+  private static Map<String, Command> commands(String[] args) {
+    Map<String, Supplier<Command>> all = new LinkedHashMap<>();
+    all.put("entry", Main::entryCommand);
+    all.put("forward", ForwardCommand::new);
+    all.put("trace", TraceCommand::new);
+    all.put("check", CheckCommand::new);
+    all.put("import", ImportCommand::new);
+    all.put("status", StatusCommand::new);
+    all.put("explain", ExplainCommand::new);
+    if (args.length > 0 && all.containsKey(args[0])) {
+      return Map.of(args[0], all.get(args[0]).get());
+    }
+    Map<String, Command> commands = new LinkedHashMap<>();
+    all.forEach((name, command) -> commands.put(name, command.get()));
+    return commands;
+  }
+
+  private static Command entryCommand() {
+    EntrySettings entry = new EntrySettings();
+    return Command.of(entry, () -> entry.help, out -> runEntryDaemon(entry));
+  }
+
   private static JCommander commander(
       Map<String, String> environment, Map<String, Command> commands) {
     JCommander.Builder builder =
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SlotSharing.java
@@ -236,7 +236,6 @@
 
   @Override
   public void tick() {
-    long now = clock.nowMs();
     role.tick();
     assigner.tick();
     Set<String> limited = rejections.services();
@@ -244,6 +243,7 @@
       waiting.clear();
       return;
     }
+    long now = clock.nowMs();
     limited.forEach(service -> limitedSinceMs.putIfAbsent(service, now));
     limitedSinceMs.keySet().retainAll(limited);
     sources.keySet().removeIf(key -> !limited.contains(key.service()));
--- a/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/log/LogWriter.java
@@ -112,9 +112,9 @@
   private void writeBatch(List<LogLine> lines) {
     LineBuffer.DroppedCounts dropped = buffer.resetDroppedCounts();
     if (dropped.routine() + dropped.failures() > 0) {
-      write(LogLine.of(Level.WARN, droppedLinesMessage(dropped), System.currentTimeMillis()));
+      print(LogLine.of(Level.WARN, droppedLinesMessage(dropped), System.currentTimeMillis()));
     }
-    lines.forEach(this::write);
+    lines.forEach(this::print);
     try {
       console.flush();
     } catch (IOException e) {
@@ -122,7 +122,7 @@
     }
   }
 
-  private void write(LogLine line) {
+  private void print(LogLine line) {
     try {
       console.write(layout.format(line).getBytes(StandardCharsets.UTF_8));
     } catch (IOException e) {
