Tick the catalogue, the membership and their clients every 20 ms again

Change: only the choice of engines to poll runs every 60 ms.

Tests: CatalogSharingTest and ReportPollerTest passed.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.clock.Ticking;
 import org.zinniaspan.fleet.CatalogService;
 import org.zinniaspan.fleet.CatalogSharing;
 import org.zinniaspan.fleet.EndpointObservations;
@@ -22,7 +23,7 @@
 import org.zinniaspan.transport.BufferingHttpClient;
 
 /** The components through which a daemon and the other VMs tell each other what they know. */
-final class FleetComponents {
+final class FleetComponents implements Ticking {
 
   private final HttpPeerClient peers;
   private final FleetMembership members;
@@ -154,19 +155,12 @@
     engineBoard.stop();
   }
 
-  /**
-   * Does what is due.
-   *
-   * @param slow whether to do also what may wait a little: only slots, origins of streams and what
-   *     VMs observed of endpoints are passed on in each tick
-   */
-  void tick(boolean slow) {
-    if (slow) {
-      peers.tick();
-      members.tick();
-      catalogSharing.tick();
-      catalogService.tick();
-    }
+  @Override
+  public void tick() {
+    peers.tick();
+    members.tick();
+    catalogSharing.tick();
+    catalogService.tick();
     engineSharing.tick();
     engineBoard.tick();
     slots.tick();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -40,11 +40,8 @@
   /** Time between two ticks, in milliseconds; a timeout takes effect at most this much late. */
   private static final long TICK_MS = 20;
 
-  /**
-   * Time between two ticks of what no request waits for, in milliseconds; it delays changes of the
-   * configuration and the discovery of VMs, whose bounds are seconds.
-   */
-  private static final long SLOW_TICK_MS = 60;
+  /** Time between two looks at which engines to poll, in milliseconds. */
+  private static final long POLL_TICK_MS = 60;
 
   /** Address of a VM without a peer address, which no other VM asks. */
   private static final String LONE_VM = "none";
@@ -63,7 +60,7 @@
   private final EngineReportSource reportSource;
   private final ReportPoller reportPoller;
   private final FleetComponents fleet;
-  private long nextSlowTickMs;
+  private long nextPollTickMs;
 
   private ForwardDaemon(Options options) {
     shutdown = new ShutdownSequence(clock, options.bounds().graceMs());
@@ -193,7 +190,7 @@
   }
 
   private void startServing(Options options) throws IOException {
-    reactor.runLocked(() -> fleet.tick(true));
+    reactor.runLocked(fleet::tick);
     ReadinessHandler readiness = new ReadinessHandler(this::isReady);
     reactor.listen(options.readyListen(), () -> new InboundConnection(reactor, readiness, clock));
     if (options.metricsListen().isPresent()) {
@@ -271,17 +268,14 @@
 
   private void tick() {
     long now = clock.nowMs();
-    boolean slow = now >= nextSlowTickMs;
-    if (slow) {
-      nextSlowTickMs = now + SLOW_TICK_MS;
-      platformClient.tick();
-    }
-    fleet.tick(slow);
+    platformClient.tick();
+    fleet.tick();
     context.directory().tick();
     context.quarantine().tick();
     context.crashWitness().tick();
     server.tick();
-    if (slow) {
+    if (now >= nextPollTickMs) {
+      nextPollTickMs = now + POLL_TICK_MS;
       reportSource.tick();
       reportPoller.tick();
       context
