--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -50,11 +50,8 @@
   /** Time between two ticks, in milliseconds; a timeout takes effect at most this much late. */
   private static final long TICK_MS = 20;
 
-  /**
-   * Time between two ticks of what no request waits for, in milliseconds; it delays changes of the
-   * configuration and the discovery of VMs, whose bounds are seconds.
-   */
-  private static final long SLOW_TICK_MS = 60;
+  /** Time between two looks at which engines to poll, in milliseconds. */
+  private static final long POLL_TICK_MS = 60;
 
   /** Address of a VM without a peer address, which no other VM asks. */
   private static final String LONE_VM = "none";
@@ -74,7 +71,7 @@
   private final ReportPoller reportPoller;
   private final FleetComponents fleet;
   private final Map<String, InboundConnections> inbound = new LinkedHashMap<>();
-  private long nextSlowTickMs;
+  private long nextPollTickMs;
 
   private ForwardDaemon(Options options) {
     shutdown = new ShutdownSequence(clock, options.bounds().graceMs());
@@ -216,7 +213,7 @@
   }
 
   private void startServing(Options options) throws IOException {
-    reactor.runLocked(() -> fleet.tick(true));
+    reactor.runLocked(fleet::tick);
     VmLimits limits = context.vmLimits();
     listen(
         "readiness",
@@ -355,16 +352,15 @@
 
   private void tick() {
     long now = clock.nowMs();
-    boolean slow = now >= nextSlowTickMs;
     List<Runnable> parts = new ArrayList<>();
-    parts.add(() -> fleet.tick(slow));
+    parts.add(platformClient::tick);
+    parts.add(fleet::tick);
     parts.add(context.directory()::tick);
     parts.add(context.quarantine()::tick);
     parts.add(context.crashWitness()::tick);
     parts.add(server::tick);
-    if (slow) {
-      nextSlowTickMs = now + SLOW_TICK_MS;
-      parts.add(0, platformClient::tick);
+    if (now >= nextPollTickMs) {
+      nextPollTickMs = now + POLL_TICK_MS;
       parts.add(reportSource::tick);
       parts.add(reportPoller::tick);
       parts.add(this::pollReports);
