--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -267,13 +267,13 @@
   }
 
   private void tick() {
-    long now = clock.nowMs();
     platformClient.tick();
     fleet.tick();
     context.directory().tick();
     context.quarantine().tick();
     context.crashWitness().tick();
     server.tick();
+    long now = clock.nowMs();
     if (now >= nextPollTickMs) {
       nextPollTickMs = now + POLL_TICK_MS;
       reportSource.tick();
