Let VMs see late requests of all VMs, off by default

A VM of a large fleet decided by its own few requests of the last second, so one refused urgent requests while another admitted less urgent ones, and no VM saw that one organisation sent many times its usual.

The least urgent rank gives way in proportion to late requests; organisations with more than an equal share first, callers that come back last. Refusals are counted by reason and rank.

--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -126,6 +126,13 @@
               + " quarter of the Java heap.")
   private int memoryMb = 330;
 
+  @Parameter(
+      names = "--shared-pressure",
+      description =
+          "Whether VMs tell each other which requests to engines are late, so that less urgent ones"
+              + " give way at all of them: on or off. Takes effect from 16 VMs.")
+  private String sharedPressure = "off";
+
   @Parameter(names = "--seed", description = "Seed of the random number generators; 0 picks one.")
   private long seed = 0;
 
@@ -156,6 +163,13 @@
     InetSocketAddress store = Addresses.parse(platform);
     PlatformBounds.Parsed parsed = PlatformBounds.parse(boundSettings());
     parsed.findings().forEach(ForwardCommand::logFinding);
+    if (!sharedPressure.equals("on") && !sharedPressure.equals("off")) {
+      logFinding(
+          new Finding(
+              "settings",
+              "--shared-pressure",
+              "'" + sharedPressure + "' is neither on nor off; off holds"));
+    }
     return new ForwardDaemon.Options(
         Addresses.parse(listen),
         Addresses.parse(readyListen),
@@ -169,6 +183,7 @@
         new ZoneCosts(zone, regions()),
         parsed.bounds(),
         VmLimits.of(maxFileDescriptors, memoryMb, Runtime.getRuntime().maxMemory()),
+        sharedPressure.equals("on"),
         seed == 0 ? System.nanoTime() : seed);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineBoard.java
@@ -10,6 +10,7 @@
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.EngineReport;
 import org.zinniaspan.forwarding.ListedEndpoint;
+import org.zinniaspan.forwarding.SharedPressure;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.peer.proto.EngineLoad;
 import org.zinniaspan.peer.proto.EngineQuery;
@@ -39,6 +40,7 @@
   private final WorkExchange work;
   private final ObservationExchange observations;
   private final SpeedExchange speeds;
+  private final PressureExchange pressure;
   private final Clock clock;
   private final long epoch;
   private final Map<String, Entry> entries = new HashMap<>();
@@ -52,12 +54,14 @@
    * Creates a board without reports.
    *
    * @param streamWork the work of this VM's streams
+   * @param sharedPressure the requests of all VMs to engines
    * @param observations what VMs tell each other besides load reports
    * @param epoch number of this process that no other one has
    */
   public EngineBoard(
       EndpointDirectory directory,
       StreamWork streamWork,
+      SharedPressure sharedPressure,
       ObservationExchange observations,
       Clock clock,
       long epoch) {
@@ -65,6 +69,7 @@
     this.work = new WorkExchange(streamWork, clock);
     this.observations = observations;
     this.speeds = new SpeedExchange(directory, clock);
+    this.pressure = new PressureExchange(sharedPressure, clock);
     this.clock = clock;
     this.epoch = epoch;
   }
@@ -94,6 +99,11 @@
     return work;
   }
 
+  /** Returns the exchange of requests by rank and organisation. */
+  PressureExchange pressure() {
+    return pressure;
+  }
+
   /** Returns the exchange of the speeds of endpoints. */
   SpeedExchange speeds() {
     return speeds;
@@ -111,6 +121,9 @@
     }
     observations.merge(query.getObservations());
     speeds.onReported(query);
+    if (query.getWorkCount() > 0) {
+      pressure.onReported(query);
+    }
     HeldQuery entry = new HeldQuery(query, clock.nowMs(), responder);
     boolean isDue = hasNew(query) && query.getMinWaitMs() <= 0;
     if (stopped || isDue || hasNewObservations(query)) {
@@ -186,6 +199,7 @@
             .setHeedsMinWait(true)
             .setStopping(stopped);
     if (!stopped) {
+      pressure.tell(state);
       state.addAllZoneWork(work.zoneWork()).addAllFleetWork(work.fleetWork());
       entries.forEach(
           (id, entry) -> {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -123,6 +123,7 @@
       return;
     }
     board.work().useFleetWork(board.work().fleetWork());
+    board.pressure().useOwnSums();
     for (String zone : members.zones()) {
       if (!zone.equals(members.zone())) {
         query(zone, zone);
@@ -148,6 +149,7 @@
     if (engineZone.isEmpty()) {
       query.addAllWork(board.work().ownWork());
       board.speeds().report(query);
+      board.pressure().report(query);
     }
     peers.queryEngines(
         observer.get(),
@@ -161,8 +163,10 @@
           onReply(observer.get(), source, sentMs, reply);
           if (engineZone.isEmpty()) {
             reply.ifPresent(state -> board.work().useFleetWork(state.getFleetWorkList()));
+            reply.ifPresent(board.pressure()::onFleet);
           } else {
             reply.ifPresent(state -> board.work().onZone(engineZone, state.getZoneWorkList()));
+            reply.ifPresent(state -> board.pressure().onZone(engineZone, state));
           }
         });
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -239,6 +239,7 @@
       endpoint.onPromptDone(selection.uncachedTokens());
       long now = proxiedRequest.context().clock().nowMs();
       firstEventMs = now;
+      sender.onFirstEvent(selection);
       if (unloaded) {
         speed().onFirstEvent(selection.uncachedTokens(), now - sentMs);
       }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -18,6 +18,7 @@
 import org.zinniaspan.forwarding.CatalogFollower;
 import org.zinniaspan.forwarding.EndpointDirectory;
 import org.zinniaspan.forwarding.PlatformBounds;
+import org.zinniaspan.forwarding.SharedPressure;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.transport.BufferingHttpClient;
@@ -30,6 +31,7 @@
   private final CatalogSharing catalogSharing;
   private final CatalogService catalogService;
   private final EngineSharing engineSharing;
+  private final SharedPressure pressure;
   private final EngineBoard engineBoard;
   private final EndpointObservations endpoints;
   private final SlotSharing slots;
@@ -78,7 +80,8 @@
             slotMs,
             random);
     endpoints = observations.withSlots(slots);
-    engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
+    pressure = new SharedPressure(clock, members::liveCount);
+    engineBoard = new EngineBoard(directory, work, pressure, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
   }
@@ -104,6 +107,11 @@
     return endpoints;
   }
 
+  /** Returns the requests of all VMs to engines. */
+  SharedPressure pressure() {
+    return pressure;
+  }
+
   /** Returns the slots that VMs assign each other. */
   SlotSharing slots() {
     return slots;
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -101,7 +101,10 @@
             directory,
             speeds,
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
-            new AdmissionControl(clock, random),
+            new AdmissionControl(
+                clock,
+                random,
+                options.sharedPressure() ? Optional.of(fleet.pressure()) : Optional.empty()),
             fleet.origins(),
             new EndpointBackoff(clock),
             fleet.endpoints().limits(),
@@ -152,6 +155,7 @@
    * @param zoneCosts availability zone of this VM and the costs to the others
    * @param bounds time bounds and budgets of the platform
    * @param vmLimits what this VM can take on
+   * @param sharedPressure whether admission heeds what other VMs admit and find late
    * @param seed seed of the daemon's random numbers
    */
   public record Options(
@@ -167,7 +171,41 @@
       ZoneCosts zoneCosts,
       PlatformBounds bounds,
       VmLimits vmLimits,
-      long seed) {}
+      boolean sharedPressure,
+      long seed) {
+
+    /** Creates options without shared pressure. */
+    public Options(
+        InetSocketAddress listen,
+        InetSocketAddress readyListen,
+        Optional<InetSocketAddress> metricsListen,
+        Optional<InetSocketAddress> peerListen,
+        List<String> seeds,
+        InetSocketAddress platformAddress,
+        Function<BufferingHttpClient, Catalog> catalogFactory,
+        Function<Function<String, BufferingHttpClient>, EngineReportSource> reportSourceFactory,
+        Dialect dialect,
+        ZoneCosts zoneCosts,
+        PlatformBounds bounds,
+        VmLimits vmLimits,
+        long seed) {
+      this(
+          listen,
+          readyListen,
+          metricsListen,
+          peerListen,
+          seeds,
+          platformAddress,
+          catalogFactory,
+          reportSourceFactory,
+          dialect,
+          zoneCosts,
+          bounds,
+          vmLimits,
+          false,
+          seed);
+    }
+  }
 
   /**
    * Starts a daemon: listens on its addresses and follows the platform's configuration.
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardMetrics.java
@@ -50,6 +50,12 @@
           .help("Requests that this VM relayed to other VMs, or received from them.")
           .labelNames("side")
           .register(registry);
+  private final Counter refusals =
+      Counter.builder()
+          .name("zinniaspan_refused_requests_total")
+          .help("Requests to model services that admission control refused, by reason and rank.")
+          .labelNames("reason", "rank")
+          .register(registry);
   private final Histogram firstEvent =
       Histogram.builder()
           .name("zinniaspan_first_event_seconds")
@@ -85,6 +91,11 @@
       long firstEventMs,
       long durationMs) {}
 
+  /** Records that admission control refused a request of a rank. */
+  void recordRefusal(String reason, int rank) {
+    refusals.labelValues(reason, String.valueOf(rank)).inc();
+  }
+
   /** Records a finished request. */
   void recordRequest(CompletedRequest completed) {
     String kind =
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -66,6 +66,7 @@
   private boolean mayHaveRun;
   private boolean awaitingRoom;
   private Attempt attempt;
+  private AdmissionControl.Request admissionRequest;
   private String receiver = "none";
 
   RequestSender(ForwardContext context, ProxiedRequest request) {
@@ -271,8 +272,9 @@
           .addFailure(
               selectionEvent("request-refused", selection.get())
                   .with("reason", refusal.get().reason())
-                  .with("rank", request.routed().orElseThrow().rank())
+                  .with("rank", request.rank())
                   .with("retryAfterMs", refusal.get().retryAfterMs()));
+      context.metrics().recordRefusal(refusal.get().reason(), request.rank());
       request.refuse(refusal.get().reason(), refusal.get().retryAfterMs());
       return;
     }
@@ -331,17 +333,35 @@
     if (request.facts().prompt().isEmpty() || sendCount > 0 || mayHaveRun) {
       return Optional.empty();
     }
-    long leftMs = request.deadlineMs() - context.clock().nowMs();
-    return context
-        .admission()
-        .decide(
-            new AdmissionControl.Request(
-                request.routed().orElseThrow().rank(),
-                request.routed().orElseThrow().leastUrgent(),
-                request.toleratesPauses(),
-                request.route().targetLatencyMs(),
-                leftMs),
-            selection);
+    return context.admission().decide(admissionRequest(), selection);
+  }
+
+  /** Returns the properties of a request with a prompt that decide its admission. */
+  private AdmissionControl.Request admissionRequest() {
+    if (admissionRequest == null) {
+      RouteDecision.Routed routed = request.routed().orElseThrow();
+      admissionRequest =
+          new AdmissionControl.Request(
+              routed.rank(),
+              routed.leastUrgent(),
+              routed.toleratesPauses(),
+              routed.route().targetLatencyMs(),
+              request.deadlineMs() - context.clock().nowMs(),
+              routed.organisation().map(OrganisationSpec::name).orElse(""),
+              request.facts().prompt().orElseThrow().tokens(),
+              context
+                  .admission()
+                  .isReturning(routed.route().name(), request.deadlineMs() - request.arrivalMs()));
+    }
+    return admissionRequest;
+  }
+
+  /** Called when the first event of a stream arrives. */
+  void onFirstEvent(Selection selection) {
+    if (request.facts().prompt().isPresent() && sendCount == 1) {
+      long elapsedMs = context.clock().nowMs() - request.arrivalMs();
+      context.admission().onFirstEvent(admissionRequest(), selection, elapsedMs);
+    }
   }
 
   private EndpointSelector.Demand demand() {
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -27,6 +27,7 @@
 import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.SharedPressure;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TrackedEndpoint;
@@ -157,6 +158,7 @@
     final CatalogSharing sharing;
     final CatalogService service;
     final StreamWork work;
+    final SharedPressure pressure;
     final EngineSpeeds speeds = new EngineSpeeds();
     final EndpointObservations endpoints;
     final PromptQuarantine quarantine;
@@ -208,7 +210,9 @@
       endpoints = slots.map(observations::withSlots).orElse(observations);
       quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
-      board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
+      pressure = new SharedPressure(this::steadyMs, members::liveCount);
+      board =
+          new EngineBoard(directory, work, pressure, endpoints.exchange(), this::steadyMs, epoch);
       engines = new EngineSharing(directory, board, members, calls, this::steadyMs);
       poller =
           new ReportPoller(
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedEndpoint.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
@@ -26,6 +27,7 @@
 
   private static final int NORMAL_QUEUE = 6;
   private static final int SHORT_QUEUE = 0;
+  private static final int LONG_QUEUE = 25;
   private static final double PREFILL_TOKENS_PER_MS = 68.2;
   private static final double OUTPUT_TOKEN_MS = 3.82;
 
@@ -39,6 +41,9 @@
     /** Returns the time that the endpoint needs for it if it has no prompt, in milliseconds. */
     double workMs();
 
+    /** Returns its priority rank. */
+    int rank();
+
     /** Returns the address of the VM that sent it. */
     String sender();
 
@@ -66,6 +71,7 @@
   private Optional<Integer> rejectionsPerSecond = Optional.empty();
   private boolean queueIsShort;
   private double slowness = 1;
+  private boolean queueIsByRank;
   private boolean down;
   private double prefillFreeMs;
   private int incarnation;
@@ -134,6 +140,16 @@
     slowness = factor;
   }
 
+  /** Lets more requests wait from now on, of which the most urgent is served first. */
+  void queueByRank() {
+    queueIsByRank = true;
+  }
+
+  /** Loses the endpoint for some seconds. */
+  void crash() {
+    fail();
+  }
+
   void shortenQueue() {
     queueIsShort = true;
   }
@@ -148,13 +164,26 @@
       job.onConnectFailed();
     } else if (running.size() < slots) {
       start(job);
-    } else if (queue.size() < (queueIsShort ? SHORT_QUEUE : NORMAL_QUEUE)) {
+    } else if (queue.size() < queueLimit()) {
       queue.addLast(job);
     } else {
       reject(job);
     }
   }
 
+  private int queueLimit() {
+    return queueIsByRank ? LONG_QUEUE : queueIsShort ? SHORT_QUEUE : NORMAL_QUEUE;
+  }
+
+  private Job nextQueued() {
+    Job next =
+        queueIsByRank
+            ? queue.stream().min(Comparator.comparingInt(Job::rank)).orElseThrow()
+            : queue.peekFirst();
+    queue.remove(next);
+    return next;
+  }
+
   private void reject(Job job) {
     job.onRejected(rejectionsPerSecond);
     rejections.addLast(new Rejection(fleet.nowMs, job.sender()));
@@ -227,7 +256,7 @@
     running.remove(job);
     job.onEnd();
     while (!queue.isEmpty() && running.size() < slots) {
-      start(queue.pollFirst());
+      start(nextQueued());
     }
   }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/OverloadedFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.Prompt;
@@ -26,6 +27,7 @@
   /** Number of VMs to which the rates of the kinds refer. */
   private static final double NOMINAL_VMS = 74;
 
+  private static final int ORGANISATIONS = 24;
   private static final int ZONES = 6;
   private static final int MODEL_SLOTS = 12;
   private static final int PLAIN_SLOTS = 6;
@@ -96,6 +98,14 @@
 
   int rejectedUnknowing;
 
+  /** Whether VMs tell each other of late requests. */
+  boolean sharesPressure;
+
+  /** Starts of the least urgent streams, and arrivals of others that got nothing, by second. */
+  private final Map<Long, Integer> leastUrgentStarts = new TreeMap<>();
+
+  private final Map<Kind, Map<Long, Integer>> nothing = new HashMap<>();
+
   /** Whether VMs learn the speed of each endpoint. */
   boolean learnsSpeeds = true;
 
@@ -103,6 +113,7 @@
   private final Map<Kind, Double> bursts = new HashMap<>();
   private final double scale;
   private int requestCount;
+  private int arrivalCount;
   private String zoneWithoutLoad = "";
 
   OverloadedFleet(long seed, int vms, int modelEndpoints, int plainEndpoints) {
@@ -216,8 +227,52 @@
         kind.perSecond() * scale * bursts.getOrDefault(kind, 1.0) * TICK_MS / MS_PER_SECOND;
     for (int count = poisson(mean); count > 0; count--) {
       tallies.get(kind).asked++;
-      submit(new SimulatedRouter.Request(kind, prompt(kind), fleet.nowMs, 2));
+      String organisation = "organisation-" + Math.floorMod(++arrivalCount, ORGANISATIONS);
+      submit(new SimulatedRouter.Request(kind, prompt(kind), organisation, fleet.nowMs, 2));
+    }
+  }
+
+  /** Lets a share of the model endpoints crash. */
+  void crash(double share) {
+    List<OverloadedEndpoint> engines = of(MODEL);
+    for (int i = 0; i < engines.size(); i++) {
+      if (Math.floor((i + 1) * share) > Math.floor(i * share)) {
+        engines.get(i).crash();
+      }
+    }
+  }
+
+  void queueByRank() {
+    of(MODEL).forEach(OverloadedEndpoint::queueByRank);
+  }
+
+  void onBegun(Kind kind) {
+    if (kind.leastUrgent()) {
+      leastUrgentStarts.merge(fleet.nowMs / 1_000, 1, Integer::sum);
+    }
+  }
+
+  void onNothing(Kind kind, long firstMs) {
+    nothing.computeIfAbsent(kind, k -> new TreeMap<>()).merge(firstMs / 1_000, 1, Integer::sum);
+  }
+
+  /**
+   * Returns the largest number of requests of a kind that came within five seconds and got nothing,
+   * while less urgent ones began.
+   */
+  int passedOver(Kind kind) {
+    Map<Long, Integer> bySecond = nothing.getOrDefault(kind, Map.of());
+    int most = 0;
+    for (long second : bySecond.keySet()) {
+      int got = 0;
+      int begun = 0;
+      for (long s = second; s < second + 5; s++) {
+        got += bySecond.getOrDefault(s, 0);
+        begun += leastUrgentStarts.getOrDefault(s, 0);
+      }
+      most = begun > 0 ? Math.max(most, got) : most;
     }
+    return most;
   }
 
   /** Hands a client's request to a random VM. */
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedRouter.java
@@ -41,24 +41,32 @@
     private final long firstMs;
     private final long arrivalMs;
     private final int triesLeft;
+    private final String organisation;
     private final Set<String> tried = new HashSet<>();
     private int sends;
     private boolean mayHaveRun;
     private boolean started;
     private boolean finished;
 
-    Request(OverloadedFleet.Kind kind, Optional<Prompt> prompt, long nowMs, int tries) {
-      this(kind, prompt, nowMs, nowMs, tries);
+    Request(
+        OverloadedFleet.Kind kind,
+        Optional<Prompt> prompt,
+        String organisation,
+        long nowMs,
+        int tries) {
+      this(kind, prompt, organisation, nowMs, nowMs, tries);
     }
 
     private Request(
         OverloadedFleet.Kind kind,
         Optional<Prompt> prompt,
+        String organisation,
         long firstMs,
         long arrivalMs,
         int tries) {
       this.kind = kind;
       this.prompt = prompt;
+      this.organisation = organisation;
       this.firstMs = firstMs;
       this.arrivalMs = arrivalMs;
       this.triesLeft = tries - 1;
@@ -90,7 +98,11 @@
     selector =
         new TimeToFirstByteSelector(
             vm::steadyMs, new ZoneCosts(vm.zone, regions), vm.work, vm.speeds::of, random);
-    admission = new AdmissionControl(vm::steadyMs, random);
+    admission =
+        new AdmissionControl(
+            vm::steadyMs,
+            random,
+            world.sharesPressure ? Optional.of(vm.pressure) : Optional.empty());
     vm.slots.ifPresent(
         slots -> {
           slots.whenAssigned(this::sendWaiting);
@@ -199,14 +211,19 @@
     if (request.prompt.isEmpty() || request.sends > 0) {
       return Optional.empty();
     }
-    return admission.decide(
-        new AdmissionControl.Request(
-            request.kind.rank(),
-            request.kind.leastUrgent(),
-            request.kind.tolerant(),
-            request.kind.targetMs(),
-            request.deadlineMs() - vm.steadyMs()),
-        selection);
+    return admission.decide(admissionRequest(request), selection);
+  }
+
+  private AdmissionControl.Request admissionRequest(Request request) {
+    return new AdmissionControl.Request(
+        request.kind.rank(),
+        request.kind.leastUrgent(),
+        request.kind.tolerant(),
+        request.kind.targetMs(),
+        request.deadlineMs() - vm.steadyMs(),
+        request.organisation,
+        request.prompt.get().tokens(),
+        request.arrivalMs > request.firstMs);
   }
 
   private void message(Runnable action) {
@@ -251,10 +268,17 @@
     long atMs = vm.steadyMs() + Math.min(afterMs, (request.deadlineMs() - vm.steadyMs()) / 3);
     if (request.triesLeft == 0 || atMs >= request.deadlineMs()) {
       world.tallies.get(request.kind).refused++;
+      world.onNothing(request.kind, request.firstMs);
       return;
     }
     Request retry =
-        new Request(request.kind, request.prompt, request.firstMs, atMs, request.triesLeft);
+        new Request(
+            request.kind,
+            request.prompt,
+            request.organisation,
+            request.firstMs,
+            atMs,
+            request.triesLeft);
     world.fleet.at(Math.max(0, atMs - vm.steadyMs()), () -> world.submit(retry));
   }
 
@@ -286,6 +310,11 @@
       return request.kind.workMs() * (0.5 + world.random.nextDouble());
     }
 
+    @Override
+    public int rank() {
+      return request.kind.rank();
+    }
+
     @Override
     public String sender() {
       return vm.address;
@@ -343,9 +372,12 @@
           () -> {
             onHead(rejectionsPerSecond);
             request.started = true;
+            world.onBegun(request.kind);
             firstEventMs = vm.steadyMs();
             promptDone();
             if (request.prompt.isPresent()) {
+              admission.onFirstEvent(
+                  admissionRequest(request), selection, firstEventMs - request.arrivalMs);
               endpoint.onDelay(
                   request.kind.tolerant(),
                   firstEventMs - sentMs - selection.expectedMs(),
