--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -25,6 +25,7 @@
 import org.zinniaspan.forwarding.PermitShare;
 import org.zinniaspan.forwarding.PlatformBounds;
 import org.zinniaspan.forwarding.ServiceSpec;
+import org.zinniaspan.forwarding.SharedPressure;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.transport.BufferingHttpClient;
@@ -37,6 +38,7 @@
   private final CatalogSharing catalogSharing;
   private final CatalogService catalogService;
   private final EngineSharing engineSharing;
+  private final SharedPressure pressure;
   private final EngineBoard engineBoard;
   private final EndpointObservations endpoints;
   private final SlotSharing slots;
@@ -94,7 +96,8 @@
     EndpointPace pace =
         new EndpointPace(clock, System::currentTimeMillis, directory, coldSpecs, slotMs, share);
     endpoints = observations.withSlots(slots).withOtherLimits(List.of(cold, pace));
-    engineBoard = new EngineBoard(directory, work, endpoints.exchange(), clock, epoch);
+    pressure = new SharedPressure(clock, members::liveCount);
+    engineBoard = new EngineBoard(directory, work, pressure, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
     origins = StreamOriginComponents.create(members, directory, follower, peers, clock);
   }
@@ -122,6 +125,11 @@
     return endpoints;
   }
 
+  /** Returns the requests of all VMs to engines. */
+  SharedPressure pressure() {
+    return pressure;
+  }
+
   /** Returns the slots that VMs assign each other. */
   SlotSharing slots() {
     return slots;
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -116,7 +116,10 @@
             directory,
             speeds,
             new TimeToFirstByteSelector(clock, options.zoneCosts(), work, speeds::of, random),
-            new AdmissionControl(clock, random),
+            new AdmissionControl(
+                clock,
+                random,
+                options.sharedPressure() ? Optional.of(fleet.pressure()) : Optional.empty()),
             fleet.origins(),
             new EndpointBackoff(clock),
             fleet.endpoints().limits(),
@@ -169,6 +172,7 @@
    * @param zoneCosts availability zone of this VM and the costs to the others
    * @param bounds time bounds and budgets of the platform
    * @param vmLimits what this VM can take on
+   * @param sharedPressure whether admission heeds what other VMs admit and find late
    * @param seed seed of the daemon's random numbers
    * @param admin access to the administration API; empty serves none
    */
@@ -185,6 +189,7 @@
       ZoneCosts zoneCosts,
       PlatformBounds bounds,
       VmLimits vmLimits,
+      boolean sharedPressure,
       long seed,
       Optional<AdminAccess> admin) {}
 
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/FleetSimulation.java
@@ -29,6 +29,7 @@
 import org.zinniaspan.forwarding.PromptQuarantine;
 import org.zinniaspan.forwarding.ReportPoller;
 import org.zinniaspan.forwarding.RoutingTable;
+import org.zinniaspan.forwarding.SharedPressure;
 import org.zinniaspan.forwarding.StreamWork;
 import org.zinniaspan.forwarding.TableFreshness;
 import org.zinniaspan.forwarding.TrackedEndpoint;
@@ -165,6 +166,7 @@
     final CatalogSharing sharing;
     final CatalogService service;
     final StreamWork work;
+    final SharedPressure pressure;
     final EngineSpeeds speeds = new EngineSpeeds();
     final EndpointObservations endpoints;
     final PromptQuarantine quarantine;
@@ -228,7 +230,9 @@
                           EndpointObservations.coldShare(members, zones, this::steadyMs))));
       quarantine = endpoints.quarantine();
       service = new CatalogService(follower, freshness, directory, this::steadyMs, epoch);
-      board = new EngineBoard(directory, work, endpoints.exchange(), this::steadyMs, epoch);
+      pressure = new SharedPressure(this::steadyMs, members::liveCount);
+      board =
+          new EngineBoard(directory, work, pressure, endpoints.exchange(), this::steadyMs, epoch);
       engines = new EngineSharing(directory, board, members, calls, this::steadyMs);
       poller =
           new ReportPoller(
