--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RejectionLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RejectionLimits.java
@@ -203,13 +203,13 @@
   }
 
   @Override
-  public long remainingMs(TrackedEndpoint endpoint) {
-    return remainingMs(endpoint, permits::remainingMs);
+  public long peekMs(TrackedEndpoint endpoint) {
+    return remainingMs(endpoint, permits::peekMs);
   }
 
   @Override
-  public long peekMs(TrackedEndpoint endpoint) {
-    return remainingMs(endpoint, permits::peekMs);
+  public long remainingMs(TrackedEndpoint endpoint) {
+    return remainingMs(endpoint, permits::remainingMs);
   }
 
   private long remainingMs(
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestLimits.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RequestLimits.java
@@ -96,17 +96,17 @@
     schedule(endpoint).ifPresent(schedule -> permits.use(endpoint, schedule));
   }
 
-  @Override
-  public long remainingMs(TrackedEndpoint endpoint) {
-    return remainingMs(endpoint.listed());
-  }
-
   @Override
   public long peekMs(TrackedEndpoint endpoint) {
     ListedEndpoint listed = endpoint.listed();
     return schedule(listed).map(schedule -> permits.peekMs(listed, schedule)).orElse(0L);
   }
 
+  @Override
+  public long remainingMs(TrackedEndpoint endpoint) {
+    return remainingMs(endpoint.listed());
+  }
+
   /** Returns the time until this VM may send to an endpoint, in milliseconds. */
   public long remainingMs(ListedEndpoint endpoint) {
     return schedule(endpoint).map(schedule -> permits.remainingMs(endpoint, schedule)).orElse(0L);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -356,7 +356,6 @@
   }
 
   private void tick() {
-    long now = clock.nowMs();
     List<Runnable> parts = new ArrayList<>();
     parts.add(platformClient::tick);
     parts.add(fleet::tick);
@@ -364,6 +363,7 @@
     parts.add(context.quarantine()::tick);
     parts.add(context.crashWitness()::tick);
     parts.add(server::tick);
+    long now = clock.nowMs();
     if (now >= nextPollTickMs) {
       nextPollTickMs = now + POLL_TICK_MS;
       parts.add(reportSource::tick);
