--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/PressureExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/PressureExchange.java
@@ -1,6 +1,5 @@
 package org.zinniaspan.fleet;
 
-import com.google.protobuf.UnknownFieldSet;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +9,9 @@
 import org.zinniaspan.forwarding.SharedPressure;
 import org.zinniaspan.peer.proto.EngineQuery;
 import org.zinniaspan.peer.proto.EngineState;
+import org.zinniaspan.peer.proto.OrganisationWork;
+import org.zinniaspan.peer.proto.RankDemand;
+import org.zinniaspan.peer.proto.ServiceDemand;
 
 /**
  * Sums the requests by rank and organisation over the VMs of a zone, and over the zones, at the
@@ -26,21 +28,6 @@
   /** Largest number of ranks, services and organisations that are read of a message. */
   private static final int MAX_ENTRIES = 64;
 
-  private static final int QUERY_DEMANDS = 11;
-  private static final int STATE_ZONE_DEMANDS = 11;
-  private static final int STATE_FLEET_DEMANDS = 12;
-  private static final int DEMAND_SERVICE = 1;
-  private static final int DEMAND_RANKS = 2;
-  private static final int RANK = 1;
-  private static final int RANK_OFFERED = 2;
-  private static final int RANK_LATE = 3;
-  private static final int RANK_ADMITTED_AGE_MS = 4;
-  private static final int RANK_ORGANISATIONS = 5;
-  private static final int RANK_OTHER_WORK = 6;
-  private static final int RANK_OTHERS = 7;
-  private static final int ORGANISATION_NAME = 1;
-  private static final int ORGANISATION_WORK = 2;
-
   private record Entry(List<PressureDemand> demands, long atMs) {}
 
   private final SharedPressure own;
@@ -56,33 +43,27 @@
 
   /** Adds this VM's requests to a query to its zone's observer. */
   void report(EngineQuery.Builder query) {
-    query.mergeUnknownFields(encode(QUERY_DEMANDS, own.own()).build());
+    query.addAllDemands(encode(own.own()));
   }
 
   /** Records the requests of a VM of this zone. */
   void onReported(EngineQuery query) {
-    List<PressureDemand> demands =
-        decode(ExtensionFields.of(query.getUnknownFields()), QUERY_DEMANDS);
-    byMember.put(query.getSender(), new Entry(demands, clock.nowMs()));
+    byMember.put(query.getSender(), new Entry(decode(query.getDemandsList()), clock.nowMs()));
   }
 
   /** Adds the sums over the VMs of this zone, and over those of all zones, to a reply. */
   void tell(EngineState.Builder state) {
-    UnknownFieldSet zone = encode(STATE_ZONE_DEMANDS, zoneDemands()).build();
-    UnknownFieldSet fleet = encode(STATE_FLEET_DEMANDS, fleetDemands()).build();
-    state.mergeUnknownFields(zone).mergeUnknownFields(fleet);
+    state.addAllZoneDemands(encode(zoneDemands())).addAllFleetDemands(encode(fleetDemands()));
   }
 
   /** Records the requests of all VMs of another zone. */
   void onZone(String zone, EngineState state) {
-    List<PressureDemand> demands =
-        decode(ExtensionFields.of(state.getUnknownFields()), STATE_ZONE_DEMANDS);
-    byZone.put(zone, new Entry(demands, clock.nowMs()));
+    byZone.put(zone, new Entry(decode(state.getZoneDemandsList()), clock.nowMs()));
   }
 
   /** Uses the sums over all VMs that the zone's observer knows. */
   void onFleet(EngineState state) {
-    own.onFleet(decode(ExtensionFields.of(state.getUnknownFields()), STATE_FLEET_DEMANDS));
+    own.onFleet(decode(state.getFleetDemandsList()));
   }
 
   /** Uses the sums that this VM knows itself as its zone's observer. */
@@ -113,66 +94,58 @@
     }
   }
 
-  private static ExtensionFields.Builder encode(int field, List<PressureDemand> demands) {
-    ExtensionFields.Builder fields = new ExtensionFields.Builder();
-    for (PressureDemand demand : demands) {
-      ExtensionFields.Builder entry =
-          new ExtensionFields.Builder().text(DEMAND_SERVICE, demand.service());
-      demand.ranks().forEach((rank, value) -> entry.message(DEMAND_RANKS, encode(rank, value)));
-      fields.message(field, entry);
-    }
-    return fields;
-  }
-
-  private static ExtensionFields.Builder encode(int rank, PressureDemand.Rank value) {
-    ExtensionFields.Builder entry =
-        new ExtensionFields.Builder()
-            .integer(RANK, rank)
-            .number(RANK_OFFERED, value.offered())
-            .number(RANK_LATE, value.late())
-            .integer(RANK_ADMITTED_AGE_MS, Math.min(MAX_AGE_MS, value.admittedAgeMs()))
-            .number(RANK_OTHER_WORK, value.otherWork())
-            .integer(RANK_OTHERS, value.others());
+  private static List<ServiceDemand> encode(List<PressureDemand> demands) {
+    return demands.stream().map(PressureExchange::encode).toList();
+  }
+
+  private static ServiceDemand encode(PressureDemand demand) {
+    ServiceDemand.Builder encoded = ServiceDemand.newBuilder().setService(demand.service());
+    demand.ranks().forEach((rank, value) -> encoded.addRanks(encode(rank, value)));
+    return encoded.build();
+  }
+
+  private static RankDemand encode(int rank, PressureDemand.Rank value) {
+    RankDemand.Builder encoded =
+        RankDemand.newBuilder()
+            .setRank(rank)
+            .setOffered((float) value.offered())
+            .setLate((float) value.late())
+            .setAdmittedAgeMs(Math.min(MAX_AGE_MS, value.admittedAgeMs()))
+            .setOtherWork((float) value.otherWork())
+            .setOthers(value.others());
     value
         .work()
         .forEach(
             (name, work) ->
-                entry.message(
-                    RANK_ORGANISATIONS,
-                    new ExtensionFields.Builder()
-                        .text(ORGANISATION_NAME, name)
-                        .number(ORGANISATION_WORK, work)));
-    return entry;
+                encoded.addOrganisations(
+                    OrganisationWork.newBuilder().setName(name).setWork(work.floatValue())));
+    return encoded.build();
   }
 
-  private static List<PressureDemand> decode(ExtensionFields fields, int field) {
-    return fields.messages(field).stream()
-        .limit(MAX_ENTRIES)
-        .map(PressureExchange::decode)
-        .toList();
+  private static List<PressureDemand> decode(List<ServiceDemand> demands) {
+    return demands.stream().limit(MAX_ENTRIES).map(PressureExchange::decode).toList();
   }
 
-  private static PressureDemand decode(ExtensionFields entry) {
+  private static PressureDemand decode(ServiceDemand demand) {
     Map<Integer, PressureDemand.Rank> ranks = new HashMap<>();
-    entry.messages(DEMAND_RANKS).stream()
+    demand.getRanksList().stream()
         .limit(MAX_ENTRIES)
-        .forEach(rank -> ranks.put((int) rank.integer(RANK), decodeRank(rank)));
-    return new PressureDemand(entry.text(DEMAND_SERVICE), ranks);
+        .forEach(rank -> ranks.put(rank.getRank(), decode(rank)));
+    return new PressureDemand(demand.getService(), ranks);
   }
 
-  private static PressureDemand.Rank decodeRank(ExtensionFields entry) {
+  private static PressureDemand.Rank decode(RankDemand rank) {
     Map<String, Double> work = new HashMap<>();
-    entry.messages(RANK_ORGANISATIONS).stream()
+    rank.getOrganisationsList().stream()
         .limit(MAX_ENTRIES)
-        .forEach(o -> work.put(o.text(ORGANISATION_NAME), plausible(o.number(ORGANISATION_WORK))));
-    long others = Math.max(0, Math.min(MAX_ENTRIES, entry.integer(RANK_OTHERS)));
+        .forEach(o -> work.put(o.getName(), plausible(o.getWork())));
     return new PressureDemand.Rank(
-        plausible(entry.number(RANK_OFFERED)),
-        plausible(entry.number(RANK_LATE)),
-        Math.max(0, entry.integer(RANK_ADMITTED_AGE_MS)),
+        plausible(rank.getOffered()),
+        plausible(rank.getLate()),
+        Math.max(0, rank.getAdmittedAgeMs()),
         work,
-        plausible(entry.number(RANK_OTHER_WORK)),
-        (int) others);
+        plausible(rank.getOtherWork()),
+        Math.max(0, Math.min(MAX_ENTRIES, rank.getOthers())));
   }
 
   private static double plausible(double value) {
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/SpeedExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/SpeedExchange.java
@@ -5,8 +5,10 @@
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.forwarding.SpeedEvidence;
 import org.zinniaspan.forwarding.TrackedEndpoint;
+import org.zinniaspan.peer.proto.EndpointSpeed;
 import org.zinniaspan.peer.proto.EngineLoad;
 import org.zinniaspan.peer.proto.EngineQuery;
+import org.zinniaspan.peer.proto.SpeedSums;
 
 /**
  * Encodes what requests told of the speed of engines: this VM's observations for its zone's
@@ -18,15 +20,6 @@
   /** Least evidence that is sent; less of it tells nothing. */
   private static final double MIN_WEIGHT = 0.1;
 
-  private static final int QUERY_SPEEDS = 10;
-  private static final int SPEED_ENDPOINT = 1;
-  private static final int SPEED_STARTED_AT_MS = 2;
-  private static final int SPEED_SUMS = 3;
-  private static final int LOAD_SUMS = 6;
-  private static final int SUMS_WEIGHT = 1;
-  private static final int SUMS_SUM = 2;
-  private static final int SUMS_SQUARES = 3;
-
   private final EndpointDirectory directory;
   private final Clock clock;
 
@@ -37,7 +30,6 @@
 
   /** Adds to a query what this VM observed since the last one. */
   void report(EngineQuery.Builder query) {
-    ExtensionFields.Builder fields = new ExtensionFields.Builder();
     for (ListedEndpoint entry : directory.entries()) {
       directory
           .endpoint(entry.id())
@@ -45,36 +37,30 @@
           .filter(evidence -> evidence.weight() >= MIN_WEIGHT)
           .ifPresent(
               evidence ->
-                  fields.message(
-                      QUERY_SPEEDS,
-                      new ExtensionFields.Builder()
-                          .text(SPEED_ENDPOINT, entry.id())
-                          .integer(SPEED_STARTED_AT_MS, entry.startedAtMs())
-                          .message(SPEED_SUMS, encode(evidence))));
+                  query.addSpeeds(
+                      EndpointSpeed.newBuilder()
+                          .setEndpoint(entry.id())
+                          .setStartedAtMs(entry.startedAtMs())
+                          .setSums(encode(evidence))));
     }
-    query.mergeUnknownFields(fields.build());
   }
 
   /** Adds what a VM of this zone observed. */
   void onReported(EngineQuery query) {
-    for (ExtensionFields speed :
-        ExtensionFields.of(query.getUnknownFields()).messages(QUERY_SPEEDS)) {
+    for (EndpointSpeed speed : query.getSpeedsList()) {
       directory
-          .endpoint(speed.text(SPEED_ENDPOINT))
-          .filter(endpoint -> endpoint.listed().startedAtMs() == speed.integer(SPEED_STARTED_AT_MS))
+          .endpoint(speed.getEndpoint())
+          .filter(endpoint -> endpoint.listed().startedAtMs() == speed.getStartedAtMs())
           .ifPresent(
-              endpoint ->
-                  speed
-                      .messages(SPEED_SUMS)
-                      .forEach(sums -> endpoint.speed().onReported(decode(sums), clock.nowMs())));
+              endpoint -> endpoint.speed().onReported(decode(speed.getSums()), clock.nowMs()));
     }
   }
 
   /** Records the sums that an observer told of an engine, if it did. */
   void onTold(TrackedEndpoint engine, EngineLoad load) {
-    ExtensionFields.of(load.getUnknownFields())
-        .messages(LOAD_SUMS)
-        .forEach(sums -> engine.speed().onTold(decode(sums), clock.nowMs()));
+    if (load.hasSpeed()) {
+      engine.speed().onTold(decode(load.getSpeed()), clock.nowMs());
+    }
   }
 
   /** Adds to a load report what is known of the speed of the engine's incarnation. */
@@ -84,22 +70,19 @@
         .filter(endpoint -> endpoint.listed().startedAtMs() == engine.startedAtMs())
         .map(endpoint -> endpoint.speed().evidence(clock.nowMs()))
         .filter(evidence -> evidence.weight() >= MIN_WEIGHT)
-        .ifPresent(
-            evidence ->
-                load.mergeUnknownFields(
-                    new ExtensionFields.Builder().message(LOAD_SUMS, encode(evidence)).build()));
+        .ifPresent(evidence -> load.setSpeed(encode(evidence)));
     return load;
   }
 
-  private static ExtensionFields.Builder encode(SpeedEvidence evidence) {
-    return new ExtensionFields.Builder()
-        .number(SUMS_WEIGHT, evidence.weight())
-        .number(SUMS_SUM, evidence.sum())
-        .number(SUMS_SQUARES, evidence.squares());
+  private static SpeedSums encode(SpeedEvidence evidence) {
+    return SpeedSums.newBuilder()
+        .setWeight((float) evidence.weight())
+        .setSum((float) evidence.sum())
+        .setSquares((float) evidence.squares())
+        .build();
   }
 
-  private static SpeedEvidence decode(ExtensionFields sums) {
-    return new SpeedEvidence(
-        sums.number(SUMS_WEIGHT), sums.number(SUMS_SUM), sums.number(SUMS_SQUARES));
+  private static SpeedEvidence decode(SpeedSums sums) {
+    return new SpeedEvidence(sums.getWeight(), sums.getSum(), sums.getSquares());
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineLoad.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineLoad.java
@@ -53,6 +53,7 @@
             org.zinniaspan.peer.proto.EngineLoad.class, org.zinniaspan.peer.proto.EngineLoad.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ENDPOINT_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object endpoint_ = "";
@@ -144,6 +145,44 @@
     return active_;
   }
 
+  public static final int SPEED_FIELD_NUMBER = 6;
+  private org.zinniaspan.peer.proto.SpeedSums speed_;
+  /**
+   * <pre>
+   * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+   * @return Whether the speed field is set.
+   */
+  @java.lang.Override
+  public boolean hasSpeed() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+   * @return The speed.
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SpeedSums getSpeed() {
+    return speed_ == null ? org.zinniaspan.peer.proto.SpeedSums.getDefaultInstance() : speed_;
+  }
+  /**
+   * <pre>
+   * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.SpeedSumsOrBuilder getSpeedOrBuilder() {
+    return speed_ == null ? org.zinniaspan.peer.proto.SpeedSums.getDefaultInstance() : speed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +212,9 @@
     if (active_ != 0) {
       output.writeInt32(5, active_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(6, getSpeed());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -196,6 +238,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(5, active_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, getSpeed());
+    }
     return size;
   }
   @java.lang.Override
@@ -230,6 +276,11 @@
         != other.getQueued()) return false;
     if (getActive()
         != other.getActive()) return false;
+    if (hasSpeed() != other.hasSpeed()) return false;
+    if (hasSpeed()) {
+      if (!getSpeed()
+          .equals(other.getSpeed())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -253,6 +304,10 @@
     hash = (53 * hash) + getQueued();
     hash = (37 * hash) + ACTIVE_FIELD_NUMBER;
     hash = (53 * hash) + getActive();
+    if (hasSpeed()) {
+      hash = (37 * hash) + SPEED_FIELD_NUMBER;
+      hash = (53 * hash) + getSpeed().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -376,13 +431,19 @@
 
     // Construct using org.zinniaspan.peer.proto.EngineLoad.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetSpeedFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -393,6 +454,11 @@
       ageMs_ = 0L;
       queued_ = 0;
       active_ = 0;
+      speed_ = null;
+      if (speedBuilder_ != null) {
+        speedBuilder_.dispose();
+        speedBuilder_ = null;
+      }
       return this;
     }
 
@@ -441,6 +507,14 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.active_ = active_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.speed_ = speedBuilder_ == null
+            ? speed_
+            : speedBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -472,6 +546,9 @@
       if (other.getActive() != 0) {
         setActive(other.getActive());
       }
+      if (other.hasSpeed()) {
+        mergeSpeed(other.getSpeed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -521,6 +598,13 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              input.readMessage(
+                  internalGetSpeedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -762,6 +846,161 @@
       return this;
     }
 
+    private org.zinniaspan.peer.proto.SpeedSums speed_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SpeedSums, org.zinniaspan.peer.proto.SpeedSums.Builder, org.zinniaspan.peer.proto.SpeedSumsOrBuilder> speedBuilder_;
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     * @return Whether the speed field is set.
+     */
+    public boolean hasSpeed() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     * @return The speed.
+     */
+    public org.zinniaspan.peer.proto.SpeedSums getSpeed() {
+      if (speedBuilder_ == null) {
+        return speed_ == null ? org.zinniaspan.peer.proto.SpeedSums.getDefaultInstance() : speed_;
+      } else {
+        return speedBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    public Builder setSpeed(org.zinniaspan.peer.proto.SpeedSums value) {
+      if (speedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        speed_ = value;
+      } else {
+        speedBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    public Builder setSpeed(
+        org.zinniaspan.peer.proto.SpeedSums.Builder builderForValue) {
+      if (speedBuilder_ == null) {
+        speed_ = builderForValue.build();
+      } else {
+        speedBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    public Builder mergeSpeed(org.zinniaspan.peer.proto.SpeedSums value) {
+      if (speedBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0) &&
+          speed_ != null &&
+          speed_ != org.zinniaspan.peer.proto.SpeedSums.getDefaultInstance()) {
+          getSpeedBuilder().mergeFrom(value);
+        } else {
+          speed_ = value;
+        }
+      } else {
+        speedBuilder_.mergeFrom(value);
+      }
+      if (speed_ != null) {
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    public Builder clearSpeed() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      speed_ = null;
+      if (speedBuilder_ != null) {
+        speedBuilder_.dispose();
+        speedBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    public org.zinniaspan.peer.proto.SpeedSums.Builder getSpeedBuilder() {
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return internalGetSpeedFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    public org.zinniaspan.peer.proto.SpeedSumsOrBuilder getSpeedOrBuilder() {
+      if (speedBuilder_ != null) {
+        return speedBuilder_.getMessageOrBuilder();
+      } else {
+        return speed_ == null ?
+            org.zinniaspan.peer.proto.SpeedSums.getDefaultInstance() : speed_;
+      }
+    }
+    /**
+     * <pre>
+     * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+     * </pre>
+     *
+     * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.zinniaspan.peer.proto.SpeedSums, org.zinniaspan.peer.proto.SpeedSums.Builder, org.zinniaspan.peer.proto.SpeedSumsOrBuilder> 
+        internalGetSpeedFieldBuilder() {
+      if (speedBuilder_ == null) {
+        speedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.zinniaspan.peer.proto.SpeedSums, org.zinniaspan.peer.proto.SpeedSums.Builder, org.zinniaspan.peer.proto.SpeedSumsOrBuilder>(
+                getSpeed(),
+                getParentForChildren(),
+                isClean());
+        speed_ = null;
+      }
+      return speedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.EngineLoad)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineLoadOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineLoadOrBuilder.java
@@ -53,4 +53,31 @@
    * @return The active.
    */
   int getActive();
+
+  /**
+   * <pre>
+   * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+   * @return Whether the speed field is set.
+   */
+  boolean hasSpeed();
+  /**
+   * <pre>
+   * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+   * @return The speed.
+   */
+  org.zinniaspan.peer.proto.SpeedSums getSpeed();
+  /**
+   * <pre>
+   * What the VMs of the sender's zone observed of the engine's speed; absent if that is too little.
+   * </pre>
+   *
+   * <code>.zinniaspan.peer.SpeedSums speed = 6;</code>
+   */
+  org.zinniaspan.peer.proto.SpeedSumsOrBuilder getSpeedOrBuilder();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQuery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQuery.java
@@ -35,6 +35,8 @@
     zone_ = "";
     sender_ = "";
     work_ = java.util.Collections.emptyList();
+    speeds_ = java.util.Collections.emptyList();
+    demands_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -327,6 +329,133 @@
     return minWaitMs_;
   }
 
+  public static final int SPEEDS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.EndpointSpeed> speeds_;
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.EndpointSpeed> getSpeedsList() {
+    return speeds_;
+  }
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.EndpointSpeedOrBuilder> 
+      getSpeedsOrBuilderList() {
+    return speeds_;
+  }
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  @java.lang.Override
+  public int getSpeedsCount() {
+    return speeds_.size();
+  }
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.EndpointSpeed getSpeeds(int index) {
+    return speeds_.get(index);
+  }
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.EndpointSpeedOrBuilder getSpeedsOrBuilder(
+      int index) {
+    return speeds_.get(index);
+  }
+
+  public static final int DEMANDS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.ServiceDemand> demands_;
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.ServiceDemand> getDemandsList() {
+    return demands_;
+  }
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+      getDemandsOrBuilderList() {
+    return demands_;
+  }
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  @java.lang.Override
+  public int getDemandsCount() {
+    return demands_.size();
+  }
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ServiceDemand getDemands(int index) {
+    return demands_.get(index);
+  }
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ServiceDemandOrBuilder getDemandsOrBuilder(
+      int index) {
+    return demands_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -368,6 +497,12 @@
     if (minWaitMs_ != 0L) {
       output.writeInt64(9, minWaitMs_);
     }
+    for (int i = 0; i < speeds_.size(); i++) {
+      output.writeMessage(10, speeds_.get(i));
+    }
+    for (int i = 0; i < demands_.size(); i++) {
+      output.writeMessage(11, demands_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -411,6 +546,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(9, minWaitMs_);
     }
+
+        {
+          final int count = speeds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(speeds_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = demands_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(demands_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -459,6 +612,10 @@
     }
     if (getMinWaitMs()
         != other.getMinWaitMs()) return false;
+    if (!getSpeedsList()
+        .equals(other.getSpeedsList())) return false;
+    if (!getDemandsList()
+        .equals(other.getDemandsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -499,6 +656,14 @@
     hash = (37 * hash) + MIN_WAIT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getMinWaitMs());
+    if (getSpeedsCount() > 0) {
+      hash = (37 * hash) + SPEEDS_FIELD_NUMBER;
+      hash = (53 * hash) + getSpeedsList().hashCode();
+    }
+    if (getDemandsCount() > 0) {
+      hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -635,6 +800,8 @@
               .alwaysUseFieldBuilders) {
         internalGetWorkFieldBuilder();
         internalGetObservationsFieldBuilder();
+        internalGetSpeedsFieldBuilder();
+        internalGetDemandsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -660,6 +827,20 @@
         observationsBuilder_ = null;
       }
       minWaitMs_ = 0L;
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+      } else {
+        speeds_ = null;
+        speedsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
+      if (demandsBuilder_ == null) {
+        demands_ = java.util.Collections.emptyList();
+      } else {
+        demands_ = null;
+        demandsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -702,6 +883,24 @@
       } else {
         result.work_ = workBuilder_.build();
       }
+      if (speedsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          speeds_ = java.util.Collections.unmodifiableList(speeds_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.speeds_ = speeds_;
+      } else {
+        result.speeds_ = speedsBuilder_.build();
+      }
+      if (demandsBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          demands_ = java.util.Collections.unmodifiableList(demands_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.demands_ = demands_;
+      } else {
+        result.demands_ = demandsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.zinniaspan.peer.proto.EngineQuery result) {
@@ -804,6 +1003,58 @@
       if (other.getMinWaitMs() != 0L) {
         setMinWaitMs(other.getMinWaitMs());
       }
+      if (speedsBuilder_ == null) {
+        if (!other.speeds_.isEmpty()) {
+          if (speeds_.isEmpty()) {
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureSpeedsIsMutable();
+            speeds_.addAll(other.speeds_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.speeds_.isEmpty()) {
+          if (speedsBuilder_.isEmpty()) {
+            speedsBuilder_.dispose();
+            speedsBuilder_ = null;
+            speeds_ = other.speeds_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            speedsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSpeedsFieldBuilder() : null;
+          } else {
+            speedsBuilder_.addAllMessages(other.speeds_);
+          }
+        }
+      }
+      if (demandsBuilder_ == null) {
+        if (!other.demands_.isEmpty()) {
+          if (demands_.isEmpty()) {
+            demands_ = other.demands_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureDemandsIsMutable();
+            demands_.addAll(other.demands_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demands_.isEmpty()) {
+          if (demandsBuilder_.isEmpty()) {
+            demandsBuilder_.dispose();
+            demandsBuilder_ = null;
+            demands_ = other.demands_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            demandsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandsFieldBuilder() : null;
+          } else {
+            demandsBuilder_.addAllMessages(other.demands_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -883,6 +1134,32 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 82: {
+              org.zinniaspan.peer.proto.EndpointSpeed m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.EndpointSpeed.parser(),
+                      extensionRegistry);
+              if (speedsBuilder_ == null) {
+                ensureSpeedsIsMutable();
+                speeds_.add(m);
+              } else {
+                speedsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
+            case 90: {
+              org.zinniaspan.peer.proto.ServiceDemand m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.ServiceDemand.parser(),
+                      extensionRegistry);
+              if (demandsBuilder_ == null) {
+                ensureDemandsIsMutable();
+                demands_.add(m);
+              } else {
+                demandsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1750,6 +2027,636 @@
       return this;
     }
 
+    private java.util.List<org.zinniaspan.peer.proto.EndpointSpeed> speeds_ =
+      java.util.Collections.emptyList();
+    private void ensureSpeedsIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        speeds_ = new java.util.ArrayList<org.zinniaspan.peer.proto.EndpointSpeed>(speeds_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.EndpointSpeed, org.zinniaspan.peer.proto.EndpointSpeed.Builder, org.zinniaspan.peer.proto.EndpointSpeedOrBuilder> speedsBuilder_;
+
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.EndpointSpeed> getSpeedsList() {
+      if (speedsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(speeds_);
+      } else {
+        return speedsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public int getSpeedsCount() {
+      if (speedsBuilder_ == null) {
+        return speeds_.size();
+      } else {
+        return speedsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public org.zinniaspan.peer.proto.EndpointSpeed getSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);
+      } else {
+        return speedsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder setSpeeds(
+        int index, org.zinniaspan.peer.proto.EndpointSpeed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.set(index, value);
+        onChanged();
+      } else {
+        speedsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder setSpeeds(
+        int index, org.zinniaspan.peer.proto.EndpointSpeed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        speedsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder addSpeeds(org.zinniaspan.peer.proto.EndpointSpeed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(value);
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder addSpeeds(
+        int index, org.zinniaspan.peer.proto.EndpointSpeed value) {
+      if (speedsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSpeedsIsMutable();
+        speeds_.add(index, value);
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder addSpeeds(
+        org.zinniaspan.peer.proto.EndpointSpeed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(builderForValue.build());
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder addSpeeds(
+        int index, org.zinniaspan.peer.proto.EndpointSpeed.Builder builderForValue) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        speedsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder addAllSpeeds(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.EndpointSpeed> values) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, speeds_);
+        onChanged();
+      } else {
+        speedsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder clearSpeeds() {
+      if (speedsBuilder_ == null) {
+        speeds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        speedsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public Builder removeSpeeds(int index) {
+      if (speedsBuilder_ == null) {
+        ensureSpeedsIsMutable();
+        speeds_.remove(index);
+        onChanged();
+      } else {
+        speedsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public org.zinniaspan.peer.proto.EndpointSpeed.Builder getSpeedsBuilder(
+        int index) {
+      return internalGetSpeedsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public org.zinniaspan.peer.proto.EndpointSpeedOrBuilder getSpeedsOrBuilder(
+        int index) {
+      if (speedsBuilder_ == null) {
+        return speeds_.get(index);  } else {
+        return speedsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.EndpointSpeedOrBuilder> 
+         getSpeedsOrBuilderList() {
+      if (speedsBuilder_ != null) {
+        return speedsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(speeds_);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public org.zinniaspan.peer.proto.EndpointSpeed.Builder addSpeedsBuilder() {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.EndpointSpeed.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public org.zinniaspan.peer.proto.EndpointSpeed.Builder addSpeedsBuilder(
+        int index) {
+      return internalGetSpeedsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.EndpointSpeed.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender's requests told of the speed of endpoints since its last query; not sent to
+     * other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.EndpointSpeed.Builder> 
+         getSpeedsBuilderList() {
+      return internalGetSpeedsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.EndpointSpeed, org.zinniaspan.peer.proto.EndpointSpeed.Builder, org.zinniaspan.peer.proto.EndpointSpeedOrBuilder> 
+        internalGetSpeedsFieldBuilder() {
+      if (speedsBuilder_ == null) {
+        speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.EndpointSpeed, org.zinniaspan.peer.proto.EndpointSpeed.Builder, org.zinniaspan.peer.proto.EndpointSpeedOrBuilder>(
+                speeds_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        speeds_ = null;
+      }
+      return speedsBuilder_;
+    }
+
+    private java.util.List<org.zinniaspan.peer.proto.ServiceDemand> demands_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandsIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        demands_ = new java.util.ArrayList<org.zinniaspan.peer.proto.ServiceDemand>(demands_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder> demandsBuilder_;
+
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.ServiceDemand> getDemandsList() {
+      if (demandsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demands_);
+      } else {
+        return demandsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public int getDemandsCount() {
+      if (demandsBuilder_ == null) {
+        return demands_.size();
+      } else {
+        return demandsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand getDemands(int index) {
+      if (demandsBuilder_ == null) {
+        return demands_.get(index);
+      } else {
+        return demandsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder setDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (demandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandsIsMutable();
+        demands_.set(index, value);
+        onChanged();
+      } else {
+        demandsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder setDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder addDemands(org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (demandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandsIsMutable();
+        demands_.add(value);
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder addDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (demandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandsIsMutable();
+        demands_.add(index, value);
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder addDemands(
+        org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder addDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder addAllDemands(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.ServiceDemand> values) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demands_);
+        onChanged();
+      } else {
+        demandsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder clearDemands() {
+      if (demandsBuilder_ == null) {
+        demands_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        demandsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public Builder removeDemands(int index) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.remove(index);
+        onChanged();
+      } else {
+        demandsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder getDemandsBuilder(
+        int index) {
+      return internalGetDemandsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemandOrBuilder getDemandsOrBuilder(
+        int index) {
+      if (demandsBuilder_ == null) {
+        return demands_.get(index);  } else {
+        return demandsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+         getDemandsOrBuilderList() {
+      if (demandsBuilder_ != null) {
+        return demandsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demands_);
+      }
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder addDemandsBuilder() {
+      return internalGetDemandsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder addDemandsBuilder(
+        int index) {
+      return internalGetDemandsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The sender's recent requests to engines, while requests are late; not sent to other zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.ServiceDemand.Builder> 
+         getDemandsBuilderList() {
+      return internalGetDemandsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+        internalGetDemandsFieldBuilder() {
+      if (demandsBuilder_ == null) {
+        demandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder>(
+                demands_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        demands_ = null;
+      }
+      return demandsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.EngineQuery)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQueryOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineQueryOrBuilder.java
@@ -170,4 +170,97 @@
    * @return The minWaitMs.
    */
   long getMinWaitMs();
+
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.EndpointSpeed> 
+      getSpeedsList();
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  org.zinniaspan.peer.proto.EndpointSpeed getSpeeds(int index);
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  int getSpeedsCount();
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.EndpointSpeedOrBuilder> 
+      getSpeedsOrBuilderList();
+  /**
+   * <pre>
+   * What the sender's requests told of the speed of endpoints since its last query; not sent to
+   * other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.EndpointSpeed speeds = 10;</code>
+   */
+  org.zinniaspan.peer.proto.EndpointSpeedOrBuilder getSpeedsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.ServiceDemand> 
+      getDemandsList();
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  org.zinniaspan.peer.proto.ServiceDemand getDemands(int index);
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  int getDemandsCount();
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+      getDemandsOrBuilderList();
+  /**
+   * <pre>
+   * The sender's recent requests to engines, while requests are late; not sent to other zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand demands = 11;</code>
+   */
+  org.zinniaspan.peer.proto.ServiceDemandOrBuilder getDemandsOrBuilder(
+      int index);
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineState.java
@@ -35,6 +35,8 @@
     loads_ = java.util.Collections.emptyList();
     zoneWork_ = java.util.Collections.emptyList();
     fleetWork_ = java.util.Collections.emptyList();
+    zoneDemands_ = java.util.Collections.emptyList();
+    fleetDemands_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -307,6 +309,108 @@
     return stopping_;
   }
 
+  public static final int ZONE_DEMANDS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.ServiceDemand> zoneDemands_;
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.ServiceDemand> getZoneDemandsList() {
+    return zoneDemands_;
+  }
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+      getZoneDemandsOrBuilderList() {
+    return zoneDemands_;
+  }
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  @java.lang.Override
+  public int getZoneDemandsCount() {
+    return zoneDemands_.size();
+  }
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ServiceDemand getZoneDemands(int index) {
+    return zoneDemands_.get(index);
+  }
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ServiceDemandOrBuilder getZoneDemandsOrBuilder(
+      int index) {
+    return zoneDemands_.get(index);
+  }
+
+  public static final int FLEET_DEMANDS_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private java.util.List<org.zinniaspan.peer.proto.ServiceDemand> fleetDemands_;
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.zinniaspan.peer.proto.ServiceDemand> getFleetDemandsList() {
+    return fleetDemands_;
+  }
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+      getFleetDemandsOrBuilderList() {
+    return fleetDemands_;
+  }
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  @java.lang.Override
+  public int getFleetDemandsCount() {
+    return fleetDemands_.size();
+  }
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ServiceDemand getFleetDemands(int index) {
+    return fleetDemands_.get(index);
+  }
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  @java.lang.Override
+  public org.zinniaspan.peer.proto.ServiceDemandOrBuilder getFleetDemandsOrBuilder(
+      int index) {
+    return fleetDemands_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -351,6 +455,12 @@
     if (stopping_ != false) {
       output.writeBool(10, stopping_);
     }
+    for (int i = 0; i < zoneDemands_.size(); i++) {
+      output.writeMessage(11, zoneDemands_.get(i));
+    }
+    for (int i = 0; i < fleetDemands_.size(); i++) {
+      output.writeMessage(12, fleetDemands_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -410,6 +520,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, stopping_);
     }
+
+        {
+          final int count = zoneDemands_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(zoneDemands_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = fleetDemands_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(fleetDemands_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -457,6 +585,10 @@
         != other.getHeedsMinWait()) return false;
     if (getStopping()
         != other.getStopping()) return false;
+    if (!getZoneDemandsList()
+        .equals(other.getZoneDemandsList())) return false;
+    if (!getFleetDemandsList()
+        .equals(other.getFleetDemandsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -502,6 +634,14 @@
     hash = (37 * hash) + STOPPING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStopping());
+    if (getZoneDemandsCount() > 0) {
+      hash = (37 * hash) + ZONE_DEMANDS_FIELD_NUMBER;
+      hash = (53 * hash) + getZoneDemandsList().hashCode();
+    }
+    if (getFleetDemandsCount() > 0) {
+      hash = (37 * hash) + FLEET_DEMANDS_FIELD_NUMBER;
+      hash = (53 * hash) + getFleetDemandsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -640,6 +780,8 @@
         internalGetZoneWorkFieldBuilder();
         internalGetFleetWorkFieldBuilder();
         internalGetObservationsFieldBuilder();
+        internalGetZoneDemandsFieldBuilder();
+        internalGetFleetDemandsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -678,6 +820,20 @@
       heldMs_ = 0L;
       heedsMinWait_ = false;
       stopping_ = false;
+      if (zoneDemandsBuilder_ == null) {
+        zoneDemands_ = java.util.Collections.emptyList();
+      } else {
+        zoneDemands_ = null;
+        zoneDemandsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
+      if (fleetDemandsBuilder_ == null) {
+        fleetDemands_ = java.util.Collections.emptyList();
+      } else {
+        fleetDemands_ = null;
+        fleetDemandsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000800);
       return this;
     }
 
@@ -738,6 +894,24 @@
       } else {
         result.fleetWork_ = fleetWorkBuilder_.build();
       }
+      if (zoneDemandsBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          zoneDemands_ = java.util.Collections.unmodifiableList(zoneDemands_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.zoneDemands_ = zoneDemands_;
+      } else {
+        result.zoneDemands_ = zoneDemandsBuilder_.build();
+      }
+      if (fleetDemandsBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0)) {
+          fleetDemands_ = java.util.Collections.unmodifiableList(fleetDemands_);
+          bitField0_ = (bitField0_ & ~0x00000800);
+        }
+        result.fleetDemands_ = fleetDemands_;
+      } else {
+        result.fleetDemands_ = fleetDemandsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.zinniaspan.peer.proto.EngineState result) {
@@ -881,6 +1055,58 @@
       if (other.getStopping() != false) {
         setStopping(other.getStopping());
       }
+      if (zoneDemandsBuilder_ == null) {
+        if (!other.zoneDemands_.isEmpty()) {
+          if (zoneDemands_.isEmpty()) {
+            zoneDemands_ = other.zoneDemands_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureZoneDemandsIsMutable();
+            zoneDemands_.addAll(other.zoneDemands_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.zoneDemands_.isEmpty()) {
+          if (zoneDemandsBuilder_.isEmpty()) {
+            zoneDemandsBuilder_.dispose();
+            zoneDemandsBuilder_ = null;
+            zoneDemands_ = other.zoneDemands_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            zoneDemandsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetZoneDemandsFieldBuilder() : null;
+          } else {
+            zoneDemandsBuilder_.addAllMessages(other.zoneDemands_);
+          }
+        }
+      }
+      if (fleetDemandsBuilder_ == null) {
+        if (!other.fleetDemands_.isEmpty()) {
+          if (fleetDemands_.isEmpty()) {
+            fleetDemands_ = other.fleetDemands_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+          } else {
+            ensureFleetDemandsIsMutable();
+            fleetDemands_.addAll(other.fleetDemands_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.fleetDemands_.isEmpty()) {
+          if (fleetDemandsBuilder_.isEmpty()) {
+            fleetDemandsBuilder_.dispose();
+            fleetDemandsBuilder_ = null;
+            fleetDemands_ = other.fleetDemands_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+            fleetDemandsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetFleetDemandsFieldBuilder() : null;
+          } else {
+            fleetDemandsBuilder_.addAllMessages(other.fleetDemands_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -981,6 +1207,32 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 90: {
+              org.zinniaspan.peer.proto.ServiceDemand m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.ServiceDemand.parser(),
+                      extensionRegistry);
+              if (zoneDemandsBuilder_ == null) {
+                ensureZoneDemandsIsMutable();
+                zoneDemands_.add(m);
+              } else {
+                zoneDemandsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
+            case 98: {
+              org.zinniaspan.peer.proto.ServiceDemand m =
+                  input.readMessage(
+                      org.zinniaspan.peer.proto.ServiceDemand.parser(),
+                      extensionRegistry);
+              if (fleetDemandsBuilder_ == null) {
+                ensureFleetDemandsIsMutable();
+                fleetDemands_.add(m);
+              } else {
+                fleetDemandsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2131,6 +2383,546 @@
       return this;
     }
 
+    private java.util.List<org.zinniaspan.peer.proto.ServiceDemand> zoneDemands_ =
+      java.util.Collections.emptyList();
+    private void ensureZoneDemandsIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        zoneDemands_ = new java.util.ArrayList<org.zinniaspan.peer.proto.ServiceDemand>(zoneDemands_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder> zoneDemandsBuilder_;
+
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.ServiceDemand> getZoneDemandsList() {
+      if (zoneDemandsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(zoneDemands_);
+      } else {
+        return zoneDemandsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public int getZoneDemandsCount() {
+      if (zoneDemandsBuilder_ == null) {
+        return zoneDemands_.size();
+      } else {
+        return zoneDemandsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand getZoneDemands(int index) {
+      if (zoneDemandsBuilder_ == null) {
+        return zoneDemands_.get(index);
+      } else {
+        return zoneDemandsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder setZoneDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (zoneDemandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.set(index, value);
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder setZoneDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (zoneDemandsBuilder_ == null) {
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder addZoneDemands(org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (zoneDemandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.add(value);
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder addZoneDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (zoneDemandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.add(index, value);
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder addZoneDemands(
+        org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (zoneDemandsBuilder_ == null) {
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.add(builderForValue.build());
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder addZoneDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (zoneDemandsBuilder_ == null) {
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder addAllZoneDemands(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.ServiceDemand> values) {
+      if (zoneDemandsBuilder_ == null) {
+        ensureZoneDemandsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, zoneDemands_);
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder clearZoneDemands() {
+      if (zoneDemandsBuilder_ == null) {
+        zoneDemands_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public Builder removeZoneDemands(int index) {
+      if (zoneDemandsBuilder_ == null) {
+        ensureZoneDemandsIsMutable();
+        zoneDemands_.remove(index);
+        onChanged();
+      } else {
+        zoneDemandsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder getZoneDemandsBuilder(
+        int index) {
+      return internalGetZoneDemandsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemandOrBuilder getZoneDemandsOrBuilder(
+        int index) {
+      if (zoneDemandsBuilder_ == null) {
+        return zoneDemands_.get(index);  } else {
+        return zoneDemandsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+         getZoneDemandsOrBuilderList() {
+      if (zoneDemandsBuilder_ != null) {
+        return zoneDemandsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(zoneDemands_);
+      }
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder addZoneDemandsBuilder() {
+      return internalGetZoneDemandsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder addZoneDemandsBuilder(
+        int index) {
+      return internalGetZoneDemandsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Recent requests of the VMs of the sender's zone, and of those of all zones.
+     * </pre>
+     *
+     * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.ServiceDemand.Builder> 
+         getZoneDemandsBuilderList() {
+      return internalGetZoneDemandsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+        internalGetZoneDemandsFieldBuilder() {
+      if (zoneDemandsBuilder_ == null) {
+        zoneDemandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder>(
+                zoneDemands_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        zoneDemands_ = null;
+      }
+      return zoneDemandsBuilder_;
+    }
+
+    private java.util.List<org.zinniaspan.peer.proto.ServiceDemand> fleetDemands_ =
+      java.util.Collections.emptyList();
+    private void ensureFleetDemandsIsMutable() {
+      if (!((bitField0_ & 0x00000800) != 0)) {
+        fleetDemands_ = new java.util.ArrayList<org.zinniaspan.peer.proto.ServiceDemand>(fleetDemands_);
+        bitField0_ |= 0x00000800;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder> fleetDemandsBuilder_;
+
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.ServiceDemand> getFleetDemandsList() {
+      if (fleetDemandsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(fleetDemands_);
+      } else {
+        return fleetDemandsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public int getFleetDemandsCount() {
+      if (fleetDemandsBuilder_ == null) {
+        return fleetDemands_.size();
+      } else {
+        return fleetDemandsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand getFleetDemands(int index) {
+      if (fleetDemandsBuilder_ == null) {
+        return fleetDemands_.get(index);
+      } else {
+        return fleetDemandsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder setFleetDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (fleetDemandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.set(index, value);
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder setFleetDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (fleetDemandsBuilder_ == null) {
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder addFleetDemands(org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (fleetDemandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.add(value);
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder addFleetDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand value) {
+      if (fleetDemandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.add(index, value);
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder addFleetDemands(
+        org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (fleetDemandsBuilder_ == null) {
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.add(builderForValue.build());
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder addFleetDemands(
+        int index, org.zinniaspan.peer.proto.ServiceDemand.Builder builderForValue) {
+      if (fleetDemandsBuilder_ == null) {
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder addAllFleetDemands(
+        java.lang.Iterable<? extends org.zinniaspan.peer.proto.ServiceDemand> values) {
+      if (fleetDemandsBuilder_ == null) {
+        ensureFleetDemandsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, fleetDemands_);
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder clearFleetDemands() {
+      if (fleetDemandsBuilder_ == null) {
+        fleetDemands_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public Builder removeFleetDemands(int index) {
+      if (fleetDemandsBuilder_ == null) {
+        ensureFleetDemandsIsMutable();
+        fleetDemands_.remove(index);
+        onChanged();
+      } else {
+        fleetDemandsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder getFleetDemandsBuilder(
+        int index) {
+      return internalGetFleetDemandsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemandOrBuilder getFleetDemandsOrBuilder(
+        int index) {
+      if (fleetDemandsBuilder_ == null) {
+        return fleetDemands_.get(index);  } else {
+        return fleetDemandsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+         getFleetDemandsOrBuilderList() {
+      if (fleetDemandsBuilder_ != null) {
+        return fleetDemandsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(fleetDemands_);
+      }
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder addFleetDemandsBuilder() {
+      return internalGetFleetDemandsFieldBuilder().addBuilder(
+          org.zinniaspan.peer.proto.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public org.zinniaspan.peer.proto.ServiceDemand.Builder addFleetDemandsBuilder(
+        int index) {
+      return internalGetFleetDemandsFieldBuilder().addBuilder(
+          index, org.zinniaspan.peer.proto.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+     */
+    public java.util.List<org.zinniaspan.peer.proto.ServiceDemand.Builder> 
+         getFleetDemandsBuilderList() {
+      return internalGetFleetDemandsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+        internalGetFleetDemandsFieldBuilder() {
+      if (fleetDemandsBuilder_ == null) {
+        fleetDemandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.zinniaspan.peer.proto.ServiceDemand, org.zinniaspan.peer.proto.ServiceDemand.Builder, org.zinniaspan.peer.proto.ServiceDemandOrBuilder>(
+                fleetDemands_,
+                ((bitField0_ & 0x00000800) != 0),
+                getParentForChildren(),
+                isClean());
+        fleetDemands_ = null;
+      }
+      return fleetDemandsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:zinniaspan.peer.EngineState)
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/EngineStateOrBuilder.java
@@ -168,4 +168,72 @@
    * @return The stopping.
    */
   boolean getStopping();
+
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.ServiceDemand> 
+      getZoneDemandsList();
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  org.zinniaspan.peer.proto.ServiceDemand getZoneDemands(int index);
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  int getZoneDemandsCount();
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+      getZoneDemandsOrBuilderList();
+  /**
+   * <pre>
+   * Recent requests of the VMs of the sender's zone, and of those of all zones.
+   * </pre>
+   *
+   * <code>repeated .zinniaspan.peer.ServiceDemand zone_demands = 11;</code>
+   */
+  org.zinniaspan.peer.proto.ServiceDemandOrBuilder getZoneDemandsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  java.util.List<org.zinniaspan.peer.proto.ServiceDemand> 
+      getFleetDemandsList();
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  org.zinniaspan.peer.proto.ServiceDemand getFleetDemands(int index);
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  int getFleetDemandsCount();
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  java.util.List<? extends org.zinniaspan.peer.proto.ServiceDemandOrBuilder> 
+      getFleetDemandsOrBuilderList();
+  /**
+   * <code>repeated .zinniaspan.peer.ServiceDemand fleet_demands = 12;</code>
+   */
+  org.zinniaspan.peer.proto.ServiceDemandOrBuilder getFleetDemandsOrBuilder(
+      int index);
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -76,6 +76,31 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_zinniaspan_peer_EngineLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_ServiceDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_ServiceDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_RankDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_RankDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_OrganisationWork_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_OrganisationWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_EndpointSpeed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_EndpointSpeed_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_zinniaspan_peer_SpeedSums_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_zinniaspan_peer_SpeedSums_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_zinniaspan_peer_Observations_descriptor;
   static final 
@@ -180,66 +205,83 @@
       "\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draini" +
       "ng\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020softw" +
       "are_version\030\010 \001(\t\022\036\n\021cold_remaining_ms\030\024" +
-      " \001(\003H\000\210\001\001B\024\n\022_cold_remaining_ms\"\225\002\n\013Engi" +
+      " \001(\003H\000\210\001\001B\024\n\022_cold_remaining_ms\"\360\002\n\013Engi" +
       "neQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003" +
       "\022\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sende" +
       "r\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer." +
       "ServiceWork\022!\n\024observation_sequence\030\007 \001(" +
       "\003H\000\210\001\001\0223\n\014observations\030\010 \001(\0132\035.zinniaspa" +
       "n.peer.Observations\022\023\n\013min_wait_ms\030\t \001(\003" +
-      "B\027\n\025_observation_sequenceJ\004\010\n\020\013\"@\n\013Servi" +
-      "ceWork\022\017\n\007service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(" +
-      "\001\022\016\n\006strict\030\003 \001(\001\"\313\002\n\013EngineState\022\r\n\005epo" +
-      "ch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(" +
-      "\0132\033.zinniaspan.peer.EngineLoad\022/\n\tzone_w" +
-      "ork\030\004 \003(\0132\034.zinniaspan.peer.ServiceWork\022" +
-      "0\n\nfleet_work\030\005 \003(\0132\034.zinniaspan.peer.Se" +
-      "rviceWork\022\034\n\024observation_sequence\030\006 \001(\003\022" +
-      "3\n\014observations\030\007 \001(\0132\035.zinniaspan.peer." +
-      "Observations\022\017\n\007held_ms\030\010 \001(\003\022\026\n\016heeds_m" +
-      "in_wait\030\t \001(\010\022\020\n\010stopping\030\n \001(\010\"k\n\nEngin" +
-      "eLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms" +
-      "\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016" +
-      "\n\006active\030\005 \001(\005J\004\010\006\020\007\"\212\002\n\014Observations\022/\n" +
-      "\007crashed\030\001 \003(\0132\036.zinniaspan.peer.Crashed" +
-      "Prompt\022/\n\010answered\030\002 \003(\0132\035.zinniaspan.pe" +
-      "er.AnsweredPart\022-\n\006limits\030\003 \003(\0132\035.zinnia" +
-      "span.peer.RequestLimit\0229\n\020rejection_limi" +
-      "ts\030\004 \003(\0132\037.zinniaspan.peer.RejectionLimi" +
-      "t\022.\n\nrejections\030\005 \003(\0132\032.zinniaspan.peer." +
-      "Rejection\"[\n\014RequestLimit\022\020\n\010endpoint\030\001 " +
-      "\001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\nper_second" +
-      "\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n\016RejectionLimi" +
-      "t\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001" +
-      "(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper_second\030\004 \001(\005H" +
-      "\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_per_second\"D\n\tR" +
-      "ejection\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at" +
-      "_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"j\n\rCrashedProm" +
-      "pt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t" +
-      "\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begun\030\004 \001(\010\022\016\n" +
-      "\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022\014\n\004part\030\001 " +
-      "\001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamOriginEntry" +
-      "\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n" +
-      "\020software_version\030\003 \001(\t\022\024\n\014remaining_ms\030" +
-      "\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n\007origins\030\001" +
-      " \003(\0132\".zinniaspan.peer.StreamOriginEntry" +
-      "\"\025\n\023StreamOriginReceipt\"K\n\021StreamOriginQ" +
-      "uery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
-      "\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021StreamOriginRepl" +
-      "y\0222\n\006origin\030\001 \001(\0132\".zinniaspan.peer.Stre" +
-      "amOriginEntry\022\027\n\017recent_versions\030\002 \003(\t\022\023" +
-      "\n\013observed_ms\030\003 \001(\003\"\372\001\n\023SlotAssignmentQu" +
-      "ery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\003\022\016\n\006nu" +
-      "mber\030\003 \001(\003\022\022\n\nunanswered\030\004 \003(\003\022\017\n\007servic" +
-      "e\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zinniaspan.peer." +
-      "HeldSlots\022\016\n\006wanted\030\007 \001(\005\022\014\n\004rank\030\010 \001(\005\022" +
-      "\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusable\030\n \003(\t\022\021\n\tan" +
-      "nounces\030\013 \001(\010\022\021\n\twithdraws\030\014 \001(\010\",\n\tHeld" +
-      "Slots\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005count\030\002 \001(\005\"`" +
-      "\n\016SlotAssignment\022\017\n\007assigns\030\001 \001(\010\022\021\n\tend" +
-      "points\030\002 \003(\t\022\030\n\020expected_wait_ms\030\003 \001(\003\022\020" +
-      "\n\010assigner\030\004 \001(\tB\035\n\031org.zinniaspan.peer." +
-      "protoP\001b\006proto3"
+      "\022.\n\006speeds\030\n \003(\0132\036.zinniaspan.peer.Endpo" +
+      "intSpeed\022/\n\007demands\030\013 \003(\0132\036.zinniaspan.p" +
+      "eer.ServiceDemandB\027\n\025_observation_sequen" +
+      "ce\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022\020\n\010to" +
+      "lerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\270\003\n\013EngineS" +
+      "tate\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022*\n" +
+      "\005loads\030\003 \003(\0132\033.zinniaspan.peer.EngineLoa" +
+      "d\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan.peer.S" +
+      "erviceWork\0220\n\nfleet_work\030\005 \003(\0132\034.zinnias" +
+      "pan.peer.ServiceWork\022\034\n\024observation_sequ" +
+      "ence\030\006 \001(\003\0223\n\014observations\030\007 \001(\0132\035.zinni" +
+      "aspan.peer.Observations\022\017\n\007held_ms\030\010 \001(\003" +
+      "\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010stopping\030\n \001" +
+      "(\010\0224\n\014zone_demands\030\013 \003(\0132\036.zinniaspan.pe" +
+      "er.ServiceDemand\0225\n\rfleet_demands\030\014 \003(\0132" +
+      "\036.zinniaspan.peer.ServiceDemand\"\220\001\n\nEngi" +
+      "neLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_m" +
+      "s\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022" +
+      "\016\n\006active\030\005 \001(\005\022)\n\005speed\030\006 \001(\0132\032.zinnias" +
+      "pan.peer.SpeedSums\"L\n\rServiceDemand\022\017\n\007s" +
+      "ervice\030\001 \001(\t\022*\n\005ranks\030\002 \003(\0132\033.zinniaspan" +
+      ".peer.RankDemand\"\260\001\n\nRankDemand\022\014\n\004rank\030" +
+      "\001 \001(\005\022\017\n\007offered\030\002 \001(\002\022\014\n\004late\030\003 \001(\002\022\027\n\017" +
+      "admitted_age_ms\030\004 \001(\003\0228\n\rorganisations\030\005" +
+      " \003(\0132!.zinniaspan.peer.OrganisationWork\022" +
+      "\022\n\nother_work\030\006 \001(\002\022\016\n\006others\030\007 \001(\005\".\n\020O" +
+      "rganisationWork\022\014\n\004name\030\001 \001(\t\022\014\n\004work\030\002 " +
+      "\001(\002\"b\n\rEndpointSpeed\022\020\n\010endpoint\030\001 \001(\t\022\025" +
+      "\n\rstarted_at_ms\030\002 \001(\003\022(\n\004sums\030\003 \001(\0132\032.zi" +
+      "nniaspan.peer.SpeedSums\"9\n\tSpeedSums\022\016\n\006" +
+      "weight\030\001 \001(\002\022\013\n\003sum\030\002 \001(\002\022\017\n\007squares\030\003 \001" +
+      "(\002\"\212\002\n\014Observations\022/\n\007crashed\030\001 \003(\0132\036.z" +
+      "inniaspan.peer.CrashedPrompt\022/\n\010answered" +
+      "\030\002 \003(\0132\035.zinniaspan.peer.AnsweredPart\022-\n" +
+      "\006limits\030\003 \003(\0132\035.zinniaspan.peer.RequestL" +
+      "imit\0229\n\020rejection_limits\030\004 \003(\0132\037.zinnias" +
+      "pan.peer.RejectionLimit\022.\n\nrejections\030\005 " +
+      "\003(\0132\032.zinniaspan.peer.Rejection\"[\n\014Reque" +
+      "stLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_" +
+      "ms\030\002 \001(\003\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age_ms\030\004" +
+      " \001(\003\"\202\001\n\016RejectionLimit\022\020\n\010endpoint\030\001 \001(" +
+      "\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(" +
+      "\t\022\027\n\nper_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001" +
+      "(\003B\r\n\013_per_second\"D\n\tRejection\022\020\n\010endpoi" +
+      "nt\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_m" +
+      "s\030\003 \001(\003\"j\n\rCrashedPrompt\022\020\n\010endpoint\030\001 \001" +
+      "(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n" +
+      "\014answer_begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014A" +
+      "nsweredPart\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(" +
+      "\003\"h\n\021StreamOriginEntry\022\022\n\nattempt_id\030\001 \001" +
+      "(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_version\030" +
+      "\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022StreamOri" +
+      "ginUpdate\0223\n\007origins\030\001 \003(\0132\".zinniaspan." +
+      "peer.StreamOriginEntry\"\025\n\023StreamOriginRe" +
+      "ceipt\"K\n\021StreamOriginQuery\022\022\n\nattempt_id" +
+      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001" +
+      "(\010\"u\n\021StreamOriginReply\0222\n\006origin\030\001 \001(\0132" +
+      "\".zinniaspan.peer.StreamOriginEntry\022\027\n\017r" +
+      "ecent_versions\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(" +
+      "\003\"\372\001\n\023SlotAssignmentQuery\022\016\n\006sender\030\001 \001(" +
+      "\t\022\r\n\005epoch\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunan" +
+      "swered\030\004 \003(\003\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 " +
+      "\003(\0132\032.zinniaspan.peer.HeldSlots\022\016\n\006wante" +
+      "d\030\007 \001(\005\022\014\n\004rank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020" +
+      "\n\010unusable\030\n \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\tw" +
+      "ithdraws\030\014 \001(\010\",\n\tHeldSlots\022\020\n\010endpoint\030" +
+      "\001 \001(\t\022\r\n\005count\030\002 \001(\005\"`\n\016SlotAssignment\022\017" +
+      "\n\007assigns\030\001 \001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020ex" +
+      "pected_wait_ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035" +
+      "\n\031org.zinniaspan.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -286,7 +328,7 @@
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineQuery_descriptor,
-        new java.lang.String[] { "Epoch", "Sequence", "WaitMs", "Zone", "Sender", "Work", "ObservationSequence", "Observations", "MinWaitMs", });
+        new java.lang.String[] { "Epoch", "Sequence", "WaitMs", "Zone", "Sender", "Work", "ObservationSequence", "Observations", "MinWaitMs", "Speeds", "Demands", });
     internal_static_zinniaspan_peer_ServiceWork_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_zinniaspan_peer_ServiceWork_fieldAccessorTable = new
@@ -298,93 +340,123 @@
     internal_static_zinniaspan_peer_EngineState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineState_descriptor,
-        new java.lang.String[] { "Epoch", "Sequence", "Loads", "ZoneWork", "FleetWork", "ObservationSequence", "Observations", "HeldMs", "HeedsMinWait", "Stopping", });
+        new java.lang.String[] { "Epoch", "Sequence", "Loads", "ZoneWork", "FleetWork", "ObservationSequence", "Observations", "HeldMs", "HeedsMinWait", "Stopping", "ZoneDemands", "FleetDemands", });
     internal_static_zinniaspan_peer_EngineLoad_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_zinniaspan_peer_EngineLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_EngineLoad_descriptor,
-        new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", "Queued", "Active", });
-    internal_static_zinniaspan_peer_Observations_descriptor =
+        new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", "Queued", "Active", "Speed", });
+    internal_static_zinniaspan_peer_ServiceDemand_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_zinniaspan_peer_ServiceDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_ServiceDemand_descriptor,
+        new java.lang.String[] { "Service", "Ranks", });
+    internal_static_zinniaspan_peer_RankDemand_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_zinniaspan_peer_RankDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_RankDemand_descriptor,
+        new java.lang.String[] { "Rank", "Offered", "Late", "AdmittedAgeMs", "Organisations", "OtherWork", "Others", });
+    internal_static_zinniaspan_peer_OrganisationWork_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_zinniaspan_peer_OrganisationWork_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_OrganisationWork_descriptor,
+        new java.lang.String[] { "Name", "Work", });
+    internal_static_zinniaspan_peer_EndpointSpeed_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_zinniaspan_peer_EndpointSpeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_EndpointSpeed_descriptor,
+        new java.lang.String[] { "Endpoint", "StartedAtMs", "Sums", });
+    internal_static_zinniaspan_peer_SpeedSums_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_zinniaspan_peer_SpeedSums_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_zinniaspan_peer_SpeedSums_descriptor,
+        new java.lang.String[] { "Weight", "Sum", "Squares", });
+    internal_static_zinniaspan_peer_Observations_descriptor =
+      getDescriptor().getMessageType(15);
     internal_static_zinniaspan_peer_Observations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Observations_descriptor,
         new java.lang.String[] { "Crashed", "Answered", "Limits", "RejectionLimits", "Rejections", });
     internal_static_zinniaspan_peer_RequestLimit_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(16);
     internal_static_zinniaspan_peer_RequestLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_RequestLimit_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "PerSecond", "AgeMs", });
     internal_static_zinniaspan_peer_RejectionLimit_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(17);
     internal_static_zinniaspan_peer_RejectionLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_RejectionLimit_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "Service", "PerSecond", "AgeMs", });
     internal_static_zinniaspan_peer_Rejection_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(18);
     internal_static_zinniaspan_peer_Rejection_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_Rejection_descriptor,
         new java.lang.String[] { "Endpoint", "StartedAtMs", "AgeMs", });
     internal_static_zinniaspan_peer_CrashedPrompt_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(19);
     internal_static_zinniaspan_peer_CrashedPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CrashedPrompt_descriptor,
         new java.lang.String[] { "Endpoint", "AttemptId", "Parts", "AnswerBegun", "AgeMs", });
     internal_static_zinniaspan_peer_AnsweredPart_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(20);
     internal_static_zinniaspan_peer_AnsweredPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_AnsweredPart_descriptor,
         new java.lang.String[] { "Part", "AgeMs", });
     internal_static_zinniaspan_peer_StreamOriginEntry_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(21);
     internal_static_zinniaspan_peer_StreamOriginEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginEntry_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "SoftwareVersion", "RemainingMs", });
     internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(22);
     internal_static_zinniaspan_peer_StreamOriginUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginUpdate_descriptor,
         new java.lang.String[] { "Origins", });
     internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(23);
     internal_static_zinniaspan_peer_StreamOriginReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReceipt_descriptor,
         new java.lang.String[] { });
     internal_static_zinniaspan_peer_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(24);
     internal_static_zinniaspan_peer_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginQuery_descriptor,
         new java.lang.String[] { "AttemptId", "Service", "ZoneWide", });
     internal_static_zinniaspan_peer_StreamOriginReply_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(25);
     internal_static_zinniaspan_peer_StreamOriginReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_StreamOriginReply_descriptor,
         new java.lang.String[] { "Origin", "RecentVersions", "ObservedMs", });
     internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(26);
     internal_static_zinniaspan_peer_SlotAssignmentQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotAssignmentQuery_descriptor,
         new java.lang.String[] { "Sender", "Epoch", "Number", "Unanswered", "Service", "Held", "Wanted", "Rank", "WaitMs", "Unusable", "Announces", "Withdraws", });
     internal_static_zinniaspan_peer_HeldSlots_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(27);
     internal_static_zinniaspan_peer_HeldSlots_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_HeldSlots_descriptor,
         new java.lang.String[] { "Endpoint", "Count", });
     internal_static_zinniaspan_peer_SlotAssignment_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(28);
     internal_static_zinniaspan_peer_SlotAssignment_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_SlotAssignment_descriptor,
