Compare the speed of engines with those of the same kind of streams

trial: engines for streams that tolerate pauses have longer pauses by their load, so that they counted as slow, and the engines for strict streams as fast, which drew long prompts to them.

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/TimeToFirstByteSelector.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.membership.RendezvousHash;
 
@@ -124,20 +125,28 @@
     Optional<Prompt> prompt = demand.prompt();
     Optional<String> home = prompt.flatMap(p -> homeEndpoint(p, warm(candidates, preferred)));
     long now = clock.nowMs();
-    List<SpeedEvidence> evidence =
-        candidates.stream().map(candidate -> candidate.speed().evidence(now)).toList();
-    EndpointSpeeds relative = EndpointSpeeds.of(evidence);
+    // Streams of the other kind change the pauses of an engine, which is not its own speed.
+    Map<Boolean, EndpointSpeeds> speedsByKind =
+        candidates.stream()
+            .collect(
+                Collectors.partitioningBy(
+                    candidate -> preferred.contains(candidate.listed().id()),
+                    Collectors.collectingAndThen(
+                        Collectors.mapping(
+                            candidate -> candidate.speed().evidence(now), Collectors.toList()),
+                        EndpointSpeeds::of)));
     Map<TrackedEndpoint, EndpointCost> costs = new LinkedHashMap<>();
-    for (int i = 0; i < candidates.size(); i++) {
-      TrackedEndpoint candidate = candidates.get(i);
-      EndpointCost ofEndpoint = estimate(candidate, demand, home, relative.factor(evidence.get(i)));
+    for (TrackedEndpoint candidate : candidates) {
+      boolean isPreferred = preferred.contains(candidate.listed().id());
+      double slowness = speedsByKind.get(isPreferred).factor(candidate.speed().evidence(now));
+      EndpointCost ofEndpoint = estimate(candidate, demand, home, slowness);
       costs.put(
           candidate,
           ofEndpoint.withOther(
               zoneCosts.costMs(candidate.listed().zone()),
               REPEATED_PREFILL_COST_MS * repeatedTokens(candidate, prompt, home),
               demand.toleratesPauses() ? 0 : candidate.pauseMs(now),
-              preferred.contains(candidate.listed().id()) ? 0 : misplacementCostMs(demand)));
+              isPreferred ? 0 : misplacementCostMs(demand)));
     }
     return costs;
   }
