--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -94,7 +94,7 @@
                     new ZoneCosts("zone-a", REGIONS),
                     new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
                     VmLimits.of(4_096, 330, 96 << 20),
-                    false,
+                    ForwardDaemon.Features.NONE,
                     1,
                     Optional.of(new ForwardDaemon.AdminAccess(adminListen, ADMIN_TOKEN)))));
     awaitReady();
--- a/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/cli/ForwardCommand.java
@@ -156,6 +156,13 @@
               + " give way at all of them: on or off. Takes effect from 16 VMs.")
   private String sharedPressure = "off";
 
+  @Parameter(
+      names = "--endpoint-pace",
+      description =
+          "Whether requests to endpoints that start, return or recover rise step by step: on or"
+              + " off.")
+  private String endpointPace = "off";
+
   @Parameter(names = "--seed", description = "Seed of the random number generators; 0 picks one.")
   private long seed = 0;
 
@@ -186,13 +193,6 @@
     InetSocketAddress store = Addresses.parse(platform);
     PlatformBounds.Parsed parsed = PlatformBounds.parse(boundSettings());
     parsed.findings().forEach(ForwardCommand::logFinding);
-    if (!sharedPressure.equals("on") && !sharedPressure.equals("off")) {
-      logFinding(
-          new Finding(
-              "settings",
-              "--shared-pressure",
-              "'" + sharedPressure + "' is neither on nor off; off holds"));
-    }
     return new ForwardDaemon.Options(
         Addresses.parse(listen),
         Addresses.parse(readyListen),
@@ -206,13 +206,22 @@
         new ZoneCosts(zone, regions()),
         parsed.bounds(),
         VmLimits.of(maxFileDescriptors, memoryMb, Runtime.getRuntime().maxMemory()),
-        sharedPressure.equals("on"),
+        new ForwardDaemon.Features(
+            isOn("--shared-pressure", sharedPressure), isOn("--endpoint-pace", endpointPace)),
         seed == 0 ? System.nanoTime() : seed,
         adminListen.isEmpty()
             ? Optional.empty()
             : Optional.of(new ForwardDaemon.AdminAccess(Addresses.parse(adminListen), adminToken)));
   }
 
+  /** Returns whether a part is switched on; it is off, with a finding, for any other value. */
+  private static boolean isOn(String flag, String value) {
+    if (!value.equals("on") && !value.equals("off")) {
+      logFinding(new Finding("settings", flag, "'" + value + "' is neither on nor off; off holds"));
+    }
+    return value.equals("on");
+  }
+
   private Map<String, String> boundSettings() {
     return Map.of(
         "--config-ms", configMs,
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/FleetComponents.java
@@ -68,6 +68,7 @@
       StreamWork work,
       ToDoubleFunction<String> slotMs,
       PlatformBounds bounds,
+      ForwardDaemon.Features features,
       Clock clock,
       Random random) {
     long epoch = random.nextLong();
@@ -95,7 +96,10 @@
             clock, System::currentTimeMillis, directory, coldSpecs, bounds.cold(), share);
     EndpointPace pace =
         new EndpointPace(clock, System::currentTimeMillis, directory, coldSpecs, slotMs, share);
-    endpoints = observations.withSlots(slots).withOtherLimits(List.of(cold, pace));
+    endpoints =
+        observations
+            .withSlots(slots)
+            .withOtherLimits(features.endpointPace() ? List.of(cold, pace) : List.of(cold));
     pressure = new SharedPressure(clock, members::liveCount);
     engineBoard = new EngineBoard(directory, work, pressure, endpoints.exchange(), clock, epoch);
     engineSharing = new EngineSharing(directory, engineBoard, members, peers, clock);
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -104,6 +104,7 @@
             work,
             service -> speeds.of(service).slotMs(),
             options.bounds(),
+            options.features(),
             clock,
             random);
     context =
@@ -119,7 +120,9 @@
             new AdmissionControl(
                 clock,
                 random,
-                options.sharedPressure() ? Optional.of(fleet.pressure()) : Optional.empty()),
+                options.features().sharedPressure()
+                    ? Optional.of(fleet.pressure())
+                    : Optional.empty()),
             fleet.origins(),
             new EndpointBackoff(clock),
             fleet.endpoints().limits(),
@@ -172,7 +175,7 @@
    * @param zoneCosts availability zone of this VM and the costs to the others
    * @param bounds time bounds and budgets of the platform
    * @param vmLimits what this VM can take on
-   * @param sharedPressure whether admission heeds what other VMs admit and find late
+   * @param features the parts that are switched on
    * @param seed seed of the daemon's random numbers
    * @param admin access to the administration API; empty serves none
    */
@@ -189,10 +192,22 @@
       ZoneCosts zoneCosts,
       PlatformBounds bounds,
       VmLimits vmLimits,
-      boolean sharedPressure,
+      Features features,
       long seed,
       Optional<AdminAccess> admin) {}
 
+  /**
+   * Parts that settings switch on.
+   *
+   * @param sharedPressure whether admission heeds what other VMs admit and find late
+   * @param endpointPace whether requests to endpoints that start or recover rise step by step
+   */
+  public record Features(boolean sharedPressure, boolean endpointPace) {
+
+    /** All parts are off. */
+    public static final Features NONE = new Features(false, false);
+  }
+
   /**
    * Access to the administration API.
    *
