--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogService.java
@@ -148,7 +148,7 @@
 
   private static CatalogEndpoint encode(ListedEndpoint listed) {
     CatalogEndpoint.Builder entry = CatalogEndpoint.newBuilder();
-    listed.coldRemainingMs().ifPresent(entry::setColdRemainingMs);
+    listed.coldRemainingMs().ifPresent(entry::setColdForMs);
     return entry
         .setId(listed.id())
         .setService(listed.service())
--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/CatalogSharing.java
@@ -259,8 +259,6 @@
         entry.getSlots(),
         entry.getDraining(),
         entry.getStartedAtMs(),
-        entry.hasColdRemainingMs()
-            ? Optional.of(Math.max(0, entry.getColdRemainingMs()))
-            : Optional.empty());
+        entry.hasColdForMs() ? Optional.of(Math.max(0, entry.getColdForMs())) : Optional.empty());
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpoint.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpoint.java
@@ -290,18 +290,18 @@
     }
   }
 
-  public static final int COLD_REMAINING_MS_FIELD_NUMBER = 20;
-  private long coldRemainingMs_ = 0L;
+  public static final int COLD_FOR_MS_FIELD_NUMBER = 20;
+  private long coldForMs_ = 0L;
   /**
    * <pre>
    * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
    * </pre>
    *
-   * <code>optional int64 cold_remaining_ms = 20;</code>
-   * @return Whether the coldRemainingMs field is set.
+   * <code>optional int64 cold_for_ms = 20;</code>
+   * @return Whether the coldForMs field is set.
    */
   @java.lang.Override
-  public boolean hasColdRemainingMs() {
+  public boolean hasColdForMs() {
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
@@ -309,12 +309,12 @@
    * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
    * </pre>
    *
-   * <code>optional int64 cold_remaining_ms = 20;</code>
-   * @return The coldRemainingMs.
+   * <code>optional int64 cold_for_ms = 20;</code>
+   * @return The coldForMs.
    */
   @java.lang.Override
-  public long getColdRemainingMs() {
-    return coldRemainingMs_;
+  public long getColdForMs() {
+    return coldForMs_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -356,7 +356,7 @@
       com.google.protobuf.GeneratedMessage.writeString(output, 8, softwareVersion_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeInt64(20, coldRemainingMs_);
+      output.writeInt64(20, coldForMs_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -391,7 +391,7 @@
     }
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(20, coldRemainingMs_);
+        .computeInt64Size(20, coldForMs_);
     }
     return size;
   }
@@ -433,10 +433,10 @@
         != other.getStartedAtMs()) return false;
     if (!getSoftwareVersion()
         .equals(other.getSoftwareVersion())) return false;
-    if (hasColdRemainingMs() != other.hasColdRemainingMs()) return false;
-    if (hasColdRemainingMs()) {
-      if (getColdRemainingMs()
-          != other.getColdRemainingMs()) return false;
+    if (hasColdForMs() != other.hasColdForMs()) return false;
+    if (hasColdForMs()) {
+      if (getColdForMs()
+          != other.getColdForMs()) return false;
     }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
@@ -467,10 +467,10 @@
         getStartedAtMs());
     hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getSoftwareVersion().hashCode();
-    if (hasColdRemainingMs()) {
-      hash = (37 * hash) + COLD_REMAINING_MS_FIELD_NUMBER;
+    if (hasColdForMs()) {
+      hash = (37 * hash) + COLD_FOR_MS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getColdRemainingMs());
+          getColdForMs());
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -615,7 +615,7 @@
       draining_ = false;
       startedAtMs_ = 0L;
       softwareVersion_ = "";
-      coldRemainingMs_ = 0L;
+      coldForMs_ = 0L;
       return this;
     }
 
@@ -675,7 +675,7 @@
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000100) != 0)) {
-        result.coldRemainingMs_ = coldRemainingMs_;
+        result.coldForMs_ = coldForMs_;
         to_bitField0_ |= 0x00000001;
       }
       result.bitField0_ |= to_bitField0_;
@@ -727,8 +727,8 @@
         bitField0_ |= 0x00000080;
         onChanged();
       }
-      if (other.hasColdRemainingMs()) {
-        setColdRemainingMs(other.getColdRemainingMs());
+      if (other.hasColdForMs()) {
+        setColdForMs(other.getColdForMs());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -795,7 +795,7 @@
               break;
             } // case 66
             case 160: {
-              coldRemainingMs_ = input.readInt64();
+              coldForMs_ = input.readInt64();
               bitField0_ |= 0x00000100;
               break;
             } // case 160
@@ -1284,17 +1284,17 @@
       return this;
     }
 
-    private long coldRemainingMs_ ;
+    private long coldForMs_ ;
     /**
      * <pre>
      * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
      * </pre>
      *
-     * <code>optional int64 cold_remaining_ms = 20;</code>
-     * @return Whether the coldRemainingMs field is set.
+     * <code>optional int64 cold_for_ms = 20;</code>
+     * @return Whether the coldForMs field is set.
      */
     @java.lang.Override
-    public boolean hasColdRemainingMs() {
+    public boolean hasColdForMs() {
       return ((bitField0_ & 0x00000100) != 0);
     }
     /**
@@ -1302,25 +1302,25 @@
      * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
      * </pre>
      *
-     * <code>optional int64 cold_remaining_ms = 20;</code>
-     * @return The coldRemainingMs.
+     * <code>optional int64 cold_for_ms = 20;</code>
+     * @return The coldForMs.
      */
     @java.lang.Override
-    public long getColdRemainingMs() {
-      return coldRemainingMs_;
+    public long getColdForMs() {
+      return coldForMs_;
     }
     /**
      * <pre>
      * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
      * </pre>
      *
-     * <code>optional int64 cold_remaining_ms = 20;</code>
-     * @param value The coldRemainingMs to set.
+     * <code>optional int64 cold_for_ms = 20;</code>
+     * @param value The coldForMs to set.
      * @return This builder for chaining.
      */
-    public Builder setColdRemainingMs(long value) {
+    public Builder setColdForMs(long value) {
 
-      coldRemainingMs_ = value;
+      coldForMs_ = value;
       bitField0_ |= 0x00000100;
       onChanged();
       return this;
@@ -1330,12 +1330,12 @@
      * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
      * </pre>
      *
-     * <code>optional int64 cold_remaining_ms = 20;</code>
+     * <code>optional int64 cold_for_ms = 20;</code>
      * @return This builder for chaining.
      */
-    public Builder clearColdRemainingMs() {
+    public Builder clearColdForMs() {
       bitField0_ = (bitField0_ & ~0x00000100);
-      coldRemainingMs_ = 0L;
+      coldForMs_ = 0L;
       onChanged();
       return this;
     }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpointOrBuilder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/CatalogEndpointOrBuilder.java
@@ -97,17 +97,17 @@
    * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
    * </pre>
    *
-   * <code>optional int64 cold_remaining_ms = 20;</code>
-   * @return Whether the coldRemainingMs field is set.
+   * <code>optional int64 cold_for_ms = 20;</code>
+   * @return Whether the coldForMs field is set.
    */
-  boolean hasColdRemainingMs();
+  boolean hasColdForMs();
   /**
    * <pre>
    * Milliseconds for which the endpoint remains cold from now on; absent if not stated.
    * </pre>
    *
-   * <code>optional int64 cold_remaining_ms = 20;</code>
-   * @return The coldRemainingMs.
+   * <code>optional int64 cold_for_ms = 20;</code>
+   * @return The coldForMs.
    */
-  long getColdRemainingMs();
+  long getColdForMs();
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/peer/proto/Fleet.java
@@ -200,88 +200,88 @@
       "atalogEndpoint\022\r\n\005table\030\n \001(\014\022\023\n\013store_e" +
       "poch\030\013 \001(\003\022\024\n\014list_current\030\014 \001(\010\022=\n\017evac" +
       "uated_zones\030\024 \001(\0132$.zinniaspan.peer.Evac" +
-      "uatedZonesState\"\325\001\n\017CatalogEndpoint\022\n\n\002i" +
+      "uatedZonesState\"\311\001\n\017CatalogEndpoint\022\n\n\002i" +
       "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(" +
       "\t\022\014\n\004zone\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\020\n\010draini" +
       "ng\030\006 \001(\010\022\025\n\rstarted_at_ms\030\007 \001(\003\022\030\n\020softw" +
-      "are_version\030\010 \001(\t\022\036\n\021cold_remaining_ms\030\024" +
-      " \001(\003H\000\210\001\001B\024\n\022_cold_remaining_ms\"\360\002\n\013Engi" +
-      "neQuery\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003" +
-      "\022\017\n\007wait_ms\030\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sende" +
-      "r\030\005 \001(\t\022*\n\004work\030\006 \003(\0132\034.zinniaspan.peer." +
-      "ServiceWork\022!\n\024observation_sequence\030\007 \001(" +
-      "\003H\000\210\001\001\0223\n\014observations\030\010 \001(\0132\035.zinniaspa" +
-      "n.peer.Observations\022\023\n\013min_wait_ms\030\t \001(\003" +
-      "\022.\n\006speeds\030\n \003(\0132\036.zinniaspan.peer.Endpo" +
-      "intSpeed\022/\n\007demands\030\013 \003(\0132\036.zinniaspan.p" +
-      "eer.ServiceDemandB\027\n\025_observation_sequen" +
-      "ce\"@\n\013ServiceWork\022\017\n\007service\030\001 \001(\t\022\020\n\010to" +
-      "lerant\030\002 \001(\001\022\016\n\006strict\030\003 \001(\001\"\270\003\n\013EngineS" +
-      "tate\022\r\n\005epoch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022*\n" +
-      "\005loads\030\003 \003(\0132\033.zinniaspan.peer.EngineLoa" +
-      "d\022/\n\tzone_work\030\004 \003(\0132\034.zinniaspan.peer.S" +
-      "erviceWork\0220\n\nfleet_work\030\005 \003(\0132\034.zinnias" +
-      "pan.peer.ServiceWork\022\034\n\024observation_sequ" +
-      "ence\030\006 \001(\003\0223\n\014observations\030\007 \001(\0132\035.zinni" +
-      "aspan.peer.Observations\022\017\n\007held_ms\030\010 \001(\003" +
-      "\022\026\n\016heeds_min_wait\030\t \001(\010\022\020\n\010stopping\030\n \001" +
-      "(\010\0224\n\014zone_demands\030\013 \003(\0132\036.zinniaspan.pe" +
-      "er.ServiceDemand\0225\n\rfleet_demands\030\014 \003(\0132" +
-      "\036.zinniaspan.peer.ServiceDemand\"\220\001\n\nEngi" +
-      "neLoad\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_m" +
-      "s\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022" +
-      "\016\n\006active\030\005 \001(\005\022)\n\005speed\030\006 \001(\0132\032.zinnias" +
-      "pan.peer.SpeedSums\"L\n\rServiceDemand\022\017\n\007s" +
-      "ervice\030\001 \001(\t\022*\n\005ranks\030\002 \003(\0132\033.zinniaspan" +
-      ".peer.RankDemand\"\260\001\n\nRankDemand\022\014\n\004rank\030" +
-      "\001 \001(\005\022\017\n\007offered\030\002 \001(\002\022\014\n\004late\030\003 \001(\002\022\027\n\017" +
-      "admitted_age_ms\030\004 \001(\003\0228\n\rorganisations\030\005" +
-      " \003(\0132!.zinniaspan.peer.OrganisationWork\022" +
-      "\022\n\nother_work\030\006 \001(\002\022\016\n\006others\030\007 \001(\005\".\n\020O" +
-      "rganisationWork\022\014\n\004name\030\001 \001(\t\022\014\n\004work\030\002 " +
-      "\001(\002\"b\n\rEndpointSpeed\022\020\n\010endpoint\030\001 \001(\t\022\025" +
-      "\n\rstarted_at_ms\030\002 \001(\003\022(\n\004sums\030\003 \001(\0132\032.zi" +
-      "nniaspan.peer.SpeedSums\"9\n\tSpeedSums\022\016\n\006" +
-      "weight\030\001 \001(\002\022\013\n\003sum\030\002 \001(\002\022\017\n\007squares\030\003 \001" +
-      "(\002\"\212\002\n\014Observations\022/\n\007crashed\030\001 \003(\0132\036.z" +
-      "inniaspan.peer.CrashedPrompt\022/\n\010answered" +
-      "\030\002 \003(\0132\035.zinniaspan.peer.AnsweredPart\022-\n" +
-      "\006limits\030\003 \003(\0132\035.zinniaspan.peer.RequestL" +
-      "imit\0229\n\020rejection_limits\030\004 \003(\0132\037.zinnias" +
-      "pan.peer.RejectionLimit\022.\n\nrejections\030\005 " +
-      "\003(\0132\032.zinniaspan.peer.Rejection\"[\n\014Reque" +
-      "stLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at_" +
-      "ms\030\002 \001(\003\022\022\n\nper_second\030\003 \001(\001\022\016\n\006age_ms\030\004" +
-      " \001(\003\"\202\001\n\016RejectionLimit\022\020\n\010endpoint\030\001 \001(" +
-      "\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(" +
-      "\t\022\027\n\nper_second\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001" +
-      "(\003B\r\n\013_per_second\"D\n\tRejection\022\020\n\010endpoi" +
-      "nt\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006age_m" +
-      "s\030\003 \001(\003\"j\n\rCrashedPrompt\022\020\n\010endpoint\030\001 \001" +
-      "(\t\022\022\n\nattempt_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n" +
-      "\014answer_begun\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014A" +
-      "nsweredPart\022\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(" +
-      "\003\"h\n\021StreamOriginEntry\022\022\n\nattempt_id\030\001 \001" +
-      "(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_version\030" +
-      "\003 \001(\t\022\024\n\014remaining_ms\030\004 \001(\003\"I\n\022StreamOri" +
-      "ginUpdate\0223\n\007origins\030\001 \003(\0132\".zinniaspan." +
-      "peer.StreamOriginEntry\"\025\n\023StreamOriginRe" +
-      "ceipt\"K\n\021StreamOriginQuery\022\022\n\nattempt_id" +
-      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001" +
-      "(\010\"u\n\021StreamOriginReply\0222\n\006origin\030\001 \001(\0132" +
-      "\".zinniaspan.peer.StreamOriginEntry\022\027\n\017r" +
-      "ecent_versions\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(" +
-      "\003\"\372\001\n\023SlotAssignmentQuery\022\016\n\006sender\030\001 \001(" +
-      "\t\022\r\n\005epoch\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunan" +
-      "swered\030\004 \003(\003\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 " +
-      "\003(\0132\032.zinniaspan.peer.HeldSlots\022\016\n\006wante" +
-      "d\030\007 \001(\005\022\014\n\004rank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020" +
-      "\n\010unusable\030\n \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\tw" +
-      "ithdraws\030\014 \001(\010\",\n\tHeldSlots\022\020\n\010endpoint\030" +
-      "\001 \001(\t\022\r\n\005count\030\002 \001(\005\"`\n\016SlotAssignment\022\017" +
-      "\n\007assigns\030\001 \001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020ex" +
-      "pected_wait_ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035" +
-      "\n\031org.zinniaspan.peer.protoP\001b\006proto3"
+      "are_version\030\010 \001(\t\022\030\n\013cold_for_ms\030\024 \001(\003H\000" +
+      "\210\001\001B\016\n\014_cold_for_ms\"\360\002\n\013EngineQuery\022\r\n\005e" +
+      "poch\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022\017\n\007wait_ms\030" +
+      "\003 \001(\003\022\014\n\004zone\030\004 \001(\t\022\016\n\006sender\030\005 \001(\t\022*\n\004w" +
+      "ork\030\006 \003(\0132\034.zinniaspan.peer.ServiceWork\022" +
+      "!\n\024observation_sequence\030\007 \001(\003H\000\210\001\001\0223\n\014ob" +
+      "servations\030\010 \001(\0132\035.zinniaspan.peer.Obser" +
+      "vations\022\023\n\013min_wait_ms\030\t \001(\003\022.\n\006speeds\030\n" +
+      " \003(\0132\036.zinniaspan.peer.EndpointSpeed\022/\n\007" +
+      "demands\030\013 \003(\0132\036.zinniaspan.peer.ServiceD" +
+      "emandB\027\n\025_observation_sequence\"@\n\013Servic" +
+      "eWork\022\017\n\007service\030\001 \001(\t\022\020\n\010tolerant\030\002 \001(\001" +
+      "\022\016\n\006strict\030\003 \001(\001\"\270\003\n\013EngineState\022\r\n\005epoc" +
+      "h\030\001 \001(\003\022\020\n\010sequence\030\002 \001(\003\022*\n\005loads\030\003 \003(\013" +
+      "2\033.zinniaspan.peer.EngineLoad\022/\n\tzone_wo" +
+      "rk\030\004 \003(\0132\034.zinniaspan.peer.ServiceWork\0220" +
+      "\n\nfleet_work\030\005 \003(\0132\034.zinniaspan.peer.Ser" +
+      "viceWork\022\034\n\024observation_sequence\030\006 \001(\003\0223" +
+      "\n\014observations\030\007 \001(\0132\035.zinniaspan.peer.O" +
+      "bservations\022\017\n\007held_ms\030\010 \001(\003\022\026\n\016heeds_mi" +
+      "n_wait\030\t \001(\010\022\020\n\010stopping\030\n \001(\010\0224\n\014zone_d" +
+      "emands\030\013 \003(\0132\036.zinniaspan.peer.ServiceDe" +
+      "mand\0225\n\rfleet_demands\030\014 \003(\0132\036.zinniaspan" +
+      ".peer.ServiceDemand\"\220\001\n\nEngineLoad\022\020\n\010en" +
+      "dpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\016\n\006a" +
+      "ge_ms\030\003 \001(\003\022\016\n\006queued\030\004 \001(\005\022\016\n\006active\030\005 " +
+      "\001(\005\022)\n\005speed\030\006 \001(\0132\032.zinniaspan.peer.Spe" +
+      "edSums\"L\n\rServiceDemand\022\017\n\007service\030\001 \001(\t" +
+      "\022*\n\005ranks\030\002 \003(\0132\033.zinniaspan.peer.RankDe" +
+      "mand\"\260\001\n\nRankDemand\022\014\n\004rank\030\001 \001(\005\022\017\n\007off" +
+      "ered\030\002 \001(\002\022\014\n\004late\030\003 \001(\002\022\027\n\017admitted_age" +
+      "_ms\030\004 \001(\003\0228\n\rorganisations\030\005 \003(\0132!.zinni" +
+      "aspan.peer.OrganisationWork\022\022\n\nother_wor" +
+      "k\030\006 \001(\002\022\016\n\006others\030\007 \001(\005\".\n\020OrganisationW" +
+      "ork\022\014\n\004name\030\001 \001(\t\022\014\n\004work\030\002 \001(\002\"b\n\rEndpo" +
+      "intSpeed\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted_at" +
+      "_ms\030\002 \001(\003\022(\n\004sums\030\003 \001(\0132\032.zinniaspan.pee" +
+      "r.SpeedSums\"9\n\tSpeedSums\022\016\n\006weight\030\001 \001(\002" +
+      "\022\013\n\003sum\030\002 \001(\002\022\017\n\007squares\030\003 \001(\002\"\212\002\n\014Obser" +
+      "vations\022/\n\007crashed\030\001 \003(\0132\036.zinniaspan.pe" +
+      "er.CrashedPrompt\022/\n\010answered\030\002 \003(\0132\035.zin" +
+      "niaspan.peer.AnsweredPart\022-\n\006limits\030\003 \003(" +
+      "\0132\035.zinniaspan.peer.RequestLimit\0229\n\020reje" +
+      "ction_limits\030\004 \003(\0132\037.zinniaspan.peer.Rej" +
+      "ectionLimit\022.\n\nrejections\030\005 \003(\0132\032.zinnia" +
+      "span.peer.Rejection\"[\n\014RequestLimit\022\020\n\010e" +
+      "ndpoint\030\001 \001(\t\022\025\n\rstarted_at_ms\030\002 \001(\003\022\022\n\n" +
+      "per_second\030\003 \001(\001\022\016\n\006age_ms\030\004 \001(\003\"\202\001\n\016Rej" +
+      "ectionLimit\022\020\n\010endpoint\030\001 \001(\t\022\025\n\rstarted" +
+      "_at_ms\030\002 \001(\003\022\017\n\007service\030\003 \001(\t\022\027\n\nper_sec" +
+      "ond\030\004 \001(\005H\000\210\001\001\022\016\n\006age_ms\030\005 \001(\003B\r\n\013_per_s" +
+      "econd\"D\n\tRejection\022\020\n\010endpoint\030\001 \001(\t\022\025\n\r" +
+      "started_at_ms\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\"j\n\rC" +
+      "rashedPrompt\022\020\n\010endpoint\030\001 \001(\t\022\022\n\nattemp" +
+      "t_id\030\002 \001(\t\022\r\n\005parts\030\003 \003(\t\022\024\n\014answer_begu" +
+      "n\030\004 \001(\010\022\016\n\006age_ms\030\005 \001(\003\",\n\014AnsweredPart\022" +
+      "\014\n\004part\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\003\"h\n\021StreamO" +
+      "riginEntry\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n\014rem" +
+      "aining_ms\030\004 \001(\003\"I\n\022StreamOriginUpdate\0223\n" +
+      "\007origins\030\001 \003(\0132\".zinniaspan.peer.StreamO" +
+      "riginEntry\"\025\n\023StreamOriginReceipt\"K\n\021Str" +
+      "eamOriginQuery\022\022\n\nattempt_id\030\001 \001(\t\022\017\n\007se" +
+      "rvice\030\002 \001(\t\022\021\n\tzone_wide\030\003 \001(\010\"u\n\021Stream" +
+      "OriginReply\0222\n\006origin\030\001 \001(\0132\".zinniaspan" +
+      ".peer.StreamOriginEntry\022\027\n\017recent_versio" +
+      "ns\030\002 \003(\t\022\023\n\013observed_ms\030\003 \001(\003\"\372\001\n\023SlotAs" +
+      "signmentQuery\022\016\n\006sender\030\001 \001(\t\022\r\n\005epoch\030\002" +
+      " \001(\003\022\016\n\006number\030\003 \001(\003\022\022\n\nunanswered\030\004 \003(\003" +
+      "\022\017\n\007service\030\005 \001(\t\022(\n\004held\030\006 \003(\0132\032.zinnia" +
+      "span.peer.HeldSlots\022\016\n\006wanted\030\007 \001(\005\022\014\n\004r" +
+      "ank\030\010 \001(\005\022\017\n\007wait_ms\030\t \001(\003\022\020\n\010unusable\030\n" +
+      " \003(\t\022\021\n\tannounces\030\013 \001(\010\022\021\n\twithdraws\030\014 \001" +
+      "(\010\",\n\tHeldSlots\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005cou" +
+      "nt\030\002 \001(\005\"`\n\016SlotAssignment\022\017\n\007assigns\030\001 " +
+      "\001(\010\022\021\n\tendpoints\030\002 \003(\t\022\030\n\020expected_wait_" +
+      "ms\030\003 \001(\003\022\020\n\010assigner\030\004 \001(\tB\035\n\031org.zinnia" +
+      "span.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -322,7 +322,7 @@
     internal_static_zinniaspan_peer_CatalogEndpoint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_zinniaspan_peer_CatalogEndpoint_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", "ColdRemainingMs", });
+        new java.lang.String[] { "Id", "Service", "Address", "Zone", "Slots", "Draining", "StartedAtMs", "SoftwareVersion", "ColdForMs", });
     internal_static_zinniaspan_peer_EngineQuery_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_zinniaspan_peer_EngineQuery_fieldAccessorTable = new
--- a/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/fleet/SimulatedCalls.java
@@ -198,7 +198,7 @@
   /** Returns a state without what VMs of the release before do not pass on. */
   private static CatalogState ofEarlierRelease(CatalogState state) {
     CatalogState.Builder earlier = state.toBuilder();
-    earlier.getEndpointsBuilderList().forEach(CatalogEndpoint.Builder::clearColdRemainingMs);
+    earlier.getEndpointsBuilderList().forEach(CatalogEndpoint.Builder::clearColdForMs);
     return earlier.build();
   }
 
