--- a/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/fleet/EngineSharing.java
@@ -44,9 +44,6 @@
   /** Shortest time between two reports of the same observations, in milliseconds. */
   private static final long REPORT_INTERVAL_MS = 300;
 
-  /** Interval in which an observer sums the work of all VMs for itself, in milliseconds. */
-  private static final long WORK_INTERVAL_MS = 200;
-
   /** Rank of a VM that is not an observer for the engines of other zones. */
   private static final int FAR_RANK = 3;
 
@@ -78,7 +75,6 @@
   private final Clock clock;
   private final Map<String, Source> sourcesByZone = new HashMap<>();
   private boolean observing;
-  private long nextWorkMs;
 
   /** Creates a sharing that has not found an observer yet. */
   public EngineSharing(
@@ -126,10 +122,7 @@
       query(members.zone(), "");
       return;
     }
-    if (clock.nowMs() >= nextWorkMs) {
-      nextWorkMs = clock.nowMs() + WORK_INTERVAL_MS;
-      board.work().useFleetWork(board.work().fleetWork());
-    }
+    board.work().useFleetWork(board.work().fleetWork());
     board.pressure().useOwnSums();
     for (String zone : members.zones()) {
       if (!zone.equals(members.zone())) {
