--- a/review/kit-2/LastTenant.java
+++ b/review/kit-2/LastTenant.java
@@ -22,6 +22,12 @@
   /** Requests that a server ran although their key was taken away, and what it got of the key. */
   private static final Set<String> RUN_LATE = ConcurrentHashMap.newKeySet();
   private static final Set<String> KEY_PASSED_ON = ConcurrentHashMap.newKeySet();
+
+  /** Requests that a server ran although no configuration ever held their key. */
+  private static final Set<String> RUN_UNKNOWN = ConcurrentHashMap.newKeySet();
+
+  private static final String UNKNOWN_KEY = "key-3";
+  private static final Set<String> SENT_UNKNOWN = ConcurrentHashMap.newKeySet();
   private static final AtomicInteger RUN = new AtomicInteger();
 
   private LastTenant() {}
@@ -54,6 +60,7 @@
       for (Kit.Vm vm : vms) {
         Kit.spawn(() -> client(vm, "key-1", record));
         Kit.spawn(() -> client(vm, "key-2", record));
+        Kit.spawn(() -> client(vm, UNKNOWN_KEY, record));
       }
       Kit.sleep(6_000);
       if (Kit.trouble()) {
@@ -66,8 +73,10 @@
       Kit.sleep(1_000);
       record.line(RUN + " requests were run; " + RUN_LATE.size() + " of them were sent later than "
           + REVOKE_MS + " ms after the acknowledgement that took their key away; with "
-          + KEY_PASSED_ON.size() + " requests the key was passed on to the server");
-      return RUN_LATE.isEmpty() && KEY_PASSED_ON.isEmpty() ? Kit.EXIT_HELD : Kit.EXIT_BROKEN;
+          + KEY_PASSED_ON.size() + " requests the key was passed on to the server; "
+          + RUN_UNKNOWN.size() + " had a key that no configuration ever held");
+      boolean held = RUN_LATE.isEmpty() && KEY_PASSED_ON.isEmpty() && RUN_UNKNOWN.isEmpty();
+      return held ? Kit.EXIT_HELD : Kit.EXIT_BROKEN;
     } finally {
       running = false;
       Kit.end(vms);
@@ -78,9 +87,12 @@
       throws IOException {
     String id = request.header("X-Zinniaspan-Attempt-Id");
     RUN.incrementAndGet();
-    if (acknowledgedMs < SENT_MS.get(id) - REVOKE_MS) {
+    if (!SENT_UNKNOWN.contains(id) && acknowledgedMs < SENT_MS.get(id) - REVOKE_MS) {
       RUN_LATE.add(id);
     }
+    if (SENT_UNKNOWN.contains(id)) {
+      RUN_UNKNOWN.add(id);
+    }
     if (!request.header("Authorization").isEmpty()) {
       KEY_PASSED_ON.add(id);
     }
@@ -94,6 +106,9 @@
       String id = "act-" + NUMBER.incrementAndGet();
       try (Kit.Client client = new Kit.Client(vm.front(), 5_000)) {
         SENT_MS.put(id, acknowledgedMs == Long.MAX_VALUE ? 0 : Kit.nowMs());
+        if (key.equals(UNKNOWN_KEY)) {
+          SENT_UNKNOWN.add(id);
+        }
         client.send(
             "POST",
             "/act/x",
--- a/review/kit-2/ManyParts.java
+++ b/review/kit-2/ManyParts.java
@@ -10,7 +10,7 @@
 /** A model server crashes while it reads prompts whose prefixes have many parts. */
 final class ManyParts {
 
-  private static final int PARTS = 900;
+  private static final int PARTS = 1_100;
   private static final int SESSIONS_PER_VM = 20;
   private static final int ORDINARY_CLIENTS_PER_VM = 16;
   private static final long TIMEOUT_MS = 1_000;
@@ -201,7 +201,7 @@
           + " unanswered at their route's timeout of " + TIMEOUT_MS + " ms, " + late
           + " of them without an answer " + ALLOWED_BEYOND_MS
           + " ms later; the longest wait was " + longestMs + " ms; process "
-          + (vm.process.isAlive() ? "alive" : "ended"));
+          + (vm.process.isAlive() ? "alive" : "ended by itself with " + vm.process.exitValue()));
       broken |= late >= FEWEST && 2 * late > unanswered;
     }
     return broken ? Kit.EXIT_BROKEN : Kit.EXIT_HELD;
