Refuse all requests with a key once the last tenant is removed

Cause: ConfigurationDecoder required keys only if the list of tenants had an entry; RoutingTable and RequestSender followed it. A list that is there and empty admits no key.

Change: keys are required whenever the configuration has tenants, also empty ones or ones of another type; only text is a key (null and true were read as the keys "null" and "true"); findings do not quote these values. A request that was routed by its key never passes it on, also if the newest configuration has no tenants.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -41,10 +41,12 @@
       {"name":"chat","host":"h.example","prefix":"/chat/","route_kind":"streaming",
       "timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"app","max_attempts":2,
       "resumable":true,"gap_target_ms":200}],
-      "services":[{"name":"app","max_connections":50}],
-      "tenants":[{"name":"org-1","api_keys":["%s"],"priority":1}]}
+      "services":[{"name":"app","max_connections":50}]%s}
       """;
 
+  private static final String TENANTS =
+      "[{\"name\":\"org-1\",\"api_keys\":[\"%s\"],\"priority\":1}]";
+
   static final String ADMIN_TOKEN = "admin-1";
 
   static final String STAMP = "X-Zinniaspan-Server-Stamp: s1\r\n";
@@ -133,15 +135,37 @@
   }
 
   void publish(long version, String key) {
-    store.put("op/config", String.format(CONFIGURATION, version, key));
+    publishTenants(version, Optional.of(String.format(TENANTS, key)));
+  }
+
+  /** Publishes a configuration with a JSON value as its tenants, or without any. */
+  void publishTenants(long version, Optional<String> tenants) {
+    store.put("op/config", configuration(version, tenants));
+  }
+
+  private static String configuration(long version, Optional<String> tenants) {
+    return String.format(
+        CONFIGURATION, version, tenants.map(json -> ",\"tenants\":" + json).orElse(""));
+  }
+
+  /** Publishes a configuration, and waits until the daemon applies it. */
+  void publishTenantsAndAwait(long version, Optional<String> tenants) throws IOException {
+    publishTenants(version, tenants);
+    String page = "";
+    while (!page.contains("zinniaspan_configuration_version " + version + ".0")) {
+      try (RawClient client = new RawClient(metricsListen)) {
+        client.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        page = client.readAll();
+      }
+    }
   }
 
   /** Publishes a configuration in which all routes have the home regions of a JSON value. */
   void publishWithHomes(long version, String homes) {
-    String configuration = String.format(CONFIGURATION, version, "key-1");
     store.put(
         "op/config",
-        configuration.replace("\"host\"", "\"allowed_regions\":" + homes + ",\"host\""));
+        configuration(version, Optional.of(String.format(TENANTS, "key-1")))
+            .replace("\"host\"", "\"allowed_regions\":" + homes + ",\"host\""));
   }
 
   void putEndpointEntry(String id, RawServer endpoint, String zone) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RouteDecision.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RouteDecision.java
@@ -44,7 +44,7 @@
   static RouteDecision of(RoutingTable table, RequestFacts facts, boolean fresh, double point) {
     Optional<Route> found = table.route(facts.host(), facts.path());
     boolean anonymous = found.map(route -> !table.needsKey(route)).orElse(false);
-    if (!anonymous && table.hasKeys() && !fresh) {
+    if (!anonymous && table.requiresKeys() && !fresh) {
       return new Unconfirmed();
     }
     if (found.isEmpty()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/RoutingTable.java
@@ -193,8 +193,8 @@
     return keysRequired && !route.anonymous();
   }
 
-  /** Returns whether the configuration lists organisations with API keys. */
-  public boolean hasKeys() {
+  /** Returns whether routes need an API key unless they are anonymous. */
+  public boolean requiresKeys() {
     return keysRequired;
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -59,23 +59,42 @@
     root.path("routes").forEach(node -> routes.add(route(node)));
     Map<String, ServiceSpec> services = new HashMap<>();
     root.path("services").forEach(node -> services.put(text(node, "name"), service(node)));
-    Map<String, OrganisationSpec> organisationsByKey = new HashMap<>();
-    for (JsonNode node : root.path("tenants")) {
-      OrganisationSpec organisation =
-          new OrganisationSpec(text(node, "name"), priority(node), homeRegions(node, "tenants"));
-      node.path("api_keys").forEach(key -> organisationsByKey.put(key.asText(), organisation));
-    }
+    JsonNode tenants = root.path("tenants");
     return new RoutingTable(
         root.path("version").asLong(),
         routes,
         services,
-        organisationsByKey,
-        root.path("tenants").isArray() && !root.path("tenants").isEmpty(),
+        organisationsByKey(tenants),
+        !tenants.isMissingNode() && !tenants.isNull(),
         limits(root.path("limits")),
         document,
         findings);
   }
 
+  /**
+   * Returns the organisations by their API keys. A value that cannot be read admits no key, since a
+   * request that has run without a valid key cannot be called back.
+   */
+  private Map<String, OrganisationSpec> organisationsByKey(JsonNode tenants) {
+    Map<String, OrganisationSpec> organisationsByKey = new HashMap<>();
+    if (!tenants.isMissingNode() && !tenants.isNull() && !tenants.isArray()) {
+      reportKind("tenants", tenants, "is not a list of tenants, and admits no key");
+      return organisationsByKey;
+    }
+    for (JsonNode node : tenants) {
+      OrganisationSpec organisation =
+          new OrganisationSpec(text(node, "name"), priority(node), homeRegions(node, "tenants"));
+      for (JsonNode key : node.path("api_keys")) {
+        if (key.isTextual() && !key.asText().isEmpty()) {
+          organisationsByKey.put(key.asText(), organisation);
+        } else {
+          reportKind("tenants[" + organisation.name() + "].api_keys", key, "is not a key");
+        }
+      }
+    }
+    return organisationsByKey;
+  }
+
   private Route route(JsonNode node) {
     return new Route(
         text(node, "name"),
@@ -129,6 +148,12 @@
     findings.add(new Finding("configuration", path, quoted + ' ' + problem));
   }
 
+  /** Reports a value without quoting it, as it may contain API keys. */
+  private void reportKind(String path, JsonNode value, String problem) {
+    String kind = value.getNodeType().name().toLowerCase(Locale.ROOT);
+    findings.add(new Finding("configuration", path, "a value of type " + kind + ' ' + problem));
+  }
+
   private static List<WeightedService> services(JsonNode route) {
     List<WeightedService> services = new ArrayList<>();
     for (JsonNode share : route.path("traffic_split")) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -352,10 +352,15 @@
 
   private Dialect.EndpointCall endpointCall(ListedEndpoint endpoint) {
     long leftMs = Math.max(1, request.deadlineMs() - context.clock().nowMs());
-    boolean dropCredentials = context.follower().table().map(RoutingTable::hasKeys).orElse(true);
+    Optional<OrganisationSpec> organisation =
+        request.routed().flatMap(RouteDecision.Routed::organisation);
+    // The newest table may need no key any more, but the request was routed by one.
+    boolean dropCredentials =
+        organisation.isPresent()
+            || context.follower().table().map(RoutingTable::requiresKeys).orElse(true);
     return new Dialect.EndpointCall(
         endpoint.id(),
-        request.routed().flatMap(RouteDecision.Routed::organisation).map(OrganisationSpec::name),
+        organisation.map(OrganisationSpec::name),
         dropCredentials,
         Optional.of(leftMs),
         request.facts().prompt().map(p -> request.routed().orElseThrow().rank()),
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
@@ -149,6 +149,63 @@
     }
   }
 
+  /** Guards against a configuration without a valid API key switching off the check of keys. */
+  @Nested
+  class ApiKeys {
+
+    private RoutingTable withTenants(String tenants) throws JsonProcessingException {
+      return decode(
+          "{\"version\":1,\"routes\":[{\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\"}]"
+              + tenants
+              + "}");
+    }
+
+    private static boolean needsKey(RoutingTable table) {
+      return table.needsKey(table.route("h", "/x").orElseThrow());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", ",\"tenants\":null"})
+    void areNotNeededIfThereAreNoTenants(String tenants) throws JsonProcessingException {
+      assertThat(needsKey(withTenants(tenants))).isFalse();
+      assertThat(withTenants(tenants).requiresKeys()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"[]", "[{\"name\":\"o\",\"api_keys\":[]}]", "[{\"name\":\"o\"}]", "[7]"})
+    void areNeededOnceTheLastOneIsTakenAway(String tenants) throws JsonProcessingException {
+      RoutingTable table = withTenants(",\"tenants\":" + tenants);
+      assertThat(needsKey(table)).isTrue();
+      assertThat(table.requiresKeys()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"{}", "{\"o\":{\"name\":\"o\",\"api_keys\":[\"k\"]}}", "\"o\"", "false"})
+    void areNeededIfTheTenantsCannotBeRead(String tenants) throws JsonProcessingException {
+      RoutingTable table = withTenants(",\"tenants\":" + tenants);
+      assertThat(needsKey(table)).isTrue();
+      assertThat(table.organisation("k")).isEmpty();
+      String finding = table.findings().get(0).toString();
+      assertThat(finding).contains("tenants: a value of type");
+      assertThat(finding).doesNotContain(tenants);
+    }
+
+    @Test
+    void areTextThatIsNotEmpty() throws JsonProcessingException {
+      RoutingTable table =
+          withTenants(",\"tenants\":[{\"name\":\"o\",\"api_keys\":[null,true,[],\"\",\"k\"]}]");
+      assertThat(table.organisation("k")).isPresent();
+      for (String odd : new String[] {"null", "true", ""}) {
+        assertWithMessage(odd).that(table.organisation(odd)).isEmpty();
+      }
+      assertThat(table.findings()).hasSize(4);
+      assertThat(table.findings().get(0).toString())
+          .contains("tenants[o].api_keys: a value of type null is not a key");
+    }
+  }
+
   @Test
   void refusesConfigurationsWithoutVersion() {
     assertThrows(IllegalArgumentException.class, () -> decode("{\"routes\":[]}"));
