Send names of tenants, endpoints and versions in UTF-8

Cause: SendBuffer.writeLine wrote the low byte of each character of a head, and nothing encoded texts of the store, which have others.

Change: HeaderText encodes such texts in UTF-8 where they enter a head and decodes them where a head is read: the tenant, the endpoint's id, ids and software versions between VMs, API keys. Tenants and endpoints that no header can name are refused with a log line. A head with a character that is no byte is not sent.

--- a/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/ConfigurationDecoder.java
@@ -22,6 +22,7 @@
 import org.zinniaspan.forwarding.WeightedService;
 import org.zinniaspan.inventory.Finding;
 import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.HeaderText;
 
 /** Decodes the operator's configuration from JSON. */
 final class ConfigurationDecoder {
@@ -84,6 +85,10 @@
     for (JsonNode node : tenants) {
       OrganisationSpec organisation =
           new OrganisationSpec(text(node, "name"), priority(node), homeRegions(node, "tenants"));
+      if (!HeaderText.isSendable(organisation.name())) {
+        report("tenants[].name", node.path("name"), "cannot be sent in a header; admits no key");
+        continue;
+      }
       for (JsonNode key : node.path("api_keys")) {
         if (key.isTextual() && !key.asText().isEmpty()) {
           organisationsByKey.put(key.asText(), organisation);
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/EndpointDecoder.java
@@ -5,6 +5,7 @@
 import org.zinniaspan.forwarding.ColdSpec;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.HeaderText;
 
 /** Decodes entries of the platform's list of servers. */
 final class EndpointDecoder {
@@ -34,6 +35,9 @@
             draining,
             node.has("born") ? number(node, "born", Long.MAX_VALUE) : 0,
             coldRemainingMs(id, node.path("cold_remaining_ms")));
+    if (!HeaderText.isSendable(entry.id()) || !HeaderText.isSendable(entry.softwareVersion())) {
+      throw new IllegalArgumentException("the id or the version cannot be sent in a header");
+    }
     entry
         .findViolation()
         .ifPresent(
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -21,6 +21,7 @@
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.proxy.Dialect;
 import org.zinniaspan.proxy.RelayHeaders;
+import org.zinniaspan.transport.HeaderText;
 
 /** Translates message heads from and to the platform's HTTP headers. */
 public final class HttpDialect implements Dialect {
@@ -94,8 +95,9 @@
       }
     }
     request.setHeader(HttpHeaders.HOST, host(clientHead));
-    request.setHeader(HeaderNames.EXPECT_INSTANCE, call.endpointId());
-    call.organisation().ifPresent(name -> request.setHeader(HeaderNames.TENANT, name));
+    request.setHeader(HeaderNames.EXPECT_INSTANCE, HeaderText.encode(call.endpointId()));
+    call.organisation()
+        .ifPresent(name -> request.setHeader(HeaderNames.TENANT, HeaderText.encode(name)));
     call.deadlineMs().ifPresent(ms -> request.setHeader(HeaderNames.DEADLINE_MS, ms));
     call.priority().ifPresent(rank -> request.setHeader(HeaderNames.REQUEST_PRIORITY, rank));
     call.lastEventId().ifPresent(id -> request.setHeader(HeaderNames.LAST_EVENT_ID, id));
@@ -194,7 +196,7 @@
 
   private static Optional<String> bearerToken(String authorization) {
     return lowerCase(authorization).startsWith(BEARER_PREFIX)
-        ? Optional.of(authorization.substring(BEARER_PREFIX.length()).trim())
+        ? Optional.of(HeaderText.decode(authorization.substring(BEARER_PREFIX.length()).trim()))
         : Optional.empty();
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -390,7 +390,7 @@
     finish("answered", response.getCode());
     HttpResponse clientResponse = context.dialect().clientResponse(response);
     if (relayed) {
-      clientResponse.setHeader(RelayHeaders.ENDPOINT, sender.receiver());
+      RelayHeaders.set(clientResponse, RelayHeaders.ENDPOINT, sender.receiver());
     }
     client.sendResponse(clientResponse, content);
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayHeaders.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayHeaders.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.apache.hc.core5.http.HttpMessage;
+import org.zinniaspan.transport.HeaderText;
 
 /**
  * Names of the headers of requests that one VM relays to another.
@@ -36,7 +37,14 @@
     return name.toLowerCase(Locale.ROOT).startsWith(PREFIX);
   }
 
+  /** Returns the text of a header, if the head has it. */
   static Optional<String> value(HttpMessage head, String name) {
-    return Optional.ofNullable(head.getFirstHeader(name)).map(header -> header.getValue());
+    return Optional.ofNullable(head.getFirstHeader(name))
+        .map(header -> HeaderText.decode(header.getValue()));
+  }
+
+  /** Sets the text of a header. */
+  static void set(HttpMessage head, String name, String text) {
+    head.setHeader(name, HeaderText.encode(text));
   }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -267,11 +267,12 @@
                 .with("send", sendCount));
     context.metrics().recordRelay("sent");
     HttpRequest relayRequest = context.dialect().relayRequest(request.head(), relayCall());
-    relayRequest.setHeader(RelayHeaders.RELAYED_BY, context.relayTargets().self());
+    RelayHeaders.set(relayRequest, RelayHeaders.RELAYED_BY, context.relayTargets().self());
     request
         .streamVersion()
         .value()
-        .ifPresent(version -> relayRequest.setHeader(RelayHeaders.SOFTWARE_VERSION, version));
+        .ifPresent(
+            version -> RelayHeaders.set(relayRequest, RelayHeaders.SOFTWARE_VERSION, version));
     RelayAttempt relay =
         new RelayAttempt(this, vm.get(), context.connections().acquireRelay(vm.get(), maxIdleMs()));
     attempt = relay;
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
@@ -63,8 +63,8 @@
       started = true;
       startedAtMs = clock.nowMs();
       HttpResponse response = dialect.clientResponse(endpointHead);
-      endpoint.ifPresent(id -> response.setHeader(RelayHeaders.ENDPOINT, id));
-      softwareVersion.ifPresent(v -> response.setHeader(RelayHeaders.SOFTWARE_VERSION, v));
+      endpoint.ifPresent(id -> RelayHeaders.set(response, RelayHeaders.ENDPOINT, id));
+      softwareVersion.ifPresent(v -> RelayHeaders.set(response, RelayHeaders.SOFTWARE_VERSION, v));
       client.startChunked(response);
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/SendBuffer.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
+import java.nio.charset.UnmappableCharacterException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.apache.hc.core5.http.nio.SessionOutputBuffer;
@@ -20,6 +21,8 @@
   /** Bytes of one write; the JDK copies them outside the heap and keeps that memory. */
   private static final int MAX_WRITE_BYTES = 64 * 1024;
 
+  private static final char MAX_BYTE = 0xff;
+
   private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
   /** Bytes that are written before those of {@link #bytes}. */
@@ -104,9 +107,19 @@
     }
   }
 
+  /**
+   * Adds a line of a head, each character as one byte.
+   *
+   * @throws UnmappableCharacterException if a character is no byte; nothing is added then
+   */
   @Override
-  public void writeLine(CharArrayBuffer line) {
+  public void writeLine(CharArrayBuffer line) throws UnmappableCharacterException {
     int length = line == null ? 0 : line.length();
+    for (int i = 0; i < length; i++) {
+      if (line.charAt(i) > MAX_BYTE) {
+        throw new UnmappableCharacterException(1);
+      }
+    }
     reserve(length + 2);
     for (int i = 0; i < length; i++) {
       bytes.put((byte) line.charAt(i));
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/ConfigurationDecoderTest.java
@@ -192,6 +192,20 @@
       assertThat(finding).doesNotContain(tenants);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"a\\nb", "a\\r\\nX-Other: 1", " a", "a\\u0000", "a\\ud83d"})
+    void areNotAdmittedIfNoHeaderCanNameTheirTenant(String name) throws JsonProcessingException {
+      RoutingTable table =
+          withTenants(
+              ",\"tenants\":[{\"name\":\""
+                  + name
+                  + "\",\"api_keys\":[\"k\"]},{\"name\":\"Cœur\",\"api_keys\":[\"l\"]}]");
+      assertThat(table.organisation("k")).isEmpty();
+      assertThat(table.organisation("l").orElseThrow().name()).isEqualTo("Cœur");
+      assertThat(table.findings()).hasSize(1);
+      assertThat(table.findings().get(0).toString()).contains("tenants[].name");
+    }
+
     @Test
     void areTextThatIsNotEmpty() throws JsonProcessingException {
       RoutingTable table =
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/EndpointDecoderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +32,14 @@
         .isEqualTo(new ListedEndpoint("i-1", "s", "10.128.0.9:8080", "z", "v1", 64, false, 77));
   }
 
+  @Test
+  void refusesTextsThatNoHeaderCanCarry() throws JsonProcessingException {
+    assertThat(reason(ENTRY.replace("v1", "v\\n1"))).contains("version");
+    assertThat(decode(ENTRY.replace("v1", "vα")).softwareVersion()).isEqualTo("vα");
+    JsonNode entry = new ObjectMapper().readTree(ENTRY);
+    assertThrows(IllegalArgumentException.class, () -> EndpointDecoder.decode("i\r\n1", entry));
+  }
+
   @Test
   void readsDrainingState() throws JsonProcessingException {
     assertThat(decode(ENTRY.replace("ready", "draining")).draining()).isTrue();
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import org.apache.hc.core5.http.HttpRequest;
@@ -26,6 +27,11 @@
         "i-1", Optional.of("org-1"), true, Optional.of(700L), Optional.of(3), Optional.of("5"), 4);
   }
 
+  /** Returns a text of which each character is one byte of the given text in UTF-8. */
+  private static String latin1OfUtf8(String text) {
+    return new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+  }
+
   @Nested
   class RequestsOfClients {
 
@@ -58,6 +64,14 @@
       assertThat(dialect.requestFacts(request).apiKey()).isEmpty();
     }
 
+    @Test
+    void carryTheirKeyInUtf8OrLatin1() {
+      request.addHeader("Authorization", "Bearer " + latin1OfUtf8("clé"));
+      assertThat(dialect.requestFacts(request).apiKey()).hasValue("clé");
+      request.setHeader("Authorization", "Bearer clé");
+      assertThat(dialect.requestFacts(request).apiKey()).hasValue("clé");
+    }
+
     @Test
     void nameTheStreamThatTheyResume() {
       assertThat(dialect.requestFacts(request).resume()).isEmpty();
@@ -79,6 +93,24 @@
   @Nested
   class RequestsToEndpoints {
 
+    @Test
+    void nameTheOrganisationAndTheEndpointInUtf8() {
+      Dialect.EndpointCall call =
+          new Dialect.EndpointCall(
+              "i-上",
+              Optional.of("Cœur d’Armor"),
+              true,
+              Optional.of(700L),
+              Optional.empty(),
+              Optional.empty(),
+              0);
+      HttpRequest forwarded = dialect.endpointRequest(request, call);
+      assertThat(forwarded.getFirstHeader("X-Zinniaspan-Tenant").getValue())
+          .isEqualTo(latin1OfUtf8("Cœur d’Armor"));
+      assertThat(forwarded.getFirstHeader("X-Zinniaspan-Expect-Instance").getValue())
+          .isEqualTo(latin1OfUtf8("i-上"));
+    }
+
     @Test
     void dropConnectionHeaders() {
       request.addHeader("Connection", "close, X-Hop");
