Accept only heads that RFC 9110 and RFC 9112 allow

Callers saw: a success with a header line as an endpoint in trouble had written it, whose field name held a blank, a control byte or a delimiter; or a body in another framing, as "Content-<0x02>Length" counted as no length. After a status of 600 or more, no answer at all.

Cause: HttpCore's parser checks only the white space before a colon and passes the line on as it was read; any status from 100 to 999 is one.

Change: StrictLineParser checks status lines, request lines and header lines, for both the connections of the daemon (endpoints, other VMs, the store, reports, clients) and the blocking ones of the entry daemon. A response 101 is an error.

--- a/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpRequestFactory;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.io.CloseMode;
@@ -35,7 +36,9 @@
         null,
         null,
         null,
-        UnendingInput.parsers(DefaultHttpRequestParserFactory.INSTANCE),
+        UnendingInput.parsers(
+            new DefaultHttpRequestParserFactory(
+                StrictLineParser.INSTANCE, DefaultClassicHttpRequestFactory.INSTANCE)),
         null);
     this.openConnections = openConnections;
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/http/HttpClientExchange.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/HttpClientExchange.java
@@ -7,8 +7,11 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
@@ -109,6 +112,9 @@
   public ClassicHttpResponse receive() throws IOException, HttpException {
     ClassicHttpResponse response = connection.receiveResponseHeader();
     while (response.getCode() < FIRST_FINAL_STATUS) {
+      if (response.getCode() == HttpStatus.SC_SWITCHING_PROTOCOLS) {
+        throw new ProtocolException("the response switches to a protocol that was not requested");
+      }
       response = connection.receiveResponseHeader();
     }
     connection.receiveResponseEntity(response);
@@ -137,7 +143,9 @@
           null,
           null,
           null,
-          UnendingInput.parsers(DefaultHttpResponseParserFactory.INSTANCE));
+          UnendingInput.parsers(
+              new DefaultHttpResponseParserFactory(
+                  StrictLineParser.INSTANCE, DefaultClassicHttpResponseFactory.INSTANCE)));
     }
 
     @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -19,6 +19,7 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriter;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.http.StrictLineParser;
 
 /**
  * A client's connection, which reads one complete request at a time and writes its response.
@@ -105,6 +106,7 @@
     this.parser =
         new DefaultHttpRequestParser<>(
             DefaultHttpRequestFactory.INSTANCE,
+            StrictLineParser.INSTANCE,
             Http1Config.custom()
                 .setMaxLineLength(handler.limits().maxHeaderBytes())
                 .setMaxHeaderCount(100)
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -21,6 +21,7 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.nio.IdentityDecoder;
 import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.zinniaspan.http.StrictLineParser;
 
 /**
  * A connection to an endpoint or to the platform, which carries one request at a time.
@@ -43,6 +44,7 @@
   private final DefaultHttpResponseParser<HttpResponse> parser =
       new DefaultHttpResponseParser<>(
           DefaultHttpResponseFactory.INSTANCE,
+          StrictLineParser.INSTANCE,
           Http1Config.custom()
               .setMaxLineLength(MAX_HEAD_BYTES)
               .setMaxHeaderCount(MAX_HEADERS)
@@ -168,6 +170,9 @@
     parser.reset();
     received.endHead();
     checkSingleHead(head);
+    if (head.getCode() == HttpStatus.SC_SWITCHING_PROTOCOLS) {
+      throw new ProtocolException("the response switches to a protocol that was not requested");
+    }
     if (head.getCode() < HttpStatus.SC_OK) {
       informationalHeads++;
       if (informationalHeads > MAX_INFORMATIONAL_HEADS) {
