Answer requests also if an exception ends the handling of their answer

Callers saw no answer and no closed connection, also after the route's timeout.

Cause: OutboundConnection took the request off the connection before it reported the end of the answer, and ProxiedRequest counted it as finished before its response had been created. Nothing ended it after an exception in between. A stream whose head could not be created counted as begun, and went on without a head.

Change: the handler gets a failing end as a lost connection; requests and streams change their state once the response is created; one request's fault in a tick ends only that request.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -3,10 +3,12 @@
 import static org.zinniaspan.standins.site.RawServer.write;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.extension.AfterEachCallback;
 import org.junit.jupiter.api.extension.BeforeEachCallback;
@@ -22,6 +24,7 @@
 import org.zinniaspan.platform.HttpDialect;
 import org.zinniaspan.platform.ReportClient;
 import org.zinniaspan.platform.StoreClient;
+import org.zinniaspan.proxy.Dialect;
 import org.zinniaspan.proxy.ForwardDaemon;
 import org.zinniaspan.standins.fleet.FreePorts;
 
@@ -63,6 +66,9 @@
   /** Whether the next tick of the daemon throws an error, as for lack of memory. */
   volatile boolean failsAtNextTick;
 
+  /** Name of the method of the dialect that fails at its next call; empty for none. */
+  final AtomicReference<String> failingDialectMethod = new AtomicReference<>("");
+
   private static final Map<String, String> REGIONS = Map.of("zone-a", "west", "zone-b", "east");
 
   private InetSocketAddress readyListen;
@@ -92,7 +98,7 @@
                     address,
                     caller -> new StoreClient(caller, address, 300, REGIONS),
                     callers -> reportSource(new ReportClient(callers, 300)),
-                    new HttpDialect(),
+                    dialect(),
                     new ZoneCosts("zone-a", REGIONS),
                     new PlatformBounds(2_500, 2_400, 2_500, 1_200, 3_000, 0.2, 54, 10_000),
                     VmLimits.of(4_096, 330, 96 << 20),
@@ -102,6 +108,20 @@
     awaitReady();
   }
 
+  private Dialect dialect() {
+    Dialect dialect = new HttpDialect();
+    return (Dialect)
+        Proxy.newProxyInstance(
+            Dialect.class.getClassLoader(),
+            new Class<?>[] {Dialect.class},
+            (proxy, method, args) -> {
+              if (failingDialectMethod.compareAndSet(method.getName(), "")) {
+                throw new IllegalStateException("thrown by the test");
+              }
+              return method.invoke(dialect, args);
+            });
+  }
+
   private EngineReportSource reportSource(EngineReportSource reports) {
     return new EngineReportSource() {
       @Override
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -458,6 +458,9 @@
   }
 
   private void finish() {
+    if (ended) {
+      return;
+    }
     ended = true;
     content.release();
     events.release();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -142,8 +142,7 @@
     long now = clock.nowMs();
     probeEndpoints();
     for (Map.Entry<InboundConnection, ProxiedRequest> entry : inOrderOfUrgency()) {
-      entry.getValue().tick(now);
-      removeIfFinished(entry.getKey(), entry.getValue());
+      tick(entry.getKey(), entry.getValue(), now);
     }
     if (now >= nextIdleCheckMs) {
       nextIdleCheckMs = now + IDLE_CHECK_INTERVAL_MS;
@@ -152,6 +151,18 @@
     }
   }
 
+  /** Checks one request; one whose check fails is ended, so that the others are checked too. */
+  private void tick(InboundConnection connection, ProxiedRequest request, long nowMs) {
+    try {
+      request.tick(nowMs);
+      removeIfFinished(connection, request);
+    } catch (RuntimeException e) {
+      EventLog.event("request-fault").with("id", request.attemptId()).with("error", e).warn();
+      connection.close();
+      onDisconnect(connection);
+    }
+  }
+
   /** Returns all requests; if some wait for room, the most urgent ones first. */
   private List<Map.Entry<InboundConnection, ProxiedRequest>> inOrderOfUrgency() {
     List<Map.Entry<InboundConnection, ProxiedRequest>> entries =
@@ -171,8 +182,7 @@
     long now = clock.nowMs();
     for (Map.Entry<InboundConnection, ProxiedRequest> entry : inOrderOfUrgency()) {
       if (entry.getValue().isAwaitingRoom()) {
-        entry.getValue().tick(now);
-        removeIfFinished(entry.getKey(), entry.getValue());
+        tick(entry.getKey(), entry.getValue(), now);
       }
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -375,8 +375,9 @@
       fail("refused-by-relay");
       return;
     }
+    HttpResponse clientResponse = context.dialect().clientResponse(response);
     finish("refused-by-relay", response.getCode());
-    client.sendResponse(context.dialect().clientResponse(response), content);
+    client.sendResponse(clientResponse, content);
   }
 
   /** Passes a complete response on to the client. */
@@ -387,11 +388,11 @@
       fail("resume-failed");
       return;
     }
-    finish("answered", response.getCode());
     HttpResponse clientResponse = context.dialect().clientResponse(response);
     if (relayed) {
       RelayHeaders.set(clientResponse, RelayHeaders.ENDPOINT, sender.receiver());
     }
+    finish("answered", response.getCode());
     client.sendResponse(clientResponse, content);
   }
 
@@ -463,13 +464,13 @@
   }
 
   private void respondLocally(int status, String reason, Optional<Long> retryAfterMs) {
-    finish(reason, status);
     byte[] content = ("{\"error\":\"" + reason + "\"}").getBytes(StandardCharsets.UTF_8);
     HttpResponse response =
         context.dialect().localResponse(status, facts.attemptId(), retryAfterMs);
     if (relayed && refusedByVm && status == HttpStatus.SC_SERVICE_UNAVAILABLE) {
       response.setHeader(RelayHeaders.REFUSED_BY_VM, "1");
     }
+    finish(reason, status);
     client.sendResponse(response, content);
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -479,6 +479,9 @@
    * VM that relays it, which counts all endpoints that may have run it.
    */
   void onConnectionLost(Optional<Exception> cause) {
+    if (request.isFinished()) {
+      return;
+    }
     attempt = null;
     mayHaveRun = true;
     if (request.route().isIdempotent() && !request.isRelayed()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/StreamDelivery.java
@@ -60,11 +60,11 @@
   /** Sends the head of the response, unless it was sent before. */
   void start(HttpResponse endpointHead) {
     if (!started) {
-      started = true;
-      startedAtMs = clock.nowMs();
       HttpResponse response = dialect.clientResponse(endpointHead);
       endpoint.ifPresent(id -> RelayHeaders.set(response, RelayHeaders.ENDPOINT, id));
       softwareVersion.ifPresent(v -> RelayHeaders.set(response, RelayHeaders.SOFTWARE_VERSION, v));
+      started = true;
+      startedAtMs = clock.nowMs();
       client.startChunked(response);
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -460,6 +460,10 @@
       new DefaultHttpResponseWriter<HttpResponse>().write(response, unsent);
     } catch (IOException | HttpException e) {
       fail(e);
+    } catch (RuntimeException e) {
+      // The request counts as answered, so that nothing else would end it.
+      fail(e);
+      throw e;
     }
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -260,7 +260,13 @@
     }
     ResponseHandler done = handler;
     handler = null;
-    done.onEnd();
+    try {
+      done.onEnd();
+    } catch (RuntimeException e) {
+      // The connection carries no request any more, so that its end would not be reported.
+      done.onConnectionLost(true, Optional.of(e));
+      throw e;
+    }
   }
 
   private static boolean announcesClose(HttpResponse head) {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ResponseHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ResponseHandler.java
@@ -21,7 +21,7 @@
   void onEnd();
 
   /**
-   * Called once if the connection ends before the response is complete.
+   * Called once if the connection ends before the response is complete, or if {@link #onEnd} fails.
    *
    * @param opened whether the connection was ever open; if so, the remote side may have read bytes
    *     of the request
