Take no answer of the store without a revision for a list

What VMs saw: an empty 200, one with another JSON value, and a 404 counted as a list without endpoints and as no configuration, at revision 0.

Cause: StoreClient read missing fields as empty ones.

Change: an answer is a list, or changes, only with status 200 and the revision "at".

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/MalformedAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/MalformedAnswerTest.java
@@ -107,7 +107,14 @@
     @ValueSource(
         strings = {
           "HTTP/1.1 600 Odd||{\"items\":[],\"events\":[],\"has_more\":false,\"at\":40}",
-          "HTTP/1.1 200 OK|X Name: v||{\"items\":[],\"events\":[],\"has_more\":false,\"at\":40}"
+          "HTTP/1.1 200 OK|X Name: v||{\"items\":[],\"events\":[],\"has_more\":false,\"at\":40}",
+          "HTTP/1.1 200 OK||",
+          "HTTP/1.1 200 OK||{}",
+          "HTTP/1.1 200 OK||[]",
+          "HTTP/1.1 200 OK||null",
+          "HTTP/1.1 200 OK||{\"items\":[],\"events\":[],\"has_more\":false,\"at\":\"40\"}",
+          "HTTP/1.1 204 No Content||",
+          "HTTP/1.1 404 Not Found||{}"
         })
     void isNoListAndNoChange(String response) throws Exception {
       InetSocketAddress address = Addresses.parse(server.address());
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/StoreClient.java
@@ -239,12 +239,14 @@
     if (answered.status() == HttpStatus.SC_GONE) {
       return new CatalogResult.HistoryLost<>();
     }
-    boolean missing = answered.status() == HttpStatus.SC_NOT_FOUND;
-    if (answered.status() != HttpStatus.SC_OK && !missing) {
+    if (answered.status() != HttpStatus.SC_OK) {
       return new CatalogResult.Failed<>("status " + answered.status());
     }
     try {
-      JsonNode body = missing ? json.createObjectNode() : json.readTree(answered.body());
+      JsonNode body = json.readTree(answered.body());
+      if (!body.path("at").isIntegralNumber()) {
+        return new CatalogResult.Failed<>("the response states no revision 'at'");
+      }
       return decoder.decode(body, epoch(answered));
     } catch (IOException | IllegalArgumentException e) {
       return new CatalogResult.Failed<>("cannot decode the response: " + e.getMessage());
