Take no answer of another VM without a stated end for a complete one

Cause: an answer without a length or chunks extends to the end of the connection. VMs state the end of each answer, so that one without it was cut off or is none; a part of a protobuf message may parse as a whole one.

Before: RelayRejectionTest.withoutItsEndIsNotPassedOn failed (the cut answer was passed on as 200).

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/RelayRejectionTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/RelayRejectionTest.java
@@ -32,6 +32,7 @@
   private final SiteClient client = new SiteClient("call", "key-1");
   private RawServer otherVm;
   private volatile String answer = "404 Not Found";
+  private volatile boolean framed = true;
   private InetSocketAddress daemon;
   private Path daemonLog;
 
@@ -74,11 +75,10 @@
         socket,
         "HTTP/1.1 "
             + (members ? "200 OK" : answer)
-            + "\r\nContent-Length: "
-            + body.length
+            + (members || framed ? "\r\nContent-Length: " + body.length : "")
             + "\r\n\r\n"
             + new String(body, StandardCharsets.ISO_8859_1));
-    return true;
+    return members || framed;
   }
 
   /** Calls until a request was relayed, and returns the status of that call's response. */
@@ -110,6 +110,20 @@
     assertThat(statusOfRelayedCall()).isEqualTo(502);
   }
 
+  /** VMs state the end of each answer, so that one without it was cut off. */
+  @Test
+  void withoutItsEndIsNotPassedOn() {
+    framed = false;
+    answer = "200 OK\r\nX-Zinniaspan-Server-Stamp: s1";
+    assertThat(statusOfRelayedCall()).isEqualTo(502);
+  }
+
+  @Test
+  void withMalformedHeadIsNotPassedOn() {
+    answer = "200 OK\r\nX-Zinniaspan-Server-Stamp: s1\r\nX-\2Name: v";
+    assertThat(statusOfRelayedCall()).isEqualTo(502);
+  }
+
   @Test
   void ofDrainingEndpointKeepsThisVmFromTheEndpoint() {
     answer =
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/HttpPeerClient.java
@@ -137,7 +137,8 @@
 
   private static <T> Optional<T> parse(BufferingHttpClient.Result result, Parser<T> parser) {
     if (!(result instanceof BufferingHttpClient.Result.Answered answered)
-        || answered.status() != HttpStatus.SC_OK) {
+        || answered.status() != HttpStatus.SC_OK
+        || !RelayHeaders.statesEnd(answered.head())) {
       return Optional.empty();
     }
     try {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -97,6 +97,9 @@
 
   private Verdict classify(HttpResponse response) {
     Dialect.ResponseFacts facts = proxiedRequest.context().dialect().responseFacts(response);
+    if (!RelayHeaders.statesEnd(response)) {
+      return Verdict.FAILED;
+    }
     if (facts.signed()) {
       boolean streams = proxiedRequest.route().kind() == RouteKind.STREAMING;
       return streams && response.getCode() == HttpStatus.SC_OK ? Verdict.STREAM : Verdict.WHOLE;
