Take no connection that ends during an upload for the end of an answer

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and ended the connection; they got that part as complete.

Cause: a socket that is closed with unread bytes may end its output before it resets the connection. OutboundConnection took that end for the end of the answer, while most of the request waited to be written.

Change: an answer that the end of the connection delimits is lost if bytes of the request are unwritten then.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonFixture.java
@@ -155,7 +155,12 @@
   }
 
   void publish(long version, String key) {
-    publishTenants(version, Optional.of(String.format(TENANTS, key)));
+    publishTenants(version, tenants(key));
+  }
+
+  /** Returns the JSON value of a tenant that holds a key. */
+  static Optional<String> tenants(String key) {
+    return Optional.of(String.format(TENANTS, key));
   }
 
   /** Publishes a configuration with a JSON value as its tenants, or without any. */
@@ -184,7 +189,7 @@
   void publishWithHomes(long version, String homes) {
     store.put(
         "op/config",
-        configuration(version, Optional.of(String.format(TENANTS, "key-1")))
+        configuration(version, tenants("key-1"))
             .replace("\"host\"", "\"allowed_regions\":" + homes + ",\"host\""));
   }
 
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -223,6 +223,10 @@
   }
 
   private boolean parseBody() throws IOException {
+    if (inputEnded() && unsent.hasData() && decoder instanceof IdentityDecoder) {
+      // The remote side may have broken off: after its orderly end, a reset cannot be noticed.
+      throw new IOException("the connection ended before the request was written");
+    }
     ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
     try {
       decoder.read(part);
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/FakeSession.java
@@ -53,6 +53,12 @@
     full = true;
   }
 
+  /** Lets the session take bytes again, and a connection write those that wait. */
+  void drain(Connection connection) {
+    full = false;
+    connection.outputReady(session());
+  }
+
   /** Returns what was written, decoded as ISO-8859-1. */
   String sent() {
     return sent.toString();
