Believe no refusal without an id on a connection that was used before

Callers saw 503, which says that a request has not run, for safe requests and streams that an endpoint ran: it wrote an earlier refusal, without an attempt id, once more on a kept connection.

Cause: a response without an id counts as one to the current request, and a statement that the request did not run was believed whatever connection it came on.

Change: on a reused connection, such a response is neither passed on nor believed, and the connection is closed; the same for answers of other VMs. Requests that may not run twice always open a new connection, which a test now shows.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/LateAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/LateAnswerTest.java
@@ -2,13 +2,19 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.zinniaspan.standins.site.ForwardDaemonFixture.always;
 import static org.zinniaspan.standins.site.ForwardDaemonFixture.okResponse;
 import static org.zinniaspan.standins.site.ForwardDaemonFixture.request;
 import static org.zinniaspan.standins.site.RawServer.write;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.extension.RegisterExtension;
@@ -87,6 +93,87 @@
     assertThat(reused.get()).isAtLeast(lateBytes / 2);
   }
 
+  /** A refusal that is sent again, where the answer to the next request is due. */
+  @Nested
+  class Refusals {
+
+    private static final int CALLS = 30;
+
+    private final Set<String> run = ConcurrentHashMap.newKeySet();
+    private final Map<Socket, String> refusals = new ConcurrentHashMap<>();
+
+    private static String refusal(String idField) {
+      return "HTTP/1.1 503 Service Unavailable\r\nX-Zinniaspan-Not-Executed: 1\r\n"
+          + idField
+          + "Content-Length: 0\r\n\r\n";
+    }
+
+    /** Refuses the first request of each connection, and runs the others after the copy. */
+    private void refuseTwice(boolean withId, String body) {
+      RawServer.RequestHandler handler =
+          (request, socket) -> {
+            String id = idOf(request);
+            String own = refusal(withId ? "X-Zinniaspan-Attempt-Id: " + id + "\r\n" : "");
+            String earlier = refusals.putIfAbsent(socket, own);
+            write(socket, earlier == null ? own : earlier);
+            if (earlier != null) {
+              reused.incrementAndGet();
+              run.add(id);
+              write(socket, okResponse(id, body));
+            }
+            return true;
+          };
+      daemon.first.setHandler(handler);
+      daemon.second.setHandler(handler);
+    }
+
+    private void check(String method, String path) throws IOException {
+      for (int i = 0; i < CALLS; i++) {
+        String id = "x" + i;
+        String request = request(method, path, "", "b").replace("Id: a1", "Id: " + id);
+        String response = daemon.call(request);
+        if (run.contains(id)) {
+          assertThat(response).doesNotContain("HTTP/1.1 503");
+        }
+      }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doNotRefuseSafeRequestsThatRan(boolean withId) throws IOException {
+      refuseTwice(withId, "done");
+      check("POST", "/safe/x");
+      assertThat(reused.get()).isAtLeast(CALLS / 3);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doNotRefuseStreamsThatRan(boolean withId) throws IOException {
+      refuseTwice(withId, "id: 1\ndata: a\n\n");
+      check("POST", "/chat/x");
+      assertThat(reused.get()).isAtLeast(CALLS / 3);
+    }
+
+    @Test
+    void cannotReachUnsafeRequestsAsTheseHaveNewConnections() throws IOException {
+      refuseTwice(false, "done");
+      check("POST", "/safe/x");
+      reused.set(0);
+      run.clear();
+      check("POST", "/unsafe/x");
+      assertThat(reused.get()).isEqualTo(0);
+      assertThat(run).isEmpty();
+    }
+
+    /** The first answer of a connection belongs to its first request, also without an id. */
+    @Test
+    void withoutIdOnNewConnectionsArePassedOn() throws IOException {
+      daemon.first.setHandler(always(refusal("")));
+      daemon.second.setHandler(always(refusal("")));
+      assertThat(daemon.call(request("POST", "/unsafe/x", "", "b"))).startsWith("HTTP/1.1 503");
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "Content-Type: text/plain\r\n"})
   void doNotTurnFailuresIntoSuccesses(String firstHeader) throws IOException {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -36,7 +36,7 @@
     NOT_RUN,
     /**
      * Not passed on: the endpoint's stamp or the attempt id is missing, the body is encoded, or the
-     * status implies, without an explicit statement, that the request did not run.
+     * status implies, without an explicit statement on this request, that the request did not run.
      */
     UNUSABLE
   }
@@ -190,7 +190,7 @@
    */
   private Verdict classify(HttpResponse response) {
     Dialect.ResponseFacts facts = proxiedRequest.context().dialect().responseFacts(response);
-    if (facts.notRun()) {
+    if (facts.notRun() && isForThisRequest(facts)) {
       return Verdict.NOT_RUN;
     }
     boolean impliesNotRun =
@@ -275,7 +275,11 @@
     if (verdict != Verdict.NOT_RUN) {
       finish();
     }
-    proxiedRequest.context().connections().release(endpoint.listed(), connection);
+    if (isForThisRequest(proxiedRequest.context().dialect().responseFacts(head))) {
+      proxiedRequest.context().connections().release(endpoint.listed(), connection);
+    } else {
+      connection.close();
+    }
     long now = proxiedRequest.context().clock().nowMs();
     switch (verdict) {
       case STREAM -> {
@@ -303,6 +307,14 @@
     }
   }
 
+  /**
+   * Returns whether a response is one to this request. Without an id, it may be a copy of that to
+   * an earlier request of the connection.
+   */
+  private boolean isForThisRequest(Dialect.ResponseFacts facts) {
+    return facts.attemptId().isPresent() || !connection.wasReused();
+  }
+
   /**
    * Returns whether a stream was broken off although its framing is complete: inside an event, or,
    * if the end of the connection is its end, before the first one.
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -100,6 +100,10 @@
     if (!RelayHeaders.statesEnd(response)) {
       return Verdict.FAILED;
     }
+    if (facts.attemptId().isEmpty() && connection.wasReused()) {
+      // It may be a copy of the response to an earlier request of the connection.
+      return Verdict.FAILED;
+    }
     if (facts.signed()) {
       boolean streams = proxiedRequest.route().kind() == RouteKind.STREAMING;
       return streams && response.getCode() == HttpStatus.SC_OK ? Verdict.STREAM : Verdict.WHOLE;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -57,6 +57,7 @@
   private int informationalHeads;
   private long skippedBytes;
   private boolean reusable = true;
+  private int sentRequests;
   private Optional<Long> keepAliveMs = Optional.empty();
 
   /** Creates a connection that is not open yet. */
@@ -86,6 +87,7 @@
    */
   public void send(HttpRequest head, byte[] body, ResponseHandler responseHandler) {
     handler = responseHandler;
+    sentRequests++;
     head.setVersion(HttpVersion.HTTP_1_1);
     try {
       new DefaultHttpRequestWriter<HttpRequest>().write(head, unsent);
@@ -116,6 +118,14 @@
         && !inputEnded();
   }
 
+  /**
+   * Returns whether the connection carried another request before the one that was sent last, so
+   * that bytes that arrive may belong to that one.
+   */
+  public boolean wasReused() {
+    return sentRequests > 1;
+  }
+
   /** Returns whether the connection was opened, so that bytes may have reached the remote side. */
   public boolean wasOpened() {
     return opened;
