Answer the requests that a planned stop ends

Callers saw a closed connection and no answer for requests that were in progress at the end of the grace period.

Cause: ForwardServer.closeAll closed the connections whatever they waited for.

Change: each request is ended first, with 502 if an endpoint may have run it and with 503 if none has; streams that have begun are cut.

Before: EndOfGracePeriodTest failed 1 of 2 (no byte of an answer). After: none fails.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardServer.java
@@ -217,8 +217,15 @@
     return requests.size() + (int) busy;
   }
 
-  /** Closes all connections in an orderly way, so that bytes already written are delivered. */
+  /**
+   * Ends all requests, and closes all connections in an orderly way, so that bytes already written
+   * are delivered.
+   */
   void closeAll() {
+    List.copyOf(requests.values()).stream()
+        .filter(request -> !request.isFinished())
+        .forEach(ProxiedRequest::endForShutdown);
+    requests.clear();
     List.copyOf(connections).forEach(InboundConnection::close);
     connections.clear();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -280,6 +280,12 @@
     refuseAndClose("stopping");
   }
 
+  /** Ends the request because the process exits; another VM may serve it if it has not run. */
+  void endForShutdown() {
+    client.closeAfterResponse();
+    failForVm("stopping");
+  }
+
   /** Refuses the request because this VM is near one of its limits; another one may serve it. */
   void refuseForLackOfResources() {
     refuseAndClose("vm-limits");
