--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/MalformedAnswerTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/MalformedAnswerTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -68,6 +69,9 @@
   @Nested
   class OfThePlatform {
 
+    /** Above the largest answer that is buffered, and what the sockets hold. */
+    private static final int MAX_BYTES = 24 << 20;
+
     private final Closer closer = new Closer();
     private Reactor reactor;
     private RawServer server;
@@ -127,6 +131,33 @@
       assertThat(server.requests()).hasSize(3);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "xyz",
+          "HTTP/1.1 200 OK|X: ",
+          "HTTP/1.1 200 OK||{\"items\":[\"",
+          "HTTP/1.1 200 OK|Transfer-Encoding: chunked||5;",
+          "HTTP/1.1 200 OK|Transfer-Encoding: chunked||7fffffff|"
+        })
+    void isLimitedWhereItHasNoEnd(String begin) throws Exception {
+      AtomicInteger written = new AtomicInteger();
+      String part = "x".repeat(8_192);
+      server.setHandler(
+          (request, socket) -> {
+            RawServer.write(socket, begin.replace("|", "\r\n"));
+            while (written.get() < 2 * MAX_BYTES) {
+              RawServer.write(socket, part);
+              written.addAndGet(part.length());
+            }
+            return false;
+          });
+      StoreClient client =
+          new StoreClient(http, Addresses.parse(server.address()), 1_000, Map.of());
+      assertFailed(result(client::readEndpoints));
+      assertThat(written.get()).isAtMost(MAX_BYTES);
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = {
