Analyse crashes in time in proportion to the parts of their prompts

Cause: CrashAnalysis was cubic in the number of parts, and ran under the lock of the event loop after each lost connection; PromptQuarantine searched all parts of all crashes for each part of each answered prompt.

Change: parts that waited at the same crashes are one group; crashes are looked up by part; the parts of remembered crashes are limited to 60,000, and many of them are analysed every 100 ms at most.

Before: PromptQuarantineTest$PromptsWithManyParts failed 2 of 2 (10 s each).

--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/CrashAnalysis.java
@@ -1,15 +1,22 @@
 package org.zinniaspan.forwarding;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 
 /**
  * Finds the combinations of prompt parts, or the single requests, that explain why endpoints
@@ -66,11 +73,10 @@
    */
   record Explanation(Set<String> parts, int crashes, long lastMs) {}
 
-  /** A crash of an endpoint, with the prompts that waited there. */
+  /** A crash of an endpoint. */
   private static final class Incident {
     private final String endpointId;
     private final long startMs;
-    private final List<PromptCrash> observations = new ArrayList<>();
 
     Incident(PromptCrash first) {
       endpointId = first.endpointId();
@@ -83,29 +89,68 @@
   }
 
   /**
-   * A trait's share in the crashes: the traits that all its requests have in common, and weights.
+   * A prompt that waited at a crash.
+   *
+   * @param traits its traits that were not answered since
+   */
+  private record Observation(Incident incident, List<String> traits, boolean answerBegun) {}
+
+  /**
+   * Traits that waited at the same observations so far, which cannot be told apart.
+   *
+   * @param parent the traits that waited at the same observations before the last one
+   * @param last index of the last observation; -1 for traits that waited at none
    */
+  private record Group(Optional<Group> parent, int last) {
+
+    BitSet observations() {
+      BitSet indexes = new BitSet();
+      for (Group group = this; group.last >= 0; group = group.parent.orElseThrow()) {
+        indexes.set(group.last);
+      }
+      return indexes;
+    }
+  }
+
+  /** The share in the crashes of traits that waited at the same observations. */
   private static final class Candidate {
-    private final Set<String> common;
+    private final List<Observation> all;
+    private final BitSet indexes;
     private final Map<Incident, Boolean> answerBegun = new LinkedHashMap<>();
+    private final boolean singleRequest;
+
+    Candidate(List<Observation> all, BitSet indexes) {
+      this.all = all;
+      this.indexes = indexes;
+      observations().forEach(o -> answerBegun.merge(o.incident, o.answerBegun, Boolean::logicalOr));
+      singleRequest =
+          answerBegun.size() > 1
+              && !common(o -> o.traits.stream().filter(RequestFingerprint::isFingerprint).toList())
+                  .isEmpty();
+    }
 
-    Candidate(PromptCrash first) {
-      common = new LinkedHashSet<>(first.parts());
+    private Stream<Observation> observations() {
+      // Indexes ascend, so that the incidents come in the order of their times.
+      return indexes.stream().mapToObj(all::get);
     }
 
-    void add(Incident incident, PromptCrash crash) {
-      common.retainAll(crash.parts());
-      answerBegun.merge(incident, crash.answerBegun(), Boolean::logicalOr);
+    /** Returns those of the observations' traits that all of them have in common. */
+    private Set<String> common(Function<Observation, List<String>> traits) {
+      Iterator<Observation> iterator = observations().iterator();
+      Set<String> common = new LinkedHashSet<>(traits.apply(iterator.next()));
+      while (iterator.hasNext() && !common.isEmpty()) {
+        common.retainAll(new HashSet<>(traits.apply(iterator.next())));
+      }
+      return common;
     }
 
     double weight() {
       double weight = 0;
       long lastWaitingMs = Long.MIN_VALUE / 2;
-      // Incidents are added in the order of their times.
       for (Map.Entry<Incident, Boolean> entry : answerBegun.entrySet()) {
         if (entry.getValue()) {
           weight += BEGUN_WEIGHT;
-        } else if (isSingleRequest() || entry.getKey().startMs - lastWaitingMs > SAME_CAUSE_MS) {
+        } else if (singleRequest || entry.getKey().startMs - lastWaitingMs > SAME_CAUSE_MS) {
           weight += WAITING_WEIGHT;
           lastWaitingMs = entry.getKey().startMs;
         }
@@ -113,22 +158,27 @@
       return weight;
     }
 
-    /** Returns whether it is one request that was sent again, from one endpoint to the next. */
-    boolean isSingleRequest() {
-      return common.stream().anyMatch(RequestFingerprint::isFingerprint);
-    }
-
     boolean isEnough() {
-      return weight() >= (isSingleRequest() ? MIN_SINGLE_REQUEST_WEIGHT : MIN_WEIGHT);
+      return weight() >= (singleRequest ? MIN_SINGLE_REQUEST_WEIGHT : MIN_WEIGHT);
     }
 
+    /** Returns whether the other's traits include these, as they waited at fewer observations. */
     boolean isLessSpecificThan(Candidate other) {
-      return common.size() < other.common.size() && other.common.containsAll(common);
+      BitSet otherOnly = (BitSet) other.indexes.clone();
+      otherOnly.andNot(indexes);
+      return otherOnly.isEmpty() && !indexes.equals(other.indexes);
+    }
+
+    /** Returns what is left of the observations without some incidents. */
+    BitSet indexesWithout(Set<Incident> incidents) {
+      BitSet left = (BitSet) indexes.clone();
+      indexes.stream().filter(i -> incidents.contains(all.get(i).incident)).forEach(left::clear);
+      return left;
     }
 
     Explanation explanation() {
       long lastMs = answerBegun.keySet().stream().mapToLong(i -> i.startMs).max().orElse(0);
-      return new Explanation(Set.copyOf(common), answerBegun.size(), lastMs);
+      return new Explanation(Set.copyOf(common(Observation::traits)), answerBegun.size(), lastMs);
     }
   }
 
@@ -137,57 +187,89 @@
   /**
    * Returns the explanations of some crashes, the one with the most crashes first.
    *
+   * <p>Takes time in proportion to the number of all traits, as traits that waited at the same
+   * crashes count as one.
+   *
    * @param answeredMs returns when a part was last answered, in milliseconds
    */
   static List<Explanation> explain(List<PromptCrash> crashes, ToLongFunction<String> answeredMs) {
-    List<Incident> incidents = incidents(crashes, answeredMs);
+    List<Observation> observations = observations(crashes, answeredMs);
+    List<Candidate> candidates =
+        candidates(observations, groups(observations).stream().map(Group::observations));
     List<Explanation> explanations = new ArrayList<>();
-    List<Candidate> best = best(incidents);
+    List<Candidate> best = best(candidates);
     while (!best.isEmpty()) {
-      best.forEach(candidate -> explanations.add(candidate.explanation()));
-      best.forEach(candidate -> incidents.removeAll(candidate.answerBegun.keySet()));
-      best = best(incidents);
+      Set<Incident> explained = new HashSet<>();
+      for (Candidate candidate : best) {
+        explanations.add(candidate.explanation());
+        explained.addAll(candidate.answerBegun.keySet());
+      }
+      candidates =
+          candidates(observations, candidates.stream().map(c -> c.indexesWithout(explained)));
+      best = best(candidates);
     }
     return explanations;
   }
 
-  private static List<Incident> incidents(
+  /** Returns the observations in the order of their incidents. */
+  private static List<Observation> observations(
       List<PromptCrash> crashes, ToLongFunction<String> answeredMs) {
     List<PromptCrash> sorted = new ArrayList<>(crashes);
     sorted.sort(
         Comparator.comparingLong(PromptCrash::atMs)
             .thenComparing(PromptCrash::endpointId)
             .thenComparing(PromptCrash::attemptId));
-    List<Incident> incidents = new ArrayList<>();
+    Map<Incident, List<Observation>> byIncident = new LinkedHashMap<>();
     for (PromptCrash crash : sorted) {
       List<String> unanswered =
           crash.parts().stream()
               .filter(part -> answeredMs.applyAsLong(part) <= crash.atMs())
               .toList();
       Incident incident =
-          incidents.stream()
+          byIncident.keySet().stream()
               .filter(known -> known.includes(crash))
               .findFirst()
-              .orElseGet(
-                  () -> {
-                    Incident added = new Incident(crash);
-                    incidents.add(added);
-                    return added;
-                  });
-      incident.observations.add(
-          new PromptCrash(
-              crash.endpointId(),
-              crash.attemptId(),
-              unanswered,
-              crash.answerBegun(),
-              crash.atMs()));
+              .orElseGet(() -> new Incident(crash));
+      byIncident
+          .computeIfAbsent(incident, added -> new ArrayList<>())
+          .add(new Observation(incident, unanswered, crash.answerBegun()));
+    }
+    return byIncident.values().stream().flatMap(List::stream).toList();
+  }
+
+  /** Returns the groups of all traits by the observations at which they waited. */
+  private static Set<Group> groups(List<Observation> observations) {
+    Group none = new Group(Optional.empty(), -1);
+    Map<String, Group> groups = new HashMap<>();
+    for (int i = 0; i < observations.size(); i++) {
+      Map<Group, Group> next = new IdentityHashMap<>();
+      for (String trait : observations.get(i).traits) {
+        Group before = groups.getOrDefault(trait, none);
+        if (before.last < i) {
+          int last = i;
+          groups.put(trait, next.computeIfAbsent(before, b -> new Group(Optional.of(b), last)));
+        }
+      }
     }
-    return incidents;
+    Set<Group> used = Collections.newSetFromMap(new IdentityHashMap<>());
+    used.addAll(groups.values());
+    return used;
+  }
+
+  /** Returns a candidate for each set of observations with several crashes. */
+  private static List<Candidate> candidates(
+      List<Observation> observations, Stream<BitSet> indexes) {
+    return indexes
+        .distinct()
+        .filter(set -> set.cardinality() > 1)
+        .map(set -> new Candidate(observations, set))
+        .filter(candidate -> candidate.answerBegun.size() > 1)
+        .toList();
   }
 
   /** Returns the best candidate; several if they are equal; none if no one explains enough. */
-  private static List<Candidate> best(List<Incident> incidents) {
-    List<Candidate> enough = candidates(incidents).stream().filter(Candidate::isEnough).toList();
+  private static List<Candidate> best(List<Candidate> candidates) {
+    List<Candidate> enough = candidates.stream().filter(Candidate::isEnough).toList();
     double most = enough.stream().mapToDouble(Candidate::weight).max().orElse(0);
     List<Candidate> near =
         enough.stream().filter(c -> c.weight() > most - SPECIFIC_MARGIN).toList();
@@ -197,19 +279,4 @@
     List<Candidate> best = specific.stream().filter(c -> c.weight() == top).toList();
     return best.size() == 1 || top >= MIN_AMBIGUOUS_WEIGHT ? best : List.of();
   }
-
-  /** Returns the candidates with different common parts. */
-  private static List<Candidate> candidates(List<Incident> incidents) {
-    Map<String, Candidate> byPart = new LinkedHashMap<>();
-    for (Incident incident : incidents) {
-      for (PromptCrash crash : incident.observations) {
-        for (String part : crash.parts()) {
-          byPart.computeIfAbsent(part, id -> new Candidate(crash)).add(incident, crash);
-        }
-      }
-    }
-    Map<Set<String>, Candidate> byCommonParts = new HashMap<>();
-    byPart.values().forEach(c -> byCommonParts.putIfAbsent(new HashSet<>(c.common), c));
-    return List.copyOf(byCommonParts.values());
-  }
 }
--- a/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/forwarding/PromptQuarantine.java
@@ -43,6 +43,15 @@
   /** Largest number of crashes that are remembered. */
   private static final int MAX_CRASHES = 256;
 
+  /** Largest sum of the traits of the crashes that are remembered, and of those suspected. */
+  private static final int MAX_TRAITS = 60_000;
+
+  /** Sum of the traits of all crashes up to which each change is analysed at once. */
+  private static final int MAX_TRAITS_ANALYSED_AT_ONCE = 5_000;
+
+  /** Interval at which changes are analysed if the crashes have more traits, in milliseconds. */
+  private static final long ANALYSIS_INTERVAL_MS = 100;
+
   /** Largest number of parts whose last answer is remembered. */
   private static final int MAX_ANSWERED_PARTS = 4_000;
 
@@ -85,6 +94,7 @@
   private final ChangeSequence sequence;
   private final Map<PromptCrash.Key, PromptCrash> unconfirmed = new HashMap<>();
   private final Map<PromptCrash.Key, Observed<PromptCrash>> confirmed = new HashMap<>();
+  private final Map<String, List<PromptCrash>> confirmedByTrait = new HashMap<>();
   private final Map<String, Observed<Long>> answeredMs =
       new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -94,6 +104,9 @@
       };
   private List<Quarantine> quarantines = List.of();
   private long nextExpiryMs;
+  private long nextAnalysisMs = Long.MIN_VALUE;
+  private int unconfirmedTraits;
+  private int confirmedTraits;
   private boolean changed;
 
   /**
@@ -108,25 +121,30 @@
 
   /** Records that a request waited at an endpoint whose connection was lost. */
   public void suspect(PromptCrash crash) {
-    if (!confirmed.containsKey(crash.key())) {
-      unconfirmed.put(crash.key(), crash);
-      changed = true;
+    if (confirmed.containsKey(crash.key())
+        || unconfirmedTraits + crash.parts().size() > MAX_TRAITS) {
+      return;
     }
+    takeUnconfirmed(crash.key());
+    unconfirmed.put(crash.key(), crash);
+    unconfirmedTraits += crash.parts().size();
+    changed = true;
+  }
+
+  private Optional<PromptCrash> takeUnconfirmed(PromptCrash.Key key) {
+    Optional<PromptCrash> crash = Optional.ofNullable(unconfirmed.remove(key));
+    crash.ifPresent(taken -> unconfirmedTraits -= taken.parts().size());
+    return crash;
   }
 
   /** Records that the endpoint of a suspected prompt has crashed. */
   public void confirm(PromptCrash.Key key) {
-    PromptCrash crash = unconfirmed.remove(key);
-    if (crash != null) {
-      add(crash, true);
-    }
+    takeUnconfirmed(key).ifPresent(crash -> add(crash, true));
   }
 
   /** Records that the endpoint of a suspected prompt has not crashed. */
   public void retract(PromptCrash.Key key) {
-    if (unconfirmed.remove(key) != null) {
-      changed = true;
-    }
+    changed |= takeUnconfirmed(key).isPresent();
   }
 
   /**
@@ -156,15 +174,38 @@
     // Times that passed through other VMs are late; the earliest one is the best.
     boolean isNews = known == null || known.value().atMs() - crash.atMs() >= MIN_TIME_CORRECTION_MS;
     long announced = isNews ? sequence.next(own) : known.sequence();
+    forget(crash.key());
     confirmed.put(crash.key(), new Observed<>(crash, isOwn, announced));
+    confirmedTraits += crash.parts().size();
+    for (String trait : crash.parts()) {
+      confirmedByTrait.computeIfAbsent(trait, added -> new ArrayList<>(1)).add(crash);
+    }
     if (known == null) {
       crash.parts().forEach(part -> announceAnswer(part, crash));
     }
-    if (confirmed.size() > MAX_CRASHES) {
+    while (confirmed.size() > MAX_CRASHES
+        || (confirmedTraits > MAX_TRAITS && confirmed.size() > 1)) {
       confirmed.values().stream()
           .map(Observed::value)
           .min(Comparator.comparing(PromptCrash::answerBegun).thenComparing(PromptCrash::atMs))
-          .ifPresent(least -> confirmed.remove(least.key()));
+          .ifPresent(least -> forget(least.key()));
+    }
+  }
+
+  private void forget(PromptCrash.Key key) {
+    Observed<PromptCrash> forgotten = confirmed.remove(key);
+    if (forgotten == null) {
+      return;
+    }
+    PromptCrash crash = forgotten.value();
+    confirmedTraits -= crash.parts().size();
+    for (String trait : crash.parts()) {
+      confirmedByTrait.computeIfPresent(
+          trait,
+          (name, crashes) -> {
+            crashes.removeIf(known -> known == crash);
+            return crashes.isEmpty() ? null : crashes;
+          });
     }
   }
 
@@ -191,13 +232,8 @@
 
   /** Returns whether a part waited at a crash in some span of time. */
   private boolean isAcquitted(String part, long afterMs, long untilMs) {
-    for (Observed<PromptCrash> crash : confirmed.values()) {
-      long atMs = crash.value().atMs();
-      if (atMs >= afterMs && atMs < untilMs && crash.value().parts().contains(part)) {
-        return true;
-      }
-    }
-    return false;
+    return confirmedByTrait.getOrDefault(part, List.of()).stream()
+        .anyMatch(crash -> crash.atMs() >= afterMs && crash.atMs() < untilMs);
   }
 
   /**
@@ -205,7 +241,7 @@
    *
    * @param traits supplies the ids of the parts of its prompt, and its fingerprint
    */
-  public Optional<Quarantine> find(Supplier<Collection<String>> traits) {
+  public Optional<Quarantine> find(Supplier<? extends Collection<String>> traits) {
     update();
     if (quarantines.isEmpty()) {
       return Optional.empty();
@@ -248,20 +284,28 @@
     long now = clock.nowMs();
     if (now >= nextExpiryMs) {
       nextExpiryMs = now + EXPIRY_INTERVAL_MS;
-      changed |= confirmed.values().removeIf(crash -> now - crash.value().atMs() > CRASH_MEMORY_MS);
+      List<PromptCrash> outdated =
+          confirmed.values().stream()
+              .map(Observed::value)
+              .filter(crash -> now - crash.atMs() > CRASH_MEMORY_MS)
+              .toList();
+      outdated.forEach(crash -> forget(crash.key()));
+      changed |= !outdated.isEmpty();
       changed |= quarantines.stream().anyMatch(quarantine -> quarantine.untilMs() <= now);
     }
     update();
   }
 
   private void update() {
-    if (!changed) {
+    long now = clock.nowMs();
+    boolean atOnce = unconfirmedTraits + confirmedTraits <= MAX_TRAITS_ANALYSED_AT_ONCE;
+    if (!changed || (!atOnce && now < nextAnalysisMs)) {
       return;
     }
     changed = false;
+    nextAnalysisMs = now + ANALYSIS_INTERVAL_MS;
     List<PromptCrash> crashes = new ArrayList<>(unconfirmed.values());
     confirmed.values().forEach(crash -> crashes.add(crash.value()));
-    long now = clock.nowMs();
     List<Quarantine> updated =
         CrashAnalysis.explain(crashes, this::answeredMs).stream()
             .map(PromptQuarantine::quarantine)
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/CrashWitness.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/CrashWitness.java
@@ -132,7 +132,7 @@
     EventLog.event("endpoint-crashed")
         .with("endpoint", crash.endpointId())
         .with("id", crash.attemptId())
-        .with("promptParts", crash.parts())
+        .with("promptParts", RequestEvents.parts(crash.parts()))
         .with("answerBegun", crash.answerBegun())
         .warn();
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -437,7 +437,10 @@
                 .with("cause", cause.map(Exception::toString).orElse("closed"))
                 .with("answerBegun", head != null)
                 .with("firstEvent", hadFirstEvent)
-                .with("promptParts", proxiedRequest.prompt().map(Prompt::partIds).orElse(List.of()))
+                .with(
+                    "promptParts",
+                    RequestEvents.parts(
+                        proxiedRequest.prompt().map(Prompt::partIds).orElse(List.of())))
                 .with("request", proxiedRequest.fingerprint())
                 .with("afterMs", proxiedRequest.context().clock().nowMs() - sentMs));
     if (opened) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ProxiedRequest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
@@ -66,6 +67,7 @@
   private long version;
   private long deadlineMs = Long.MAX_VALUE;
   private List<String> traits = List.of();
+  private Set<String> traitSet = Set.of();
   private boolean finished;
   private boolean refusedByVm;
   private boolean awaitingConfirmation;
@@ -158,6 +160,14 @@
     return traits;
   }
 
+  /** Returns the same traits as a set. */
+  Set<String> traitSet() {
+    if (traitSet.isEmpty()) {
+      traitSet = Set.copyOf(traits());
+    }
+    return traitSet;
+  }
+
   /** Returns the route; there is one once the request was sent to an endpoint. */
   Route route() {
     return routed.orElseThrow().route();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestEvents.java
@@ -1,5 +1,6 @@
 package org.zinniaspan.proxy;
 
+import java.util.List;
 import org.apache.hc.core5.http.HttpRequest;
 import org.zinniaspan.forwarding.EndpointSelector.Selection;
 import org.zinniaspan.forwarding.Route;
@@ -11,8 +12,18 @@
 /** Creates the log events of forwarded requests. */
 final class RequestEvents {
 
+  /** Largest number of a prompt's parts that an event names. */
+  private static final int MAX_PARTS = 20;
+
   private RequestEvents() {}
 
+  /** Returns the first parts of a prompt, and how many there are if these are not all. */
+  static String parts(List<String> ids) {
+    return ids.size() <= MAX_PARTS
+        ? ids.toString()
+        : ids.subList(0, MAX_PARTS) + " of " + ids.size();
+  }
+
   /** Returns an event about the selection of an endpoint, with the inputs that decided it. */
   static EventLog selection(
       String event, String id, RouteDecision.Routed routed, Selection selection, long nowMs) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -204,7 +204,7 @@
     if (request.delivery().isStarted()) {
       return false;
     }
-    Optional<PromptQuarantine.Quarantine> found = context.quarantine().find(request::traits);
+    Optional<PromptQuarantine.Quarantine> found = context.quarantine().find(request::traitSet);
     String reason = request.prompt().isPresent() ? PROMPT_QUARANTINED : REQUEST_QUARANTINED;
     found.ifPresent(
         quarantine -> {
--- a/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/forwarding/PromptQuarantineTest.java
@@ -1,12 +1,15 @@
 package org.zinniaspan.forwarding;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -41,6 +44,63 @@
     return quarantine.find(prompt(parts)::partIds).isPresent();
   }
 
+  /** Guards against an analysis that keeps all requests waiting, as its time grows too fast. */
+  @Nested
+  class PromptsWithManyParts {
+
+    private static final int SESSIONS = 30;
+    private static final int PARTS = 1_100;
+
+    private static String[] parts(int session) {
+      return IntStream.range(0, PARTS)
+          .mapToObj(i -> i == 0 ? "site" : "s" + session + "-" + i)
+          .toArray(String[]::new);
+    }
+
+    private void crashWithAllSessions(String endpoint) {
+      for (int session = 0; session < SESSIONS; session++) {
+        crash(endpoint, session == 7, parts(session));
+        isQuarantined("site", "other");
+        nowMs++;
+      }
+      nowMs += 3_000;
+    }
+
+    @Test
+    void areAnalysedInTime() {
+      assertTimeoutPreemptively(
+          Duration.ofSeconds(10),
+          () -> {
+            crashWithAllSessions("e1");
+            crashWithAllSessions("e2");
+            assertThat(isQuarantined(parts(7))).isTrue();
+            assertThat(isQuarantined(parts(8))).isFalse();
+            nowMs++;
+            quarantine.onAnswered(List.of(parts(7)));
+            nowMs += 200;
+            assertThat(isQuarantined(parts(7))).isFalse();
+          });
+    }
+
+    @Test
+    void areForgottenBeforeTheyFillTheMemory() {
+      assertTimeoutPreemptively(
+          Duration.ofSeconds(10),
+          () -> {
+            for (int i = 0; i < 10; i++) {
+              crashWithAllSessions("e" + i);
+            }
+            int traits =
+                quarantine.changesSince(-1, false).crashes().stream()
+                    .mapToInt(crash -> crash.parts().size())
+                    .sum();
+            assertThat(traits).isAtMost(60_000);
+            assertThat(traits).isAtLeast(50_000);
+            assertThat(isQuarantined(parts(7))).isTrue();
+          });
+    }
+  }
+
   @Nested
   class TwoPromptsThatCrashEndpoints {
 
