Route and forward paths as they were sent

Cause: HttpCore's factories read a target as a URI, in which //shop is a host; requests to endpoints and other VMs were read so once more.

Change: RequestTargets creates requests whose path is the target as it was sent, for both listeners and for outgoing requests.

--- a/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
+++ b/zinniaspan-standins/src/test/java/org/zinniaspan/standins/site/ForwardDaemonTest.java
@@ -69,6 +69,25 @@
       assertThat(daemon.call(other)).startsWith("HTTP/1.1 401");
     }
 
+    /** Guards against the first part of a path being taken for a host. */
+    @Test
+    void routesByThePathAsItWasSent() throws IOException {
+      daemon.first.setHandler(always(okResponse("a1", "done")));
+      for (String path : new String[] {"//shop/unsafe/x", "///unsafe/x", "//unsafe/x"}) {
+        assertThat(daemon.call(request("POST", path, "", "b"))).startsWith("HTTP/1.1 404");
+      }
+      assertThat(daemon.first.requests()).isEmpty();
+      for (String path : new String[] {"/unsafe//x", "/unsafe/x#y", "/unsafe/%2Fx?q=//z"}) {
+        assertThat(daemon.call(request("POST", path, "", "b"))).startsWith("HTTP/1.1 200");
+        int last = daemon.first.requests().size() - 1;
+        assertThat(daemon.first.requests().get(last).line())
+            .isEqualTo("POST " + path + " HTTP/1.1");
+      }
+      String absolute = request("POST", "http://h.example/unsafe/x", "", "b");
+      assertThat(daemon.call(absolute)).startsWith("HTTP/1.1 200");
+      assertThat(daemon.first.requests().get(3).line()).isEqualTo("POST /unsafe/x HTTP/1.1");
+    }
+
     @Test
     void skipsResponsesOfOtherRequests() throws IOException {
       daemon.first.setHandler(always(okResponse("a0", "not mine") + okResponse("a1", "mine")));
--- a/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/CallerConnection.java
@@ -9,7 +9,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
-import org.apache.hc.core5.http.impl.io.DefaultClassicHttpRequestFactory;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.io.CloseMode;
@@ -38,7 +37,7 @@
         null,
         UnendingInput.parsers(
             new DefaultHttpRequestParserFactory(
-                StrictLineParser.INSTANCE, DefaultClassicHttpRequestFactory.INSTANCE)),
+                StrictLineParser.INSTANCE, RequestTargets.CLASSIC_FACTORY)),
         null);
     this.openConnections = openConnections;
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/platform/HttpDialect.java
@@ -12,12 +12,12 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptPart;
 import org.zinniaspan.forwarding.RequestFacts;
 import org.zinniaspan.forwarding.StreamResume;
+import org.zinniaspan.http.RequestTargets;
 import org.zinniaspan.log.EventLog;
 import org.zinniaspan.proxy.Dialect;
 import org.zinniaspan.proxy.RelayHeaders;
@@ -78,7 +78,7 @@
 
   @Override
   public HttpRequest endpointRequest(HttpRequest clientHead, EndpointCall call) {
-    HttpRequest request = new BasicHttpRequest(clientHead.getMethod(), clientHead.getPath());
+    HttpRequest request = RequestTargets.request(clientHead.getMethod(), clientHead.getPath());
     Set<String> dropped = connectionHeaders(clientHead);
     for (Header header : clientHead.getHeaders()) {
       String name = lowerCase(header.getName());
@@ -109,7 +109,7 @@
 
   @Override
   public HttpRequest relayRequest(HttpRequest clientHead, RelayCall call) {
-    HttpRequest request = new BasicHttpRequest(clientHead.getMethod(), clientHead.getPath());
+    HttpRequest request = RequestTargets.request(clientHead.getMethod(), clientHead.getPath());
     Set<String> dropped = connectionHeaders(clientHead);
     for (Header header : clientHead.getHeaders()) {
       String name = lowerCase(header.getName());
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -14,11 +14,11 @@
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriter;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.zinniaspan.clock.Clock;
+import org.zinniaspan.http.RequestTargets;
 import org.zinniaspan.http.StrictLineParser;
 
 /**
@@ -105,7 +105,7 @@
     this.connections = connections;
     this.parser =
         new DefaultHttpRequestParser<>(
-            DefaultHttpRequestFactory.INSTANCE,
+            RequestTargets.FACTORY,
             StrictLineParser.INSTANCE,
             Http1Config.custom()
                 .setMaxLineLength(handler.limits().maxHeaderBytes())
--- a/zinniaspan/src/test/java/org/zinniaspan/http/HttpListenerTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/http/HttpListenerTest.java
@@ -7,6 +7,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class HttpListenerTest {
@@ -34,6 +38,27 @@
     }
   }
 
+  /** Guards against the first part of a path being taken for a host. */
+  @Test
+  void passesPathsOnAsTheyWereSent() throws Exception {
+    BlockingQueue<String> paths = new LinkedBlockingQueue<>();
+    try (HttpListener listener =
+        HttpListener.start(
+            new InetSocketAddress(HOST, 0),
+            (request, response, context) -> {
+              paths.add(request.getPath());
+              response.setCode(200);
+            })) {
+      for (String path : List.of("//services/app/x", "///x", "/a#b", "/a//b?c=//d")) {
+        try (Socket client = new Socket(HOST, listener.port())) {
+          String head = "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+          client.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+          assertThat(paths.poll(10, TimeUnit.SECONDS)).isEqualTo(path);
+        }
+      }
+    }
+  }
+
   @Test
   void namesTheAddressThatCannotBeBound() throws IOException {
     HttpListener first = start(0);
--- a/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/platform/HttpDialectTest.java
@@ -11,10 +11,13 @@
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.zinniaspan.forwarding.Prompt;
 import org.zinniaspan.forwarding.PromptPart;
 import org.zinniaspan.forwarding.RequestFacts;
 import org.zinniaspan.forwarding.StreamResume;
+import org.zinniaspan.http.RequestTargets;
 import org.zinniaspan.proxy.Dialect;
 
 class HttpDialectTest {
@@ -93,6 +96,18 @@
   @Nested
   class RequestsToEndpoints {
 
+    /** Guards against the first part of a path being taken for a host. */
+    @ParameterizedTest
+    @ValueSource(strings = {"//shop/act/x?q=1", "///x", "/a//b", "/a#b", "/a%2Fb?c=%20//d"})
+    void haveThePathOfTheClient(String path) {
+      HttpRequest head = RequestTargets.request("POST", path);
+      head.addHeader("Host", "h.example");
+      assertThat(dialect.requestFacts(head).path()).isEqualTo(path.split("[?]")[0]);
+      assertThat(dialect.endpointRequest(head, endpointCall()).getRequestUri()).isEqualTo(path);
+      Dialect.RelayCall relayCall = new Dialect.RelayCall(Optional.empty(), Optional.empty(), 0);
+      assertThat(dialect.relayRequest(head, relayCall).getRequestUri()).isEqualTo(path);
+    }
+
     @Test
     void nameTheOrganisationAndTheEndpointInUtf8() {
       Dialect.EndpointCall call =
