End a request whose answer fails to be handled, and do not send it again

Cause: the fault of a handler was reported as a lost connection, upon which an idempotent request was sent again, although the fault may have come after a retry had begun; two attempts could then have answered one request (read, not shown).

Change: ResponseHandler.onFault ends the request with 502, or cuts its stream. Lines of heads are checked by loops, as streams cost more on each header.

--- a/zinniaspan/src/main/java/org/zinniaspan/http/StrictLineParser.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/http/StrictLineParser.java
@@ -19,6 +19,7 @@
   /** The parser, which has no state. */
   public static final StrictLineParser INSTANCE = new StrictLineParser();
 
+  private static final char DELETE = 0x7f;
   private static final String TOKEN_CHARACTERS = "!#$%&'*+-.^_`|~";
   private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]*";
 
@@ -60,26 +61,37 @@
   @Override
   public Header parseHeader(CharArrayBuffer line) throws ParseException {
     int colon = line.indexOf(':');
-    if (colon <= 0 || !line.chars().limit(colon).allMatch(StrictLineParser::isTokenCharacter)) {
+    if (colon <= 0 || !isToken(line, colon)) {
       throw new ParseException(
           "'" + quoted(line, Math.max(0, colon)) + "' is not the name of a header field");
     }
-    if (!line.chars().skip(colon).allMatch(StrictLineParser::isTextCharacter)) {
+    if (!isText(line, colon)) {
       throw new ParseException(
           "the value of '" + quoted(line, colon) + "' contains a control character");
     }
     return super.parseHeader(line);
   }
 
-  private static boolean isTokenCharacter(int c) {
-    return (c >= 'a' && c <= 'z')
-        || (c >= 'A' && c <= 'Z')
-        || (c >= '0' && c <= '9')
-        || TOKEN_CHARACTERS.indexOf(c) >= 0;
+  private static boolean isToken(CharArrayBuffer line, int end) {
+    for (int i = 0; i < end; i++) {
+      char c = line.charAt(i);
+      boolean alphanumeric =
+          (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+      if (!alphanumeric && TOKEN_CHARACTERS.indexOf(c) < 0) {
+        return false;
+      }
+    }
+    return true;
   }
 
-  private static boolean isTextCharacter(int c) {
-    return c == '\t' || (c >= ' ' && c != 0x7f);
+  private static boolean isText(CharArrayBuffer line, int start) {
+    for (int i = start; i < line.length(); i++) {
+      char c = line.charAt(i);
+      if ((c < ' ' && c != '\t') || c == DELETE) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private static String quoted(CharArrayBuffer line, int end) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointAttempt.java
@@ -458,6 +458,12 @@
     }
   }
 
+  @Override
+  public void onFault(RuntimeException cause) {
+    finish();
+    sender.onFault();
+  }
+
   private void suspectRequest() {
     proxiedRequest
         .context()
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RelayAttempt.java
@@ -177,6 +177,12 @@
     }
   }
 
+  @Override
+  public void onFault(RuntimeException cause) {
+    finish();
+    sender.onFault();
+  }
+
   private void finish() {
     ended = true;
     content.release();
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/RequestSender.java
@@ -479,9 +479,6 @@
    * VM that relays it, which counts all endpoints that may have run it.
    */
   void onConnectionLost(Optional<Exception> cause) {
-    if (request.isFinished()) {
-      return;
-    }
     attempt = null;
     mayHaveRun = true;
     if (request.route().isIdempotent() && !request.isRelayed()) {
@@ -491,6 +488,18 @@
     }
   }
 
+  /**
+   * Called when the handling of a complete response has failed. The request is not sent again, as
+   * that may have been done already.
+   */
+  void onFault() {
+    if (!request.isFinished()) {
+      cancel();
+      mayHaveRun = true;
+      request.fail("fault");
+    }
+  }
+
   private void retryOrFail(String reason, boolean usesRetryBudget) {
     long leftMs = request.deadlineMs() - context.clock().nowMs();
     boolean allowed = mayRetry(usesRetryBudget);
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
@@ -165,6 +165,11 @@
                   .orElse("connection closed before the response was complete")));
     }
 
+    @Override
+    public void onFault(RuntimeException cause) {
+      finish(new Result.Failed(cause.toString()));
+    }
+
     void onTimeout() {
       connection.reset();
       finish(new Result.Failed("no complete response before the timeout"));
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/HeaderText.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/HeaderText.java
@@ -22,10 +22,17 @@
    * control characters, unpaired surrogates, and blanks at its ends.
    */
   public static boolean isSendable(String text) {
-    return text.chars().allMatch(c -> c >= FIRST_PRINTABLE && c != DELETE)
-        && StandardCharsets.UTF_8.newEncoder().canEncode(text)
-        && !text.startsWith(" ")
-        && !text.endsWith(" ");
+    boolean ascii = true;
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c < FIRST_PRINTABLE || c == DELETE) {
+        return false;
+      }
+      ascii &= c < DELETE;
+    }
+    return !text.startsWith(" ")
+        && !text.endsWith(" ")
+        && (ascii || StandardCharsets.UTF_8.newEncoder().canEncode(text));
   }
 
   /** Returns the header value that carries a text, with one character for each of its bytes. */
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -277,8 +277,7 @@
     try {
       done.onEnd();
     } catch (RuntimeException e) {
-      // The connection carries no request any more, so that its end would not be reported.
-      done.onConnectionLost(true, Optional.of(e));
+      done.onFault(e);
       throw e;
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ResponseHandler.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ResponseHandler.java
@@ -21,11 +21,18 @@
   void onEnd();
 
   /**
-   * Called once if the connection ends before the response is complete, or if {@link #onEnd} fails.
+   * Called once if the connection ends before the response is complete.
    *
    * @param opened whether the connection was ever open; if so, the remote side may have read bytes
    *     of the request
    * @param cause the error; empty if the remote side closed the connection in an orderly way
    */
   void onConnectionLost(boolean opened, Optional<Exception> cause);
+
+  /**
+   * Called if {@link #onEnd} has thrown an exception; what it had begun may have had effects.
+   *
+   * <p>The connection carries no request any more, so that nothing else ends the request.
+   */
+  void onFault(RuntimeException cause);
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ConnectTimeoutTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ConnectTimeoutTest.java
@@ -92,6 +92,11 @@
       // No response is expected.
     }
 
+    @Override
+    public void onFault(RuntimeException cause) {
+      // No response is expected.
+    }
+
     @Override
     public void onConnectionLost(boolean opened, Optional<Exception> cause) {
       lost.complete(opened);
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ExchangeRecorder.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ExchangeRecorder.java
@@ -58,4 +58,9 @@
   public void onConnectionLost(boolean opened, Optional<Exception> cause) {
     events.add("lost");
   }
+
+  @Override
+  public void onFault(RuntimeException cause) {
+    events.add("fault");
+  }
 }
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.reactor.IOSession;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -30,6 +31,26 @@
     reactor.close();
   }
 
+  @Test
+  void reportsFaultsOfHandlersAtTheEndOfResponses() {
+    FakeSession fake = new FakeSession();
+    ExchangeRecorder handler =
+        new ExchangeRecorder() {
+          @Override
+          public void onEnd() {
+            super.onEnd();
+            throw new IllegalStateException("thrown by the test");
+          }
+        };
+    OutboundConnection connection = new OutboundConnection(reactor, idle -> calls.add("idle"));
+    connection.connected(fake.session());
+    connection.send(new BasicHttpRequest("GET", "/"), new byte[0], handler);
+    fake.receive(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    assertThat(handler.events).containsExactly("end", "fault").inOrder();
+    assertThat(calls).containsExactly("idle");
+    assertThat(connection.isOpen()).isFalse();
+  }
+
   @Test
   void resetBeforeOpenClosesWithoutSending() {
     OutboundConnection connection =
