Limit what the operating system holds of a request

Traced: the operating system had taken all 3.5 MB of the request, although the endpoint had read 300 bytes, so that none of it waited to be written when the connection ended.

Change: the send buffer of outgoing connections is 64 KiB.

--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SocketChannel;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.locks.ReentrantLock;
@@ -40,7 +42,14 @@
   }
 
   /** Called once when the connection is open. */
-  protected abstract void onOpen();
+  protected abstract void onOpen() throws IOException;
+
+  /** Limits the bytes that the operating system takes from this connection and has not sent. */
+  protected final void setSendBufferSize(int bytes) throws IOException {
+    if (session.channel() instanceof SocketChannel channel) {
+      channel.setOption(StandardSocketOptions.SO_SNDBUF, bytes);
+    }
+  }
 
   /** Called when bytes have arrived or the remote side has ended its output. */
   protected abstract void onReceived() throws IOException;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -33,6 +33,12 @@
 
   private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+  /**
+   * Bytes of a request that the operating system may hold. What it holds counts as written, so that
+   * more would hide that the remote side has ended the connection without reading the request.
+   */
+  private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
   /** Largest head of a response, and largest line of it, in bytes. */
   private static final int MAX_HEAD_BYTES = 64 * 1024;
 
@@ -140,7 +146,8 @@
   }
 
   @Override
-  protected void onOpen() {
+  protected void onOpen() throws IOException {
+    setSendBufferSize(SEND_BUFFER_BYTES);
     opened = true;
     openedCallback.run();
     // The callback holds the request.
