Limit the heads of all responses together, and drop buffers on close

Callers saw: 400 requests at once to an endpoint that wrote header lines without end ran the process out of memory (a heap of 48 MB), and it ended with all other requests.

Cause: heads were limited one by one. A connection that exceeded the limit was closed, but the event loop still refers to it until all others that are ready are served, with its receive buffer and the lines of its parser.

Change: unfinished heads count towards the budget of responses; a closed connection drops its buffers; replies of other VMs have a budget; reactor-failed is logged.

--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/BodyBudgets.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/BodyBudgets.java
@@ -4,10 +4,11 @@
 import org.zinniaspan.transport.BufferBudget;
 
 /**
- * Limits on the bodies in memory.
+ * Limits on the messages in memory.
  *
  * @param requests limits the bodies of requests, from their first byte to the end of the response
- * @param responses limits the bodies of responses until they are passed on
+ * @param responses limits the responses of endpoints until they are passed on: their bodies and
+ *     unfinished heads
  */
 record BodyBudgets(BufferBudget requests, BufferBudget responses) {
 
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointConnectionPool.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/EndpointConnectionPool.java
@@ -9,6 +9,7 @@
 import org.zinniaspan.clock.Clock;
 import org.zinniaspan.forwarding.ListedEndpoint;
 import org.zinniaspan.http.Addresses;
+import org.zinniaspan.transport.BufferBudget;
 import org.zinniaspan.transport.OutboundConnection;
 import org.zinniaspan.transport.Reactor;
 
@@ -34,11 +35,18 @@
 
   private final Reactor reactor;
   private final Clock clock;
+  private final BufferBudget budget;
   private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
 
-  EndpointConnectionPool(Reactor reactor, Clock clock) {
+  /**
+   * Creates an empty pool.
+   *
+   * @param budget limits the unfinished heads of the responses on all connections together
+   */
+  EndpointConnectionPool(Reactor reactor, Clock clock, BufferBudget budget) {
     this.reactor = reactor;
     this.clock = clock;
+    this.budget = budget;
   }
 
   /**
@@ -73,7 +81,7 @@
       newest.connection().close();
     }
     return OutboundConnection.open(
-        reactor, Addresses.parse(address), CONNECT_TIMEOUT_MS, lost -> remove(key, lost));
+        reactor, Addresses.parse(address), CONNECT_TIMEOUT_MS, budget, lost -> remove(key, lost));
   }
 
   /**
@@ -87,6 +95,7 @@
             reactor,
             Addresses.parse(endpoint.address()),
             CONNECT_TIMEOUT_MS,
+            budget,
             lost -> {
               remove(endpoint.id(), lost);
               if (!lost.wasOpened()) {
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardContext.java
@@ -46,7 +46,7 @@
  * @param metrics counters and histograms
  * @param bounds time bounds and budgets of the platform
  * @param vmLimits what this VM can take on
- * @param bodies limits on the bodies in memory
+ * @param bodies limits on the messages in memory
  */
 record ForwardContext(
     Clock clock,
@@ -92,7 +92,8 @@
       RelayTargets relayTargets,
       EndpointConnectionPool connections,
       PlatformBounds bounds,
-      VmLimits vmLimits) {
+      VmLimits vmLimits,
+      BodyBudgets bodies) {
     this(
         clock,
         random,
@@ -116,7 +117,7 @@
         new ForwardMetrics(),
         bounds,
         vmLimits,
-        BodyBudgets.of(vmLimits));
+        bodies);
   }
 
   /** Returns the retry budget of a service; creates it on first use. */
--- a/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/proxy/ForwardDaemon.java
@@ -38,6 +38,7 @@
 import org.zinniaspan.http.Addresses;
 import org.zinniaspan.lifecycle.Closer;
 import org.zinniaspan.log.EventLog;
+import org.zinniaspan.transport.BufferBudget;
 import org.zinniaspan.transport.BufferingHttpClient;
 import org.zinniaspan.transport.InboundConnection;
 import org.zinniaspan.transport.InboundConnections;
@@ -89,6 +90,8 @@
             directory,
             options.bounds(),
             random);
+    final BodyBudgets bodies = BodyBudgets.of(options.vmLimits());
+    BufferBudget peerReplies = new BufferBudget(options.vmLimits().maxResponseBytes());
     EngineSpeeds speeds = new EngineSpeeds();
     StreamWork work = new StreamWork(clock);
     fleet =
@@ -97,7 +100,8 @@
             options.zoneCosts().zone(),
             options.zoneCosts().regions().keySet(),
             options.seeds(),
-            address -> new BufferingHttpClient(reactor, clock, Addresses.parse(address)),
+            address ->
+                new BufferingHttpClient(reactor, clock, Addresses.parse(address), peerReplies),
             follower,
             tableFreshness,
             directory,
@@ -130,9 +134,10 @@
             fleet.endpoints().quarantine(),
             new EndpointEligibility(follower.evacuatedZones(), options.zoneCosts()),
             new RelayTargets(fleet.members(), options.zoneCosts(), clock, random),
-            new EndpointConnectionPool(reactor, clock),
+            new EndpointConnectionPool(reactor, clock, bodies.responses()),
             options.bounds(),
-            options.vmLimits());
+            options.vmLimits(),
+            bodies);
     server = new ForwardServer(context, shutdown);
     fleet.slots().whenAssigned(server::sendWaiting);
     fleet
@@ -148,7 +153,7 @@
             .apply(
                 address ->
                     new BufferingHttpClient(
-                        reactor, clock, Addresses.parse(address), context.bodies().responses()));
+                        reactor, clock, Addresses.parse(address), bodies.responses()));
     reportPoller =
         new ReportPoller(
             directory,
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/BufferingHttpClient.java
@@ -29,7 +29,7 @@
   private final Deque<OutboundConnection> idle = new ArrayDeque<>();
   private final Set<Call> calls = new HashSet<>();
 
-  /** Creates a client whose response bodies are limited one by one only. */
+  /** Creates a client whose responses are limited one by one only. */
   public BufferingHttpClient(Reactor reactor, Clock clock, InetSocketAddress address) {
     this(reactor, clock, address, new BufferBudget(Long.MAX_VALUE));
   }
@@ -37,7 +37,7 @@
   /**
    * Creates a client; it opens connections as calls need them.
    *
-   * @param budget limits the sum of the response bodies, also with those of other clients
+   * @param budget limits the sum of the responses, also with those of other clients
    */
   public BufferingHttpClient(
       Reactor reactor, Clock clock, InetSocketAddress address, BufferBudget budget) {
@@ -99,7 +99,7 @@
       connection = idle.poll();
     }
     if (connection == null) {
-      connection = OutboundConnection.open(reactor, address, timeoutMs, idle::remove);
+      connection = OutboundConnection.open(reactor, address, timeoutMs, budget, idle::remove);
     }
     Call call = new Call(connection, clock.nowMs() + timeoutMs, callback);
     calls.add(call);
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Connection.java
@@ -222,6 +222,8 @@
     if (session != null) {
       session.close(mode);
     }
+    // The event loop refers to the connection until it has served all others that are ready.
+    received.clear();
     onClosed();
     return true;
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/InboundConnection.java
@@ -522,6 +522,7 @@
 
   @Override
   protected void onClosed() {
+    parser.reset();
     body.release();
     connections.remove(this);
     recordedBytes = 0;
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/OutboundConnection.java
@@ -47,6 +47,7 @@
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1[.][01] [0-9]{3}");
 
   private final Consumer<OutboundConnection> onIdleClose;
+  private final BufferBudget.Share heldShare;
   private final DefaultHttpResponseParser<HttpResponse> parser =
       new DefaultHttpResponseParser<>(
           DefaultHttpResponseFactory.INSTANCE,
@@ -66,9 +67,20 @@
   private int sentRequests;
   private Optional<Long> keepAliveMs = Optional.empty();
 
-  /** Creates a connection that is not open yet. */
+  /** Creates a connection that is not open yet, without limits beside others. */
   OutboundConnection(Reactor reactor, Consumer<OutboundConnection> onIdleClose) {
+    this(reactor, new BufferBudget(Long.MAX_VALUE), onIdleClose);
+  }
+
+  /**
+   * Creates a connection that is not open yet.
+   *
+   * @param budget limits the unfinished heads and unparsed bytes of several connections together
+   */
+  OutboundConnection(
+      Reactor reactor, BufferBudget budget, Consumer<OutboundConnection> onIdleClose) {
     super(reactor, MAX_HEAD_BYTES, MAX_HEAD_BYTES);
+    this.heldShare = budget.share();
     this.onIdleClose = onIdleClose;
   }
 
@@ -76,14 +88,16 @@
    * Opens a connection.
    *
    * @param timeoutMs connect timeout in milliseconds
+   * @param budget limits the unfinished heads and unparsed bytes of several connections together
    * @param onIdleClose called if the connection ends while it carries no request
    */
   public static OutboundConnection open(
       Reactor reactor,
       InetSocketAddress address,
       long timeoutMs,
+      BufferBudget budget,
       Consumer<OutboundConnection> onIdleClose) {
-    OutboundConnection connection = new OutboundConnection(reactor, onIdleClose);
+    OutboundConnection connection = new OutboundConnection(reactor, budget, onIdleClose);
     reactor.connect(address, timeoutMs, connection);
     return connection;
   }
@@ -155,6 +169,19 @@
     flushOrFail();
   }
 
+  @Override
+  protected void onBuffersChanged() {
+    if (isOpen() && !heldShare.resize(received.heldBytes())) {
+      fail(new IOException("the heads of responses fill the memory"));
+    }
+  }
+
+  @Override
+  protected void onClosed() {
+    parser.reset();
+    heldShare.release();
+  }
+
   @Override
   protected void onReceived() throws IOException {
     try {
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/Reactor.java
@@ -143,16 +143,27 @@
 
   /** Runs the loop of a thread, which ends only when the reactor is closed or has failed. */
   private void runLoop(Runnable loop) {
+    Object cause = "the loop has ended";
     try {
       loop.run();
+    } catch (RuntimeException | Error e) {
+      cause = e;
+      throw e;
     } finally {
-      onLoopEnded();
+      onLoopEnded(cause);
     }
   }
 
-  private void onLoopEnded() {
-    if (!closing && failed.compareAndSet(false, true)) {
-      onFailed.run();
+  private void onLoopEnded(Object cause) {
+    if (closing) {
+      return;
+    }
+    try {
+      EventLog.event("reactor-failed").with("error", cause).warn();
+    } finally {
+      if (failed.compareAndSet(false, true)) {
+        onFailed.run();
+      }
     }
   }
 
@@ -293,7 +304,7 @@
     try {
       timer.run();
     } catch (Error e) {
-      onLoopEnded();
+      onLoopEnded(e);
       throw e;
     }
   }
--- a/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
+++ b/zinniaspan/src/main/java/org/zinniaspan/transport/ReceiveBuffer.java
@@ -59,6 +59,12 @@
     return bytes.remaining();
   }
 
+  /** Drops the unparsed bytes and gives up all capacity. */
+  void clear() {
+    bytes = EMPTY;
+    endHead();
+  }
+
   /** Gives up capacity that the unparsed bytes do not need. */
   void trim() {
     if (bytes.capacity() <= INITIAL_BYTES || bytes.capacity() / 2 < bytes.remaining()) {
@@ -141,6 +147,7 @@
     }
     headBytes += length + 1;
     headLines++;
+    line.ensureCapacity(length);
     int textEnd = end > bytes.position() && bytes.get(end - 1) == '\r' ? end - 1 : end;
     for (int i = bytes.position(); i < textEnd; i++) {
       line.append((char) (bytes.get(i) & 0xff));
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/ConnectTimeoutTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/ConnectTimeoutTest.java
@@ -71,7 +71,12 @@
     CompletableFuture<Boolean> lost = new CompletableFuture<>();
     reactor.runLocked(
         () ->
-            OutboundConnection.open(reactor, address, CONNECT_TIMEOUT_MS, idle -> {})
+            OutboundConnection.open(
+                    reactor,
+                    address,
+                    CONNECT_TIMEOUT_MS,
+                    new BufferBudget(Long.MAX_VALUE),
+                    idle -> {})
                 .send(new BasicHttpRequest("GET", "/x"), new byte[0], new LossHandler(lost)));
     return lost.get(10, TimeUnit.SECONDS);
   }
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/HeadLimitTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/HeadLimitTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -62,6 +64,30 @@
       send();
       assertThat(sendLines(connection, begin)).isAtMost(MAX_BYTES);
       assertThat(recorder.events).containsExactly("lost");
+      assertThat(connection.received.heldBytes()).isEqualTo(0);
+    }
+
+    /** Guards against heads that are within their limit, but not all together. */
+    @Test
+    void endWithTheirConnectionsIfTheyFillTheMemoryTogether() {
+      BufferBudget budget = new BufferBudget(MAX_BYTES);
+      List<OutboundConnection> connections = new ArrayList<>();
+      for (int i = 0; i < 40; i++) {
+        FakeSession own = new FakeSession();
+        OutboundConnection opened = new OutboundConnection(reactor, budget, idle -> {});
+        opened.connected(own.session());
+        opened.send(new BasicHttpRequest("GET", "/"), new byte[0], recorder);
+        own.receive(opened, "HTTP/1.1 200 OK\r\n");
+        for (int sent = 0; opened.isOpen() && sent < 40_000; sent += LINE.length()) {
+          own.receive(opened, LINE);
+        }
+        assertThat(budget.usedBytes()).isAtMost(MAX_BYTES);
+        connections.add(opened);
+      }
+      assertThat(recorder.events).contains("lost");
+      assertThat(connections.stream().filter(OutboundConnection::isOpen).count()).isAtLeast(2);
+      connections.forEach(OutboundConnection::reset);
+      assertThat(budget.usedBytes()).isEqualTo(0);
     }
 
     @Test
--- a/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
+++ b/zinniaspan/src/test/java/org/zinniaspan/transport/OutboundConnectionTest.java
@@ -54,7 +54,12 @@
   @Test
   void resetBeforeOpenClosesWithoutSending() {
     OutboundConnection connection =
-        OutboundConnection.open(reactor, new InetSocketAddress("127.0.0.1", 9), 50, lost -> {});
+        OutboundConnection.open(
+            reactor,
+            new InetSocketAddress("127.0.0.1", 9),
+            50,
+            new BufferBudget(Long.MAX_VALUE),
+            lost -> {});
     connection.reset();
     connection.connected(session);
     assertThat(calls).containsExactly("close");
