Give each VM of case 14 a zone of its own

The two VMs of one zone shared the list of servers, and with it the rewritten addresses by which the script cuts the path of one VM: in some runs both were cut off.

--- a/review/kit-3/kit3/FrozenNeighbour.java
+++ b/review/kit-3/kit3/FrozenNeighbour.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One VM loses its path to all servers, and sends its requests on through another one. Then the
- * only other VM of its zone stands still, while those of another zone serve.
+ * One VM loses its path to all servers, and sends its requests on through the VM that is nearest.
+ * Then that one stands still, while the VM of a third zone serves.
  */
 final class FrozenNeighbour {
 
@@ -21,7 +21,8 @@
   private static final long ROUND_MS = 15_000;
   private static final long REQUEST_PAUSE_MS = 50;
   private static final String ZONE = "quimper-odet";
-  private static final String OTHER_ZONE = "brest-quai";
+  private static final String NEAR_ZONE = "brest-quai";
+  private static final String FAR_ZONE = "rennes-nord";
   private static final String KEY = "n2ctnfzs989anu6wsjnb";
 
   private record Try(Vm vm, long sentMs, boolean served) {}
@@ -46,7 +47,7 @@
     for (int i = 0; i < 4; i++) {
       Server server = new Server(site.record, site.ip(50), "i-" + i, "console-agences", "v1", 21, 0, 0);
       servers.add(server);
-      site.store.put("servers/" + server.id, server.entry(i < 2 ? ZONE : OTHER_ZONE, "ready"));
+      site.store.put("servers/" + server.id, server.entry(i < 2 ? NEAR_ZONE : FAR_ZONE, "ready"));
       Link link = new Link(site.ip(60), server.address());
       toServers.add(link);
       view.put(server.address(), link.address());
@@ -58,9 +59,10 @@
             List.of(KEY),
             Configuration.route("deploiement", "unsafe", "console-agences", 800, 1),
             Configuration.route("etat-site", "safe", "console-agences", 800, 1)));
+    // Each VM has a zone of its own: those of one zone share the list, and so the addresses.
     Vm cutOff = site.addVm("vm-1", ZONE, new Link(site.ip(10), site.store.addView(site.ip(2), view)));
-    Vm neighbour = site.addVm("vm-2", ZONE, new Link(site.ip(11), site.store.address()));
-    Vm other = site.addVm("vm-3", OTHER_ZONE, new Link(site.ip(12), site.store.address()));
+    Vm neighbour = site.addVm("vm-2", NEAR_ZONE, new Link(site.ip(11), site.store.address()));
+    Vm other = site.addVm("vm-3", FAR_ZONE, new Link(site.ip(12), site.store.address()));
     site.startVms();
     Server.sleep(Site.CONTACT_MS);
     for (Vm vm : List.of(cutOff, neighbour, other)) {
@@ -124,7 +126,7 @@
     long[] others = count(other, fromMs, untilMs);
     long failed = there[0] - there[1];
     site.record.say(
-        "first tries at the VM that is cut off: %d, served %d; at the VM of the other zone: %d, served %d",
+        "first tries at the VM that is cut off: %d, served %d; at the VM of the far zone: %d, served %d",
         there[0], there[1], others[0], others[1]);
     if (others[1] * 2 < others[0]) {
       throw new IllegalStateException("less than half of the requests were served where nothing was disturbed");
