--- a/review/kit-3/kit3/Configuration.java
+++ b/review/kit-3/kit3/Configuration.java
@@ -21,6 +21,7 @@
             .collect(Collectors.joining(","));
     return "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
         + "{\"name\":\"console-agences\",\"max_connections\":110},"
+        + "{\"name\":\"console-agences-2\",\"max_connections\":110},"
         + "{\"name\":\"redaction-ml\",\"max_connections\":370,\"engine\":{\"slots\":64,\"kv_capacity\":670920}},"
         + "{\"name\":\"redaction-ml-2\",\"max_connections\":370,\"engine\":{\"slots\":64,\"kv_capacity\":670920}}],"
         + "\"tenants\":[" + tenants + "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
