--- a/review/kit-3/kit3/Link.java
+++ b/review/kit-3/kit3/Link.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** The path from one VM to another process; while it is cut, bytes wait in both directions. */
 final class Link {
 
   private Listener listener;
   private final String target;
+  private final AtomicLong sentBytes = new AtomicLong();
   private boolean cut;
 
   Link(String ip, String target) throws IOException {
@@ -20,6 +22,11 @@
     return listener.address();
   }
 
+  /** Returns how many bytes the VM has sent over the path. */
+  long sentBytes() {
+    return sentBytes.get();
+  }
+
   /** Cuts the path silently. */
   synchronized void cut() {
     cut = true;
@@ -56,16 +63,17 @@
     String[] parts = target.split(":");
     try (Socket server = new Socket(parts[0], Integer.parseInt(parts[1]))) {
       server.setTcpNoDelay(true);
-      Listener.start(() -> pump(server, client));
-      pump(client, server);
+      Listener.start(() -> pump(server, client, new AtomicLong()));
+      pump(client, server, sentBytes);
     }
   }
 
-  private void pump(Socket from, Socket to) {
+  private void pump(Socket from, Socket to, AtomicLong bytes) {
     byte[] part = new byte[16 * 1024];
     try {
       InputStream in = from.getInputStream();
       for (int count = in.read(part); count >= 0; count = in.read(part)) {
+        bytes.addAndGet(count);
         awaitPath();
         to.getOutputStream().write(part, 0, count);
       }
--- a/review/kit-3/kit3/RevokedKey.java
+++ b/review/kit-3/kit3/RevokedKey.java
@@ -5,7 +5,8 @@
 
 /**
  * A key is taken away. Some seconds later one VM is killed and starts again, while the store comes
- * back from a copy that is older than the change, until the operator has written it again.
+ * back from a copy that is older than the change, until the operator has written it again. The VM
+ * is the one of the two that calls the store; which one that is depends on their addresses.
  */
 final class RevokedKey {
 
@@ -38,8 +39,10 @@
       site.store.put("servers/" + server.id, server.entry(ZONE, "ready"));
     }
     site.store.put("op/config", configuration(3, List.of(KEPT, TAKEN)));
+    List<Link> links = new ArrayList<>();
     for (int i = 0; i < 2; i++) {
-      site.addVm("vm-" + (i + 1), ZONE, new Link(site.ip(10 + i), site.store.address()));
+      links.add(new Link(site.ip(10 + i), site.store.address()));
+      site.addVm("vm-" + (i + 1), ZONE, links.get(i));
     }
     site.startVms();
     Server.sleep(Site.CONTACT_MS);
@@ -50,11 +53,16 @@
     Server.sleep(1_000);
     final Store.Copy copy = site.store.copy();
     Server.sleep(COPY_BEFORE_MS);
+    final long[] sentBytes = {links.get(0).sentBytes(), links.get(1).sentBytes()};
     final long takenMs = site.store.put("op/config", configuration(7, List.of(KEPT)));
     site.record.line("the store acknowledges version 7, without the key %s", TAKEN);
     sleepUntil(takenMs + AWAY_MS);
+    for (int i = 0; i < 2; i++) {
+      sentBytes[i] = links.get(i).sentBytes() - sentBytes[i];
+      site.record.line("%s has sent %d bytes to the store since", site.vms.get(i).name, sentBytes[i]);
+    }
     if (site.trouble) {
-      Vm restarted = site.vms.get(0);
+      Vm restarted = site.vms.get(sentBytes[0] > sentBytes[1] ? 0 : 1);
       site.store.goAway();
       site.record.line("the store is away");
       restarted.kill();
